--- /dev/null
+++ b/src/app/internal/commands.cpp
@@ -0,0 +1,248 @@
+#include "app/commands.h"
+
+#include "app/operatorclient.h"
+#include "app/tables.h"
+#include "instance/instance.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace guavaspan {
+
+namespace {
+
+    namespace leaf = boost::leaf;
+
+    constexpr const char* overview = R"(Usage: guavaspan COMMAND [OPTIONS]
+
+Commands:
+  serve --settings FILE        run an instance
+  settings check FILE          check a settings file
+  ticket submit FILE           submit a change ticket
+  ticket show N | ticket list  show accepted tickets
+  config show                  show the configuration in force
+  status                       show an instance's state
+  usage [--organisation NAME]  show use on record
+  explain REQUEST_ID           show every decision made for a request
+  claim show | claim settle    look up or settle a non-idempotent request
+  version                      print the version
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 outcome unknown.
+Each command has --help.
+)";
+
+    cxxopts::Options clientOptions(const std::string& name, const std::string& help)
+    {
+        cxxopts::Options options("guavaspan " + name, help);
+        options.add_options()("instance", "Address of any instance", cxxopts::value<std::string>()->default_value("127.0.0.1:8080"))("key", "Operator's key; GUAVASPAN_KEY is used if it is absent", cxxopts::value<std::string>()->default_value(""))("json", "Print JSON")("help", "Show this help");
+        return options;
+    }
+
+    /// Thrown by none: a wrong command line ends here with a message.
+    int usageError(const std::string& message)
+    {
+        std::cerr << message << "\n";
+        return exitUsage;
+    }
+
+    std::optional<OperatorAccess> accessFrom(const cxxopts::ParseResult& arguments)
+    {
+        auto endpoint = parseEndpoint(arguments["instance"].as<std::string>());
+        if (!endpoint)
+            return std::nullopt;
+        auto key = arguments["key"].as<std::string>();
+        const char* fromEnvironment = std::getenv("GUAVASPAN_KEY");
+        if (key.empty() && fromEnvironment)
+            key = fromEnvironment;
+        return OperatorAccess { .endpoint = *endpoint, .key = key };
+    }
+
+    std::optional<std::string> readFile(const std::string& path)
+    {
+        std::ifstream file(path);
+        if (!file)
+            return std::nullopt;
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    int exitCodeOf(unsigned status, const std::string& body)
+    {
+        if (status < 300)
+            return exitSuccess;
+        bool unknown = body.find(R"("outcome":"unknown")") != std::string::npos;
+        return unknown ? exitUnknown : exitRefused;
+    }
+
+    /// Prints the answer of an instance as JSON or as a table.
+    int printAnswer(const Result<HttpResponse>& response, bool asJson)
+    {
+        if (!response) {
+            std::cerr << describe(response.error()) << "\n";
+            return response.error().outcome == Outcome::Unknown ? exitUnknown : exitFailure;
+        }
+        const auto& body = response->body();
+        std::cout << (asJson ? body + "\n" : tableOf(body));
+        return exitCodeOf(response->result_int(), body);
+    }
+
+    using Arguments = std::vector<std::string>;
+
+    cxxopts::ParseResult parseArguments(cxxopts::Options& options, const Arguments& arguments)
+    {
+        std::vector<const char*> pointers { "guavaspan" };
+        for (const auto& argument : arguments)
+            pointers.push_back(argument.c_str());
+        return options.parse(static_cast<int>(pointers.size()), pointers.data());
+    }
+
+    int query(const std::string& name, const std::string& help, const Arguments& arguments, const std::string& method, const std::string& target, const std::string& body = {})
+    {
+        auto options = clientOptions(name, help);
+        options.allow_unrecognised_options();
+        auto parsed = parseArguments(options, arguments);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            return exitSuccess;
+        }
+        auto access = accessFrom(parsed);
+        if (!access)
+            return usageError("--instance must be an IP number and port");
+        return printAnswer(callInstance(*access, method, target, body), parsed.count("json") > 0);
+    }
+
+    void printFaults(const SettingsFaults& faults)
+    {
+        for (const auto& fault : faults.faults)
+            std::cerr << fmt::format("line {}: {} {}\n", fault.line, fault.place, fault.message);
+    }
+
+    int serve(const Arguments& arguments)
+    {
+        cxxopts::Options options("guavaspan serve", "Run an instance.");
+        options.add_options()("settings", "Settings file", cxxopts::value<std::string>())("help", "Show this help");
+        auto parsed = parseArguments(options, arguments);
+        if (parsed.count("help") > 0 || parsed.count("settings") == 0) {
+            std::cout << options.help();
+            return parsed.count("help") > 0 ? exitSuccess : exitUsage;
+        }
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<int> {
+                BOOST_LEAF_AUTO(settings, loadSettings(parsed["settings"].as<std::string>()));
+                Instance instance(std::move(settings));
+                return instance.run();
+            },
+            [](const SettingsFaults& faults) {
+                printFaults(faults);
+                return static_cast<int>(exitUsage);
+            },
+            [] { return static_cast<int>(exitFailure); });
+    }
+
+    int settings(const Arguments& arguments)
+    {
+        if (arguments.size() != 2 || arguments[0] != "check")
+            return usageError("usage: guavaspan settings check FILE");
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<int> {
+                BOOST_LEAF_CHECK(loadSettings(arguments[1]));
+                std::cout << "the settings are valid\n";
+                return static_cast<int>(exitSuccess);
+            },
+            [](const SettingsFaults& faults) {
+                printFaults(faults);
+                return static_cast<int>(exitRefused);
+            },
+            [] { return static_cast<int>(exitFailure); });
+    }
+
+    int ticket(const Arguments& arguments)
+    {
+        const std::string usage = "usage: guavaspan ticket submit FILE | show N | list";
+        if (arguments.empty())
+            return usageError(usage);
+        if (arguments[0] == "list")
+            return query("ticket list", "List recent tickets.", arguments, "GET", "/v1/tickets");
+        if (arguments.size() < 2)
+            return usageError(usage);
+        if (arguments[0] == "show")
+            return query("ticket show N", "Show an accepted ticket.", arguments, "GET", "/v1/tickets/" + arguments[1]);
+        if (arguments[0] != "submit")
+            return usageError(usage);
+        auto text = readFile(arguments[1]);
+        if (!text && arguments[1] != "--help")
+            return usageError(arguments[1] + " cannot be opened");
+        return query("ticket submit FILE", "Submit a change ticket.", arguments, "POST", "/v1/tickets", text.value_or(""));
+    }
+
+    int claim(const Arguments& arguments)
+    {
+        const std::string usage = "usage: guavaspan claim show|settle --organisation O --service S --idempotency-key K [--outcome ran|not_run]";
+        cxxopts::Options options("guavaspan claim", "Look up or settle a non-idempotent request.");
+        options.add_options()("organisation", "Organisation", cxxopts::value<std::string>()->default_value(""))("service", "Service", cxxopts::value<std::string>()->default_value(""))("idempotency-key", "The caller's key", cxxopts::value<std::string>()->default_value(""))("outcome", "ran or not_run", cxxopts::value<std::string>()->default_value(""));
+        options.allow_unrecognised_options();
+        if (arguments.empty())
+            return usageError(usage);
+        auto parsed = parseArguments(options, arguments);
+        auto text = [&](const char* name) { return parsed[name].as<std::string>(); };
+        if (arguments[0] == "show")
+            return query("claim show", usage, arguments, "GET", fmt::format("/v1/claims?organisation={}&service={}&key={}", text("organisation"), text("service"), text("idempotency-key")));
+        if (arguments[0] != "settle")
+            return usageError(usage);
+        return query("claim settle", usage, arguments, "POST", "/v1/claims", settlementJson(text("organisation"), text("service"), text("idempotency-key"), text("outcome")));
+    }
+
+    int usage(const Arguments& arguments)
+    {
+        cxxopts::Options options("guavaspan usage", "Show use on record.");
+        options.add_options()("organisation", "Only this organisation", cxxopts::value<std::string>()->default_value(""));
+        options.allow_unrecognised_options();
+        auto organisation = parseArguments(options, arguments)["organisation"].as<std::string>();
+        return query("usage", "Show use on record; --organisation NAME shows one alone.", arguments, "GET", organisation.empty() ? "/v1/usage" : "/v1/usage?organisation=" + organisation);
+    }
+
+}
+
+int runCommand(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty() || arguments[0] == "--help" || arguments[0] == "help") {
+        std::cout << overview;
+        return arguments.empty() ? exitUsage : exitSuccess;
+    }
+    Arguments rest(arguments.begin() + 1, arguments.end());
+    const auto& name = arguments[0];
+    try {
+        if (name == "serve")
+            return serve(rest);
+        if (name == "settings")
+            return settings(rest);
+        if (name == "ticket")
+            return ticket(rest);
+        if (name == "config")
+            return query("config show", "Show the configuration in force.", rest, "GET", "/v1/configuration");
+        if (name == "status")
+            return query("status", "Show an instance's state.", rest, "GET", "/v1/status");
+        if (name == "usage")
+            return usage(rest);
+        if (name == "claim")
+            return claim(rest);
+        if (name == "explain" && !rest.empty())
+            return query("explain REQUEST_ID", "Show every decision made for a request.", rest, "GET", "/v1/explain/" + rest[0]);
+        if (name == "version") {
+            std::cout << "guavaspan " << GUAVASPAN_VERSION << "\n";
+            return exitSuccess;
+        }
+    } catch (const std::exception& exception) {
+        return usageError(exception.what());
+    }
+    std::cerr << "unknown command: " << name << "\n\n"
+              << overview;
+    return exitUsage;
+}
+
+}
--- /dev/null
+++ b/src/app/tables.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace guavaspan {
+
+/// A JSON answer as aligned text for people.
+std::string tableOf(const std::string& json);
+
+/// Body of a claim settlement.
+std::string settlementJson(const std::string& organisation, const std::string& service, const std::string& key, const std::string& outcome);
+
+}
--- /dev/null
+++ b/src/common/time.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+
+namespace guavaspan {
+
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Milliseconds = std::chrono::milliseconds;
+using Microseconds = std::chrono::microseconds;
+using Seconds = std::chrono::seconds;
+
+/// Seconds between two points, as a fraction.
+inline double secondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+/// Converts a fractional number of seconds to the clock's own duration.
+inline Clock::duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+}
+
+}
--- /dev/null
+++ b/src/configuration/internal/configurationstore.cpp
@@ -0,0 +1,185 @@
+#include "configuration/configurationstore.h"
+
+#include "common/log.h"
+#include "configuration/ticketparser.h"
+#include "net/nettypes.h"
+
+namespace guavaspan {
+
+namespace {
+
+    const std::string headKey = "/guavaspan/configuration/head";
+    const std::string chunkPrefix = "/guavaspan/configuration/chunk/";
+    constexpr int maxSwapAttempts = 20;
+    constexpr auto pauseBetweenAttempts = Milliseconds(20);
+
+    Error corrupt(std::string detail)
+    {
+        return Error { .code = ErrorCode::BadReply, .step = Step::KeyValue, .detail = std::move(detail) };
+    }
+
+}
+
+ConfigurationStore::ConfigurationStore(std::shared_ptr<IKeyValueStore> keyValue)
+    : m_keyValue(std::move(keyValue))
+{
+}
+
+Awaitable<Result<ConfigurationChunk>> ConfigurationStore::fetchChunk(std::string hash)
+{
+    auto entry = co_await m_keyValue->get(chunkPrefix + hash);
+    if (!entry)
+        co_return entry.error();
+    if (!*entry)
+        co_return corrupt("chunk " + hash + " is missing");
+    if (chunkHash((*entry)->value) != hash)
+        co_return corrupt("chunk " + hash + " does not match its name");
+    auto chunk = decodeChunk((*entry)->value);
+    if (!chunk)
+        co_return corrupt("chunk " + hash + " cannot be read");
+    co_return *chunk;
+}
+
+Awaitable<Result<ConfigurationStore::VersionedRecord>> ConfigurationStore::fetch(ConfigurationRecord known)
+{
+    auto entry = co_await m_keyValue->get(headKey);
+    if (!entry)
+        co_return entry.error();
+    VersionedRecord result;
+    if (!*entry)
+        co_return result;
+    auto head = decodeHead((*entry)->value);
+    if (!head)
+        co_return corrupt("configuration head cannot be read");
+    result.headVersion = (*entry)->version;
+    result.record = std::move(known);
+    auto& record = result.record;
+    for (std::size_t i = 0; i < configurationChunkCount; ++i) {
+        if (record.head.chunkHashes[i] == head->chunkHashes[i])
+            continue;
+        auto chunk = co_await fetchChunk(head->chunkHashes[i]);
+        if (!chunk)
+            co_return chunk.error();
+        record.chunks[i] = std::move(*chunk);
+    }
+    record.head = std::move(*head);
+    co_return result;
+}
+
+Awaitable<Result<std::optional<ConfigurationRecord>>> ConfigurationStore::fetchNewer(ConfigurationRecord known)
+{
+    auto knownRevision = known.head.revision;
+    auto fetched = co_await fetch(std::move(known));
+    if (!fetched)
+        co_return fetched.error();
+    if (fetched->record.head.revision <= knownRevision)
+        co_return std::optional<ConfigurationRecord> {};
+    co_return std::optional<ConfigurationRecord> { std::move(fetched->record) };
+}
+
+Awaitable<Result<void>> ConfigurationStore::writeChunk(std::string encoded)
+{
+    // Chunks are named by content, so one that is already there is the same.
+    SwapOptions options { .key = chunkPrefix + chunkHash(encoded), .expectedVersion = absentVersion, .value = encoded };
+    auto answer = co_await m_keyValue->compareAndSwap(std::move(options));
+    if (!answer)
+        co_return answer.error();
+    co_return Result<void> {};
+}
+
+/// Before the head is swapped nothing is in force, so until then a failure is
+/// certain. After a swap without an answer only reading back tells, and the
+/// ticket's own number in the head is what is looked for.
+Awaitable<TicketAnswer> ConfigurationStore::submit(Ticket ticket, ConfigurationRecord known)
+{
+    bool mayBeInForce = false;
+    Error lastError;
+    for (int attempt = 0; attempt < maxSwapAttempts; ++attempt) {
+        if (attempt > 0)
+            co_await sleepFor(pauseBetweenAttempts);
+        auto fetched = co_await fetch(known);
+        if (!fetched) {
+            lastError = fetched.error();
+            if (!mayBeInForce)
+                co_return TicketNotWritten { .error = lastError };
+            continue;
+        }
+        auto verdict = planTicket(fetched->record, ticket);
+        if (auto* accepted = std::get_if<TicketAlreadyAccepted>(&verdict))
+            co_return TicketAccepted { .revision = accepted->revision, .repeated = !mayBeInForce };
+        if (auto* conflict = std::get_if<TicketConflict>(&verdict))
+            co_return *conflict;
+        if (auto* stale = std::get_if<TicketStale>(&verdict))
+            co_return *stale;
+        if (auto* faults = std::get_if<std::vector<TicketFault>>(&verdict))
+            co_return std::move(*faults);
+
+        auto& plan = std::get<TicketPlan>(verdict);
+        bool chunksWritten = true;
+        for (auto index : plan.changedChunks) {
+            auto written = co_await writeChunk(encodeChunk(plan.next.chunks[index]));
+            if (written)
+                continue;
+            lastError = written.error();
+            chunksWritten = false;
+            break;
+        }
+        if (!chunksWritten) {
+            if (!mayBeInForce)
+                co_return TicketNotWritten { .error = lastError };
+            continue;
+        }
+        SwapOptions options { .key = headKey, .expectedVersion = fetched->headVersion, .value = encodeHead(plan.next.head) };
+        auto answer = co_await m_keyValue->compareAndSwap(std::move(options));
+        if (answer && answer->swapped)
+            co_return TicketAccepted { .revision = plan.next.head.revision };
+        if (!answer && answer.error().outcome != Outcome::NotRun) {
+            lastError = answer.error();
+            mayBeInForce = true;
+        }
+        if (!answer && !mayBeInForce)
+            co_return TicketNotWritten { .error = answer.error() };
+        known = std::move(fetched->record);
+    }
+    if (mayBeInForce)
+        co_return TicketUndecided { .error = lastError };
+    co_return TicketNotWritten { .error = Error { .code = ErrorCode::Conflict, .step = Step::KeyValue, .detail = "other tickets kept winning" } };
+}
+
+bool ConfigurationHolder::adopt(const ConfigurationRecord& record)
+{
+    if (record.head.revision <= m_record.head.revision)
+        return false;
+    auto built = buildConfiguration(record);
+    if (auto* faults = std::get_if<std::vector<TicketFault>>(&built)) {
+        logEvent(LogLevel::Error, "configuration_rejected", { { "revision", record.head.revision }, { "place", faults->front().place }, { "detail", faults->front().message } });
+        return false;
+    }
+    m_record = record;
+    m_configuration = std::make_shared<Configuration>(std::get<Configuration>(std::move(built)));
+    m_organisationOfKey.clear();
+    for (const auto& [name, organisation] : m_configuration->organisations) {
+        for (const auto& hash : organisation.keyHashes)
+            m_organisationOfKey[hash] = name;
+    }
+    m_ready = true;
+    logEvent(LogLevel::Info, "configuration_adopted", { { "revision", record.head.revision } });
+    for (const auto& listener : m_listeners)
+        listener(*m_configuration);
+    return true;
+}
+
+void ConfigurationHolder::onChange(Listener listener)
+{
+    m_listeners.push_back(std::move(listener));
+}
+
+std::optional<std::string> ConfigurationHolder::organisationOfKey(const std::string& keyHash) const
+{
+    auto found = m_organisationOfKey.find(keyHash);
+    if (found == m_organisationOfKey.end())
+        return std::nullopt;
+    return found->second;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,165 @@
+#include "gateway/gateway.h"
+
+#include "gateway/generationrunner.h"
+#include "gateway/operatorhandler.h"
+#include "gateway/plainhandler.h"
+#include "gateway/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavaspan {
+
+namespace {
+
+    const std::string servicesPrefix = "/services/";
+
+    Error notFound(const std::string& path)
+    {
+        return Error { .code = ErrorCode::NotFound, .step = Step::Validate, .detail = "no such path: " + path };
+    }
+
+}
+
+Gateway::Gateway(GatewayContext& context, StatusSource status)
+    : m_context(context)
+    , m_status(std::move(status))
+{
+}
+
+Awaitable<> Gateway::handle(HttpExchange& exchange)
+{
+    auto path = exchange.path();
+    bool isPost = exchange.request().method() == http::verb::post;
+    if (path == "/healthz" || path == "/readyz" || path == "/metrics") {
+        co_await handleHealth(exchange);
+    } else if (isPost && path == "/v1/completions") {
+        co_await handleCompletion(exchange, false);
+    } else if (isPost && path == "/v1/chat/completions") {
+        co_await handleCompletion(exchange, true);
+    } else if (path == "/v1/models") {
+        co_await handleModels(exchange);
+    } else if (path.starts_with(servicesPrefix)) {
+        PlainHandler handler(m_context, exchange);
+        co_await handler.run();
+    } else if (path.starts_with("/v1/")) {
+        OperatorHandler handler(m_context, exchange, m_status);
+        co_await handler.run();
+    } else {
+        auto reply = problemReply(notFound(path), {});
+        co_await exchange.send(std::move(reply));
+    }
+}
+
+Awaitable<> Gateway::handleHealth(HttpExchange& exchange)
+{
+    Reply reply { .contentType = "text/plain", .body = "ok\n" };
+    if (exchange.path() == "/metrics")
+        reply.body = m_context.metrics.serialize();
+    if (exchange.path() == "/readyz" && m_context.stopping) {
+        reply.status = 503;
+        reply.body = "stopping\n";
+    } else if (exchange.path() == "/readyz" && !m_context.configuration.ready()) {
+        reply.status = 503;
+        reply.body = "no configuration: neither the key-value service nor a peer has given one\n";
+    }
+    co_await exchange.send(std::move(reply));
+}
+
+Awaitable<> Gateway::refuse(HttpExchange& exchange, const RequestScope& scope, Error error, Clock::duration retryAfter)
+{
+    m_context.decisions.record(scope.id, std::string(toString(error.step)), std::string(toString(error.code)), error.peer, error.detail);
+    auto reply = problemReply(error, { .requestId = scope.id, .retryAfter = retryAfter });
+    co_await exchange.send(std::move(reply));
+}
+
+std::optional<Error> Gateway::mayStart(const RequestScope& scope) const
+{
+    if (m_context.stopping)
+        return Error { .code = ErrorCode::Stopping, .step = Step::Admit, .detail = "this instance is stopping", .outcome = Outcome::NotRun };
+    auto organisation = m_context.configuration.current().organisations.find(scope.organisation);
+    auto running = m_context.concurrent.find(scope.organisation);
+    bool tooMany = running != m_context.concurrent.end() && organisation != m_context.configuration.current().organisations.end()
+        && running->second >= organisation->second.maxConcurrent;
+    if (tooMany)
+        return Error { .code = ErrorCode::RateLimited, .step = Step::Admit, .detail = "the organisation's limit of concurrent requests is reached", .outcome = Outcome::NotRun };
+    return std::nullopt;
+}
+
+Awaitable<> Gateway::handleCompletion(HttpExchange& exchange, bool chat)
+{
+    auto scope = beginRequest(m_context, exchange);
+    auto organisation = authenticate(m_context, exchange);
+    if (!organisation) {
+        co_await refuse(exchange, scope, organisation.error());
+        co_return;
+    }
+    scope.organisation = *organisation;
+    auto lastEventId = exchange.header("Last-Event-ID");
+    if (!lastEventId.empty()) {
+        co_await resumeCompletion(exchange, scope, lastEventId);
+        co_return;
+    }
+    co_await runCompletion(exchange, scope, chat);
+}
+
+Awaitable<> Gateway::runCompletion(HttpExchange& exchange, RequestScope& scope, bool chat)
+{
+    auto obstacle = mayStart(scope);
+    if (obstacle) {
+        endRequest(m_context, scope, "completion", std::string(toString(obstacle->code)));
+        co_await refuse(exchange, scope, *obstacle, Seconds(1));
+        co_return;
+    }
+    auto request = parseCompletion(exchange.request().body(), chat, m_context.configuration.current());
+    if (!request) {
+        endRequest(m_context, scope, "completion", std::string(toString(request.error().code)));
+        co_await refuse(exchange, scope, request.error());
+        co_return;
+    }
+    InFlight inFlight(m_context, scope.organisation);
+    GenerationRunner runner(m_context, exchange, scope, std::move(*request));
+    auto result = co_await runner.run();
+    endRequest(m_context, scope, "completion", result);
+}
+
+/// Work that already runs is followed to its end even while this instance stops.
+Awaitable<> Gateway::resumeCompletion(HttpExchange& exchange, RequestScope& scope, const std::string& lastEventId)
+{
+    auto id = parseEventId(lastEventId);
+    auto handle = id ? m_context.sealer.open(id->sealed) : std::nullopt;
+    if (!handle) {
+        Error invalid { .code = ErrorCode::BadRequest, .step = Step::Resume, .detail = "Last-Event-ID was not issued here", .outcome = Outcome::NotRun };
+        co_await refuse(exchange, scope, invalid);
+        co_return;
+    }
+    if (handle->organisation != scope.organisation) {
+        Error foreign { .code = ErrorCode::Forbidden, .step = Step::Resume, .detail = "the stream belongs to another organisation", .outcome = Outcome::NotRun };
+        co_await refuse(exchange, scope, foreign);
+        co_return;
+    }
+    scope.id = handle->requestId;
+    InFlight inFlight(m_context, scope.organisation);
+    CompletionRequest request { .chat = handle->chat, .stream = true, .service = handle->service, .modelName = handle->model, .promptTokens = handle->promptTokens };
+    GenerationRunner runner(m_context, exchange, scope, std::move(request));
+    auto result = co_await runner.resume(*handle, id->offset + 1);
+    endRequest(m_context, scope, "resume", result);
+}
+
+Awaitable<> Gateway::handleModels(HttpExchange& exchange)
+{
+    auto scope = beginRequest(m_context, exchange);
+    auto organisation = authenticate(m_context, exchange);
+    if (!organisation) {
+        co_await refuse(exchange, scope, organisation.error());
+        co_return;
+    }
+    nlohmann::json models = nlohmann::json::array();
+    for (const auto& [name, service] : m_context.configuration.current().services) {
+        for (const auto& model : service.models)
+            models.push_back({ { "id", name + "/" + model }, { "object", "model" }, { "owned_by", "guavaspan" } });
+    }
+    Reply reply { .body = nlohmann::json { { "object", "list" }, { "data", models } }.dump() };
+    co_await exchange.send(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/src/instance/instance.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "gateway/gateway.h"
+#include "instance/iinstancelist.h"
+#include "permits/permitclient.h"
+#include "usage/usagewriter.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace guavaspan {
+
+/// One running instance: builds every part and connects them.
+class Instance {
+public:
+    explicit Instance(Settings);
+
+    /// Runs until it was stopped; gives the process's exit code.
+    int run();
+
+private:
+    Awaitable<> loadConfigurationLoop();
+    Awaitable<> listLoop();
+    Awaitable<> signalLoop();
+    Awaitable<> stop();
+    Awaitable<> metricsLoop();
+    void onConfiguration(const Configuration&);
+    std::string status() const;
+
+    Settings m_settings;
+    asio::io_context m_io { 1 };
+    Random m_random;
+    std::string m_incarnation;
+    Metrics m_metrics;
+    DecisionLog m_decisions;
+    SpanWriter m_spans;
+    HandleSealer m_sealer;
+    std::shared_ptr<IKeyValueStore> m_keyValue;
+    std::unique_ptr<IInstanceList> m_list;
+    ConfigurationHolder m_configuration;
+    ConfigurationStore m_configurationStore;
+    EngineDirectory m_engines;
+    GranterHost m_granters;
+    LocalPermitTransport m_transport;
+    PermitClient m_permits;
+    ClaimCommitter m_claims;
+    UsageLedger m_usage;
+    UsageWriter m_usageWriter;
+    GatewayContext m_gatewayContext;
+    Gateway m_gateway;
+    HttpServer m_server;
+    asio::signal_set m_signals;
+    TimePoint m_confirmedAt;
+};
+
+}
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "net/httpexchange.h"
+
+#include <functional>
+#include <memory>
+
+namespace guavaspan {
+
+/// Bounds on what one connection may cost.
+struct HttpLimits {
+    std::uint64_t maxBodyBytes = 1 << 20;
+    std::uint32_t maxHeaderBytes = 16 << 10;
+    Clock::duration headerTimeout = Seconds(10);
+    Clock::duration writeTimeout = Seconds(30);
+    Clock::duration idleTimeout = Seconds(75);
+};
+
+using HttpHandler = std::function<Awaitable<>(HttpExchange&)>;
+
+/// Accepts connections and passes each request to a handler.
+class HttpServer {
+public:
+    HttpServer(asio::io_context&, HttpLimits, HttpHandler);
+
+    /// Binds and starts to accept; port 0 lets the kernel choose.
+    Result<Endpoint> listen(const Endpoint&);
+
+    /// Stops accepting; open connections go on.
+    void close();
+
+private:
+    Awaitable<> acceptLoop();
+    Awaitable<> serve(asio::ip::tcp::socket);
+
+    asio::io_context& m_context;
+    HttpLimits m_limits;
+    HttpHandler m_handler;
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
+}
--- /dev/null
+++ b/src/net/internal/httpexchange.cpp
@@ -0,0 +1,163 @@
+#include "net/httpexchange.h"
+
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace guavaspan {
+
+/// Shared with the watching coroutine, which may outlive the exchange by one wake-up.
+struct HttpExchange::Watch {
+    std::function<void()> callback;
+    bool gone = false;
+    bool active = true;
+};
+
+namespace {
+
+    bool peerHasClosed(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (received > 0)
+            return false;
+        return received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+}
+
+HttpExchange::HttpExchange(beast::tcp_stream& stream, HttpRequest request, Endpoint remote, Clock::duration writeTimeout)
+    : m_stream(stream)
+    , m_request(std::move(request))
+    , m_remote(std::move(remote))
+    , m_writeTimeout(writeTimeout)
+    , m_keepAlive(m_request.keep_alive())
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+    if (!m_watch)
+        return;
+    m_watch->active = false;
+    m_watch->callback = nullptr;
+    m_stream.socket().cancel();
+}
+
+std::string HttpExchange::path() const
+{
+    std::string target = m_request.target();
+    return target.substr(0, target.find('?'));
+}
+
+std::string HttpExchange::query(std::string_view name) const
+{
+    std::string target = m_request.target();
+    auto mark = target.find('?');
+    if (mark == std::string::npos)
+        return {};
+    std::string rest = target.substr(mark + 1);
+    std::string wanted = std::string(name) + "=";
+    for (std::size_t start = 0; start < rest.size();) {
+        auto end = rest.find('&', start);
+        auto pair = rest.substr(start, end == std::string::npos ? end : end - start);
+        if (pair.starts_with(wanted))
+            return pair.substr(wanted.size());
+        if (end == std::string::npos)
+            break;
+        start = end + 1;
+    }
+    return {};
+}
+
+std::string HttpExchange::header(std::string_view name) const
+{
+    auto found = m_request.find(beast::string_view(name.data(), name.size()));
+    return found == m_request.end() ? std::string() : std::string(found->value());
+}
+
+Awaitable<> HttpExchange::send(Reply reply)
+{
+    HttpResponse response { static_cast<http::status>(reply.status), 11 };
+    response.set(http::field::content_type, reply.contentType);
+    for (const auto& [name, value] : reply.headers)
+        response.set(name, value);
+    response.keep_alive(m_keepAlive);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    m_answered = true;
+    m_stream.expires_after(m_writeTimeout);
+    auto [error, written] = co_await http::async_write(m_stream, response, asTuple);
+    if (error)
+        m_keepAlive = false;
+}
+
+Awaitable<Result<void>> HttpExchange::beginEvents(HttpHeaders headers)
+{
+    http::response<http::empty_body> response { http::status::ok, 11 };
+    response.set(http::field::content_type, "text/event-stream");
+    response.set(http::field::cache_control, "no-cache");
+    for (const auto& [name, value] : headers)
+        response.set(name, value);
+    response.chunked(true);
+    response.keep_alive(m_keepAlive);
+    m_answered = true;
+    http::response_serializer<http::empty_body> serializer { response };
+    m_stream.expires_after(m_writeTimeout);
+    auto [error, written] = co_await http::async_write_header(m_stream, serializer, asTuple);
+    if (error)
+        co_return Error { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = "caller", .detail = error.message() };
+    co_return Result<void> {};
+}
+
+Awaitable<Result<void>> HttpExchange::writeEvents(std::string text)
+{
+    m_stream.expires_after(m_writeTimeout);
+    auto chunk = http::make_chunk(asio::buffer(text));
+    auto [error, written] = co_await asio::async_write(m_stream, chunk, asTuple);
+    if (error) {
+        m_keepAlive = false;
+        co_return Error { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = "caller", .detail = error.message() };
+    }
+    co_return Result<void> {};
+}
+
+Awaitable<> HttpExchange::endEvents()
+{
+    m_stream.expires_after(m_writeTimeout);
+    auto last = http::make_chunk_last();
+    auto [error, written] = co_await asio::async_write(m_stream, last, asTuple);
+    if (error)
+        m_keepAlive = false;
+}
+
+void HttpExchange::abort()
+{
+    m_keepAlive = false;
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
+void HttpExchange::onCallerGone(std::function<void()> callback)
+{
+    m_watch = std::make_shared<Watch>();
+    m_watch->callback = std::move(callback);
+    auto watch = m_watch;
+    auto& socket = m_stream.socket();
+    asio::co_spawn(
+        m_stream.get_executor(), [watch, &socket]() -> Awaitable<> {
+            auto [error] = co_await socket.async_wait(asio::socket_base::wait_read, asTuple);
+            if (!watch->active)
+                co_return;
+            if (error || !peerHasClosed(socket))
+                co_return;
+            watch->gone = true;
+            if (watch->callback)
+                watch->callback(); }, asio::detached);
+}
+
+bool HttpExchange::callerGone() const
+{
+    return m_watch && m_watch->gone;
+}
+
+}
--- /dev/null
+++ b/src/net/internal/nettypes.cpp
@@ -0,0 +1,41 @@
+#include "net/nettypes.h"
+
+#include <charconv>
+#include <fmt/format.h>
+
+namespace guavaspan {
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    auto digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (failure != std::errc {} || end != digits.data() + digits.size())
+        return std::nullopt;
+    boost::system::error_code error;
+    asio::ip::make_address(std::string(host), error);
+    if (error)
+        return std::nullopt;
+    return Endpoint { .address = std::string(host), .port = port };
+}
+
+std::string toString(const Endpoint& endpoint)
+{
+    if (endpoint.address.find(':') != std::string::npos)
+        return fmt::format("[{}]:{}", endpoint.address, endpoint.port);
+    return fmt::format("{}:{}", endpoint.address, endpoint.port);
+}
+
+Awaitable<> sleepFor(Clock::duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asTuple);
+}
+
+}
--- /dev/null
+++ b/src/net/nettypes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "common/error.h"
+#include "common/time.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <string>
+
+namespace guavaspan {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+template <typename T = void>
+using Awaitable = asio::awaitable<T>;
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+/// Completion token that hands the error code back instead of throwing.
+inline constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/// An IP address and port.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+/// Reads "127.0.0.1:80" or "[::1]:80"; names are refused, since peers are known by number.
+std::optional<Endpoint> parseEndpoint(std::string_view);
+
+std::string toString(const Endpoint&);
+
+/// Suspends the calling coroutine.
+Awaitable<> sleepFor(Clock::duration);
+
+}
--- /dev/null
+++ b/src/observability/internal/metrics.cpp
@@ -0,0 +1,129 @@
+#include "observability/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace guavaspan {
+
+namespace {
+
+    using prometheus::BuildCounter;
+    using prometheus::BuildGauge;
+    using prometheus::BuildHistogram;
+    using prometheus::Histogram;
+
+    const Histogram::BucketBoundaries firstTokenBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.44, 1, 2, 5, 10, 30 };
+    const Histogram::BucketBoundaries tokenGapBuckets { 0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.072, 0.1, 0.2, 0.5, 1, 2, 5, 10 };
+
+}
+
+struct Metrics::Families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests = BuildCounter().Name("guavaspan_requests_total").Help("Requests by organisation and result").Register(registry);
+    prometheus::Family<prometheus::Counter>& tokens = BuildCounter().Name("guavaspan_tokens_delivered_total").Help("Output tokens delivered to callers").Register(registry);
+    prometheus::Family<prometheus::Counter>& dropped = BuildCounter().Name("guavaspan_engine_events_dropped_total").Help("Engine events not delivered, by reason").Register(registry);
+    prometheus::Family<prometheus::Counter>& claims = BuildCounter().Name("guavaspan_claims_total").Help("Claims of non-idempotent requests by verdict").Register(registry);
+    prometheus::Family<prometheus::Counter>& keyValueCalls = BuildCounter().Name("guavaspan_key_value_calls_total").Help("Calls to the key-value service by kind").Register(registry);
+    prometheus::Counter& preemptions = BuildCounter().Name("guavaspan_preemptions_total").Help("Generations displaced from an engine").Register(registry).Add({});
+    prometheus::Counter& resumes = BuildCounter().Name("guavaspan_stream_resumes_total").Help("Streams resumed on a new connection").Register(registry).Add({});
+    prometheus::Counter& restarts = BuildCounter().Name("guavaspan_generation_restarts_total").Help("Generations restarted before anything was delivered").Register(registry).Add({});
+    prometheus::Gauge& streams = BuildGauge().Name("guavaspan_live_streams").Help("Generations in flight").Register(registry).Add({});
+    prometheus::Gauge& waiting = BuildGauge().Name("guavaspan_waiting_requests").Help("Requests waiting for a permit on this instance's scheduler").Register(registry).Add({});
+    prometheus::Gauge& revision = BuildGauge().Name("guavaspan_configuration_revision").Help("Revision in force").Register(registry).Add({});
+    prometheus::Gauge& staleness = BuildGauge().Name("guavaspan_configuration_staleness_seconds").Help("Time since the configuration was last confirmed").Register(registry).Add({});
+    prometheus::Gauge& members = BuildGauge().Name("guavaspan_live_members").Help("Instances believed to be alive").Register(registry).Add({});
+    prometheus::Histogram& firstToken = BuildHistogram().Name("guavaspan_first_token_seconds").Help("Time from request to first token").Register(registry).Add({}, firstTokenBuckets);
+    prometheus::Histogram& tokenGap = BuildHistogram().Name("guavaspan_token_gap_seconds").Help("Time between tokens of a stream").Register(registry).Add({}, tokenGapBuckets);
+};
+
+Metrics::Metrics()
+    : m_families(std::make_unique<Families>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::requestEnded(const std::string& organisation, const std::string& result)
+{
+    m_families->requests.Add({ { "organisation", organisation }, { "result", result } }).Increment();
+}
+
+void Metrics::firstToken(double seconds)
+{
+    m_families->firstToken.Observe(seconds);
+}
+
+void Metrics::tokenGap(double seconds)
+{
+    m_families->tokenGap.Observe(seconds);
+}
+
+void Metrics::tokensDelivered(const std::string& organisation, int tokens)
+{
+    m_families->tokens.Add({ { "organisation", organisation } }).Increment(tokens);
+}
+
+void Metrics::preemption()
+{
+    m_families->preemptions.Increment();
+}
+
+void Metrics::resumed()
+{
+    m_families->resumes.Increment();
+}
+
+void Metrics::restarted()
+{
+    m_families->restarts.Increment();
+}
+
+void Metrics::eventDropped(const std::string& reason)
+{
+    m_families->dropped.Add({ { "reason", reason } }).Increment();
+}
+
+void Metrics::liveStreams(int change)
+{
+    m_families->streams.Increment(change);
+}
+
+void Metrics::waitingRequests(double count)
+{
+    m_families->waiting.Set(count);
+}
+
+void Metrics::configurationRevision(double revision)
+{
+    m_families->revision.Set(revision);
+}
+
+void Metrics::configurationStaleness(double seconds)
+{
+    m_families->staleness.Set(seconds);
+}
+
+void Metrics::members(double count)
+{
+    m_families->members.Set(count);
+}
+
+void Metrics::claim(const std::string& verdict)
+{
+    m_families->claims.Add({ { "verdict", verdict } }).Increment();
+}
+
+void Metrics::keyValueCall(const std::string& kind)
+{
+    m_families->keyValueCalls.Add({ { "kind", kind } }).Increment();
+}
+
+std::string Metrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/permits/granterhost.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "engines/enginedirectory.h"
+#include "scheduling/baselinerouters.h"
+#include "scheduling/granter.h"
+#include "settings/settings.h"
+
+#include <map>
+#include <memory>
+
+namespace guavaspan {
+
+/// Receives the decisions about one permit.
+using PermitSink = std::function<void(const SchedulingAction&)>;
+
+/// Runs the deciding cores on this instance, one per model, and feeds them
+/// with time, load reports and cache events.
+class GranterHost {
+public:
+    GranterHost(asio::io_context&, EngineDirectory&, SchedulingSettings, std::uint64_t seed);
+
+    void start();
+    void request(const std::string& model, PermitRequest, PermitSink);
+    void adopt(const std::string& model, PermitRequest, const std::string& engine, int produced, PermitSink);
+    void withdraw(const std::string& model, const PermitId&);
+    void progress(const std::string& model, const PermitId&, int produced, bool preempted);
+    void finish(const std::string& model, const PermitId&, int produced, FinishKind);
+
+    /// Targets changed: engines that leave get nothing more.
+    void refreshEngines();
+
+    std::size_t waiting() const;
+    std::size_t running() const;
+
+private:
+    struct Pool {
+        std::optional<Granter> granter;
+        std::optional<BaselineRouter> baseline;
+        std::map<PermitId, PermitSink> sinks;
+        std::map<std::string, std::uint64_t> cacheSequence;
+        std::set<std::string> polling;
+        TimePoint lastUsed;
+    };
+
+    Pool& pool(const std::string& model);
+    void drain(Pool&);
+    void placeByBaseline(Pool&, const PermitRequest&, const std::string& model, const PermitSink&);
+    Awaitable<> tickLoop();
+    Awaitable<> pollLoop();
+    Awaitable<> pollEngine(std::string model, std::string engine);
+
+    asio::io_context& m_context;
+    EngineDirectory& m_directory;
+    SchedulingSettings m_settings;
+    Random m_random;
+    std::map<std::string, Pool> m_pools;
+};
+
+}
--- /dev/null
+++ b/src/scheduling/internal/memoryprofile.cpp
@@ -0,0 +1,59 @@
+#include "scheduling/memoryprofile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavaspan {
+
+namespace {
+
+    // A floor under the spread: rounding to blocks and the lag of reports are
+    // uncertain even when every length is known.
+    constexpr double spreadFloorTokens = 64;
+
+    double mean(const Footprint& footprint, std::size_t horizon)
+    {
+        return footprint.survival[horizon] * (footprint.tokens + horizonTokens[horizon]);
+    }
+
+    double variance(const Footprint& footprint, std::size_t horizon)
+    {
+        double size = footprint.tokens + horizonTokens[horizon];
+        double chance = footprint.survival[horizon];
+        return chance * (1 - chance) * size * size;
+    }
+
+    /// Upper tail of the normal distribution.
+    double upperTail(double standardScore)
+    {
+        return 0.5 * std::erfc(standardScore / std::sqrt(2.0));
+    }
+
+}
+
+void MemoryProfile::clear()
+{
+    m_mean.fill(0);
+    m_variance.fill(0);
+}
+
+void MemoryProfile::add(const Footprint& footprint)
+{
+    for (std::size_t i = 0; i < horizonTokens.size(); ++i) {
+        m_mean[i] += mean(footprint, i);
+        m_variance[i] += variance(footprint, i);
+    }
+}
+
+double MemoryProfile::overflowRisk(const Footprint& candidate, double capacityTokens) const
+{
+    double worst = 0;
+    for (std::size_t i = 0; i < horizonTokens.size(); ++i) {
+        double expected = m_mean[i] + m_offset + mean(candidate, i);
+        double spread = std::sqrt(m_variance[i] + variance(candidate, i)) + spreadFloorTokens;
+        worst = std::max(worst, upperTail((capacityTokens - expected) / spread));
+    }
+    return worst;
+}
+
+}
--- /dev/null
+++ b/src/scheduling/schedulingtypes.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "common/error.h"
+#include "common/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace guavaspan {
+
+/// Identifies one request for a permit over all instances.
+struct PermitId {
+    std::uint64_t instance = 0;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const PermitId&, const PermitId&) = default;
+};
+
+/// How urgently a service's callers wait.
+enum class ServiceClass {
+    Interactive,
+    Batch,
+};
+
+/// A request for a permit to run one generation.
+struct PermitRequest {
+    PermitId id;
+    std::string organisation;
+    std::string service;
+    double weight = 1;
+    ServiceClass serviceClass = ServiceClass::Batch;
+    int promptTokens = 0;
+    int maxTokens = 0;
+    std::vector<std::uint64_t> prefixBlocks;
+    Clock::duration maxWait = Seconds(30);
+    std::string failureDomain;
+    std::vector<std::string> excludedEngines;
+};
+
+/// Why an engine was chosen.
+enum class GrantReason {
+    PrefixCached,
+    LeastLoaded,
+    Probe,
+};
+
+/// Permission to start one generation on one engine.
+struct Grant {
+    PermitId id;
+    std::string engine;
+    int priority = 0;
+    GrantReason reason = GrantReason::LeastLoaded;
+    double overflowRisk = 0;
+    int expectedCachedTokens = 0;
+};
+
+/// A permit that will not be given.
+struct Refusal {
+    PermitId id;
+    ErrorCode code = ErrorCode::Overloaded;
+    Clock::duration retryAfter {};
+};
+
+/// Asks the holder of a permit to raise its generation's priority.
+struct Protect {
+    PermitId id;
+    int priority = 0;
+};
+
+using SchedulingAction = std::variant<Grant, Refusal, Protect>;
+
+/// How a permitted generation ended.
+enum class FinishKind {
+    Completed,
+    Cancelled,
+    EngineFailed,
+    NotStarted,
+};
+
+/// An engine as the configuration and the instance list describe it.
+struct EngineInfo {
+    std::string name;
+    std::string failureDomain;
+    bool accepting = true;
+    bool honoursPriorities = true;
+
+    friend bool operator==(const EngineInfo&, const EngineInfo&) = default;
+};
+
+/// An engine's own report, which describes a moment in the past.
+struct LoadReport {
+    TimePoint measuredAt;
+    int tokensCapacity = 0;
+    int tokensUsed = 0;
+    int running = 0;
+    int waiting = 0;
+    double stepSeconds = 0;
+};
+
+std::string_view toString(GrantReason);
+
+}
+
+template <>
+struct std::hash<guavaspan::PermitId> {
+    std::size_t operator()(const guavaspan::PermitId& id) const noexcept
+    {
+        return id.instance * 0x9e3779b97f4a7c15ULL ^ id.sequence;
+    }
+};
--- /dev/null
+++ b/src/standins/enginemodel.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace guavaspan::standins {
+
+/// Sizes and speeds of a modelled engine.
+struct EngineProfile {
+    int memoryBlocks = 3000;
+    int blockTokens = 16;
+    int stepTokenBudget = 2048;
+    int maxBatch = 256;
+    double stepBaseSeconds = 0.018;
+    double perSequenceSeconds = 0.00008;
+    double perPrefillTokenSeconds = 0.00002;
+    bool honoursPriorities = true;
+};
+
+/// A generation as the engine knows it; the output length is hidden from callers.
+struct ModelledGeneration {
+    std::uint64_t id = 0;
+    int promptTokens = 0;
+    int outputTokens = 1;
+    int priority = 0;
+    std::vector<std::uint64_t> prefixBlocks;
+};
+
+struct TokenEvent {
+    std::uint64_t generation = 0;
+    int offset = 0;
+    bool last = false;
+
+    friend bool operator==(const TokenEvent&, const TokenEvent&) = default;
+};
+
+struct CacheEvent {
+    std::uint64_t block = 0;
+    bool stored = true;
+
+    friend bool operator==(const CacheEvent&, const CacheEvent&) = default;
+};
+
+/// What one batching step did and how long it took.
+struct StepResult {
+    double seconds = 0;
+    std::vector<TokenEvent> tokens;
+    std::vector<std::uint64_t> preempted;
+    std::vector<CacheEvent> cacheEvents;
+};
+
+/// Occupancy as an engine would report it.
+struct EngineLoad {
+    int blocksTotal = 0;
+    int blocksUsed = 0;
+    int running = 0;
+    int waiting = 0;
+    double stepSeconds = 0;
+    std::uint64_t preemptions = 0;
+};
+
+/// A model engine with continuous batching, paged memory, a prefix cache and
+/// preemption by recomputation. No sockets, no clock: the caller advances it.
+class EngineModel {
+public:
+    explicit EngineModel(EngineProfile);
+
+    void submit(ModelledGeneration);
+    bool cancel(std::uint64_t generation);
+    bool setPriority(std::uint64_t generation, int priority);
+
+    /// True if a step would have something to do.
+    bool hasWork() const { return !m_running.empty() || !m_waiting.empty(); }
+    StepResult step();
+    EngineLoad load() const;
+    const EngineProfile& profile() const { return m_profile; }
+
+private:
+    struct Sequence {
+        ModelledGeneration spec;
+        std::uint64_t arrival = 0;
+        int produced = 0;
+        int prefillDone = 0;
+        int prefillGoal = 0;
+        int privateBlocks = 0;
+        int sharedBlocks = 0;
+    };
+    struct CachedBlock {
+        int references = 0;
+        std::uint64_t lastUse = 0;
+    };
+
+    int blocksFor(int tokens) const;
+    int freeBlocks() const;
+    void admitWaiting(StepResult&);
+    bool startSequence(Sequence&, StepResult&);
+    bool makeRoom(int blocks, StepResult&);
+    bool evictOne(StepResult&);
+    bool growSequence(std::size_t index, StepResult&);
+    std::optional<std::size_t> victimFor(std::size_t grower) const;
+    void preempt(std::size_t index, StepResult&);
+    void release(Sequence&);
+    void insertWaiting(Sequence);
+    bool ranksBefore(const Sequence&, const Sequence&) const;
+
+    EngineProfile m_profile;
+    std::vector<Sequence> m_running;
+    std::deque<Sequence> m_waiting;
+    std::unordered_map<std::uint64_t, CachedBlock> m_cache;
+    int m_privateBlocks = 0;
+    std::uint64_t m_arrivals = 0;
+    std::uint64_t m_uses = 0;
+    std::uint64_t m_preemptions = 0;
+    double m_lastStepSeconds = 0;
+};
+
+}
--- /dev/null
+++ b/src/standins/plainserver.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "net/httpserver.h"
+
+#include <map>
+
+namespace guavaspan::standins {
+
+/// A plain service that counts how often it ran each order.
+class PlainServer {
+public:
+    explicit PlainServer(asio::io_context&);
+    Result<Endpoint> listen(const Endpoint&);
+
+private:
+    Awaitable<> handle(HttpExchange&);
+
+    HttpServer m_server;
+    std::map<std::string, int> m_executions;
+    Milliseconds m_delay { 0 };
+    int m_loseAnswers = 0;
+};
+
+}
--- /dev/null
+++ b/src/streams/stalldetector.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "common/time.h"
+
+namespace guavaspan {
+
+struct StallDetectorOptions {
+    Clock::duration shortestLimit = Seconds(1);
+    Clock::duration firstTokenLimit = Seconds(15);
+    Clock::duration longestLimit = Seconds(15);
+};
+
+/// Learns a stream's own gaps between tokens and says which silence is too long.
+class StallDetector {
+public:
+    explicit StallDetector(StallDetectorOptions);
+
+    void onToken(TimePoint);
+
+    /// The link was renewed; the next token is owed as if the stream just began.
+    void onReopened(TimePoint);
+
+    /// Silence after which the link is taken to be stalled.
+    Clock::duration limit() const;
+
+private:
+    StallDetectorOptions m_options;
+    TimePoint m_last;
+    double m_meanSeconds = 0;
+    double m_deviationSeconds = 0;
+    int m_gaps = 0;
+};
+
+}
--- /dev/null
+++ b/src/usage/internal/usagewriter.cpp
@@ -0,0 +1,69 @@
+#include "usage/usagewriter.h"
+
+#include "common/log.h"
+
+namespace guavaspan {
+
+namespace {
+
+    const std::string usagePrefix = "/guavaspan/usage/";
+
+}
+
+UsageWriter::UsageWriter(std::shared_ptr<IKeyValueStore> keyValue, UsageLedger& ledger, std::string instance, std::string incarnation)
+    : m_keyValue(std::move(keyValue))
+    , m_ledger(ledger)
+    , m_key(usagePrefix + instance + "/" + incarnation)
+{
+}
+
+Awaitable<> UsageWriter::run(Clock::duration interval)
+{
+    bool pending = false;
+    while (true) {
+        co_await sleepFor(interval);
+        pending = m_ledger.takeChanged() || pending;
+        if (!pending)
+            continue;
+        auto written = co_await flush();
+        pending = !written;
+    }
+}
+
+/// The record belongs to this life of this instance alone, so a swap that fails
+/// is an earlier one whose answer was lost: its version is read back.
+Awaitable<bool> UsageWriter::flush()
+{
+    constexpr int attempts = 3;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        if (!m_versionKnown) {
+            auto entry = co_await m_keyValue->get(m_key);
+            if (!entry)
+                continue;
+            m_version = *entry ? (*entry)->version : absentVersion;
+            m_versionKnown = true;
+        }
+        SwapOptions options { .key = m_key, .expectedVersion = m_version, .value = encodeUsage(m_ledger.totals()) };
+        auto answer = co_await m_keyValue->compareAndSwap(std::move(options));
+        if (answer && answer->swapped) {
+            m_version = answer->version;
+            co_return true;
+        }
+        m_versionKnown = false;
+    }
+    logEvent(LogLevel::Warning, "usage_not_written", { { "key", m_key } });
+    co_return false;
+}
+
+Awaitable<Result<UsageByOrganisation>> readUsage(std::shared_ptr<IKeyValueStore> keyValue)
+{
+    auto entries = co_await keyValue->list(usagePrefix);
+    if (!entries)
+        co_return entries.error();
+    UsageByOrganisation total;
+    for (const auto& entry : *entries)
+        total = addRecords(total, decodeUsage(entry.value));
+    co_return total;
+}
+
+}
