Measure the deciding cores against baselines and mend four faults found

Counters of organisations that seldom wait lagged for ever, so heavy ones waited for service that nobody else had wanted. 2. The prior expected outputs of two tokens, so engines were overfilled before anything was learnt. 3. Every blocked head held back an engine, which drained idle. 4. Generations waiting inside an engine hold no memory; the room they leave was given away and they were displaced again.

Change: virtual time for organisations that return; a prior with median 512; one reserved engine at most; no grants to an engine that has work waiting inside and is full. New: guavaspan-bench decisions.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -46,7 +46,7 @@
     int usageError(const std::string& message)
     {
         std::cerr << message << "\n";
-        return exitUsage;
+        return ExitUsage;
     }
 
     std::optional<OperatorAccess> accessFrom(const cxxopts::ParseResult& arguments)
@@ -74,9 +74,9 @@
     int exitCodeOf(unsigned status, const std::string& body)
     {
         if (status < 300)
-            return exitSuccess;
+            return ExitSuccess;
         bool unknown = body.find(R"("outcome":"unknown")") != std::string::npos;
-        return unknown ? exitUnknown : exitRefused;
+        return unknown ? ExitUnknown : ExitRefused;
     }
 
     /// Prints the answer of an instance as JSON or as a table.
@@ -84,7 +84,7 @@
     {
         if (!response) {
             std::cerr << describe(response.error()) << "\n";
-            return response.error().outcome == Outcome::Unknown ? exitUnknown : exitFailure;
+            return response.error().outcome == Outcome::Unknown ? ExitUnknown : ExitFailure;
         }
         const auto& body = response->body();
         std::cout << (asJson ? body + "\n" : tableOf(body));
@@ -108,7 +108,7 @@
         auto parsed = parseArguments(options, arguments);
         if (parsed.count("help") > 0) {
             std::cout << options.help();
-            return exitSuccess;
+            return ExitSuccess;
         }
         auto access = accessFrom(parsed);
         if (!access)
@@ -129,7 +129,7 @@
         auto parsed = parseArguments(options, arguments);
         if (parsed.count("help") > 0 || parsed.count("settings") == 0) {
             std::cout << options.help();
-            return parsed.count("help") > 0 ? exitSuccess : exitUsage;
+            return parsed.count("help") > 0 ? ExitSuccess : ExitUsage;
         }
         return leaf::try_handle_all(
             [&]() -> leaf::result<int> {
@@ -139,9 +139,9 @@
             },
             [](const SettingsFaults& faults) {
                 printFaults(faults);
-                return static_cast<int>(exitUsage);
+                return static_cast<int>(ExitUsage);
             },
-            [] { return static_cast<int>(exitFailure); });
+            [] { return static_cast<int>(ExitFailure); });
     }
 
     int settings(const Arguments& arguments)
@@ -152,13 +152,13 @@
             [&]() -> leaf::result<int> {
                 BOOST_LEAF_CHECK(loadSettings(arguments[1]));
                 std::cout << "the settings are valid\n";
-                return static_cast<int>(exitSuccess);
+                return static_cast<int>(ExitSuccess);
             },
             [](const SettingsFaults& faults) {
                 printFaults(faults);
-                return static_cast<int>(exitRefused);
+                return static_cast<int>(ExitRefused);
             },
-            [] { return static_cast<int>(exitFailure); });
+            [] { return static_cast<int>(ExitFailure); });
     }
 
     int ticket(const Arguments& arguments)
@@ -212,7 +212,7 @@
 {
     if (arguments.empty() || arguments[0] == "--help" || arguments[0] == "help") {
         std::cout << overview;
-        return arguments.empty() ? exitUsage : exitSuccess;
+        return arguments.empty() ? ExitUsage : ExitSuccess;
     }
     Arguments rest(arguments.begin() + 1, arguments.end());
     const auto& name = arguments[0];
@@ -235,14 +235,14 @@
             return query("explain REQUEST_ID", "Show every decision made for a request.", rest, "GET", "/v1/explain/" + rest[0]);
         if (name == "version") {
             std::cout << "guavaspan " << GUAVASPAN_VERSION << "\n";
-            return exitSuccess;
+            return ExitSuccess;
         }
     } catch (const std::exception& exception) {
         return usageError(exception.what());
     }
     std::cerr << "unknown command: " << name << "\n\n"
               << overview;
-    return exitUsage;
+    return ExitUsage;
 }
 
 }
--- a/src/app/operatorclient.h
+++ b/src/app/operatorclient.h
@@ -12,11 +12,11 @@
 
 /// Exit codes of the commands.
 enum ExitCode {
-    exitSuccess = 0,
-    exitFailure = 1,
-    exitUsage = 2,
-    exitRefused = 3,
-    exitUnknown = 4,
+    ExitSuccess = 0,
+    ExitFailure = 1,
+    ExitUsage = 2,
+    ExitRefused = 3,
+    ExitUnknown = 4,
 };
 
 /// One call to an instance; the outcome is an error if it could not be made.
--- /dev/null
+++ b/src/bench/internal/decisions.cpp
@@ -0,0 +1,126 @@
+#include "bench/decisions.h"
+
+#include "bench/poolexperiment.h"
+
+#include <cstdio>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+
+namespace guavaspan::bench {
+
+namespace {
+
+    struct Scenario {
+        std::string name;
+        WorkloadOptions workload;
+    };
+
+    std::vector<PolicyChoice> policies()
+    {
+        return {
+            { .name = "round_robin", .policy = BaselineRouter::Policy { RoundRobinRouter {} } },
+            { .name = "least_reported", .policy = BaselineRouter::Policy { LeastReportedRouter {} } },
+            { .name = "two_choices", .policy = BaselineRouter::Policy { TwoChoicesRouter { .random = Random(7) } } },
+            { .name = "granter/stalls", .policy = stallsFirstOptions() },
+            { .name = "granter/preempt", .policy = preemptionsFirstOptions() },
+        };
+    }
+
+    ExperimentOptions experimentOptions(const DecisionsOptions& options)
+    {
+        return { .seconds = options.seconds, .seed = options.seed };
+    }
+
+    /// Requests a second at which the engines are just full, found by offering far too many.
+    double capacityRequestsPerSecond(const DecisionsOptions& options)
+    {
+        WorkloadOptions flood { .organisations = tenOrganisations(80), .seconds = options.seconds, .seed = options.seed };
+        auto arrivals = makeArrivals(flood);
+        double best = 0;
+        for (const auto& policy : policies()) {
+            PoolExperiment experiment(experimentOptions(options), policy);
+            best = std::max(best, experiment.run(arrivals).tokensPerSecond);
+        }
+        double tokens = 0;
+        for (const auto& arrival : arrivals)
+            tokens += arrival.outputTokens;
+        return best / (tokens / static_cast<double>(arrivals.size()));
+    }
+
+    /// Two organisations send drafts at ten times their share; a third asks short questions.
+    WorkloadOptions floodWorkload(double capacity, bool withFlood)
+    {
+        WorkloadOptions workload;
+        double share = capacity / 3;
+        if (withFlood) {
+            for (const char* name : { "flood-1", "flood-2" })
+                workload.organisations.push_back({ .name = name, .requestsPerSecond = 10 * share, .lookupShare = 0, .draftMedianTokens = 800 });
+        }
+        workload.organisations.push_back({ .name = "modest", .requestsPerSecond = share / 4, .lookupShare = 1 });
+        return workload;
+    }
+
+    std::vector<Scenario> scenarios(double capacity)
+    {
+        std::vector<Scenario> list;
+        for (int percent : { 50, 80, 95, 120 })
+            list.push_back({ .name = fmt::format("steady-{}%", percent), .workload = { .organisations = tenOrganisations(capacity * percent / 100) } });
+        list.push_back({ .name = "backlog", .workload = { .organisations = tenOrganisations(capacity * 3) } });
+        list.push_back({ .name = "modest-alone", .workload = floodWorkload(capacity, false) });
+        list.push_back({ .name = "modest-flooded", .workload = floodWorkload(capacity, true) });
+        Scenario harvest { .name = "harvest-burst", .workload = { .organisations = tenOrganisations(capacity * 0.7), .bursts = { { .fromSecond = 40, .toSecond = 60, .factor = 3 } } } };
+        Scenario pour { .name = "pour-window", .workload = { .organisations = tenOrganisations(capacity * 0.8), .bursts = { { .fromSecond = 40, .toSecond = 55, .factor = 12, .lookupsOnly = true } } } };
+        list.push_back(std::move(harvest));
+        list.push_back(std::move(pour));
+        return list;
+    }
+
+    std::string csvLine(const std::string& scenario, const ExperimentResult& r)
+    {
+        return fmt::format("{},{},{},{},{:.1f},{:.3f},{},{:.4f},{:.4f},{:.4f},{:.4f},{:.4f},{:.4f},{:.4f},{:.4f}\n", scenario, r.policy, r.started, r.finished, r.tokensPerSecond,
+            r.preemptionsPerThousand, r.preemptedTwice, r.stallP50, r.stallP99, r.stallWorst, r.gapP99, r.firstTokenP50, r.firstTokenP95, r.meanShareError, r.worstShareError);
+    }
+
+    void printTable(const std::string& scenario, const std::vector<ExperimentResult>& results)
+    {
+        fmt::print("\n{}\n{:<16} {:>8} {:>9} {:>9} {:>6} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>7} {:>7}\n", scenario, "policy", "finished", "tokens/s", "preempt‰", "twice",
+            "stall50", "stall99", "worst", "gap99", "ttft50", "ttft95", "share~", "share^");
+        for (const auto& r : results) {
+            fmt::print("{:<16} {:>8} {:>9.0f} {:>9.2f} {:>6} {:>8.3f} {:>8.3f} {:>8.3f} {:>8.4f} {:>8.3f} {:>8.3f} {:>7.3f} {:>7.3f}\n", r.policy, r.finished, r.tokensPerSecond,
+                r.preemptionsPerThousand, r.preemptedTwice, r.stallP50, r.stallP99, r.stallWorst, r.gapP99, r.firstTokenP50, r.firstTokenP95, r.meanShareError, r.worstShareError);
+            auto modest = r.firstTokenP95ByOrganisation.find("modest");
+            if (modest != r.firstTokenP95ByOrganisation.end())
+                fmt::print("{:<16} modest organisation's first token p95 {:.3f} s\n", "", modest->second);
+        }
+    }
+
+}
+
+int runDecisions(const DecisionsOptions& options)
+{
+    double capacity = capacityRequestsPerSecond(options);
+    fmt::print("capacity: {:.1f} requests/s over 12 engines (seed {}); times in seconds\n", capacity, options.seed);
+    std::string csv = "scenario,policy,started,finished,tokens_per_s,preemptions_per_1000,preempted_twice,stall_p50_s,stall_p99_s,stall_worst_s,gap_p99_s,ttft_p50_s,ttft_p95_s,share_error_mean,share_error_worst\n";
+    for (auto& scenario : scenarios(capacity)) {
+        if (!options.only.empty() && scenario.name.find(options.only) == std::string::npos)
+            continue;
+        scenario.workload.seconds = options.seconds;
+        scenario.workload.seed = options.seed;
+        auto arrivals = makeArrivals(scenario.workload);
+        std::vector<std::future<ExperimentResult>> runs;
+        for (const auto& policy : policies())
+            runs.push_back(std::async(std::launch::async, [&, policy] { return PoolExperiment(experimentOptions(options), policy).run(arrivals); }));
+        std::vector<ExperimentResult> results;
+        for (auto& run : runs)
+            results.push_back(run.get());
+        printTable(scenario.name, results);
+        for (const auto& result : results)
+            csv += csvLine(scenario.name, result);
+    }
+    if (!options.csvPath.empty())
+        std::ofstream(options.csvPath) << csv;
+    return 0;
+}
+
+}
--- a/src/common/internal/log.cpp
+++ b/src/common/internal/log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    LogLevel s_level = LogLevel::Info;
+    LogLevel minimumLevel = LogLevel::Info;
 
     std::string_view levelName(LogLevel level)
     {
@@ -39,12 +39,12 @@
 
 void setLogLevel(LogLevel level)
 {
-    s_level = level;
+    minimumLevel = level;
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level < s_level)
+    if (level < minimumLevel)
         return;
     nlohmann::ordered_json line = { { "time", timestamp() }, { "level", levelName(level) }, { "event", event } };
     for (const auto& field : fields)
--- a/src/gateway/completionformat.h
+++ b/src/gateway/completionformat.h
@@ -30,7 +30,7 @@
 /// Shapes answers in the OpenAI-compatible form.
 class CompletionFormat {
 public:
-    CompletionFormat(bool chat, std::string requestId, std::string model, std::int64_t created);
+    CompletionFormat(bool chat, const std::string& requestId, const std::string& model, std::int64_t created);
 
     /// One server-sent event for one token.
     std::string tokenEvent(const std::string& eventId, const std::string& text) const;
--- a/src/gateway/internal/completionformat.cpp
+++ b/src/gateway/internal/completionformat.cpp
@@ -123,7 +123,7 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-CompletionFormat::CompletionFormat(bool chat, std::string requestId, std::string model, std::int64_t created)
+CompletionFormat::CompletionFormat(bool chat, const std::string& requestId, const std::string& model, std::int64_t created)
     : m_chat(chat)
 {
     auto id = (chat ? "chatcmpl-" : "cmpl-") + requestId;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/plainhandler.h"
 #include "gateway/problem.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace guavaspan {
@@ -156,7 +157,7 @@
     nlohmann::json models = nlohmann::json::array();
     for (const auto& [name, service] : m_context.configuration.current().services) {
         for (const auto& model : service.models)
-            models.push_back({ { "id", name + "/" + model }, { "object", "model" }, { "owned_by", "guavaspan" } });
+            models.push_back({ { "id", fmt::format("{}/{}", name, model) }, { "object", "model" }, { "owned_by", "guavaspan" } });
     }
     Reply reply { .body = nlohmann::json { { "object", "list" }, { "data", models } }.dump() };
     co_await exchange.send(std::move(reply));
--- a/src/gateway/internal/operatorhandler.cpp
+++ b/src/gateway/internal/operatorhandler.cpp
@@ -1,5 +1,7 @@
 #include "gateway/operatorhandler.h"
 
+#include "common/overloaded.h"
+
 #include "common/hash.h"
 #include "configuration/ticketparser.h"
 #include "gateway/problem.h"
@@ -15,11 +17,6 @@
 
     using nlohmann::json;
 
-    template <typename... Visitors>
-    struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-
     Reply faultsReply(const std::vector<TicketFault>& faults)
     {
         json list = json::array();
@@ -29,7 +26,7 @@
         return Reply { .status = 400, .contentType = "application/problem+json", .body = body.dump(-1, ' ', false, json::error_handler_t::replace) };
     }
 
-    Reply stateReply(unsigned status, json body)
+    Reply stateReply(unsigned status, const json& body)
     {
         return Reply { .status = status, .body = body.dump(-1, ' ', false, json::error_handler_t::replace) };
     }
--- a/src/gateway/internal/plainhandler.cpp
+++ b/src/gateway/internal/plainhandler.cpp
@@ -1,5 +1,7 @@
 #include "gateway/plainhandler.h"
 
+#include "common/overloaded.h"
+
 #include "common/hash.h"
 #include "gateway/problem.h"
 
@@ -9,11 +11,6 @@
 
 namespace {
 
-    template <typename... Visitors>
-    struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-
     const std::string servicesPrefix = "/services/";
     constexpr auto longestCall = Seconds(30);
     constexpr std::size_t longestKey = 256;
@@ -121,9 +118,9 @@
 {
     const auto& target = destination.targets[attempt % destination.targets.size()];
     const auto& request = m_exchange.request();
-    auto target_ = std::string(request.target());
-    auto query = target_.find('?');
-    HttpCall call { .endpoint = m_context.configuration.current().targets.at(target).endpoint, .method = std::string(request.method_string()), .target = destination.path + (query == std::string::npos ? "" : target_.substr(query)), .body = request.body() };
+    auto fullTarget = std::string(request.target());
+    auto query = fullTarget.find('?');
+    HttpCall call { .endpoint = m_context.configuration.current().targets.at(target).endpoint, .method = std::string(request.method_string()), .target = destination.path + (query == std::string::npos ? "" : fullTarget.substr(query)), .body = request.body() };
     call.timeout = std::min<Clock::duration>(longestCall, m_scope.deadline - Clock::now());
     call.headers["traceparent"] = m_scope.trace.header();
     call.headers["X-Request-Id"] = m_scope.id;
--- a/src/permits/internal/permitclient.cpp
+++ b/src/permits/internal/permitclient.cpp
@@ -1,16 +1,13 @@
 #include "permits/permitclient.h"
 
+#include "common/overloaded.h"
+
 #include "common/log.h"
 
 namespace guavaspan {
 
 namespace {
 
-    template <typename... Visitors>
-    struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-
     constexpr auto answerCheckInterval = Milliseconds(100);
     // Beyond the longest wait an owner that is silent is taken to be gone.
     constexpr auto graceBeyondMaxWait = Milliseconds(500);
--- a/src/scheduling/fairqueue.h
+++ b/src/scheduling/fairqueue.h
@@ -71,7 +71,7 @@
 
     std::unordered_map<std::string, Organisation> m_organisations;
     std::set<std::string> m_active;
-    double m_floor = 0;
+    double m_virtualTime = 0;
     std::size_t m_size = 0;
 };
 
--- a/src/scheduling/granter.h
+++ b/src/scheduling/granter.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace guavaspan {
 
@@ -15,8 +16,10 @@
 struct GranterOptions {
     /// Highest accepted chance that admitting a request overflows an engine's memory.
     double maxOverflowRisk = 0.02;
+    /// The same for a request of an organisation below its share.
+    double maxOverflowRiskBelowShare = 0.2;
     /// Part of an engine's memory kept free for organisations below their share.
-    double reservedForBelowShare = 0.04;
+    double reservedForBelowShare = 0.02;
     /// Generations per engine beyond which steps grow too slow.
     int maxRunningPerEngine = 256;
     /// Step time above which an engine gets no further generation.
@@ -83,6 +86,7 @@
         std::map<PermitId, GrantedGeneration> running;
         std::deque<std::pair<TimePoint, double>> occupancyHistory;
         double unexplainedTokens = 0;
+        bool jammed = false;
         bool present = true;
     };
     struct Choice {
@@ -93,7 +97,9 @@
     };
 
     void decide(TimePoint now);
-    std::optional<Choice> choose(const PermitRequest&, TimePoint now);
+    std::optional<Choice> choose(const PermitRequest&, TimePoint now, const std::set<const Engine*>& reserved);
+    const Engine* engineToReserve(const PermitRequest&, TimePoint now, const std::set<const Engine*>& reserved) const;
+    bool isBelowShare(const std::string& organisation) const;
     bool mayRun(const Engine&, const PermitRequest&, TimePoint now) const;
     double score(const Engine&, const PermitRequest&, int cachedTokens) const;
     void grant(const WaitingRequest&, const Choice&, TimePoint now);
--- a/src/scheduling/internal/baselinerouters.cpp
+++ b/src/scheduling/internal/baselinerouters.cpp
@@ -1,20 +1,13 @@
 #include "scheduling/baselinerouters.h"
 
+#include "common/overloaded.h"
+
 #include <algorithm>
 
 namespace guavaspan {
 
-namespace {
-
-    template <typename... Visitors>
-    struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
-
-}
-
 BaselineRouter::BaselineRouter(Policy policy)
-    : m_policy(std::move(policy))
+    : m_policy(policy)
 {
 }
 
--- a/src/scheduling/internal/fairqueue.cpp
+++ b/src/scheduling/internal/fairqueue.cpp
@@ -9,17 +9,6 @@
     auto& organisation = m_organisations[name];
     if (weight > 0)
         organisation.weight = weight;
-    if (m_active.contains(name))
-        return organisation;
-    // Whoever was idle starts level with the least served, and not with a credit.
-    double least = m_floor;
-    bool first = true;
-    for (const auto& other : m_active) {
-        double charged = m_organisations.at(other).charged;
-        least = first ? charged : std::min(least, charged);
-        first = false;
-    }
-    organisation.charged = std::max(organisation.charged, least);
     m_active.insert(name);
     return organisation;
 }
@@ -30,17 +19,19 @@
     if (found == m_organisations.end() || found->second.active())
         return;
     m_active.erase(name);
-    m_floor = std::max(m_floor, found->second.charged);
-    // An idle organisation keeps no credit, but a debt above the floor stays.
     if (m_active.empty()) {
         m_organisations.clear();
-        m_floor = 0;
+        m_virtualTime = 0;
     }
 }
 
 void FairQueue::push(PermitRequest request, TimePoint now)
 {
     auto& organisation = activate(request.organisation, request.weight);
+    // Not having asked earns no credit, and having used what nobody wanted is no debt
+    // beyond that: the queue's time passes for everybody who is not waiting.
+    if (!organisation.hasWaiting())
+        organisation.charged = std::max(organisation.charged, m_virtualTime);
     auto& queue = request.serviceClass == ServiceClass::Interactive ? organisation.interactive : organisation.batch;
     queue.push_back({ .request = std::move(request), .since = now });
     ++m_size;
@@ -122,7 +113,9 @@
 
 WaitingRequest FairQueue::pop(const std::string& name)
 {
-    auto& queue = m_organisations.at(name).frontQueue();
+    auto& organisation = m_organisations.at(name);
+    m_virtualTime = std::max(m_virtualTime, organisation.charged);
+    auto& queue = organisation.frontQueue();
     auto waiting = std::move(queue.front());
     queue.pop_front();
     --m_size;
--- a/src/scheduling/internal/granter.cpp
+++ b/src/scheduling/internal/granter.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/granter.h"
 
 #include <algorithm>
+#include <set>
 
 namespace guavaspan {
 
@@ -16,6 +17,7 @@
     constexpr int protectedPriority = 9;
     constexpr auto historySpan = Seconds(10);
     constexpr double rateSmoothing = 0.2;
+    constexpr double jammedOccupancy = 0.9;
     constexpr auto shortestRetryAfter = Seconds(1);
 
 }
@@ -35,12 +37,12 @@
 
 GranterOptions stallsFirstOptions()
 {
-    return GranterOptions { .maxOverflowRisk = 0.05, .reservedForBelowShare = 0.06 };
+    return GranterOptions { .maxOverflowRisk = 0.1, .maxOverflowRiskBelowShare = 0.3, .reservedForBelowShare = 0.01 };
 }
 
 GranterOptions preemptionsFirstOptions()
 {
-    return GranterOptions { .maxOverflowRisk = 0.005, .reservedForBelowShare = 0.03 };
+    return GranterOptions { .maxOverflowRisk = 0.03, .maxOverflowRiskBelowShare = 0.2, .reservedForBelowShare = 0.01 };
 }
 
 Granter::Granter(GranterOptions options)
@@ -165,7 +167,11 @@
             break;
         knownThen = tokens;
     }
-    engine.unexplainedTokens = report.tokensUsed - knownThen;
+    // What waits inside the engine holds no memory now but will claim it before
+    // anything new: the room it leaves is not room.
+    engine.jammed = report.waiting > 0 && report.tokensUsed > jammedOccupancy * report.tokensCapacity;
+    if (report.waiting == 0)
+        engine.unexplainedTokens = report.tokensUsed - knownThen;
     engine.health.onStepTime(report.stepSeconds, poolMedianStepSeconds(), now);
     rebuild(engine);
 }
@@ -272,10 +278,16 @@
     decide(now);
 }
 
+bool Granter::isBelowShare(const std::string& organisation) const
+{
+    constexpr double clearlyBelow = 0.5;
+    return m_queue.shareRatio(organisation) < clearlyBelow;
+}
+
 double Granter::capacityFor(const Engine& engine, const std::string& organisation) const
 {
     double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
-    if (m_queue.activeOrganisations() > 1 && m_queue.shareRatio(organisation) > 1)
+    if (m_queue.activeOrganisations() > 1 && !isBelowShare(organisation))
         capacity *= 1 - m_options.reservedForBelowShare;
     return capacity;
 }
@@ -286,7 +298,7 @@
         return false;
     if (static_cast<int>(engine.running.size()) >= m_options.maxRunningPerEngine)
         return false;
-    if (engine.health.condition(now) == EngineCondition::Ejected)
+    if (engine.jammed || engine.health.condition(now) == EngineCondition::Ejected)
         return false;
     const auto& excluded = request.excludedEngines;
     return std::find(excluded.begin(), excluded.end(), engine.info.name) == excluded.end();
@@ -302,14 +314,15 @@
     return prefill + crowding + distance;
 }
 
-std::optional<Granter::Choice> Granter::choose(const PermitRequest& request, TimePoint now)
+std::optional<Granter::Choice> Granter::choose(const PermitRequest& request, TimePoint now, const std::set<const Engine*>& reserved)
 {
     std::optional<Choice> best;
     double bestScore = 0;
     GrantedGeneration candidate { .request = request };
     auto footprint = footprintOf(candidate);
+    double highestRisk = isBelowShare(request.organisation) ? m_options.maxOverflowRiskBelowShare : m_options.maxOverflowRisk;
     for (auto& [name, engine] : m_engines) {
-        if (!mayRun(engine, request, now))
+        if (!mayRun(engine, request, now) || reserved.contains(&engine))
             continue;
         bool probing = engine.health.condition(now) == EngineCondition::Probing;
         if (probing && request.serviceClass == ServiceClass::Interactive)
@@ -318,7 +331,7 @@
             continue;
         double risk = engine.profile.overflowRisk(footprint, capacityFor(engine, request.organisation));
         // An empty engine takes whatever comes, or a request larger than any bound would wait for ever.
-        if (risk > m_options.maxOverflowRisk && !engine.running.empty())
+        if (risk > highestRisk && !engine.running.empty())
             continue;
         int cachedTokens = engine.cache.leadingBlocks(request.prefixBlocks) * m_options.blockTokens;
         double cost = probing ? 0 : score(engine, request, cachedTokens);
@@ -331,22 +344,36 @@
     return best;
 }
 
+/// A request that has waited long for room gets the engine that is nearest to
+/// having it; smaller requests go on filling the others.
+const Granter::Engine* Granter::engineToReserve(const PermitRequest& request, TimePoint now, const std::set<const Engine*>& reserved) const
+{
+    const Engine* best = nullptr;
+    for (const auto& [name, engine] : m_engines) {
+        if (!mayRun(engine, request, now) || reserved.contains(&engine))
+            continue;
+        if (!best || engine.profile.occupancy() < best->profile.occupancy())
+            best = &engine;
+    }
+    return best;
+}
+
 void Granter::decide(TimePoint now)
 {
     bool granted = true;
     while (granted) {
         granted = false;
+        std::set<const Engine*> reserved;
         for (const auto& organisation : m_queue.order()) {
             const auto& head = m_queue.front(organisation);
-            auto choice = choose(head.request, now);
+            auto choice = choose(head.request, now, reserved);
             if (choice) {
                 grant(m_queue.pop(organisation), *choice, now);
                 granted = true;
                 break;
             }
-            // Smaller requests of others may fill the gap, but not for so long that this one starves.
-            if (head.since + m_options.backfillLimit < now)
-                break;
+            if (reserved.empty() && head.since + m_options.backfillLimit < now)
+                reserved.insert(engineToReserve(head.request, now, reserved));
         }
     }
 }
--- a/src/scheduling/internal/lengthmodel.cpp
+++ b/src/scheduling/internal/lengthmodel.cpp
@@ -13,8 +13,8 @@
     // thousands are told apart with the same relative precision.
     constexpr double firstEdgeTokens = 4;
     constexpr double edgeRatio = 1.25;
-    // Without observations the tail is taken as heavy: doubling the length halves the survivors.
-    constexpr double priorTailExponent = 1.0;
+    // Without observations half of the outputs pass this length, and the tail halves at each doubling.
+    constexpr double priorMedianTokens = 512;
     constexpr double priorObservations = 4;
     constexpr double serviceObservations = 24;
     constexpr double windowObservations = 4000;
@@ -38,7 +38,7 @@
 
     double priorHazard(int bucket)
     {
-        return 1 - std::pow(edges()[bucket] / edges()[bucket + 1], priorTailExponent);
+        return 1 - (priorMedianTokens + edges()[bucket]) / (priorMedianTokens + edges()[bucket + 1]);
     }
 
 }
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -79,7 +79,7 @@
     void readClaims(MapReader reader, ClaimSettings& settings)
     {
         std::int64_t retention = settings.retention.count();
-        reader.number("retention_s", retention, 60, 365 * 86400);
+        reader.number("retention_s", retention, 60, std::int64_t(365) * 86400);
         settings.retention = Seconds(retention);
         reader.milliseconds("batch_window_ms", settings.batchWindow, 0, 1000);
         reader.finish();
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -26,8 +26,8 @@
 
 }
 
-MapReader::MapReader(YAML::Node node, std::string place, std::vector<SettingsFault>& faults)
-    : m_node(std::move(node))
+MapReader::MapReader(const YAML::Node& node, std::string place, std::vector<SettingsFault>& faults)
+    : m_node(node)
     , m_place(std::move(place))
     , m_faults(&faults)
 {
--- a/src/settings/internal/settingsreader.h
+++ b/src/settings/internal/settingsreader.h
@@ -10,7 +10,7 @@
 /// Reads one YAML map, notes faults with their lines, and refuses unknown keys.
 class MapReader {
 public:
-    MapReader(YAML::Node, std::string place, std::vector<SettingsFault>&);
+    MapReader(const YAML::Node&, std::string place, std::vector<SettingsFault>&);
 
     MapReader map(const std::string& key, bool required = false);
     void text(const std::string& key, std::string&);
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -1,15 +1,8 @@
 #include "streams/streamsession.h"
 
-namespace guavaspan {
-
-namespace {
-
-    template <typename... Visitors>
-    struct Overloaded : Visitors... {
-        using Visitors::operator()...;
-    };
+#include "common/overloaded.h"
 
-}
+namespace guavaspan {
 
 StreamSession::StreamSession(StreamSessionOptions options)
     : m_options(std::move(options))
--- a/src/usage/internal/usagewriter.cpp
+++ b/src/usage/internal/usagewriter.cpp
@@ -10,7 +10,7 @@
 
 }
 
-UsageWriter::UsageWriter(std::shared_ptr<IKeyValueStore> keyValue, UsageLedger& ledger, std::string instance, std::string incarnation)
+UsageWriter::UsageWriter(std::shared_ptr<IKeyValueStore> keyValue, UsageLedger& ledger, const std::string& instance, const std::string& incarnation)
     : m_keyValue(std::move(keyValue))
     , m_ledger(ledger)
     , m_key(usagePrefix + instance + "/" + incarnation)
--- a/src/usage/usagewriter.h
+++ b/src/usage/usagewriter.h
@@ -12,7 +12,7 @@
 /// Puts the ledger's totals on record in the key-value service.
 class UsageWriter {
 public:
-    UsageWriter(std::shared_ptr<IKeyValueStore>, UsageLedger&, std::string instance, std::string incarnation);
+    UsageWriter(std::shared_ptr<IKeyValueStore>, UsageLedger&, const std::string& instance, const std::string& incarnation);
 
     Awaitable<> run(Clock::duration interval);
 
