Let instances find each other, share configuration and decide once per pool

Cause: every instance decided alone and polled the key-value service itself; sharing of prompt prefixes was hidden in one constant offset, so memory risk was underestimated wherever holders of a prefix were about to end (70 generations on one engine with an offset of -26,000 tokens of 48,000).

Change: membership (ring probes, suspicion, refutation, gossip) as a pure core; websocketpp transport with CBOR and a keyed proof on both sides; permits granted by one owner per model found by rendezvous hashing; two watchers per failure domain poll, everybody else hears of a revision from peers. Scheduling: shared prefix blocks are counted once per engine; an engine with displaced generations gets nothing new; the prior expects long outputs.

Conclusion: ruled out: a lower risk alone (it held back work and brought bursts), reserving an engine for each blocked request (engines drained idle).

--- a/src/bench/decisions.h
+++ b/src/bench/decisions.h
@@ -6,9 +6,10 @@
 
 struct DecisionsOptions {
     std::uint64_t seed = 1;
-    double seconds = 120;
+    double seconds = 180;
     std::string csvPath;
     std::string only;
+    bool sweep = false;
 };
 
 /// Measures every policy under every load in virtual time and prints tables.
--- a/src/bench/internal/decisions.cpp
+++ b/src/bench/internal/decisions.cpp
@@ -16,6 +16,19 @@
         WorkloadOptions workload;
     };
 
+    /// The granter at a range of accepted risks, to choose the profiles from.
+    std::vector<PolicyChoice> sweep()
+    {
+        std::vector<PolicyChoice> choices;
+        for (double risk : { 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7 }) {
+            auto options = stallsFirstOptions();
+            options.maxOverflowRisk = risk;
+            options.maxOverflowRiskBelowShare = std::min(0.9, 1.5 * risk);
+            choices.push_back({ .name = fmt::format("risk {:.2f}", risk), .policy = options });
+        }
+        return choices;
+    }
+
     std::vector<PolicyChoice> policies()
     {
         return {
@@ -69,8 +82,8 @@
         list.push_back({ .name = "backlog", .workload = { .organisations = tenOrganisations(capacity * 3) } });
         list.push_back({ .name = "modest-alone", .workload = floodWorkload(capacity, false) });
         list.push_back({ .name = "modest-flooded", .workload = floodWorkload(capacity, true) });
-        Scenario harvest { .name = "harvest-burst", .workload = { .organisations = tenOrganisations(capacity * 0.7), .bursts = { { .fromSecond = 40, .toSecond = 60, .factor = 3 } } } };
-        Scenario pour { .name = "pour-window", .workload = { .organisations = tenOrganisations(capacity * 0.8), .bursts = { { .fromSecond = 40, .toSecond = 55, .factor = 12, .lookupsOnly = true } } } };
+        Scenario harvest { .name = "harvest-burst", .workload = { .organisations = tenOrganisations(capacity * 0.7), .bursts = { { .fromSecond = 80, .toSecond = 100, .factor = 3 } } } };
+        Scenario pour { .name = "pour-window", .workload = { .organisations = tenOrganisations(capacity * 0.8), .bursts = { { .fromSecond = 80, .toSecond = 95, .factor = 12, .lookupsOnly = true } } } };
         list.push_back(std::move(harvest));
         list.push_back(std::move(pour));
         return list;
@@ -109,7 +122,7 @@
         scenario.workload.seed = options.seed;
         auto arrivals = makeArrivals(scenario.workload);
         std::vector<std::future<ExperimentResult>> runs;
-        for (const auto& policy : policies())
+        for (const auto& policy : options.sweep ? sweep() : policies())
             runs.push_back(std::async(std::launch::async, [&, policy] { return PoolExperiment(experimentOptions(options), policy).run(arrivals); }));
         std::vector<ExperimentResult> results;
         for (auto& run : runs)
--- a/src/bench/internal/poolexperiment.cpp
+++ b/src/bench/internal/poolexperiment.cpp
@@ -167,6 +167,7 @@
     for (auto id : engine.pending.preempted) {
         auto& generation = m_generations[id];
         ++generation.preemptions;
+        generation.displaced = true;
         m_preemptions += secondsBetween(TimePoint {}, now) >= m_options.warmupSeconds;
         if (m_granter)
             m_granter->onProgress(PermitId { .instance = 1, .sequence = id }, generation.produced, true, now);
@@ -204,7 +205,8 @@
     PermitId id { .instance = 1, .sequence = token.generation };
     if (token.last) {
         m_granter->onFinished(id, generation.produced, FinishKind::Completed, now);
-    } else if (secondsBetween(generation.reportedAt, now) > m_options.progressIntervalSeconds) {
+    } else if (generation.displaced || secondsBetween(generation.reportedAt, now) > m_options.progressIntervalSeconds) {
+        generation.displaced = false;
         generation.reportedAt = now;
         m_granter->onProgress(id, generation.produced, false, now);
     }
--- a/src/bench/poolexperiment.h
+++ b/src/bench/poolexperiment.h
@@ -25,8 +25,8 @@
     double reportLagSeconds = 0.25;
     double progressIntervalSeconds = 1;
     double messageSeconds = 0.0015;
-    double warmupSeconds = 20;
-    double seconds = 120;
+    double warmupSeconds = 60;
+    double seconds = 180;
     std::uint64_t seed = 1;
 };
 
@@ -67,6 +67,7 @@
         double longestGap = 0;
         TimePoint reportedAt;
         bool measured = false;
+        bool displaced = false;
     };
     struct Engine {
         standins::EngineModel model;
--- a/src/bench/workload.h
+++ b/src/bench/workload.h
@@ -31,7 +31,7 @@
 struct WorkloadOptions {
     std::vector<OrganisationLoad> organisations;
     std::vector<Burst> bursts;
-    double seconds = 120;
+    double seconds = 180;
     std::uint64_t seed = 1;
 };
 
--- a/src/gateway/generationrunner.h
+++ b/src/gateway/generationrunner.h
@@ -63,6 +63,7 @@
     bool m_begun = false;
     bool m_engineFailed = false;
     bool m_hasPermit = false;
+    bool m_displaced = false;
 };
 
 }
--- a/src/gateway/internal/generationrunner.cpp
+++ b/src/gateway/internal/generationrunner.cpp
@@ -267,13 +267,14 @@
     else
         m_context.metrics.tokenGap(secondsBetween(m_lastTokenAt, now));
     m_lastTokenAt = now;
-    if (m_reportedAt + progressInterval < now)
+    if (m_displaced || m_reportedAt + progressInterval < now)
         reportProgress(false);
 }
 
 void GenerationRunner::reportProgress(bool preempted)
 {
     m_reportedAt = Clock::now();
+    m_displaced = preempted;
     if (preempted)
         m_context.metrics.preemption();
     if (m_hasPermit)
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway.h"
 #include "instance/iinstancelist.h"
+#include "peers/peernetwork.h"
 #include "permits/permitclient.h"
 #include "usage/usagewriter.h"
 
@@ -40,7 +41,7 @@
     ConfigurationStore m_configurationStore;
     EngineDirectory m_engines;
     GranterHost m_granters;
-    LocalPermitTransport m_transport;
+    PeerNetwork m_peers;
     PermitClient m_permits;
     ClaimCommitter m_claims;
     UsageLedger m_usage;
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -12,10 +12,30 @@
 namespace {
 
     constexpr auto drainCheckInterval = Milliseconds(50);
+    // Instances that do not watch still look now and then, in case every push was lost.
+    constexpr auto unwatchedPoll = Seconds(15);
     constexpr auto metricsInterval = Milliseconds(500);
 
 }
 
+namespace {
+
+    PeerNetworkOptions peerOptions(const Settings& settings)
+    {
+        return { .name = settings.instance.name, .failureDomain = settings.instance.failureDomain, .key = settings.peers.key, .listen = settings.listen.peers };
+    }
+
+    /// An instance that the list calls leaving is still somebody to talk to.
+    std::vector<Member> membersOf(const InstanceList& list)
+    {
+        std::vector<Member> members;
+        for (const auto& instance : list.instances)
+            members.push_back({ .name = instance.name, .peers = instance.peers, .callers = instance.callers });
+        return members;
+    }
+
+}
+
 Instance::Instance(Settings settings)
     : m_settings(std::move(settings))
     , m_random(randomFromSystem())
@@ -26,7 +46,8 @@
     , m_list(std::make_unique<HttpInstanceList>(m_settings.platform.instanceList, m_settings.platform.timeout))
     , m_configurationStore(m_keyValue)
     , m_granters(m_io, m_engines, m_settings.scheduling, m_random())
-    , m_permits(m_io, m_granters, m_transport, stableHash(m_settings.instance.name + m_incarnation))
+    , m_peers(m_io, peerOptions(m_settings), m_configuration, Random(m_random()))
+    , m_permits(m_io, m_granters, m_peers, stableHash(m_settings.instance.name + m_incarnation))
     , m_claims(m_io, m_keyValue, ClaimCommitterOptions { .retention = m_settings.claims.retention, .batchWindow = m_settings.claims.batchWindow })
     , m_usageWriter(m_keyValue, m_usage, m_settings.instance.name, m_incarnation)
     , m_gatewayContext { .io = m_io, .settings = m_settings, .keyValue = m_keyValue, .configuration = m_configuration, .configurationStore = m_configurationStore, .engines = m_engines, .permits = m_permits, .claims = m_claims, .usage = m_usage, .metrics = m_metrics, .decisions = m_decisions, .spans = m_spans, .sealer = m_sealer, .random = m_random }
@@ -45,7 +66,14 @@
         logEvent(LogLevel::Error, "listen_failed", { { "peer", bound.error().peer }, { "detail", bound.error().detail } });
         return 1;
     }
-    logEvent(LogLevel::Info, "listening", { { "instance", m_settings.instance.name }, { "callers", toString(*bound) } });
+    auto peers = m_peers.start(*bound);
+    if (!peers) {
+        logEvent(LogLevel::Error, "listen_failed", { { "peer", peers.error().peer }, { "detail", peers.error().detail } });
+        return 1;
+    }
+    logEvent(LogLevel::Info, "listening", { { "instance", m_settings.instance.name }, { "callers", toString(*bound) }, { "peers", toString(*peers) } });
+    m_peers.onPermit([this](const std::string& from, const PermitMessage& message) { m_permits.onMessage(from, message); });
+    m_peers.onOwnersChanged([this] { m_permits.onOwnersChanged(); });
     m_granters.start();
     asio::co_spawn(m_io, loadConfigurationLoop(), asio::detached);
     asio::co_spawn(m_io, listLoop(), asio::detached);
@@ -61,12 +89,20 @@
 {
     m_engines.setConfiguration(configuration);
     m_granters.refreshEngines();
+    m_peers.announceConfiguration(configuration.revision);
     m_metrics.configurationRevision(static_cast<double>(configuration.revision));
 }
 
 Awaitable<> Instance::loadConfigurationLoop()
 {
+    TimePoint lastPoll;
     while (true) {
+        bool due = m_peers.isWatcher() || !m_configuration.ready() || lastPoll + unwatchedPoll < Clock::now();
+        if (!due) {
+            co_await sleepFor(m_settings.platform.configurationPoll);
+            continue;
+        }
+        lastPoll = Clock::now();
         auto newer = co_await m_configurationStore.fetchNewer(m_configuration.record());
         if (newer) {
             m_confirmedAt = Clock::now();
@@ -84,6 +120,8 @@
     while (true) {
         auto list = co_await m_list->fetch();
         if (list) {
+            if (m_peers.membership().asksTheList())
+                m_peers.onListed(membersOf(*list));
             std::set<std::string> leaving(list->leavingTargets.begin(), list->leavingTargets.end());
             if (leaving != m_engines.leaving()) {
                 m_engines.setLeaving(std::move(leaving));
@@ -98,6 +136,7 @@
 {
     while (true) {
         co_await sleepFor(metricsInterval);
+        m_metrics.members(static_cast<double>(m_peers.membership().ownerCandidates().size()));
         m_metrics.waitingRequests(static_cast<double>(m_granters.waiting()));
         m_metrics.configurationStaleness(secondsBetween(m_confirmedAt, Clock::now()));
     }
@@ -118,6 +157,7 @@
 Awaitable<> Instance::stop()
 {
     m_gatewayContext.stopping = true;
+    m_peers.leave();
     co_await sleepFor(m_settings.stopping.balancerNotice);
     m_server.close();
     auto limit = m_settings.stopping.longestDrain;
@@ -136,7 +176,23 @@
 
 std::string Instance::status() const
 {
+    nlohmann::json members = nlohmann::json::array();
+    for (const auto& member : m_peers.membership().members())
+        members.push_back({ { "name", member.name }, { "state", std::string(toString(member.state)) }, { "failure_domain", member.failureDomain }, { "incarnation", member.incarnation }, { "peers", toString(member.peers) } });
+    nlohmann::json owners = nlohmann::json::object();
+    for (const auto& model : m_engines.models()) {
+        auto owner = m_peers.ownerOf(model);
+        owners[model] = owner.empty() ? m_settings.instance.name : owner;
+    }
+    const auto& traffic = m_peers.counters();
     nlohmann::json body {
+        { "members", members },
+        { "owners", owners },
+        { "watches_key_value_service", m_peers.isWatcher() },
+        { "peer_bytes_sent", traffic.bytesSent },
+        { "peer_messages_sent", traffic.messagesSent },
+        { "peer_connections_opened", traffic.connectionsOpened },
+        { "suspicions", m_peers.membership().suspicions() },
         { "instance", m_settings.instance.name },
         { "incarnation", m_incarnation },
         { "failure_domain", m_settings.instance.failureDomain },
--- /dev/null
+++ b/src/peers/internal/peernetwork.cpp
@@ -0,0 +1,184 @@
+#include "peers/peernetwork.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+#include "common/overloaded.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+namespace {
+
+    constexpr auto tickInterval = Milliseconds(50);
+    constexpr auto idleCheckInterval = Seconds(10);
+    constexpr std::size_t announceFanout = 4;
+    constexpr std::size_t watchersPerDomain = 2;
+
+    std::int64_t unixMilliseconds()
+    {
+        return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
+}
+
+PeerNetwork::PeerNetwork(asio::io_context& context, PeerNetworkOptions options, ConfigurationHolder& configuration, Random random)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_configuration(configuration)
+    , m_random(random)
+    , m_transport(context, { .name = m_options.name, .key = m_options.key }, [this](const std::string& from, const std::string& payload) { onPayload(from, payload); })
+{
+    Member self { .name = m_options.name, .incarnation = unixMilliseconds(), .failureDomain = m_options.failureDomain };
+    m_membership.emplace(m_options.membership, std::move(self), m_random);
+    m_owners = m_membership->ownerCandidates();
+}
+
+Result<Endpoint> PeerNetwork::start(const Endpoint& callers)
+{
+    auto port = m_transport.listen(m_options.listen.address, m_options.listen.port);
+    if (port == 0)
+        return Error { .code = ErrorCode::Unavailable, .step = Step::Peer, .peer = toString(m_options.listen), .detail = "cannot listen for peers" };
+    Endpoint bound { .address = m_options.listen.address, .port = port };
+    Member self { .name = m_options.name, .incarnation = unixMilliseconds(), .peers = bound, .callers = callers, .failureDomain = m_options.failureDomain };
+    m_membership.emplace(m_options.membership, std::move(self), m_random);
+    asio::co_spawn(m_context, tickLoop(), asio::detached);
+    return bound;
+}
+
+Awaitable<> PeerNetwork::tickLoop()
+{
+    auto nextIdleCheck = Clock::now() + idleCheckInterval;
+    while (true) {
+        co_await sleepFor(tickInterval);
+        m_membership->onTick(Clock::now());
+        flush();
+        if (Clock::now() < nextIdleCheck)
+            continue;
+        m_transport.closeIdle();
+        nextIdleCheck = Clock::now() + idleCheckInterval;
+    }
+}
+
+bool PeerNetwork::transmit(const std::string& to, const Endpoint& endpoint, const PeerMessage& message)
+{
+    return m_transport.send(to, endpoint.address, endpoint.port, encodePeerMessage(message));
+}
+
+void PeerNetwork::flush()
+{
+    for (const auto& send : m_membership->takeSends())
+        transmit(send.to, send.endpoint, send.message);
+    for (const auto& send : m_spreader.takeSends()) {
+        const auto* member = m_membership->find(send.to);
+        transmit(send.to, member ? member->peers : Endpoint {}, send.message);
+    }
+    if (m_membership->version() == m_seenVersion)
+        return;
+    m_seenVersion = m_membership->version();
+    auto owners = m_membership->ownerCandidates();
+    if (owners == m_owners)
+        return;
+    logEvent(LogLevel::Info, "owners_changed", { { "count", std::int64_t(owners.size()) } });
+    m_owners = std::move(owners);
+    if (m_ownersChanged)
+        m_ownersChanged();
+}
+
+void PeerNetwork::onPayload(const std::string& from, const std::string& payload)
+{
+    auto message = decodePeerMessage(payload);
+    if (!message) {
+        logEvent(LogLevel::Warning, "peer_message_unreadable", { { "peer", from }, { "bytes", std::int64_t(payload.size()) } });
+        return;
+    }
+    std::visit(Overloaded {
+                   [&](const MembershipMessage& each) {
+                       m_membership->onMessage(from, each, Clock::now());
+                       noteRevision(from, each);
+                   },
+                   [&](const PermitMessage& each) { m_permitReceiver(from, each); },
+                   [&](const ConfigurationMessage& each) { onConfigurationMessage(from, each); },
+               },
+        *message);
+    flush();
+}
+
+void PeerNetwork::noteRevision(const std::string& from, const MembershipMessage& message)
+{
+    std::int64_t revision = 0;
+    if (const auto* ping = std::get_if<Ping>(&message))
+        revision = ping->revision;
+    if (const auto* ack = std::get_if<Ack>(&message))
+        revision = ack->revision;
+    m_spreader.onRevisionSeen(from, revision, m_configuration.record(), Clock::now());
+}
+
+void PeerNetwork::onConfigurationMessage(const std::string& from, const ConfigurationMessage& message)
+{
+    std::visit(Overloaded {
+                   [&](const RevisionAnnounced& each) { m_spreader.onRevisionSeen(from, each.revision, m_configuration.record(), Clock::now()); },
+                   [&](const RevisionWanted& each) { m_spreader.onWanted(from, each, m_configuration.record()); },
+                   [&](const RevisionSent& each) {
+                       auto record = ConfigurationSpreader::assemble(each, m_configuration.record());
+                       if (record)
+                           m_configuration.adopt(*record);
+                   },
+               },
+        message);
+}
+
+void PeerNetwork::announceConfiguration(std::int64_t revision)
+{
+    m_membership->setRevision(revision);
+    std::vector<std::string> neighbours;
+    for (const auto& member : m_membership->randomAlive(announceFanout))
+        neighbours.push_back(member.name);
+    m_spreader.onAdopted(revision, neighbours);
+    flush();
+}
+
+void PeerNetwork::onListed(const std::vector<Member>& listed)
+{
+    m_membership->onListed(listed, Clock::now());
+    flush();
+}
+
+void PeerNetwork::leave()
+{
+    m_membership->leave(Clock::now());
+    flush();
+}
+
+std::string PeerNetwork::ownerOf(const std::string& model) const
+{
+    std::string owner;
+    std::uint64_t best = 0;
+    for (const auto& name : m_owners) {
+        auto weight = rendezvousWeight(name, "pool/" + model);
+        if (owner.empty() || weight > best) {
+            owner = name;
+            best = weight;
+        }
+    }
+    return owner == m_options.name ? std::string() : owner;
+}
+
+bool PeerNetwork::send(const std::string& instance, const PermitMessage& message)
+{
+    const auto* member = m_membership->find(instance);
+    if (!member || member->state == MemberState::Dead)
+        return false;
+    return transmit(instance, member->peers, message);
+}
+
+bool PeerNetwork::isWatcher() const
+{
+    auto names = m_membership->aliveIn(m_options.failureDomain);
+    auto key = "watcher/" + m_options.failureDomain;
+    auto own = rendezvousWeight(m_options.name, key);
+    auto ahead = std::count_if(names.begin(), names.end(), [&](const std::string& name) { return rendezvousWeight(name, key) > own; });
+    return static_cast<std::size_t>(ahead) < watchersPerDomain;
+}
+
+}
--- /dev/null
+++ b/src/peers/internal/websockettransport.cpp
@@ -0,0 +1,301 @@
+#include "peers/websockettransport.h"
+
+#include "peers/internal/peerproof.h"
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace guavaspan {
+
+namespace {
+
+    using Server = websocketpp::server<websocketpp::config::asio>;
+    using Client = websocketpp::client<websocketpp::config::asio_client>;
+    using websocketpp::connection_hdl;
+    using SteadyClock = std::chrono::steady_clock;
+
+    constexpr const char* proofHeader = "X-Guavaspan-Proof";
+    constexpr const char* callerHeader = "X-Guavaspan-Caller";
+    constexpr long openTimeoutMilliseconds = 2000;
+    constexpr long closeTimeoutMilliseconds = 500;
+    // Frame, TCP and IP headers of one message.
+    constexpr std::size_t framingBytes = 4 + 20 + 20;
+    constexpr std::size_t maxQueuedMessages = 2000;
+
+    template <typename EndpointType>
+    void prepare(EndpointType& endpoint, boost::asio::io_context& context, std::size_t maxMessageBytes)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&context);
+        endpoint.set_open_handshake_timeout(openTimeoutMilliseconds);
+        endpoint.set_close_handshake_timeout(closeTimeoutMilliseconds);
+        endpoint.set_max_message_size(maxMessageBytes);
+        endpoint.set_socket_init_handler([](const connection_hdl&, boost::asio::ip::tcp::socket& socket) {
+            boost::system::error_code ignored;
+            socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        });
+    }
+
+}
+
+class WebSocketTransport::Implementation {
+public:
+    Implementation(boost::asio::io_context& context, WebSocketTransportOptions options, Receiver receiver)
+        : m_options(std::move(options))
+        , m_receiver(std::move(receiver))
+    {
+        prepare(m_server, context, m_options.maxMessageBytes);
+        prepare(m_client, context, m_options.maxMessageBytes);
+        m_server.set_reuse_addr(true);
+        m_server.set_validate_handler([this](const connection_hdl& handle) { return admit(handle); });
+        m_server.set_open_handler([this](const connection_hdl& handle) { onAccepted(handle); });
+        m_server.set_close_handler([this](const connection_hdl& handle) { forget(handle); });
+        m_server.set_fail_handler([this](const connection_hdl& handle) { forget(handle); });
+        m_server.set_message_handler([this](const connection_hdl& handle, const Server::message_ptr& message) { onMessage(handle, message->get_payload()); });
+        m_client.set_open_handler([this](const connection_hdl& handle) { onOpened(handle); });
+        m_client.set_close_handler([this](const connection_hdl& handle) { forget(handle); });
+        m_client.set_fail_handler([this](const connection_hdl& handle) { forget(handle); });
+        m_client.set_message_handler([this](const connection_hdl& handle, const Client::message_ptr& message) { onMessage(handle, message->get_payload()); });
+    }
+
+    std::uint16_t listen(const std::string& address, std::uint16_t port)
+    {
+        websocketpp::lib::error_code error;
+        boost::system::error_code addressError;
+        auto ip = boost::asio::ip::make_address(address, addressError);
+        if (addressError)
+            return 0;
+        m_server.listen(boost::asio::ip::tcp::endpoint(ip, port), error);
+        if (error)
+            return 0;
+        m_server.start_accept(error);
+        auto bound = m_server.get_local_endpoint(addressError);
+        return error || addressError ? 0 : bound.port();
+    }
+
+    bool send(const std::string& to, const std::string& address, std::uint16_t port, const std::string& payload)
+    {
+        auto found = m_links.find(to);
+        if (found == m_links.end()) {
+            if (port == 0 || !open(to, address, port))
+                return false;
+            found = m_links.find(to);
+        }
+        auto& link = found->second;
+        if (!link.ready) {
+            if (link.queued.size() >= maxQueuedMessages)
+                return false;
+            link.queued.push_back(payload);
+            return true;
+        }
+        return write(to, link, payload);
+    }
+
+    void closeIdle()
+    {
+        auto limit = SteadyClock::now() - std::chrono::seconds(m_options.idleSeconds);
+        std::vector<connection_hdl> idle;
+        for (const auto& entry : m_links) {
+            if (entry.second.lastUse < limit)
+                idle.push_back(entry.second.handle);
+        }
+        for (const auto& handle : idle)
+            close(handle);
+    }
+
+    const TransportCounters& counters() const { return m_counters; }
+
+private:
+    struct Link {
+        connection_hdl handle;
+        bool outgoing = false;
+        bool ready = false;
+        std::string nonce;
+        std::vector<std::string> queued;
+        SteadyClock::time_point lastUse;
+    };
+
+    bool open(const std::string& to, const std::string& address, std::uint16_t port)
+    {
+        websocketpp::lib::error_code error;
+        auto host = address.find(':') == std::string::npos ? address : "[" + address + "]";
+        auto connection = m_client.get_connection("ws://" + host + ":" + std::to_string(port) + "/peers", error);
+        if (error)
+            return false;
+        auto proof = makeProof(m_options.key, m_options.name);
+        connection->append_header(callerHeader, m_options.name);
+        connection->append_header(proofHeader, proof.header);
+        Link link;
+        link.handle = connection->get_handle();
+        link.outgoing = true;
+        link.nonce = proof.nonce;
+        link.lastUse = SteadyClock::now();
+        m_links[to] = link;
+        m_names[link.handle] = to;
+        m_client.connect(connection);
+        ++m_counters.connectionsOpened;
+        return true;
+    }
+
+    bool write(const std::string& to, Link& link, const std::string& payload)
+    {
+        websocketpp::lib::error_code error;
+        if (link.outgoing) {
+            auto connection = m_client.get_con_from_hdl(link.handle, error);
+            if (!error && connection->get_buffered_amount() > m_options.maxBufferedBytes)
+                return false;
+            if (!error)
+                m_client.send(link.handle, payload, websocketpp::frame::opcode::binary, error);
+        } else {
+            auto connection = m_server.get_con_from_hdl(link.handle, error);
+            if (!error && connection->get_buffered_amount() > m_options.maxBufferedBytes)
+                return false;
+            if (!error)
+                m_server.send(link.handle, payload, websocketpp::frame::opcode::binary, error);
+        }
+        if (error) {
+            m_names.erase(link.handle);
+            m_links.erase(to);
+            return false;
+        }
+        link.lastUse = SteadyClock::now();
+        ++m_counters.messagesSent;
+        m_counters.bytesSent += payload.size() + framingBytes;
+        return true;
+    }
+
+    /// A caller without a valid proof is refused before it can send anything.
+    bool admit(const connection_hdl& handle)
+    {
+        auto connection = m_server.get_con_from_hdl(handle);
+        auto caller = connection->get_request_header(callerHeader);
+        auto proof = connection->get_request_header(proofHeader);
+        auto nonce = checkProof(m_options.key, caller, proof, m_seenNonces);
+        if (nonce.empty()) {
+            ++m_counters.refused;
+            connection->set_status(websocketpp::http::status_code::unauthorized);
+            return false;
+        }
+        connection->append_header(proofHeader, answerProof(m_options.key, nonce));
+        return true;
+    }
+
+    void onAccepted(const connection_hdl& handle)
+    {
+        auto caller = m_server.get_con_from_hdl(handle)->get_request_header(callerHeader);
+        auto found = m_links.find(caller);
+        bool useful = found != m_links.end() && found->second.ready;
+        m_names[handle] = caller;
+        if (useful)
+            return;
+        // Two that call each other at once both keep the link that opened first.
+        Link link;
+        link.handle = handle;
+        link.ready = true;
+        link.lastUse = SteadyClock::now();
+        std::vector<std::string> queued;
+        if (found != m_links.end())
+            queued = std::move(found->second.queued);
+        m_links[caller] = link;
+        for (const auto& payload : queued)
+            send(caller, "", 0, payload);
+    }
+
+    void onOpened(const connection_hdl& handle)
+    {
+        auto name = m_names[handle];
+        auto found = m_links.find(name);
+        if (found == m_links.end() || found->second.handle.lock() != handle.lock())
+            return;
+        auto answer = m_client.get_con_from_hdl(handle)->get_response_header(proofHeader);
+        if (answer != answerProof(m_options.key, found->second.nonce)) {
+            ++m_counters.refused;
+            m_links.erase(found);
+            close(handle);
+            return;
+        }
+        found->second.ready = true;
+        auto queued = std::move(found->second.queued);
+        found->second.queued.clear();
+        for (const auto& payload : queued)
+            send(name, "", 0, payload);
+    }
+
+    void onMessage(const connection_hdl& handle, const std::string& payload)
+    {
+        auto name = m_names.find(handle);
+        if (name == m_names.end())
+            return;
+        auto from = name->second;
+        auto link = m_links.find(from);
+        if (link != m_links.end())
+            link->second.lastUse = SteadyClock::now();
+        ++m_counters.messagesReceived;
+        m_counters.bytesReceived += payload.size() + framingBytes;
+        m_receiver(from, payload);
+    }
+
+    void forget(const connection_hdl& handle)
+    {
+        auto name = m_names.find(handle);
+        if (name == m_names.end())
+            return;
+        auto link = m_links.find(name->second);
+        if (link != m_links.end() && link->second.handle.lock() == handle.lock())
+            m_links.erase(link);
+        m_names.erase(handle);
+    }
+
+    void close(const connection_hdl& handle)
+    {
+        websocketpp::lib::error_code ignored;
+        m_client.close(handle, websocketpp::close::status::normal, "", ignored);
+        if (ignored)
+            m_server.close(handle, websocketpp::close::status::normal, "", ignored);
+    }
+
+    WebSocketTransportOptions m_options;
+    Receiver m_receiver;
+    Server m_server;
+    Client m_client;
+    std::map<std::string, Link> m_links;
+    std::map<connection_hdl, std::string, std::owner_less<connection_hdl>> m_names;
+    NonceMemory m_seenNonces;
+    TransportCounters m_counters;
+};
+
+WebSocketTransport::WebSocketTransport(boost::asio::io_context& context, WebSocketTransportOptions options, Receiver receiver)
+    : m_implementation(std::make_unique<Implementation>(context, std::move(options), std::move(receiver)))
+{
+}
+
+WebSocketTransport::~WebSocketTransport() = default;
+
+std::uint16_t WebSocketTransport::listen(const std::string& address, std::uint16_t port)
+{
+    return m_implementation->listen(address, port);
+}
+
+bool WebSocketTransport::send(const std::string& to, const std::string& address, std::uint16_t port, const std::string& payload)
+{
+    return m_implementation->send(to, address, port, payload);
+}
+
+void WebSocketTransport::closeIdle()
+{
+    m_implementation->closeIdle();
+}
+
+const TransportCounters& WebSocketTransport::counters() const
+{
+    return m_implementation->counters();
+}
+
+}
--- /dev/null
+++ b/src/peers/peernetwork.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "configuration/configurationstore.h"
+#include "membership/membership.h"
+#include "peers/peermessage.h"
+#include "peers/websockettransport.h"
+#include "permits/ipermittransport.h"
+
+namespace guavaspan {
+
+struct PeerNetworkOptions {
+    std::string name;
+    std::string failureDomain;
+    std::string key;
+    Endpoint listen;
+    MembershipOptions membership;
+};
+
+/// Carries messages between instances and keeps the view of who is there.
+class PeerNetwork : public IPermitTransport {
+public:
+    using PermitReceiver = std::function<void(const std::string& from, const PermitMessage&)>;
+
+    PeerNetwork(asio::io_context&, PeerNetworkOptions, ConfigurationHolder&, Random);
+
+    /// Gives the bound endpoint.
+    Result<Endpoint> start(const Endpoint& callers);
+
+    void onPermit(PermitReceiver receiver) { m_permitReceiver = std::move(receiver); }
+    void onOwnersChanged(std::function<void()> listener) { m_ownersChanged = std::move(listener); }
+
+    void onListed(const std::vector<Member>&);
+    void leave();
+
+    /// This instance adopted a configuration.
+    void announceConfiguration(std::int64_t revision);
+
+    std::string ownerOf(const std::string& model) const override;
+    bool send(const std::string& instance, const PermitMessage&) override;
+
+    /// True if this instance watches the key-value service for its failure domain.
+    bool isWatcher() const;
+
+    const Membership& membership() const { return *m_membership; }
+    const TransportCounters& counters() const { return m_transport.counters(); }
+
+private:
+    Awaitable<> tickLoop();
+    void onPayload(const std::string& from, const std::string& payload);
+    void onConfigurationMessage(const std::string& from, const ConfigurationMessage&);
+    void noteRevision(const std::string& from, const MembershipMessage&);
+    void flush();
+    bool transmit(const std::string& to, const Endpoint&, const PeerMessage&);
+
+    asio::io_context& m_context;
+    PeerNetworkOptions m_options;
+    ConfigurationHolder& m_configuration;
+    ConfigurationSpreader m_spreader;
+    Random m_random;
+    std::optional<Membership> m_membership;
+    WebSocketTransport m_transport;
+    PermitReceiver m_permitReceiver;
+    std::function<void()> m_ownersChanged;
+    std::vector<std::string> m_owners;
+    std::uint64_t m_seenVersion = 0;
+};
+
+}
--- a/src/scheduling/granter.h
+++ b/src/scheduling/granter.h
@@ -5,6 +5,7 @@
 #include "scheduling/lengthmodel.h"
 #include "scheduling/memoryprofile.h"
 #include "scheduling/prefixindex.h"
+#include "scheduling/sharedprefixes.h"
 
 #include <map>
 #include <optional>
@@ -15,11 +16,11 @@
 /// Weights that tell apart operators who fear stalls most from those who fear preemptions most.
 struct GranterOptions {
     /// Highest accepted chance that admitting a request overflows an engine's memory.
-    double maxOverflowRisk = 0.02;
+    double maxOverflowRisk = 0.5;
     /// The same for a request of an organisation below its share.
-    double maxOverflowRiskBelowShare = 0.2;
+    double maxOverflowRiskBelowShare = 0.45;
     /// Part of an engine's memory kept free for organisations below their share.
-    double reservedForBelowShare = 0.02;
+    double reservedForBelowShare = 0.01;
     /// Generations per engine beyond which steps grow too slow.
     int maxRunningPerEngine = 256;
     /// Step time above which an engine gets no further generation.
@@ -82,11 +83,14 @@
         MemoryProfile profile;
         EngineHealth health;
         PrefixIndex cache;
+        SharedPrefixes shared;
         std::optional<LoadReport> report;
         std::map<PermitId, GrantedGeneration> running;
         std::deque<std::pair<TimePoint, double>> occupancyHistory;
         double unexplainedTokens = 0;
         bool jammed = false;
+        /// Generations pushed out of memory that have not gone on yet.
+        std::set<PermitId> displaced;
         bool present = true;
     };
     struct Choice {
@@ -104,7 +108,8 @@
     double score(const Engine&, const PermitRequest&, int cachedTokens) const;
     void grant(const WaitingRequest&, const Choice&, TimePoint now);
     void refuse(const WaitingRequest&, ErrorCode);
-    Footprint footprintOf(const GrantedGeneration&) const;
+    Footprint footprintOf(const GrantedGeneration&, int sharedBlocks) const;
+    void start(Engine&, GrantedGeneration);
     void rebuild(Engine&);
     void advance(Engine&, TimePoint now);
     void recordOccupancy(Engine&, TimePoint now);
--- a/src/scheduling/internal/granter.cpp
+++ b/src/scheduling/internal/granter.cpp
@@ -37,12 +37,12 @@
 
 GranterOptions stallsFirstOptions()
 {
-    return GranterOptions { .maxOverflowRisk = 0.1, .maxOverflowRiskBelowShare = 0.3, .reservedForBelowShare = 0.01 };
+    return GranterOptions { .maxOverflowRisk = 0.3, .maxOverflowRiskBelowShare = 0.45, .reservedForBelowShare = 0.01 };
 }
 
 GranterOptions preemptionsFirstOptions()
 {
-    return GranterOptions { .maxOverflowRisk = 0.03, .maxOverflowRiskBelowShare = 0.2, .reservedForBelowShare = 0.01 };
+    return GranterOptions { .maxOverflowRisk = 0.2, .maxOverflowRiskBelowShare = 0.3, .reservedForBelowShare = 0.01 };
 }
 
 Granter::Granter(GranterOptions options)
@@ -105,8 +105,11 @@
     chargeGrowth(generation, produced);
     generation.estimated = generation.produced;
     generation.reportedAt = now;
-    if (!preempted)
+    if (!preempted) {
+        engine->displaced.erase(id);
         return;
+    }
+    engine->displaced.insert(id);
     ++generation.preemptions;
     m_actions.emplace_back(Protect { .id = id, .priority = protectedPriority });
 }
@@ -125,6 +128,8 @@
         engine->health.onFailure(now);
     }
     engine->running.erase(id);
+    engine->displaced.erase(id);
+    engine->shared.remove(generation.request.prefixBlocks);
     m_engineOf.erase(id);
     m_queue.onEnded(generation.request.organisation);
     rebuild(*engine);
@@ -136,12 +141,8 @@
     auto found = m_engines.find(engineName);
     if (found == m_engines.end() || m_engineOf.contains(request.id))
         return;
-    auto id = request.id;
-    m_queue.onStarted(request.organisation);
     GrantedGeneration generation { .request = std::move(request), .produced = produced, .estimated = static_cast<double>(produced), .grantedAt = now, .reportedAt = now };
-    found->second.running.emplace(id, std::move(generation));
-    m_engineOf[id] = engineName;
-    rebuild(found->second);
+    start(found->second, std::move(generation));
 }
 
 void Granter::recordOccupancy(Engine& engine, TimePoint now)
@@ -208,14 +209,17 @@
     return *middle;
 }
 
-Footprint Granter::footprintOf(const GrantedGeneration& generation) const
+/// Blocks held in common are counted once for the whole engine, not here.
+Footprint Granter::footprintOf(const GrantedGeneration& generation, int sharedBlocks) const
 {
     const auto& request = generation.request;
     int produced = static_cast<int>(generation.estimated);
-    Footprint footprint { .tokens = request.promptTokens + produced + m_options.blockTokens / 2 };
-    for (std::size_t i = 0; i < horizonTokens.size(); ++i) {
-        bool beyondMaximum = request.maxTokens > 0 && produced + horizonTokens[i] >= request.maxTokens;
-        footprint.survival[i] = beyondMaximum && i > 0 ? 0 : m_lengths.survival(request.service, request.organisation, produced, horizonTokens[i]);
+    int ownPrompt = std::max(0, request.promptTokens - sharedBlocks * m_options.blockTokens);
+    Footprint footprint { .tokens = ownPrompt + produced + m_options.blockTokens / 2 };
+    m_lengths.survivalAhead(request.service, request.organisation, produced, horizonTokens, footprint.survival);
+    for (std::size_t i = 1; i < horizonTokens.size(); ++i) {
+        if (request.maxTokens > 0 && produced + horizonTokens[i] >= request.maxTokens)
+            footprint.survival[i] = 0;
     }
     return footprint;
 }
@@ -224,8 +228,18 @@
 {
     engine.profile.clear();
     for (const auto& [id, generation] : engine.running)
-        engine.profile.add(footprintOf(generation));
-    engine.profile.setOffset(engine.unexplainedTokens);
+        engine.profile.add(footprintOf(generation, engine.shared.sharedBlocks(generation.request.prefixBlocks)));
+    engine.profile.setOffset(engine.unexplainedTokens + engine.shared.distinctShared() * m_options.blockTokens);
+}
+
+void Granter::start(Engine& engine, GrantedGeneration generation)
+{
+    auto id = generation.request.id;
+    m_queue.onStarted(generation.request.organisation);
+    engine.shared.add(generation.request.prefixBlocks);
+    m_engineOf[id] = engine.info.name;
+    engine.running.emplace(id, std::move(generation));
+    rebuild(engine);
 }
 
 /// Between reports of progress the owner extrapolates at the engine's own pace.
@@ -298,7 +312,7 @@
         return false;
     if (static_cast<int>(engine.running.size()) >= m_options.maxRunningPerEngine)
         return false;
-    if (engine.jammed || engine.health.condition(now) == EngineCondition::Ejected)
+    if (engine.jammed || !engine.displaced.empty() || engine.health.condition(now) == EngineCondition::Ejected)
         return false;
     const auto& excluded = request.excludedEngines;
     return std::find(excluded.begin(), excluded.end(), engine.info.name) == excluded.end();
@@ -319,7 +333,7 @@
     std::optional<Choice> best;
     double bestScore = 0;
     GrantedGeneration candidate { .request = request };
-    auto footprint = footprintOf(candidate);
+    auto whole = footprintOf(candidate, 0);
     double highestRisk = isBelowShare(request.organisation) ? m_options.maxOverflowRiskBelowShare : m_options.maxOverflowRisk;
     for (auto& [name, engine] : m_engines) {
         if (!mayRun(engine, request, now) || reserved.contains(&engine))
@@ -329,6 +343,8 @@
             continue;
         if (!engine.running.empty() && engine.report && engine.report->stepSeconds > m_options.maxStepSeconds)
             continue;
+        auto footprint = whole;
+        footprint.tokens -= std::min(footprint.tokens, engine.shared.heldBlocks(request.prefixBlocks) * m_options.blockTokens);
         double risk = engine.profile.overflowRisk(footprint, capacityFor(engine, request.organisation));
         // An empty engine takes whatever comes, or a request larger than any bound would wait for ever.
         if (risk > highestRisk && !engine.running.empty())
@@ -386,14 +402,11 @@
         engine.health.onProbeStarted(now);
     int priority = request.serviceClass == ServiceClass::Interactive ? interactivePriority : batchPriority;
     m_actions.emplace_back(Grant { .id = request.id, .engine = engine.info.name, .priority = priority, .reason = choice.reason, .overflowRisk = choice.risk, .expectedCachedTokens = choice.cachedTokens });
-    m_queue.onStarted(request.organisation);
     m_queue.charge(request.organisation, request.promptTokens * m_options.promptTokenWeight);
     m_queue.addForeseen(request.organisation, m_lengths.expectedRemaining(request.service, request.organisation, 0, m_options.foreseenTokens));
     engine.cache.expectStored(request.prefixBlocks);
     GrantedGeneration generation { .request = request, .grantedAt = now, .reportedAt = now, .expectedCachedTokens = choice.cachedTokens };
-    engine.profile.add(footprintOf(generation));
-    engine.running.emplace(request.id, std::move(generation));
-    m_engineOf[request.id] = engine.info.name;
+    start(engine, std::move(generation));
     ++m_grantsSinceTick;
 }
 
--- a/src/scheduling/internal/lengthmodel.cpp
+++ b/src/scheduling/internal/lengthmodel.cpp
@@ -13,8 +13,9 @@
     // thousands are told apart with the same relative precision.
     constexpr double firstEdgeTokens = 4;
     constexpr double edgeRatio = 1.25;
-    // Without observations half of the outputs pass this length, and the tail halves at each doubling.
-    constexpr double priorMedianTokens = 512;
+    // Without observations half of the outputs pass this length, and the tail halves at each
+    // doubling. Long on purpose: many requests of one unknown kind err together.
+    constexpr double priorMedianTokens = 2048;
     constexpr double priorObservations = 4;
     constexpr double serviceObservations = 24;
     constexpr double windowObservations = 4000;
@@ -154,10 +155,12 @@
     return table.logSurvival[bucket] + share * (table.logSurvival[bucket + 1] - table.logSurvival[bucket]);
 }
 
-double LengthModel::survival(const std::string& service, const std::string& organisation, int produced, int more) const
+void LengthModel::survivalAhead(const std::string& service, const std::string& organisation, int produced, std::span<const int> more, std::span<double> chances) const
 {
     const auto* table = find(service, organisation);
-    return std::exp(logSurvivalAt(*table, produced + more) - logSurvivalAt(*table, produced));
+    double base = logSurvivalAt(*table, produced);
+    for (std::size_t i = 0; i < more.size(); ++i)
+        chances[i] = std::exp(logSurvivalAt(*table, produced + more[i]) - base);
 }
 
 double LengthModel::expectedRemaining(const std::string& service, const std::string& organisation, int produced, int horizon) const
--- a/src/scheduling/lengthmodel.h
+++ b/src/scheduling/lengthmodel.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,8 +20,8 @@
     /// Records that a generation ended by itself at this length.
     void observeEnd(const std::string& service, const std::string& organisation, int length);
 
-    /// Chance that a generation which has produced this many tokens produces as many more.
-    double survival(const std::string& service, const std::string& organisation, int produced, int more) const;
+    /// Chances that a generation which has produced this many tokens produces so many more.
+    void survivalAhead(const std::string& service, const std::string& organisation, int produced, std::span<const int> more, std::span<double> chances) const;
 
     /// Mean of the tokens still to come, counting no further than a horizon.
     double expectedRemaining(const std::string& service, const std::string& organisation, int produced, int horizon) const;
