--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -81,6 +81,34 @@
     }
 }
 
+/// The stream's own timer would close the socket, and the caller would not learn why.
+Awaitable<boost::system::error_code> HttpServer::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, Clock::duration firstByteLimit)
+{
+    auto expired = std::make_shared<bool>(false);
+    asio::steady_timer timer(m_context);
+    auto limit = [&](Clock::duration duration) {
+        timer.expires_after(duration);
+        timer.async_wait([&stream, expired](boost::system::error_code error) {
+            if (error)
+                return;
+            *expired = true;
+            stream.socket().cancel();
+        });
+    };
+    stream.expires_never();
+    limit(firstByteLimit);
+    auto [headerError, headerBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
+    auto error = headerError;
+    if (!error) {
+        limit(m_limits.headerTimeout);
+        auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
+        error = bodyError;
+    }
+    if (*expired)
+        error = beast::error::timeout;
+    co_return error;
+}
+
 Awaitable<> HttpServer::serve(asio::ip::tcp::socket socket)
 {
     boost::system::error_code ignored;
@@ -94,17 +122,12 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_limits.maxBodyBytes);
         parser.header_limit(m_limits.maxHeaderBytes);
-        stream.expires_after(first ? m_limits.headerTimeout : m_limits.idleTimeout);
-        auto [headerError, headerBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
-        auto error = headerError;
-        if (!error) {
-            stream.expires_after(m_limits.headerTimeout);
-            auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
-            error = bodyError;
-        }
+        auto error = co_await readRequest(stream, buffer, parser, first ? m_limits.headerTimeout : m_limits.idleTimeout);
         if (error) {
             auto status = statusForReadError(error);
-            if (status && (first || status != 408)) {
+            bool begun = first || parser.got_some() || buffer.size() > 0;
+            // A connection that only idles is closed without a word.
+            if (status && begun) {
                 HttpExchange exchange(stream, HttpRequest {}, remote, m_limits.writeTimeout);
                 co_await exchange.send(replyForReadError(status, error.message()));
             }
--- /dev/null
+++ b/src/net/tests/net_test.cpp
@@ -0,0 +1,80 @@
+#include "net/eventstreamreader.h"
+#include "net/httpserver.h"
+
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+/// A server that answers with the body's length, and what a raw client reads from it.
+struct ServerFixture {
+    asio::io_context context;
+    HttpServer server { context, HttpLimits { .maxBodyBytes = 1000, .maxHeaderBytes = 2000, .headerTimeout = Milliseconds(200), .idleTimeout = Milliseconds(200) }, [](HttpExchange& exchange) -> Awaitable<> {
+                           Reply reply { .body = std::to_string(exchange.request().body().size()) };
+                           co_await exchange.send(std::move(reply));
+                       } };
+    Endpoint endpoint = *server.listen({ .address = "127.0.0.1" });
+
+    std::string exchange(const std::string& bytes)
+    {
+        std::string answer;
+        asio::co_spawn(
+            context, [&]() -> Awaitable<> {
+                asio::ip::tcp::socket socket(context);
+                asio::ip::tcp::endpoint remote(asio::ip::make_address(endpoint.address), endpoint.port);
+                co_await socket.async_connect(remote, asTuple);
+                co_await asio::async_write(socket, asio::buffer(bytes), asTuple);
+                std::array<char, 4096> chunk {};
+                while (true) {
+                    auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), asTuple);
+                    answer.append(chunk.data(), count);
+                    if (error)
+                        break;
+                }
+                context.stop(); }, asio::detached);
+        context.restart();
+        context.run();
+        return answer;
+    }
+};
+
+}
+
+Test(HttpServer, badInputTable_getsAClearErrorAtOnce)
+{
+    ServerFixture f;
+    cr_expect(f.exchange("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc").find("\r\n\r\n3") != std::string::npos);
+    cr_expect(f.exchange("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    cr_expect(f.exchange("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n").starts_with("HTTP/1.1 413"));
+    cr_expect(f.exchange("GET / HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    cr_expect(f.exchange("GET / HTTP/1.1\r\nHost").starts_with("HTTP/1.1 408"), "a request that drips in");
+    cr_expect(f.exchange("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nab").starts_with("HTTP/1.1 408"));
+}
+
+Test(EventStreamSplitter, anyChunkBorders_giveTheSameEvents)
+{
+    const std::string stream = "id: 1\ndata: one\n\n: comment\n\nevent: e\r\nid: 2\r\ndata: two\r\ndata: more\r\n\r\ndata: last\n\n";
+    for (std::size_t width = 1; width <= stream.size(); ++width) {
+        EventStreamSplitter splitter;
+        for (std::size_t at = 0; at < stream.size(); at += width)
+            splitter.feed(std::string_view(stream).substr(at, width));
+        auto one = splitter.next();
+        auto two = splitter.next();
+        auto three = splitter.next();
+        cr_assert(one && two && three);
+        cr_expect(*one == (ServerSentEvent { .id = "1", .data = "one" }));
+        cr_expect(*two == (ServerSentEvent { .id = "2", .event = "e", .data = "two\nmore" }));
+        cr_expect(three->data == "last");
+        cr_expect_not(splitter.next().has_value());
+    }
+}
+
+Test(Endpoint, namesAndBadPorts_areRefused)
+{
+    cr_expect(parseEndpoint("127.0.0.1:80") == (Endpoint { .address = "127.0.0.1", .port = 80 }));
+    cr_expect(toString(*parseEndpoint("[::1]:80")) == "[::1]:80");
+    for (const char* bad : { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x" })
+        cr_expect_not(parseEndpoint(bad).has_value(), "%s", bad);
+}
--- /dev/null
+++ b/src/peers/tests/peers_test.cpp
@@ -0,0 +1,112 @@
+#include "peers/internal/peerproof.h"
+#include "peers/peermessage.h"
+#include "peers/websockettransport.h"
+
+#include "net/nettypes.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+template <typename Inner, typename Outer>
+std::optional<Inner> roundTrip(const Outer& message)
+{
+    auto decoded = decodePeerMessage(encodePeerMessage(message));
+    if (!decoded)
+        return std::nullopt;
+    auto* outer = std::get_if<Outer>(&*decoded);
+    auto* inner = outer ? std::get_if<Inner>(outer) : nullptr;
+    return inner ? std::optional<Inner>(*inner) : std::nullopt;
+}
+
+const Member member { .name = "entry-1", .incarnation = 77, .state = MemberState::Suspect, .peers = { .address = "127.0.0.1", .port = 9 }, .callers = { .address = "::1", .port = 8 }, .failureDomain = "mixco" };
+
+struct PairFixture {
+    asio::io_context context;
+    std::vector<std::string> received;
+    WebSocketTransport one;
+    WebSocketTransport two;
+    std::uint16_t port = 0;
+
+    PairFixture(const std::string& keyOne, const std::string& keyTwo)
+        : one(context, { .name = "one", .key = keyOne }, [this](const std::string& from, const std::string& payload) { received.push_back(from + ":" + payload); })
+        , two(context, { .name = "two", .key = keyTwo }, [this](const std::string& from, const std::string& payload) { received.push_back(from + ":" + payload); })
+    {
+        port = two.listen("127.0.0.1", 0);
+    }
+
+    /// Runs until so many messages came, or the steps are used up.
+    void runUntil(std::size_t messages)
+    {
+        for (int i = 0; i < 400 && received.size() < messages; ++i)
+            context.run_for(Milliseconds(5));
+    }
+};
+
+}
+
+Test(PeerMessage, everyKind_survivesTheCodec)
+{
+    auto ping = roundTrip<Ping>(MembershipMessage(Ping { .sequence = 5, .news = { member }, .revision = 9 }));
+    cr_assert(ping.has_value());
+    cr_expect(ping->news.front() == member);
+    cr_expect(ping->revision == 9);
+    auto exchange = roundTrip<ViewExchange>(MembershipMessage(ViewExchange { .members = { member, member }, .reply = true }));
+    cr_expect(exchange && exchange->members.size() == 2 && exchange->reply);
+    PermitRequest request { .id = { .instance = ~0ULL, .sequence = 4 }, .organisation = "o", .service = "s", .weight = 2.5, .serviceClass = ServiceClass::Interactive, .promptTokens = 11, .maxTokens = 12, .prefixBlocks = { ~0ULL, 1 }, .maxWait = Seconds(3), .failureDomain = "d", .excludedEngines = { "e" } };
+    auto ask = roundTrip<PermitAsk>(PermitMessage(PermitAsk { .model = "m", .request = request }));
+    cr_assert(ask.has_value());
+    cr_expect(ask->request.id == request.id && ask->request.prefixBlocks == request.prefixBlocks && ask->request.maxWait == request.maxWait && ask->request.excludedEngines == request.excludedEngines);
+    auto decision = roundTrip<PermitDecision>(PermitMessage(PermitDecision { .action = Refusal { .id = request.id, .code = ErrorCode::Overloaded, .retryAfter = Seconds(2) } }));
+    cr_assert(decision.has_value());
+    cr_expect(std::get<Refusal>(decision->action).retryAfter == Seconds(2));
+    auto sent = roundTrip<RevisionSent>(ConfigurationMessage(RevisionSent { .head = "h", .chunks = { { 3, "c" } } }));
+    cr_expect(sent && sent->chunks.at(3) == "c");
+}
+
+Test(PeerMessage, damagedBytes_areRefused)
+{
+    auto bytes = encodePeerMessage(MembershipMessage(Ping { .news = { member } }));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        cr_expect_not(decodePeerMessage(bytes.substr(0, length)).has_value());
+    cr_expect_not(decodePeerMessage("nonsense").has_value());
+}
+
+Test(PeerProof, forgedReplayedOrOld_isRefused)
+{
+    NonceMemory seen;
+    auto proof = makeProof("key", "one");
+    cr_expect(checkProof("other", "one", proof.header, seen).empty());
+    cr_expect(checkProof("key", "two", proof.header, seen).empty());
+    cr_expect(checkProof("key", "one", "5;n;" + proof.header.substr(proof.header.rfind(';') + 1), seen).empty());
+    cr_expect(checkProof("key", "one", proof.header, seen) == proof.nonce);
+    cr_expect(checkProof("key", "one", proof.header, seen).empty(), "a replayed proof");
+}
+
+Test(WebSocketTransport, sameKey_carriesMessagesBothWaysOverOneConnection)
+{
+    PairFixture f("shared-key", "shared-key");
+    cr_assert(f.port != 0);
+    cr_expect(f.one.send("two", "127.0.0.1", f.port, "hello"));
+    f.runUntil(1);
+    cr_assert(f.received.size() == 1);
+    cr_expect(f.received[0] == "one:hello");
+    cr_expect(f.two.send("one", "", 0, "back"));
+    f.runUntil(2);
+    cr_assert(f.received.size() == 2);
+    cr_expect(f.received[1] == "two:back");
+    cr_expect(f.one.counters().connectionsOpened == 1);
+}
+
+Test(WebSocketTransport, otherKey_getsNothingIn)
+{
+    PairFixture f("wrong-key", "right-key");
+    f.one.send("two", "127.0.0.1", f.port, "hello");
+    for (int i = 0; i < 100 && f.two.counters().refused == 0; ++i)
+        f.context.run_for(Milliseconds(5));
+    cr_expect(f.two.counters().refused == 1);
+    cr_expect(f.received.empty());
+    cr_expect_not(f.two.send("one", "", 0, "back"));
+}
--- a/src/scheduling/fairqueue.h
+++ b/src/scheduling/fairqueue.h
@@ -38,7 +38,7 @@
     const WaitingRequest& front(const std::string& organisation) const;
     WaitingRequest pop(const std::string& organisation);
 
-    /// Removes the newest request of the organisation furthest above its share.
+    /// Removes the newest request of the organisation that holds most of the queue for its weight.
     std::optional<WaitingRequest> shed();
     std::vector<WaitingRequest> takeExpired(TimePoint now);
 
--- a/src/scheduling/internal/fairqueue.cpp
+++ b/src/scheduling/internal/fairqueue.cpp
@@ -124,10 +124,18 @@
 
 std::optional<WaitingRequest> FairQueue::shed()
 {
-    auto ranked = order();
-    if (ranked.empty())
+    std::string name;
+    double longest = 0;
+    for (const auto& candidate : m_active) {
+        const auto& organisation = m_organisations.at(candidate);
+        double length = static_cast<double>(waitingOf(candidate)) / organisation.weight;
+        if (length > longest) {
+            longest = length;
+            name = candidate;
+        }
+    }
+    if (name.empty())
         return std::nullopt;
-    auto name = ranked.back();
     auto& organisation = m_organisations.at(name);
     auto& queue = organisation.batch.empty() ? organisation.interactive : organisation.batch;
     auto waiting = std::move(queue.back());
--- /dev/null
+++ b/src/streams/tests/resumehandle_test.cpp
@@ -0,0 +1,62 @@
+#include "streams/resumehandle.h"
+#include "streams/stalldetector.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+const ResumeHandle handle { .identity = { .target = "engine-1", .incarnation = "i", .generation = "g" }, .organisation = "o", .service = "s", .model = "s/m", .requestId = "r", .promptTokens = 5, .chat = true };
+
+}
+
+Test(HandleSealer, sameKey_opensWhatItSealed)
+{
+    HandleSealer one("key");
+    HandleSealer two("key");
+    auto opened = two.open(one.seal(handle, "r"));
+    cr_assert(opened.has_value());
+    cr_expect(*opened == handle);
+    cr_expect(one.seal(handle, "r") != one.seal(handle, "r"));
+}
+
+Test(HandleSealer, alteredOrForeign_isRefused)
+{
+    HandleSealer sealer("key");
+    auto sealed = sealer.seal(handle, "r");
+    for (std::size_t i = 0; i < sealed.size(); ++i) {
+        auto altered = sealed;
+        altered[i] = altered[i] == 'A' ? 'B' : 'A';
+        auto opened = sealer.open(altered);
+        // The last character may carry unused bits, which change nothing.
+        cr_expect(!opened || *opened == handle);
+        cr_expect(!opened || i + 1 == sealed.size());
+    }
+    cr_expect_not(HandleSealer("other").open(sealed).has_value());
+    cr_expect_not(sealer.open("").has_value());
+    cr_expect_not(sealer.open("!!!").has_value());
+}
+
+Test(EventId, textForm_isReadBack)
+{
+    auto id = parseEventId(eventIdOf("abc", 17));
+    cr_assert(id.has_value());
+    cr_expect(id->sealed == "abc" && id->offset == 17);
+    for (const char* bad : { "", "abc", "abc.", "abc.x", "abc.-1", "abc.99999999999" })
+        cr_expect_not(parseEventId(bad).has_value(), "%s", bad);
+}
+
+Test(StallDetector, steadyStream_isGivenUpSoonButNotAtOnce)
+{
+    StallDetector detector({});
+    cr_expect(detector.limit() == Clock::duration(Seconds(15)));
+    TimePoint now = TimePoint {} + Seconds(1);
+    for (int i = 0; i < 50; ++i)
+        detector.onToken(now += Milliseconds(20));
+    cr_expect(detector.limit() == Clock::duration(Seconds(1)), "the floor");
+    // [WHEN] gaps vary widely [THEN] patience grows
+    for (int i = 0; i < 50; ++i)
+        detector.onToken(now += Milliseconds(i % 5 == 0 ? 1500 : 20));
+    cr_expect(detector.limit() > Clock::duration(Seconds(2)));
+}
--- /dev/null
+++ b/src/usage/tests/usage_test.cpp
@@ -0,0 +1,47 @@
+#include "keyvalue/tests/fakekeyvaluestore.h"
+#include "net/tests/runcoroutine.h"
+#include "usage/usagewriter.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+Test(UsageLedger, copiesOfOneLife_areNotCountedTwice)
+{
+    UsageByOrganisation early { { "a", { .promptTokens = 1, .outputTokens = 10, .requests = 1 } } };
+    UsageByOrganisation late { { "a", { .promptTokens = 2, .outputTokens = 30, .requests = 2 } }, { "b", { .outputTokens = 5 } } };
+    cr_expect(mergeCopies(early, late) == late);
+    cr_expect(mergeCopies(late, early) == late);
+    cr_expect(addRecords(early, late).at("a").outputTokens == 40);
+    cr_expect(decodeUsage(encodeUsage(late)) == late);
+    cr_expect(decodeUsage("nonsense").empty());
+}
+
+Test(UsageWriter, faultTable_totalIsExactOnceTheServiceAnswers)
+{
+    const std::vector<std::vector<StoreFault>> table {
+        {},
+        { StoreFault::LoseAnswer },
+        { StoreFault::Outage },
+        { StoreFault::LoseAnswer, StoreFault::LoseAnswer },
+        { StoreFault::RefuseWrite, StoreFault::LoseAnswer, StoreFault::Outage },
+    };
+    for (const auto& faults : table) {
+        asio::io_context context;
+        auto store = std::make_shared<FakeKeyValueStore>();
+        UsageLedger one;
+        UsageLedger two;
+        UsageWriter first(store, one, "entry-1", "life-1");
+        UsageWriter second(store, two, "entry-1", "life-2");
+        store->faults.assign(faults.begin(), faults.end());
+        one.charge("a", { .promptTokens = 3, .outputTokens = 100, .requests = 1 });
+        runCoroutine(context, first.flush());
+        one.charge("a", { .outputTokens = 20 });
+        two.charge("a", { .outputTokens = 7 });
+        store->faults.clear();
+        for (auto* writer : { &first, &first, &second })
+            runCoroutine(context, writer->flush());
+        auto total = *runCoroutine(context, readUsage(store));
+        cr_expect(total.at("a") == (Usage { .promptTokens = 3, .outputTokens = 127, .requests = 1 }));
+    }
+}
