Check every promise against real processes while seeded faults strike

Cause: fault tables drive cores and fakes; nothing yet struck whole processes.

Callers check each token, whole answers, executions of orders against what was answered, tickets against what is in force.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -69,3 +69,42 @@
 }
 
 guavaspan() { GUAVASPAN_KEY=$operator_key "$bin/guavaspan" "$@"; }
+
+# supervise NAME COMMAND...: runs the command again whenever it ends; its id is in $work/NAME.pid.
+supervise() {
+    local name=$1
+    shift
+    (
+        trap 'kill "$child" 2>/dev/null; exit 0' TERM
+        while true; do
+            "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
+            child=$!
+            echo "$child" >"$work/$name.pid"
+            wait "$child" 2>/dev/null || true
+            sleep 0.5
+        done
+    ) 2>/dev/null &
+    pids+=($!)
+}
+
+# free_port: a port that the kernel just chose; it is used again at once by the same process after a restart.
+free_port() { "$bin/guavaspan-standins" --probe-port; }
+
+# supervise_instance NAME DOMAIN EXTRA_YAML: as start_instance, on a port that survives restarts.
+supervise_instance() {
+    local name=$1 domain=$2 extra=${3:-} callers peers
+    callers=$(free_port)
+    peers=$(free_port)
+    cat >"$work/$name.yaml" <<YAML
+instance: { name: $name, failure_domain: $domain, region: west }
+listen: { callers: "127.0.0.1:$callers", peers: "127.0.0.1:$peers" }
+platform: { key_value_service: "$platform", instance_list: "$platform" }
+peers: { key: $peer_key }
+operators: { key_hashes: [$(sha256 "$operator_key")] }
+$extra
+YAML
+    echo "127.0.0.1:$callers" >"$work/$name.address"
+    echo "127.0.0.1:$peers" >"$work/$name.peers"
+    supervise "$name" "$bin/guavaspan" serve --settings "$work/$name.yaml"
+    await 10 curl -sf "http://127.0.0.1:$callers/healthz"
+}
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,12 +1,60 @@
 #include "bench/decisions.h"
+#include "bench/promises.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
 
+using namespace guavaspan::bench;
+
+namespace {
+
+int decisions(const cxxopts::ParseResult& arguments)
+{
+    DecisionsOptions options { .seed = arguments["seed"].as<std::uint64_t>() };
+    options.seconds = arguments["seconds"].as<double>();
+    options.csvPath = arguments["csv"].as<std::string>();
+    options.only = arguments["only"].as<std::string>();
+    options.sweep = arguments.count("sweep") > 0;
+    return runDecisions(options);
+}
+
+int promises(const cxxopts::ParseResult& arguments)
+{
+    auto list = [&](const char* name) { return arguments[name].as<std::vector<std::string>>(); };
+    PromisesOptions options { .instances = list("instances"), .instancePidFiles = list("instance-pids"), .engines = list("engines"), .enginePidFiles = list("engine-pids") };
+    options.platform = arguments["platform"].as<std::string>();
+    options.plain = arguments["plain"].as<std::string>();
+    options.callerKey = arguments["caller-key"].as<std::string>();
+    options.operatorKey = arguments["operator-key"].as<std::string>();
+    options.seed = arguments["seed"].as<std::uint64_t>();
+    options.seconds = arguments["seconds"].as<double>();
+    options.faults = arguments["faults"].as<std::string>();
+    return runPromises(options) == 0 ? 0 : 1;
+}
+
+}
+
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one of: decisions.");
-    options.add_options()("what", "Measurement", cxxopts::value<std::string>()->default_value("decisions"))("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"))("seconds", "Length of a run in virtual seconds", cxxopts::value<double>()->default_value("180"))("csv", "File for the figures", cxxopts::value<std::string>()->default_value(""))("only", "Only scenarios whose name contains this", cxxopts::value<std::string>()->default_value(""))("sweep", "Measure the granter over a range of accepted risks")("help", "Show this help");
+    using Strings = std::vector<std::string>;
+    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one: decisions or promises.");
+    auto add = options.add_options();
+    add("what", "Measurement", cxxopts::value<std::string>()->default_value("decisions"));
+    add("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seconds", "Length of a run; virtual seconds for decisions", cxxopts::value<double>()->default_value("180"));
+    add("csv", "File for the figures", cxxopts::value<std::string>()->default_value(""));
+    add("only", "Only scenarios whose name contains this", cxxopts::value<std::string>()->default_value(""));
+    add("sweep", "Measure the granter over a range of accepted risks");
+    add("instances", "Addresses of the instances", cxxopts::value<Strings>()->default_value(""));
+    add("instance-pids", "Files that hold the instances' process ids", cxxopts::value<Strings>()->default_value(""));
+    add("engines", "Addresses of the engines", cxxopts::value<Strings>()->default_value(""));
+    add("engine-pids", "Files that hold the engines' process ids", cxxopts::value<Strings>()->default_value(""));
+    add("platform", "Address of the platform's stand-in", cxxopts::value<std::string>()->default_value(""));
+    add("plain", "Address of the plain service's stand-in", cxxopts::value<std::string>()->default_value(""));
+    add("caller-key", "Key of the calling organisation", cxxopts::value<std::string>()->default_value(""));
+    add("operator-key", "Operator's key", cxxopts::value<std::string>()->default_value(""));
+    add("faults", "all, none, or a part of the names of the faults wanted", cxxopts::value<std::string>()->default_value("all"));
+    add("help", "Show this help");
     options.parse_positional({ "what" });
     auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
@@ -15,7 +63,9 @@
     }
     auto what = arguments["what"].as<std::string>();
     if (what == "decisions")
-        return guavaspan::bench::runDecisions({ .seed = arguments["seed"].as<std::uint64_t>(), .seconds = arguments["seconds"].as<double>(), .csvPath = arguments["csv"].as<std::string>(), .only = arguments["only"].as<std::string>(), .sweep = arguments.count("sweep") > 0 });
+        return decisions(arguments);
+    if (what == "promises")
+        return promises(arguments);
     std::cerr << "unknown measurement: " << what << "\n";
     return 2;
 }
