Keep permits alive over lost messages and restarted owners

An owner that was killed and came back within its suspicion time kept its name, so nobody told it again what waited; and whatever message was lost with a connection was never sent again.

Change: a member's life is told apart from its incarnation, and a new life is a new owner; asking again is idempotent and happens after 2 s; every 5 s each instance names what it holds, owners answer with what they do not know and end what nobody has named for 16 s. Where a restart is free, one silent resume is tried before it, and a first token is awaited for 3 s instead of 15.

Conclusion: ruled out: engines losing generations (their logs show only kills).

--- a/src/gateway/internal/generationrunner.cpp
+++ b/src/gateway/internal/generationrunner.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr auto progressInterval = Seconds(1);
+    constexpr auto longestSilence = Seconds(15);
     constexpr auto pauseBeforeResume = Milliseconds(20);
 
     StreamSessionOptions sessionOptions(const GatewayContext& context, const CompletionRequest& request)
@@ -20,7 +21,7 @@
     StallDetectorOptions stallOptions(const GatewayContext& context)
     {
         const auto& settings = context.settings.streams;
-        return { .shortestLimit = settings.shortestSilence, .firstTokenLimit = settings.firstTokenSilence, .longestLimit = std::max(settings.firstTokenSilence, settings.shortestSilence) };
+        return { .shortestLimit = settings.shortestSilence, .firstTokenLimit = settings.firstTokenSilence, .longestLimit = std::max<Clock::duration>(longestSilence, settings.firstTokenSilence) };
     }
 
     std::int64_t unixSeconds()
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -75,6 +75,7 @@
     m_peers.onPermit([this](const std::string& from, const PermitMessage& message) { m_permits.onMessage(from, message); });
     m_peers.onOwnersChanged([this] { m_permits.onOwnersChanged(); });
     m_granters.start();
+    m_permits.start();
     asio::co_spawn(m_io, loadConfigurationLoop(), asio::detached);
     asio::co_spawn(m_io, listLoop(), asio::detached);
     asio::co_spawn(m_io, signalLoop(), asio::detached);
@@ -182,7 +183,7 @@
     nlohmann::json owners = nlohmann::json::object();
     for (const auto& model : m_engines.models()) {
         auto owner = m_peers.ownerOf(model);
-        owners[model] = owner.empty() ? m_settings.instance.name : owner;
+        owners[model] = owner.isHere() ? m_settings.instance.name : owner.name;
     }
     const auto& traffic = m_peers.counters();
     nlohmann::json body {
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -21,6 +21,8 @@
 struct Member {
     std::string name;
     std::int64_t incarnation = 0;
+    /// Stays the same while the process lives; a refutation raises only the incarnation.
+    std::int64_t life = 0;
     MemberState state = MemberState::Alive;
     Endpoint peers;
     Endpoint callers;
--- a/src/peers/internal/peermessage.cpp
+++ b/src/peers/internal/peermessage.cpp
@@ -18,14 +18,14 @@
 
     json toJson(const Member& member)
     {
-        return json::array({ member.name, member.incarnation, static_cast<int>(member.state), toString(member.peers), toString(member.callers), member.failureDomain });
+        return json::array({ member.name, member.incarnation, member.life, static_cast<int>(member.state), toString(member.peers), toString(member.callers), member.failureDomain });
     }
 
     Member memberFrom(const json& fields)
     {
-        Member member { .name = fields.at(0), .incarnation = fields.at(1), .state = static_cast<MemberState>(fields.at(2).get<int>()), .failureDomain = fields.at(5) };
-        member.peers = parseEndpoint(fields.at(3).get<std::string>()).value_or(Endpoint {});
-        member.callers = parseEndpoint(fields.at(4).get<std::string>()).value_or(Endpoint {});
+        Member member { .name = fields.at(0), .incarnation = fields.at(1), .life = fields.at(2), .state = static_cast<MemberState>(fields.at(3).get<int>()), .failureDomain = fields.at(6) };
+        member.peers = parseEndpoint(fields.at(4).get<std::string>()).value_or(Endpoint {});
+        member.callers = parseEndpoint(fields.at(5).get<std::string>()).value_or(Endpoint {});
         return member;
     }
 
@@ -148,6 +148,13 @@
                               [](const PermitFinish& each) { return json::array({ each.model, toJson(each.id), each.produced, static_cast<int>(each.kind) }); },
                               [](const PermitAdopt& each) { return json::array({ each.model, toJson(each.request), each.engine, each.produced }); },
                               [](const PermitDecision& each) { return json::array({ toJson(each.action) }); },
+                              [](const PermitsHeld& each) {
+                                  json held = json::array();
+                                  for (const auto& [sequence, produced] : each.held)
+                                      held.push_back(json::array({ sequence, produced }));
+                                  return json::array({ each.model, each.instance, held });
+                              },
+                              [](const PermitsUnknown& each) { return json::array({ each.sequences }); },
                           },
             message);
     }
@@ -165,8 +172,16 @@
             return PermitFinish { .model = f.at(0), .id = idFrom(f.at(1)), .produced = f.at(2), .kind = static_cast<FinishKind>(f.at(3).get<int>()) };
         case 4:
             return PermitAdopt { .model = f.at(0), .request = requestFrom(f.at(1)), .engine = f.at(2), .produced = f.at(3) };
-        default:
+        case 5:
             return PermitDecision { .action = actionFrom(f.at(0)) };
+        case 6: {
+            PermitsHeld held { .model = f.at(0), .instance = f.at(1) };
+            for (const auto& item : f.at(2))
+                held.held.emplace_back(item.at(0).get<std::uint64_t>(), item.at(1).get<int>());
+            return held;
+        }
+        default:
+            return PermitsUnknown { .sequences = f.at(0).get<std::vector<std::uint64_t>>() };
         }
     }
 
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -29,9 +29,10 @@
     , m_random(random)
     , m_transport(context, { .name = m_options.name, .key = m_options.key }, [this](const std::string& from, const std::string& payload) { onPayload(from, payload); })
 {
-    Member self { .name = m_options.name, .incarnation = unixMilliseconds(), .failureDomain = m_options.failureDomain };
+    auto life = unixMilliseconds();
+    Member self { .name = m_options.name, .incarnation = life, .life = life, .failureDomain = m_options.failureDomain };
     m_membership.emplace(m_options.membership, std::move(self), m_random);
-    m_owners = m_membership->ownerCandidates();
+    m_owners = ownersNow();
 }
 
 Result<Endpoint> PeerNetwork::start(const Endpoint& callers)
@@ -40,7 +41,8 @@
     if (port == 0)
         return Error { .code = ErrorCode::Unavailable, .step = Step::Peer, .peer = toString(m_options.listen), .detail = "cannot listen for peers" };
     Endpoint bound { .address = m_options.listen.address, .port = port };
-    Member self { .name = m_options.name, .incarnation = unixMilliseconds(), .peers = bound, .callers = callers, .failureDomain = m_options.failureDomain };
+    auto life = unixMilliseconds();
+    Member self { .name = m_options.name, .incarnation = life, .life = life, .peers = bound, .callers = callers, .failureDomain = m_options.failureDomain };
     m_membership.emplace(m_options.membership, std::move(self), m_random);
     asio::co_spawn(m_context, tickLoop(), asio::detached);
     return bound;
@@ -76,7 +78,7 @@
     if (m_membership->version() == m_seenVersion)
         return;
     m_seenVersion = m_membership->version();
-    auto owners = m_membership->ownerCandidates();
+    auto owners = ownersNow();
     if (owners == m_owners)
         return;
     logEvent(LogLevel::Info, "owners_changed", { { "count", std::int64_t(owners.size()) } });
@@ -150,18 +152,26 @@
     flush();
 }
 
-std::string PeerNetwork::ownerOf(const std::string& model) const
+std::map<std::string, std::int64_t> PeerNetwork::ownersNow() const
 {
-    std::string owner;
+    std::map<std::string, std::int64_t> owners;
+    for (const auto& name : m_membership->ownerCandidates())
+        owners[name] = m_membership->find(name)->life;
+    return owners;
+}
+
+PoolOwner PeerNetwork::ownerOf(const std::string& model) const
+{
+    PoolOwner owner;
     std::uint64_t best = 0;
-    for (const auto& name : m_owners) {
+    for (const auto& [name, life] : m_owners) {
         auto weight = rendezvousWeight(name, "pool/" + model);
-        if (owner.empty() || weight > best) {
-            owner = name;
+        if (owner.name.empty() || weight > best) {
+            owner = { .name = name, .life = life };
             best = weight;
         }
     }
-    return owner == m_options.name ? std::string() : owner;
+    return owner.name == m_options.name ? PoolOwner {} : owner;
 }
 
 bool PeerNetwork::send(const std::string& instance, const PermitMessage& message)
--- a/src/peers/peernetwork.h
+++ b/src/peers/peernetwork.h
@@ -35,7 +35,7 @@
     /// This instance adopted a configuration.
     void announceConfiguration(std::int64_t revision);
 
-    std::string ownerOf(const std::string& model) const override;
+    PoolOwner ownerOf(const std::string& model) const override;
     bool send(const std::string& instance, const PermitMessage&) override;
 
     /// True if this instance watches the key-value service for its failure domain.
@@ -50,6 +50,7 @@
     void onConfigurationMessage(const std::string& from, const ConfigurationMessage&);
     void noteRevision(const std::string& from, const MembershipMessage&);
     void flush();
+    std::map<std::string, std::int64_t> ownersNow() const;
     bool transmit(const std::string& to, const Endpoint&, const PeerMessage&);
 
     asio::io_context& m_context;
@@ -61,7 +62,7 @@
     WebSocketTransport m_transport;
     PermitReceiver m_permitReceiver;
     std::function<void()> m_ownersChanged;
-    std::vector<std::string> m_owners;
+    std::map<std::string, std::int64_t> m_owners;
     std::uint64_t m_seenVersion = 0;
 };
 
--- a/src/permits/granterhost.h
+++ b/src/permits/granterhost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "engines/enginedirectory.h"
+#include "permits/permitmessages.h"
 #include "scheduling/baselinerouters.h"
 #include "scheduling/granter.h"
 #include "settings/settings.h"
@@ -24,6 +25,8 @@
     void adopt(const std::string& model, PermitRequest, const std::string& engine, int produced, PermitSink);
     void withdraw(const std::string& model, const PermitId&);
     void progress(const std::string& model, const PermitId&, int produced, bool preempted);
+    /// Gives the sequences that are not known here.
+    std::vector<std::uint64_t> held(const PermitsHeld&);
     void finish(const std::string& model, const PermitId&, int produced, FinishKind);
 
     /// Targets changed: engines that leave get nothing more.
--- a/src/permits/internal/granterhost.cpp
+++ b/src/permits/internal/granterhost.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr auto tickInterval = Milliseconds(50);
+    // Holders name their permits every few seconds; three misses end a permit.
+    constexpr auto unheldLimit = Seconds(16);
     constexpr auto idlePoolLimit = Seconds(10);
 
     GranterOptions optionsFor(const SchedulingSettings& settings)
@@ -155,6 +157,18 @@
     drain(target);
 }
 
+std::vector<std::uint64_t> GranterHost::held(const PermitsHeld& message)
+{
+    std::vector<std::uint64_t> unknown;
+    auto& target = pool(message.model);
+    for (const auto& [sequence, produced] : message.held) {
+        PermitId id { .instance = message.instance, .sequence = sequence };
+        if (target.granter && !target.granter->onHeld(id, produced, Clock::now()))
+            unknown.push_back(sequence);
+    }
+    return unknown;
+}
+
 std::size_t GranterHost::waiting() const
 {
     std::size_t count = 0;
@@ -178,6 +192,7 @@
         for (auto& [model, pool] : m_pools) {
             if (!pool.granter)
                 continue;
+            pool.granter->expireUnheld(Clock::now() - unheldLimit, Clock::now());
             pool.granter->onTick(Clock::now());
             drain(pool);
         }
--- a/src/permits/internal/permitclient.cpp
+++ b/src/permits/internal/permitclient.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr auto heldInterval = Seconds(5);
+    constexpr auto askAgainAfter = Seconds(2);
     constexpr auto answerCheckInterval = Milliseconds(100);
     // Beyond the longest wait an owner that is silent is taken to be gone.
     constexpr auto graceBeyondMaxWait = Milliseconds(500);
@@ -35,7 +37,7 @@
 
 void PermitClient::submitLocally(Holding& holding)
 {
-    holding.owner.clear();
+    holding.owner = {};
     auto sink = [this](const SchedulingAction& action) { onDecision(action); };
     if (holding.engine.empty())
         m_host.request(holding.model, holding.request, sink);
@@ -49,23 +51,23 @@
 {
     holding.askedAt = Clock::now();
     holding.owner = m_transport.ownerOf(holding.model);
-    if (holding.owner.empty()) {
+    if (holding.owner.isHere()) {
         submitLocally(holding);
         return;
     }
     PermitMessage message = PermitAsk { .model = holding.model, .request = holding.request };
     if (!holding.engine.empty())
         message = PermitAdopt { .model = holding.model, .request = holding.request, .engine = holding.engine, .produced = holding.produced };
-    if (!m_transport.send(holding.owner, message))
+    if (!m_transport.send(holding.owner.name, message))
         submitLocally(holding);
 }
 
 void PermitClient::tell(const Holding& holding, const PermitMessage& message)
 {
-    if (holding.owner.empty())
+    if (holding.owner.isHere())
         handleLocally(message);
     else
-        m_transport.send(holding.owner, message);
+        m_transport.send(holding.owner.name, message);
 }
 
 void PermitClient::handleLocally(const PermitMessage& message)
@@ -77,6 +79,8 @@
                    [this](const PermitProgress& each) { m_host.progress(each.model, each.id, each.produced, each.preempted); },
                    [this](const PermitFinish& each) { m_host.finish(each.model, each.id, each.produced, each.kind); },
                    [this](const PermitDecision& each) { onDecision(each.action); },
+                   [](const PermitsHeld&) {},
+                   [this](const PermitsUnknown& each) { tellAgain(each.sequences); },
                },
         message);
 }
@@ -92,9 +96,55 @@
         m_host.adopt(adopt->model, adopt->request, adopt->engine, adopt->produced, sink);
         return;
     }
+    if (auto* named = std::get_if<PermitsHeld>(&message)) {
+        auto unknown = m_host.held(*named);
+        if (!unknown.empty())
+            m_transport.send(from, PermitsUnknown { .sequences = std::move(unknown) });
+        return;
+    }
     handleLocally(message);
 }
 
+void PermitClient::start()
+{
+    asio::co_spawn(m_context, heldLoop(), asio::detached);
+}
+
+Awaitable<> PermitClient::heldLoop()
+{
+    while (true) {
+        co_await sleepFor(heldInterval);
+        nameHeld();
+    }
+}
+
+/// Lost messages and lost owners both show here: what the owner does not know is told again.
+void PermitClient::nameHeld()
+{
+    std::map<std::pair<std::string, std::string>, PermitsHeld> byOwner;
+    for (const auto& [id, holding] : m_holdings) {
+        auto& message = byOwner[{ holding->owner.name, holding->model }];
+        message.model = holding->model;
+        message.instance = m_instanceId;
+        message.held.emplace_back(id.sequence, holding->produced);
+    }
+    for (const auto& [key, message] : byOwner) {
+        if (key.first.empty())
+            tellAgain(m_host.held(message));
+        else
+            m_transport.send(key.first, message);
+    }
+}
+
+void PermitClient::tellAgain(const std::vector<std::uint64_t>& sequences)
+{
+    for (auto sequence : sequences) {
+        auto found = m_holdings.find({ .instance = m_instanceId, .sequence = sequence });
+        if (found != m_holdings.end())
+            submit(*found->second);
+    }
+}
+
 Awaitable<bool> PermitClient::waitForAnswer(std::shared_ptr<Holding> holding, std::function<bool()> cancelled)
 {
     auto lastMoment = Clock::now() + holding->request.maxWait + graceBeyondMaxWait;
@@ -105,6 +155,8 @@
             break;
         if (cancelled() || Clock::now() > lastMoment)
             co_return false;
+        if (holding->askedAt + askAgainAfter < Clock::now())
+            submit(*holding);
     }
     co_return true;
 }
@@ -124,7 +176,7 @@
         tell(*holding, PermitWithdraw { .model = holding->model, .id = id });
         forget(id);
         auto code = cancelled() ? ErrorCode::Cancelled : ErrorCode::Unavailable;
-        co_return Error { .code = code, .step = Step::Admit, .peer = holding->owner, .detail = "no permit was given", .outcome = Outcome::NotRun };
+        co_return Error { .code = code, .step = Step::Admit, .peer = holding->owner.name, .detail = "no permit was given", .outcome = Outcome::NotRun };
     }
     if (auto* refusal = std::get_if<Refusal>(&*holding->answer)) {
         forget(id);
@@ -188,9 +240,9 @@
     for (const auto& holding : moved) {
         auto id = holding->request.id;
         // The old owner, if it lives, must not count what it no longer decides.
-        if (holding->owner.empty())
+        if (holding->owner.isHere() && holding->answer)
             m_host.finish(holding->model, id, holding->produced, FinishKind::Cancelled);
-        if (holding->owner.empty() && !holding->answer)
+        if (holding->owner.isHere() && !holding->answer)
             m_host.withdraw(holding->model, id);
         submit(*holding);
     }
--- a/src/permits/permitclient.h
+++ b/src/permits/permitclient.h
@@ -12,6 +12,9 @@
 public:
     PermitClient(asio::io_context&, GranterHost&, IPermitTransport&, std::uint64_t instanceId);
 
+    /// Starts to name held permits to their owners.
+    void start();
+
     Awaitable<Result<Grant>> acquire(std::string model, PermitRequest, ProtectHook, std::function<bool()> cancelled) override;
     void progress(const PermitId&, int produced, bool preempted) override;
     void finish(const PermitId&, int produced, FinishKind) override;
@@ -31,7 +34,7 @@
         std::string model;
         PermitRequest request;
         ProtectHook protect;
-        std::string owner;
+        PoolOwner owner;
         std::string engine;
         int produced = 0;
         TimePoint askedAt;
@@ -44,6 +47,9 @@
     void tell(const Holding&, const PermitMessage&);
     void handleLocally(const PermitMessage&);
     void forget(const PermitId&);
+    void tellAgain(const std::vector<std::uint64_t>& sequences);
+    Awaitable<> heldLoop();
+    void nameHeld();
     Awaitable<bool> waitForAnswer(std::shared_ptr<Holding>, std::function<bool()> cancelled);
 
     asio::io_context& m_context;
--- a/src/permits/permitmessages.h
+++ b/src/permits/permitmessages.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace guavaspan {
 
@@ -45,6 +46,20 @@
     SchedulingAction action;
 };
 
-using PermitMessage = std::variant<PermitAsk, PermitWithdraw, PermitProgress, PermitFinish, PermitAdopt, PermitDecision>;
+/// Everything that an instance holds or waits for at this owner; what is not
+/// named for a while is taken to be over.
+struct PermitsHeld {
+    std::string model;
+    std::uint64_t instance = 0;
+    /// Sequence of each permit and the tokens produced.
+    std::vector<std::pair<std::uint64_t, int>> held;
+};
+
+/// The owner has no record of these; they are to be told again.
+struct PermitsUnknown {
+    std::vector<std::uint64_t> sequences;
+};
+
+using PermitMessage = std::variant<PermitAsk, PermitWithdraw, PermitProgress, PermitFinish, PermitAdopt, PermitDecision, PermitsHeld, PermitsUnknown>;
 
 }
--- a/src/scheduling/fairqueue.h
+++ b/src/scheduling/fairqueue.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace guavaspan {
 
@@ -21,6 +22,7 @@
 public:
     void push(PermitRequest, TimePoint now);
     bool withdraw(const PermitId&);
+    bool contains(const PermitId& id) const { return m_ids.contains(id); }
 
     /// Charges tokens as they are received.
     void charge(const std::string& organisation, double tokens);
@@ -71,6 +73,7 @@
 
     std::unordered_map<std::string, Organisation> m_organisations;
     std::set<std::string> m_active;
+    std::unordered_set<PermitId> m_ids;
     double m_virtualTime = 0;
     std::size_t m_size = 0;
 };
--- a/src/scheduling/granter.h
+++ b/src/scheduling/granter.h
@@ -46,6 +46,10 @@
     double estimated = 0;
     TimePoint grantedAt;
     TimePoint reportedAt;
+    /// When the holder last named it.
+    TimePoint heldAt;
+    /// The decision, for a holder that missed it.
+    Grant grant;
     int expectedCachedTokens = 0;
     int preemptions = 0;
 };
@@ -68,6 +72,11 @@
     void onLoadReport(const std::string& engine, const LoadReport&, TimePoint now);
     void onCacheEvent(const std::string& engine, std::uint64_t block, bool stored);
     void onCacheGap(const std::string& engine);
+    /// The holder named this permit again; false if it is not known here.
+    bool onHeld(const PermitId&, int produced, TimePoint now);
+
+    /// Ends what no holder has named since the given time.
+    void expireUnheld(TimePoint namedSince, TimePoint now);
     void onTick(TimePoint now);
 
     /// Decisions since the last call, in order.
--- a/src/scheduling/internal/fairqueue.cpp
+++ b/src/scheduling/internal/fairqueue.cpp
@@ -33,6 +33,7 @@
     if (!organisation.hasWaiting())
         organisation.charged = std::max(organisation.charged, m_virtualTime);
     auto& queue = request.serviceClass == ServiceClass::Interactive ? organisation.interactive : organisation.batch;
+    m_ids.insert(request.id);
     queue.push_back({ .request = std::move(request), .since = now });
     ++m_size;
 }
@@ -47,6 +48,7 @@
             if (found == queue->end())
                 continue;
             queue->erase(found);
+            m_ids.erase(id);
             --m_size;
             deactivateIfIdle(std::string(name));
             return true;
@@ -118,6 +120,7 @@
     auto& queue = organisation.frontQueue();
     auto waiting = std::move(queue.front());
     queue.pop_front();
+    m_ids.erase(waiting.request.id);
     --m_size;
     return waiting;
 }
@@ -140,6 +143,7 @@
     auto& queue = organisation.batch.empty() ? organisation.interactive : organisation.batch;
     auto waiting = std::move(queue.back());
     queue.pop_back();
+    m_ids.erase(waiting.request.id);
     --m_size;
     deactivateIfIdle(name);
     return waiting;
@@ -161,6 +165,8 @@
         }
         deactivateIfIdle(name);
     }
+    for (const auto& waiting : expired)
+        m_ids.erase(waiting.request.id);
     m_size -= expired.size();
     return expired;
 }
--- a/src/scheduling/internal/granter.cpp
+++ b/src/scheduling/internal/granter.cpp
@@ -71,8 +71,15 @@
     return &m_engines.at(found->second);
 }
 
+/// Asking again is harmless: a lost answer is given again, a waiting request keeps its place.
 void Granter::onRequest(PermitRequest request, TimePoint now)
 {
+    if (auto* engine = engineOf(request.id)) {
+        m_actions.emplace_back(engine->running.at(request.id).grant);
+        return;
+    }
+    if (m_queue.contains(request.id))
+        return;
     m_queue.push(std::move(request), now);
     while (m_queue.size() > m_options.maxWaiting)
         refuse(*m_queue.shed(), ErrorCode::Overloaded);
@@ -105,6 +112,7 @@
     chargeGrowth(generation, produced);
     generation.estimated = generation.produced;
     generation.reportedAt = now;
+    generation.heldAt = now;
     if (!preempted) {
         engine->displaced.erase(id);
         return;
@@ -136,12 +144,37 @@
     decide(now);
 }
 
+bool Granter::onHeld(const PermitId& id, int produced, TimePoint now)
+{
+    auto* engine = engineOf(id);
+    if (!engine)
+        return m_queue.contains(id);
+    auto& generation = engine->running.at(id);
+    generation.heldAt = now;
+    chargeGrowth(generation, produced);
+    return true;
+}
+
+void Granter::expireUnheld(TimePoint namedSince, TimePoint now)
+{
+    std::vector<PermitId> lost;
+    for (const auto& [name, engine] : m_engines) {
+        for (const auto& [id, generation] : engine.running) {
+            if (generation.heldAt < namedSince)
+                lost.push_back(id);
+        }
+    }
+    for (const auto& id : lost)
+        onFinished(id, 0, FinishKind::Cancelled, now);
+}
+
 void Granter::adopt(PermitRequest request, const std::string& engineName, int produced, TimePoint now)
 {
     auto found = m_engines.find(engineName);
     if (found == m_engines.end() || m_engineOf.contains(request.id))
         return;
-    GrantedGeneration generation { .request = std::move(request), .produced = produced, .estimated = static_cast<double>(produced), .grantedAt = now, .reportedAt = now };
+    GrantedGeneration generation { .request = std::move(request), .produced = produced, .estimated = static_cast<double>(produced), .grantedAt = now, .reportedAt = now, .heldAt = now };
+    generation.grant = { .id = generation.request.id, .engine = engineName };
     start(found->second, std::move(generation));
 }
 
@@ -401,11 +434,12 @@
     if (choice.reason == GrantReason::Probe)
         engine.health.onProbeStarted(now);
     int priority = request.serviceClass == ServiceClass::Interactive ? interactivePriority : batchPriority;
-    m_actions.emplace_back(Grant { .id = request.id, .engine = engine.info.name, .priority = priority, .reason = choice.reason, .overflowRisk = choice.risk, .expectedCachedTokens = choice.cachedTokens });
+    Grant decision { .id = request.id, .engine = engine.info.name, .priority = priority, .reason = choice.reason, .overflowRisk = choice.risk, .expectedCachedTokens = choice.cachedTokens };
+    m_actions.emplace_back(decision);
     m_queue.charge(request.organisation, request.promptTokens * m_options.promptTokenWeight);
     m_queue.addForeseen(request.organisation, m_lengths.expectedRemaining(request.service, request.organisation, 0, m_options.foreseenTokens));
     engine.cache.expectStored(request.prefixBlocks);
-    GrantedGeneration generation { .request = request, .grantedAt = now, .reportedAt = now, .expectedCachedTokens = choice.cachedTokens };
+    GrantedGeneration generation { .request = request, .grantedAt = now, .reportedAt = now, .heldAt = now, .grant = decision, .expectedCachedTokens = choice.cachedTokens };
     start(engine, std::move(generation));
     ++m_grantsSinceTick;
 }
--- a/src/scheduling/tests/granter_test.cpp
+++ b/src/scheduling/tests/granter_test.cpp
@@ -218,3 +218,28 @@
     cr_assert(grants.size() == 1);
     cr_expect(grants[0].engine == "engine-0");
 }
+
+Test(Granter, askedAgain_repeatsTheAnswerAndGrantsOnce)
+{
+    GranterFixture f(1);
+    PermitRequest request { .id = { .instance = 1, .sequence = 7 }, .organisation = "a", .service = "s", .promptTokens = 10, .maxTokens = 100 };
+    f.granter.onRequest(request, f.now);
+    auto first = f.grants();
+    f.granter.onRequest(request, f.now);
+    auto second = f.grants();
+    cr_assert(first.size() == 1 && second.size() == 1);
+    cr_expect(first[0].engine == second[0].engine);
+    cr_expect(f.granter.running() == 1);
+}
+
+Test(Granter, permitNobodyNames_ends)
+{
+    GranterFixture f(1);
+    auto lost = f.ask("a");
+    auto kept = f.ask("a");
+    f.now += Seconds(20);
+    cr_expect(f.granter.onHeld(kept, 5, f.now));
+    f.granter.expireUnheld(f.now - Seconds(16), f.now);
+    cr_expect_not(f.granter.onHeld(lost, 5, f.now));
+    cr_expect(f.granter.running() == 1);
+}
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -61,7 +61,7 @@
     int maxRestarts = 2;
     int maxResumes = 4;
     Milliseconds shortestSilence { 1000 };
-    Milliseconds firstTokenSilence { 15000 };
+    Milliseconds firstTokenSilence { 3000 };
 };
 
 struct StoppingSettings {
--- a/src/streams/internal/streamsession.cpp
+++ b/src/streams/internal/streamsession.cpp
@@ -2,6 +2,8 @@
 
 #include "common/overloaded.h"
 
+#include <algorithm>
+
 namespace guavaspan {
 
 StreamSession::StreamSession(StreamSessionOptions options)
@@ -90,7 +92,8 @@
 {
     if (m_ended)
         return DropEvent { .reason = DropReason::AfterEnd };
-    if (m_identity && m_resumes < m_options.maxResumes) {
+    int allowed = mayRestart() ? std::min(m_options.resumesBeforeRestart, m_options.maxResumes) : m_options.maxResumes;
+    if (m_identity && m_resumes < allowed) {
         ++m_resumes;
         return ResumeStream { .offset = m_nextOffset };
     }
--- a/src/streams/stalldetector.h
+++ b/src/streams/stalldetector.h
@@ -6,7 +6,7 @@
 
 struct StallDetectorOptions {
     Clock::duration shortestLimit = Seconds(1);
-    Clock::duration firstTokenLimit = Seconds(15);
+    Clock::duration firstTokenLimit = Seconds(3);
     Clock::duration longestLimit = Seconds(15);
 };
 
--- a/src/streams/streamsession.h
+++ b/src/streams/streamsession.h
@@ -13,6 +13,8 @@
     int maxRestarts = 2;
     /// Resumes without a token in between.
     int maxResumes = 4;
+    /// Where a restart is free, no more resumes than this are tried first.
+    int resumesBeforeRestart = 1;
     /// First offset owed to the caller; above zero when it resumes.
     int firstOffset = 0;
     /// A caller's resume is bound to the generation that it began with.
