Convict requests that end the targets they run on

Cause: a request that crashes every engine was restarted on the next one, and its caller sent it again through other instances.

Change: quarantine as a pure core. Each death is reported to one counting instance per fingerprint (rendezvous hashing); what shares a death with somebody convicted is explained by that one; completion clears; a conviction is passed on by every receiver once. A request that met two deaths is not tried on a third. Operators see and pardon.

--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -29,6 +29,7 @@
   usage [--organisation NAME]  show use on record
   explain REQUEST_ID           show every decision made for a request
   claim show | claim settle    look up or settle a non-idempotent request
+  pardon FINGERPRINT           let a quarantined request run again
   version                      print the version
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 outcome unknown.
@@ -233,6 +234,8 @@
             return claim(rest);
         if (name == "explain" && !rest.empty())
             return query("explain REQUEST_ID", "Show every decision made for a request.", rest, "GET", "/v1/explain/" + rest[0]);
+        if (name == "pardon" && !rest.empty())
+            return query("pardon FINGERPRINT", "Let a quarantined request run again.", rest, "POST", "/v1/pardon/" + rest[0]);
         if (name == "version") {
             std::cout << "guavaspan " << GUAVASPAN_VERSION << "\n";
             return ExitSuccess;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,7 @@
 #include "observability/metrics.h"
 #include "observability/tracing.h"
 #include "permits/ipermitservice.h"
+#include "quarantine/quarantineservice.h"
 #include "settings/settings.h"
 #include "streams/resumehandle.h"
 #include "usage/usageledger.h"
@@ -23,6 +24,7 @@
     EngineDirectory& engines;
     IPermitService& permits;
     ClaimCommitter& claims;
+    QuarantineService& quarantine;
     UsageLedger& usage;
     Metrics& metrics;
     DecisionLog& decisions;
--- a/src/gateway/generationrunner.h
+++ b/src/gateway/generationrunner.h
@@ -10,7 +10,7 @@
 /// Carries one generation from permit to last token, over restarts and resumes.
 class GenerationRunner {
 public:
-    GenerationRunner(GatewayContext&, HttpExchange&, const RequestScope&, CompletionRequest);
+    GenerationRunner(GatewayContext&, HttpExchange&, const RequestScope&, CompletionRequest, Fingerprint);
 
     /// A new generation.
     Awaitable<std::string> run();
@@ -38,6 +38,8 @@
     Awaitable<> fail(FailStream);
     Awaitable<Result<void>> begin();
     void noteToken();
+    void noteDeath(const GenerationIdentity&, const Error&);
+    void noteStartDeath(const std::string& target, const Error&);
     void cancelGeneration();
     void raisePriority(int priority);
     void reportProgress(bool preempted);
@@ -47,6 +49,7 @@
     HttpExchange& m_exchange;
     const RequestScope& m_scope;
     CompletionRequest m_request;
+    Fingerprint m_fingerprint;
     StreamSession m_session;
     StallDetector m_stalls;
     CompletionFormat m_format;
@@ -64,6 +67,8 @@
     bool m_engineFailed = false;
     bool m_hasPermit = false;
     bool m_displaced = false;
+    bool m_linkBroke = false;
+    int m_deaths = 0;
 };
 
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "common/hash.h"
 #include "gateway/generationrunner.h"
 #include "gateway/operatorhandler.h"
 #include "gateway/plainhandler.h"
@@ -117,8 +118,15 @@
         co_await refuse(exchange, scope, request.error());
         co_return;
     }
+    auto fingerprint = fingerprintOf(scope.organisation, request->service, exchange.request().body());
+    if (m_context.quarantine.refuses(fingerprint, Clock::now())) {
+        Error convicted { .code = ErrorCode::Quarantined, .step = Step::Admit, .detail = "this request ended every target that ran it; fingerprint " + hexOf(fingerprint), .outcome = Outcome::NotRun };
+        endRequest(m_context, scope, "completion", "quarantined");
+        co_await refuse(exchange, scope, convicted);
+        co_return;
+    }
     InFlight inFlight(m_context, scope.organisation);
-    GenerationRunner runner(m_context, exchange, scope, std::move(*request));
+    GenerationRunner runner(m_context, exchange, scope, std::move(*request), fingerprint);
     auto result = co_await runner.run();
     endRequest(m_context, scope, "completion", result);
 }
@@ -141,7 +149,7 @@
     scope.id = handle->requestId;
     InFlight inFlight(m_context, scope.organisation);
     CompletionRequest request { .chat = handle->chat, .stream = true, .service = handle->service, .modelName = handle->model, .promptTokens = handle->promptTokens };
-    GenerationRunner runner(m_context, exchange, scope, std::move(request));
+    GenerationRunner runner(m_context, exchange, scope, std::move(request), 0);
     auto result = co_await runner.resume(*handle, id->offset + 1);
     endRequest(m_context, scope, "resume", result);
 }
--- a/src/gateway/internal/generationrunner.cpp
+++ b/src/gateway/internal/generationrunner.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr auto progressInterval = Seconds(1);
+    constexpr int deathsBeforeRefusal = 2;
     constexpr auto longestSilence = Seconds(15);
     constexpr auto pauseBeforeResume = Milliseconds(20);
 
@@ -46,11 +47,12 @@
 
 }
 
-GenerationRunner::GenerationRunner(GatewayContext& context, HttpExchange& exchange, const RequestScope& scope, CompletionRequest request)
+GenerationRunner::GenerationRunner(GatewayContext& context, HttpExchange& exchange, const RequestScope& scope, CompletionRequest request, Fingerprint fingerprint)
     : m_context(context)
     , m_exchange(exchange)
     , m_scope(scope)
     , m_request(std::move(request))
+    , m_fingerprint(fingerprint)
     , m_session(sessionOptions(context, m_request))
     , m_stalls(stallOptions(context))
     , m_format(m_request.chat, scope.id, m_request.modelName, unixSeconds())
@@ -105,6 +107,12 @@
         m_context.permits.finish(m_permit, m_session.nextOffset(), finishKindOf(attempt));
         if (attempt != Attempt::Restart)
             co_return m_result;
+        if (m_deaths >= deathsBeforeRefusal) {
+            Error suspect { .code = ErrorCode::Quarantined, .step = Step::Relay, .peer = engineName, .detail = "two targets ended while they ran this request; it is not tried on a third", .outcome = Outcome::Unknown };
+            FailStream refused { .error = suspect };
+            co_await fail(std::move(refused));
+            co_return m_result;
+        }
         m_context.metrics.restarted();
         m_context.decisions.record(m_scope.id, "restart", "nothing_delivered", engineName);
         m_failedEngines.push_back(engineName);
@@ -136,6 +144,7 @@
     auto stream = co_await m_engine->start(std::move(order));
     if (!stream) {
         m_engineFailed = stream.error().code != ErrorCode::BadRequest;
+        noteStartDeath(grant.engine, stream.error());
         m_context.decisions.record(m_scope.id, "start_failed", std::string(toString(stream.error().code)), grant.engine, stream.error().detail);
         auto action = m_session.onStartFailed(stream.error());
         co_return co_await act(std::move(action), none);
@@ -166,6 +175,7 @@
         }
         if (!event)
             m_context.decisions.record(m_scope.id, "link_failed", std::string(toString(event.error().code)), event.error().peer, event.error().detail);
+        m_linkBroke = !event && event.error().code == ErrorCode::LinkBroken;
         auto action = event ? noteEvent(*event) : m_session.onLinkFailure(event.error());
         std::vector<DeliverToken> tokens;
         std::optional<StreamAction> rest = collectTokens(std::move(action), *stream, tokens);
@@ -251,6 +261,7 @@
         m_context.decisions.record(m_scope.id, "resume_failed", std::string(toString(renewed.error().code)), identity.target, renewed.error().detail);
         stream.reset();
         m_open = nullptr;
+        noteDeath(identity, renewed.error());
         auto action = m_session.onResumeRefused(renewed.error());
         auto* again = std::get_if<ResumeStream>(&action);
         if (!again)
@@ -291,6 +302,27 @@
         m_context.io, [engine = m_engine, identity = *identity, priority]() -> Awaitable<> { co_await engine->setPriority(identity, priority); }, asio::detached);
 }
 
+/// A link that broke, to a target that then is gone or knows nothing, is a target's death.
+void GenerationRunner::noteDeath(const GenerationIdentity& identity, const Error& refusal)
+{
+    bool gone = refusal.code == ErrorCode::ConnectFailed || refusal.code == ErrorCode::NotFound;
+    if (!m_linkBroke || !gone || m_fingerprint == 0)
+        return;
+    ++m_deaths;
+    m_linkBroke = false;
+    m_context.decisions.record(m_scope.id, "target_died", std::string(toString(refusal.code)), identity.target);
+    m_context.quarantine.onDeath({ .fingerprint = m_fingerprint, .target = identity.target, .incarnation = identity.incarnation }, Clock::now());
+}
+
+/// A target that ends while it takes the request never told its incarnation.
+void GenerationRunner::noteStartDeath(const std::string& target, const Error& error)
+{
+    if (error.code != ErrorCode::LinkBroken || error.step != Step::ReadReply || m_fingerprint == 0)
+        return;
+    ++m_deaths;
+    m_context.quarantine.onDeath({ .fingerprint = m_fingerprint, .target = target, .incarnation = "at " + m_scope.id + std::to_string(m_session.restarts()) }, Clock::now());
+}
+
 void GenerationRunner::cancelGeneration()
 {
     auto identity = m_session.identity();
@@ -334,6 +366,8 @@
 Awaitable<> GenerationRunner::complete(CompleteStream done)
 {
     m_result = "completed";
+    if (m_deaths > 0)
+        m_context.quarantine.onCompleted(m_fingerprint, Clock::now());
     if (!m_request.stream) {
         Reply reply { .body = m_format.whole(m_text, done.finishReason, m_request.promptTokens, done.tokens) };
         reply.headers = { { "X-Request-Id", m_scope.id }, { "traceparent", m_scope.trace.header() } };
--- a/src/gateway/internal/operatorhandler.cpp
+++ b/src/gateway/internal/operatorhandler.cpp
@@ -82,6 +82,8 @@
         reply = Reply { .body = m_status() };
     else if (path.starts_with("/v1/explain/"))
         reply = explain(path.substr(std::string("/v1/explain/").size()));
+    else if (isPost && path.starts_with("/v1/pardon/"))
+        reply = pardon(path.substr(std::string("/v1/pardon/").size()));
     else if (path == "/v1/claims" && isPost)
         reply = co_await settleClaim();
     else if (path == "/v1/claims")
@@ -164,6 +166,17 @@
     return stateReply(200, { { "request_id", requestId }, { "instance", m_context.settings.instance.name }, { "decisions", list } });
 }
 
+Reply OperatorHandler::pardon(const std::string& fingerprint) const
+{
+    constexpr int hexadecimal = 16;
+    char* end = nullptr;
+    auto value = std::strtoull(fingerprint.c_str(), &end, hexadecimal);
+    if (fingerprint.empty() || *end != 0)
+        return stateReply(400, { { "code", "bad_request" }, { "detail", "a fingerprint has 16 hexadecimal digits" } });
+    bool known = m_context.quarantine.pardon(value, Clock::now());
+    return stateReply(200, { { "state", "pardoned" }, { "known_here", known } });
+}
+
 Awaitable<Reply> OperatorHandler::showClaim()
 {
     ClaimKey key { .organisation = m_exchange.query("organisation"), .service = m_exchange.query("service"), .key = m_exchange.query("key") };
--- a/src/gateway/operatorhandler.h
+++ b/src/gateway/operatorhandler.h
@@ -16,6 +16,7 @@
     Reply listTickets(const std::string& number) const;
     Reply showConfiguration() const;
     Reply explain(const std::string& requestId) const;
+    Reply pardon(const std::string& fingerprint) const;
     Awaitable<Reply> showClaim();
     Awaitable<Reply> settleClaim();
     Reply answerTo(const TicketAnswer&) const;
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -43,6 +43,7 @@
     GranterHost m_granters;
     PeerNetwork m_peers;
     PermitClient m_permits;
+    QuarantineService m_quarantine;
     ClaimCommitter m_claims;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -48,9 +48,10 @@
     , m_granters(m_io, m_engines, m_settings.scheduling, m_random())
     , m_peers(m_io, peerOptions(m_settings), m_configuration, Random(m_random()))
     , m_permits(m_io, m_granters, m_peers, stableHash(m_settings.instance.name + m_incarnation))
+    , m_quarantine(QuarantineOptions {}, m_peers)
     , m_claims(m_io, m_keyValue, ClaimCommitterOptions { .retention = m_settings.claims.retention, .batchWindow = m_settings.claims.batchWindow })
     , m_usageWriter(m_keyValue, m_usage, m_settings.instance.name, m_incarnation)
-    , m_gatewayContext { .io = m_io, .settings = m_settings, .keyValue = m_keyValue, .configuration = m_configuration, .configurationStore = m_configurationStore, .engines = m_engines, .permits = m_permits, .claims = m_claims, .usage = m_usage, .metrics = m_metrics, .decisions = m_decisions, .spans = m_spans, .sealer = m_sealer, .random = m_random }
+    , m_gatewayContext { .io = m_io, .settings = m_settings, .keyValue = m_keyValue, .configuration = m_configuration, .configurationStore = m_configurationStore, .engines = m_engines, .permits = m_permits, .claims = m_claims, .quarantine = m_quarantine, .usage = m_usage, .metrics = m_metrics, .decisions = m_decisions, .spans = m_spans, .sealer = m_sealer, .random = m_random }
     , m_gateway(m_gatewayContext, [this] { return status(); })
     , m_server(m_io, m_settings.limits, [this](HttpExchange& exchange) { return m_gateway.handle(exchange); })
     , m_signals(m_io, SIGTERM, SIGINT)
@@ -73,6 +74,7 @@
     }
     logEvent(LogLevel::Info, "listening", { { "instance", m_settings.instance.name }, { "callers", toString(*bound) }, { "peers", toString(*peers) } });
     m_peers.onPermit([this](const std::string& from, const PermitMessage& message) { m_permits.onMessage(from, message); });
+    m_peers.onQuarantine([this](const QuarantineMessage& message) { m_quarantine.onMessage(message, Clock::now()); });
     m_peers.onOwnersChanged([this] { m_permits.onOwnersChanged(); });
     m_granters.start();
     m_permits.start();
@@ -185,10 +187,14 @@
         auto owner = m_peers.ownerOf(model);
         owners[model] = owner.isHere() ? m_settings.instance.name : owner.name;
     }
+    nlohmann::json quarantined = nlohmann::json::array();
+    for (const auto& entry : m_quarantine.entries(Clock::now()))
+        quarantined.push_back({ { "fingerprint", hexOf(entry.fingerprint) }, { "standing", entry.standing == Standing::Convicted ? "convicted" : "suspect" }, { "deaths", entry.deaths } });
     const auto& traffic = m_peers.counters();
     nlohmann::json body {
         { "members", members },
         { "owners", owners },
+        { "quarantine", quarantined },
         { "watches_key_value_service", m_peers.isWatcher() },
         { "peer_bytes_sent", traffic.bytesSent },
         { "peer_messages_sent", traffic.messagesSent },
--- a/src/peers/internal/peermessage.cpp
+++ b/src/peers/internal/peermessage.cpp
@@ -14,6 +14,7 @@
         Membership,
         Permit,
         Configuration,
+        Quarantine,
     };
 
     json toJson(const Member& member)
@@ -212,6 +213,30 @@
         return sent;
     }
 
+    json fieldsOf(const QuarantineMessage& message)
+    {
+        return std::visit(Overloaded {
+                              [](const DeathReport& each) { return json::array({ each.fingerprint, each.target, each.incarnation }); },
+                              [](const auto& each) { return json::array({ each.fingerprint }); },
+                          },
+            message);
+    }
+
+    QuarantineMessage quarantineFrom(std::size_t type, const json& f)
+    {
+        Fingerprint fingerprint = f.at(0);
+        switch (type) {
+        case 0:
+            return DeathReport { .fingerprint = fingerprint, .target = f.at(1), .incarnation = f.at(2) };
+        case 1:
+            return CompletionReport { .fingerprint = fingerprint };
+        case 2:
+            return ConvictionNews { .fingerprint = fingerprint };
+        default:
+            return PardonNews { .fingerprint = fingerprint };
+        }
+    }
+
 }
 
 std::string encodePeerMessage(const PeerMessage& message)
@@ -235,6 +260,8 @@
             return permitFrom(type, body[2]);
         case Kind::Configuration:
             return configurationFrom(type, body[2]);
+        case Kind::Quarantine:
+            return quarantineFrom(type, body[2]);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -101,6 +101,7 @@
                    },
                    [&](const PermitMessage& each) { m_permitReceiver(from, each); },
                    [&](const ConfigurationMessage& each) { onConfigurationMessage(from, each); },
+                   [&](const QuarantineMessage& each) { m_quarantineReceiver(each); },
                },
         *message);
     flush();
@@ -133,10 +134,7 @@
 void PeerNetwork::announceConfiguration(std::int64_t revision)
 {
     m_membership->setRevision(revision);
-    std::vector<std::string> neighbours;
-    for (const auto& member : m_membership->randomAlive(announceFanout))
-        neighbours.push_back(member.name);
-    m_spreader.onAdopted(revision, neighbours);
+    m_spreader.onAdopted(revision, somePeers(announceFanout));
     flush();
 }
 
@@ -160,12 +158,12 @@
     return owners;
 }
 
-PoolOwner PeerNetwork::ownerOf(const std::string& model) const
+PoolOwner PeerNetwork::ownerOfKey(const std::string& key) const
 {
     PoolOwner owner;
     std::uint64_t best = 0;
     for (const auto& [name, life] : m_owners) {
-        auto weight = rendezvousWeight(name, "pool/" + model);
+        auto weight = rendezvousWeight(name, key);
         if (owner.name.empty() || weight > best) {
             owner = { .name = name, .life = life };
             best = weight;
@@ -174,7 +172,35 @@
     return owner.name == m_options.name ? PoolOwner {} : owner;
 }
 
+PoolOwner PeerNetwork::ownerOf(const std::string& model) const
+{
+    return ownerOfKey("pool/" + model);
+}
+
+std::string PeerNetwork::counterOf(Fingerprint fingerprint) const
+{
+    return ownerOfKey("quarantine/" + hexOf(fingerprint)).name;
+}
+
+std::vector<std::string> PeerNetwork::somePeers(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (const auto& member : m_membership->randomAlive(count))
+        names.push_back(member.name);
+    return names;
+}
+
 bool PeerNetwork::send(const std::string& instance, const PermitMessage& message)
+{
+    return sendTo(instance, message);
+}
+
+void PeerNetwork::send(const std::string& instance, const QuarantineMessage& message)
+{
+    sendTo(instance, message);
+}
+
+bool PeerNetwork::sendTo(const std::string& instance, const PeerMessage& message)
 {
     const auto* member = m_membership->find(instance);
     if (!member || member->state == MemberState::Dead)
--- a/src/peers/peernetwork.h
+++ b/src/peers/peernetwork.h
@@ -17,7 +17,7 @@
 };
 
 /// Carries messages between instances and keeps the view of who is there.
-class PeerNetwork : public IPermitTransport {
+class PeerNetwork : public IPermitTransport, public IQuarantineTransport {
 public:
     using PermitReceiver = std::function<void(const std::string& from, const PermitMessage&)>;
 
@@ -27,6 +27,7 @@
     Result<Endpoint> start(const Endpoint& callers);
 
     void onPermit(PermitReceiver receiver) { m_permitReceiver = std::move(receiver); }
+    void onQuarantine(std::function<void(const QuarantineMessage&)> receiver) { m_quarantineReceiver = std::move(receiver); }
     void onOwnersChanged(std::function<void()> listener) { m_ownersChanged = std::move(listener); }
 
     void onListed(const std::vector<Member>&);
@@ -37,6 +38,9 @@
 
     PoolOwner ownerOf(const std::string& model) const override;
     bool send(const std::string& instance, const PermitMessage&) override;
+    std::string counterOf(Fingerprint) const override;
+    void send(const std::string& instance, const QuarantineMessage&) override;
+    std::vector<std::string> somePeers(std::size_t count) override;
 
     /// True if this instance watches the key-value service for its failure domain.
     bool isWatcher() const;
@@ -51,6 +55,8 @@
     void noteRevision(const std::string& from, const MembershipMessage&);
     void flush();
     std::map<std::string, std::int64_t> ownersNow() const;
+    PoolOwner ownerOfKey(const std::string& key) const;
+    bool sendTo(const std::string& instance, const PeerMessage&);
     bool transmit(const std::string& to, const Endpoint&, const PeerMessage&);
 
     asio::io_context& m_context;
@@ -61,6 +67,7 @@
     std::optional<Membership> m_membership;
     WebSocketTransport m_transport;
     PermitReceiver m_permitReceiver;
+    std::function<void(const QuarantineMessage&)> m_quarantineReceiver;
     std::function<void()> m_ownersChanged;
     std::map<std::string, std::int64_t> m_owners;
     std::uint64_t m_seenVersion = 0;
--- /dev/null
+++ b/src/quarantine/internal/quarantine.cpp
@@ -0,0 +1,107 @@
+#include "quarantine/quarantine.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+Fingerprint fingerprintOf(const std::string& organisation, const std::string& service, const std::string& body)
+{
+    return stableHash(body, stableHash(service, stableHash(organisation)));
+}
+
+Quarantine::Quarantine(QuarantineOptions options)
+    : m_options(options)
+{
+}
+
+bool Quarantine::onDeath(const DeathReport& report, TimePoint now)
+{
+    forgetOld(now);
+    auto life = report.target + "/" + report.incarnation;
+    auto& record = m_records[report.fingerprint];
+    if (!record.deaths.insert(life).second)
+        return false;
+    record.lastDeath = now;
+    m_onTarget[life].insert(report.fingerprint);
+    return true;
+}
+
+bool Quarantine::onCompleted(Fingerprint fingerprint, TimePoint)
+{
+    return m_records.erase(fingerprint) > 0;
+}
+
+bool Quarantine::convict(Fingerprint fingerprint, TimePoint now)
+{
+    return m_convictedUntil.insert_or_assign(fingerprint, now + m_options.convictionLifetime).second;
+}
+
+bool Quarantine::pardon(Fingerprint fingerprint)
+{
+    bool convicted = m_convictedUntil.erase(fingerprint) > 0;
+    return m_records.erase(fingerprint) > 0 || convicted;
+}
+
+/// True if another request with as many deaths died there too: then either may be guilty.
+bool Quarantine::hasCrowdedDeath(const std::string& life, Fingerprint fingerprint) const
+{
+    auto found = m_onTarget.find(life);
+    if (found == m_onTarget.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](Fingerprint other) {
+        auto record = m_records.find(other);
+        return other != fingerprint && record != m_records.end() && record->second.deaths.size() >= static_cast<std::size_t>(m_options.deathsToConvict);
+    });
+}
+
+Standing Quarantine::standing(Fingerprint fingerprint, TimePoint now) const
+{
+    auto convicted = m_convictedUntil.find(fingerprint);
+    if (convicted != m_convictedUntil.end() && convicted->second > now)
+        return Standing::Convicted;
+    auto found = m_records.find(fingerprint);
+    if (found == m_records.end())
+        return Standing::Clear;
+    const auto& record = found->second;
+    bool enough = record.deaths.size() >= static_cast<std::size_t>(m_options.deathsToConvict);
+    auto lifetime = enough ? m_options.convictionLifetime : m_options.suspicionLifetime;
+    if (record.lastDeath + lifetime <= now)
+        return Standing::Clear;
+    if (!enough)
+        return Standing::Suspect;
+    // One death in company with an equal is explained by that other one.
+    auto alone = std::count_if(record.deaths.begin(), record.deaths.end(), [&](const std::string& life) { return !hasCrowdedDeath(life, fingerprint); });
+    return alone >= 1 ? Standing::Convicted : Standing::Suspect;
+}
+
+std::vector<QuarantineEntry> Quarantine::entries(TimePoint now) const
+{
+    std::vector<QuarantineEntry> all;
+    for (const auto& [fingerprint, record] : m_records) {
+        auto state = standing(fingerprint, now);
+        if (state != Standing::Clear)
+            all.push_back({ .fingerprint = fingerprint, .standing = state, .deaths = record.deaths.size() });
+    }
+    for (const auto& [fingerprint, until] : m_convictedUntil) {
+        if (until > now && !m_records.contains(fingerprint))
+            all.push_back({ .fingerprint = fingerprint, .standing = Standing::Convicted });
+    }
+    return all;
+}
+
+void Quarantine::forgetOld(TimePoint now)
+{
+    std::erase_if(m_convictedUntil, [&](const auto& entry) { return entry.second <= now; });
+    std::erase_if(m_records, [&](const auto& entry) { return entry.second.lastDeath + m_options.convictionLifetime <= now; });
+    if (m_records.size() >= m_options.maxRecords) {
+        auto oldest = std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) { return a.second.lastDeath < b.second.lastDeath; });
+        m_records.erase(oldest);
+    }
+    std::erase_if(m_onTarget, [&](const auto& entry) {
+        return std::none_of(entry.second.begin(), entry.second.end(), [&](Fingerprint fingerprint) { return m_records.contains(fingerprint); });
+    });
+}
+
+}
