Prove that planned stops cut nothing off

Cause: the adversarial run could not tell a planned stop's cut from a kill's.

Change: the run chooses instances by readiness, as a balancer does; with planned stops alone every broken stream, answer or order is a violation; faults can be chosen by name.

--- a/src/bench/internal/faultinjector.cpp
+++ b/src/bench/internal/faultinjector.cpp
@@ -29,7 +29,11 @@
 {
     std::ifstream file(pidFile);
     pid_t pid = 0;
-    if (file >> pid && pid > 1)
+    if (!(file >> pid) || pid <= 1)
+        return;
+    // A second request to stop means to stop at once, which is another fault.
+    bool repeatedStop = number == SIGTERM && !m_stopping.insert(pid).second;
+    if (!repeatedStop)
         ::kill(pid, number);
 }
 
@@ -76,10 +80,14 @@
         { "plain service slow", [this] { return withFault(m_options.plain, R"({"delay_ms":1500})", R"({"delay_ms":0})", between(500, 2000)); } },
         { "plain service answers lost", [this] { return setFault(m_options.plain, R"({"lose_answers":2})"); } },
     };
-    const auto& kind = kinds[m_random() % kinds.size()];
-    bool wanted = m_options.faults == "all" || std::string(kind.name).find(m_options.faults) != std::string::npos;
-    if (!wanted)
+    std::vector<const Kind*> wanted;
+    for (const auto& kind : kinds) {
+        if (m_options.faults == "all" || std::string(kind.name).find(m_options.faults) != std::string::npos)
+            wanted.push_back(&kind);
+    }
+    if (wanted.empty())
         co_return;
+    const auto& kind = *wanted[m_random() % wanted.size()];
     m_report.fault(kind.name);
     co_await kind.run();
 }
--- a/src/bench/internal/faultinjector.h
+++ b/src/bench/internal/faultinjector.h
@@ -5,6 +5,8 @@
 #include "common/random.h"
 #include "net/nettypes.h"
 
+#include <set>
+
 namespace guavaspan::bench {
 
 /// Strikes the processes with seeded faults, several at once.
@@ -30,6 +32,7 @@
     const PromisesOptions& m_options;
     PromisesReport& m_report;
     Random m_random;
+    std::set<int> m_stopping;
 };
 
 }
--- a/src/bench/internal/promises.cpp
+++ b/src/bench/internal/promises.cpp
@@ -17,6 +17,7 @@
     constexpr auto silenceLimit = Seconds(20);
     constexpr int maxResumes = 6;
     constexpr int maxOrderSends = 8;
+    constexpr const char* plannedStops = "gracefully";
     constexpr auto settleTime = Seconds(12);
 
     /// What became of one order over all its sends.
@@ -53,6 +54,7 @@
                 asio::co_spawn(m_context, orderLoop(i), asio::detached);
             for (int i = 0; i < 2; ++i)
                 asio::co_spawn(m_context, operatorLoop(), asio::detached);
+            asio::co_spawn(m_context, balancerLoop(), asio::detached);
             asio::co_spawn(m_context, revisionLoop(), asio::detached);
             co_await m_injector.run(m_end);
             co_await m_injector.calm();
@@ -64,7 +66,40 @@
             m_context.stop();
         }
 
-        const std::string& anyInstance() { return m_options.instances[m_random() % m_options.instances.size()]; }
+        /// An instance that the balancer would choose: one that says it is ready.
+        std::string anyInstance()
+        {
+            std::vector<std::string> ready(m_ready.begin(), m_ready.end());
+            const auto& from = ready.empty() ? m_options.instances : ready;
+            return from[m_random() % from.size()];
+        }
+
+        /// Looks at readiness as a balancer does.
+        Awaitable<> balancerLoop()
+        {
+            while (true) {
+                for (const auto& instance : m_options.instances)
+                    asio::co_spawn(m_context, lookAt(instance), asio::detached);
+                co_await sleepFor(Milliseconds(200));
+            }
+        }
+
+        Awaitable<> lookAt(std::string instance)
+        {
+            HttpCall call { .endpoint = *parseEndpoint(instance), .target = "/readyz", .timeout = Milliseconds(500) };
+            auto response = co_await callHttp(std::move(call));
+            if (response && response->result_int() == 200)
+                m_ready.insert(instance);
+            else
+                m_ready.erase(instance);
+        }
+
+        /// With planned stops alone, nothing that was begun may be cut.
+        void noteCut(const std::string& what, const Error& error)
+        {
+            if (m_options.faults == plannedStops && error.outcome != Outcome::NotRun)
+                m_report.violation("planned stops cut nothing off", what + ": " + describe(error));
+        }
 
         HttpCall callTo(const std::string& instance, std::string method, std::string target, std::string body, const std::string& key)
         {
@@ -123,6 +158,8 @@
         {
             while (true) {
                 auto event = co_await reader.next(silenceLimit);
+                if (!event)
+                    noteCut("a stream", event.error());
                 if (!event || !*event)
                     co_return Followed::Broken;
                 if ((*event)->data == "[DONE]") {
@@ -157,6 +194,8 @@
                 auto call = callTo(anyInstance(), "POST", "/v1/completions", body.dump(), m_options.callerKey);
                 auto response = co_await callHttp(std::move(call));
                 if (!response || response->result_int() != 200) {
+                    if (!response)
+                        noteCut("a whole answer", response.error());
                     m_report.count(response ? fmt::format("whole answer refused with {}", response->result_int()) : "whole answer lost with its instance");
                     co_await sleepFor(Milliseconds(200));
                     continue;
@@ -209,6 +248,7 @@
             ++record.sends;
             if (!response) {
                 record.onlyNotRun = record.onlyNotRun && response.error().outcome == Outcome::NotRun;
+                noteCut("an order", response.error());
                 m_report.count("order without an answer");
                 co_return;
             }
@@ -318,6 +358,7 @@
         asio::io_context m_context { 1 };
         Random m_random;
         PromisesReport m_report;
+        std::set<std::string> m_ready;
         FaultInjector m_injector;
         TimePoint m_end;
         int m_active = 0;
