Let an overflow displace one large generation instead of many small ones

An engine displaces the newest of the lowest priority; new ones are small, so one shortage displaced a row of them.

Change: when an engine's overflow is foreseen, one batch generation of at least 3,000 tokens that was never displaced is put below the others.

--- a/src/bench/internal/poolexperiment.cpp
+++ b/src/bench/internal/poolexperiment.cpp
@@ -133,7 +133,7 @@
             m_priorities[grant->id.sequence] = grant->priority;
             // Ask, grant and order each cross the network once.
             schedule(now + fromSeconds(3 * m_options.messageSeconds), Kind::Place, grant->id.sequence);
-        } else if (const auto* protect = std::get_if<Protect>(&action)) {
+        } else if (const auto* protect = std::get_if<SetPriority>(&action)) {
             auto engine = m_generations[protect->id.sequence].engine;
             m_engines[static_cast<std::size_t>(engine)].model.setPriority(protect->id.sequence, protect->priority);
         }
--- /dev/null
+++ b/src/bench/internal/processusage.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace guavaspan::bench {
+
+/// Processor time and resident memory of a process.
+struct ProcessUsage {
+    double processorSeconds = 0;
+    double residentKib = 0;
+};
+
+ProcessUsage usageOfProcess(const std::string& pidFile);
+
+}
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "bench/decisions.h"
 #include "bench/promises.h"
+#include "bench/relay.h"
 
 #include <cxxopts.hpp>
 #include <iostream>
@@ -32,12 +33,23 @@
     return runPromises(options) == 0 ? 0 : 1;
 }
 
+int relay(const cxxopts::ParseResult& arguments)
+{
+    RelayOptions options { .engines = arguments["engines"].as<std::vector<std::string>>() };
+    options.instance = arguments["instances"].as<std::vector<std::string>>().front();
+    options.instancePidFile = arguments["instance-pids"].as<std::vector<std::string>>().front();
+    options.callerKey = arguments["caller-key"].as<std::string>();
+    options.streams = arguments["streams"].as<int>();
+    options.tokensPerStream = arguments["tokens"].as<int>();
+    return runRelay(options);
+}
+
 }
 
 int main(int argc, char** argv)
 {
     using Strings = std::vector<std::string>;
-    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one: decisions or promises.");
+    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one: decisions, promises or relay.");
     auto add = options.add_options();
     add("what", "Measurement", cxxopts::value<std::string>()->default_value("decisions"));
     add("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
@@ -53,6 +65,8 @@
     add("plain", "Address of the plain service's stand-in", cxxopts::value<std::string>()->default_value(""));
     add("caller-key", "Key of the calling organisation", cxxopts::value<std::string>()->default_value(""));
     add("operator-key", "Operator's key", cxxopts::value<std::string>()->default_value(""));
+    add("streams", "Streams at once", cxxopts::value<int>()->default_value("300"));
+    add("tokens", "Tokens of each stream", cxxopts::value<int>()->default_value("400"));
     add("faults", "all, none, or a part of the names of the faults wanted", cxxopts::value<std::string>()->default_value("all"));
     add("help", "Show this help");
     options.parse_positional({ "what" });
@@ -64,6 +78,8 @@
     auto what = arguments["what"].as<std::string>();
     if (what == "decisions")
         return decisions(arguments);
+    if (what == "relay")
+        return relay(arguments);
     if (what == "promises")
         return promises(arguments);
     std::cerr << "unknown measurement: " << what << "\n";
--- a/src/gateway/internal/operatorhandler.cpp
+++ b/src/gateway/internal/operatorhandler.cpp
@@ -31,6 +31,14 @@
         return Reply { .status = status, .body = body.dump(-1, ' ', false, json::error_handler_t::replace) };
     }
 
+    Reply usageReply(const UsageByOrganisation& usage)
+    {
+        json rows = json::array();
+        for (const auto& [organisation, item] : usage)
+            rows.push_back({ { "organisation", organisation }, { "prompt_tokens", item.promptTokens }, { "output_tokens", item.outputTokens }, { "requests", item.requests } });
+        return stateReply(200, { { "usage", rows } });
+    }
+
     std::string_view nameOf(ClaimState state)
     {
         switch (state) {
@@ -90,7 +98,10 @@
         reply = co_await showClaim();
     else if (path == "/v1/usage") {
         auto usage = co_await readUsage(m_context.keyValue);
-        reply = usage ? Reply { .body = encodeUsage(*usage) } : problemReply(usage.error(), { .retryAfter = Seconds(1) });
+        auto organisation = m_exchange.query("organisation");
+        if (usage && !organisation.empty())
+            std::erase_if(*usage, [&](const auto& entry) { return entry.first != organisation; });
+        reply = usage ? usageReply(*usage) : problemReply(usage.error(), { .retryAfter = Seconds(1) });
     }
     co_await m_exchange.send(std::move(reply));
 }
--- a/src/peers/internal/peermessage.cpp
+++ b/src/peers/internal/peermessage.cpp
@@ -88,7 +88,7 @@
         return std::visit(Overloaded {
                               [](const Grant& each) { return json::array({ 0, toJson(each.id), each.engine, each.priority, static_cast<int>(each.reason), each.overflowRisk, each.expectedCachedTokens }); },
                               [](const Refusal& each) { return json::array({ 1, toJson(each.id), static_cast<int>(each.code), milliseconds(each.retryAfter) }); },
-                              [](const Protect& each) { return json::array({ 2, toJson(each.id), each.priority }); },
+                              [](const SetPriority& each) { return json::array({ 2, toJson(each.id), each.priority }); },
                           },
             action);
     }
@@ -102,7 +102,7 @@
         case 1:
             return Refusal { .id = id, .code = static_cast<ErrorCode>(fields.at(2).get<int>()), .retryAfter = Milliseconds(fields.at(3).get<std::int64_t>()) };
         default:
-            return Protect { .id = id, .priority = fields.at(2) };
+            return SetPriority { .id = id, .priority = fields.at(2) };
         }
     }
 
--- a/src/permits/internal/permitclient.cpp
+++ b/src/permits/internal/permitclient.cpp
@@ -161,7 +161,7 @@
     co_return true;
 }
 
-Awaitable<Result<Grant>> PermitClient::acquire(std::string model, PermitRequest request, ProtectHook protect, std::function<bool()> cancelled)
+Awaitable<Result<Grant>> PermitClient::acquire(std::string model, PermitRequest request, PriorityHook protect, std::function<bool()> cancelled)
 {
     auto id = request.id;
     auto holding = std::make_shared<Holding>();
@@ -217,7 +217,7 @@
     if (found == m_holdings.end())
         return;
     auto holding = found->second;
-    if (auto* protect = std::get_if<Protect>(&action)) {
+    if (auto* protect = std::get_if<SetPriority>(&action)) {
         holding->protect(protect->priority);
         return;
     }
--- a/src/permits/permitclient.h
+++ b/src/permits/permitclient.h
@@ -15,7 +15,7 @@
     /// Starts to name held permits to their owners.
     void start();
 
-    Awaitable<Result<Grant>> acquire(std::string model, PermitRequest, ProtectHook, std::function<bool()> cancelled) override;
+    Awaitable<Result<Grant>> acquire(std::string model, PermitRequest, PriorityHook, std::function<bool()> cancelled) override;
     void progress(const PermitId&, int produced, bool preempted) override;
     void finish(const PermitId&, int produced, FinishKind) override;
     PermitId nextId() override;
@@ -33,7 +33,7 @@
     struct Holding {
         std::string model;
         PermitRequest request;
-        ProtectHook protect;
+        PriorityHook protect;
         PoolOwner owner;
         std::string engine;
         int produced = 0;
--- a/src/scheduling/granter.h
+++ b/src/scheduling/granter.h
@@ -100,6 +100,8 @@
         bool jammed = false;
         /// Generations pushed out of memory that have not gone on yet.
         std::set<PermitId> displaced;
+        /// The generation that an overflow would displace.
+        std::optional<PermitId> designated;
         bool present = true;
     };
     struct Choice {
@@ -123,6 +125,7 @@
     void advance(Engine&, TimePoint now);
     void recordOccupancy(Engine&, TimePoint now);
     void updateForeseen();
+    void designate(Engine&);
     double poolMedianStepSeconds() const;
     double capacityFor(const Engine&, const std::string& organisation) const;
     void chargeGrowth(GrantedGeneration&, int produced);
--- a/src/scheduling/internal/granter.cpp
+++ b/src/scheduling/internal/granter.cpp
@@ -12,6 +12,9 @@
     constexpr double prefillSecondsPerToken = 0.00002;
     constexpr double otherDomainSeconds = 0.002;
     constexpr double occupancyWeightSeconds = 0.4;
+    constexpr int designatedPriority = 0;
+    constexpr double riskToDesignate = 0.01;
+    constexpr double tokensToRelieve = 3000;
     constexpr int batchPriority = 1;
     constexpr int interactivePriority = 2;
     constexpr int protectedPriority = 9;
@@ -118,8 +121,10 @@
         return;
     }
     engine->displaced.insert(id);
+    if (engine->designated == id)
+        engine->designated.reset();
     ++generation.preemptions;
-    m_actions.emplace_back(Protect { .id = id, .priority = protectedPriority });
+    m_actions.emplace_back(SetPriority { .id = id, .priority = protectedPriority });
 }
 
 void Granter::onFinished(const PermitId& id, int produced, FinishKind kind, TimePoint now)
@@ -290,6 +295,35 @@
     }
 }
 
+/// An engine that overflows displaces the newest of the lowest priority, and since
+/// new ones are small it displaces many. One generation that is large enough to end
+/// the shortage alone is put below the others; nobody is put there twice.
+void Granter::designate(Engine& engine)
+{
+    if (!engine.info.honoursPriorities || (engine.designated && engine.running.contains(*engine.designated)))
+        return;
+    engine.designated.reset();
+    double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
+    if (engine.profile.overflowRisk({}, capacity) < riskToDesignate)
+        return;
+    const GrantedGeneration* best = nullptr;
+    auto sizeOf = [](const GrantedGeneration& generation) { return generation.request.promptTokens + generation.estimated; };
+    for (const auto& [id, generation] : engine.running) {
+        bool eligible = generation.request.serviceClass == ServiceClass::Batch && generation.preemptions == 0 && generation.produced > 0;
+        if (!eligible)
+            continue;
+        bool enough = sizeOf(generation) >= tokensToRelieve;
+        bool bestEnough = best && sizeOf(*best) >= tokensToRelieve;
+        bool better = !best || (enough && !bestEnough) || (enough == bestEnough && enough == (sizeOf(generation) < sizeOf(*best)));
+        if (better)
+            best = &generation;
+    }
+    if (!best)
+        return;
+    engine.designated = best->request.id;
+    m_actions.emplace_back(SetPriority { .id = best->request.id, .priority = designatedPriority });
+}
+
 void Granter::updateForeseen()
 {
     std::unordered_map<std::string, double> foreseen;
@@ -314,6 +348,7 @@
         for (auto& [name, engine] : m_engines) {
             advance(engine, now);
             rebuild(engine);
+            designate(engine);
         }
     }
     m_lastTick = now;
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -64,13 +64,13 @@
     Clock::duration retryAfter {};
 };
 
-/// Asks the holder of a permit to raise its generation's priority.
-struct Protect {
+/// Asks the holder of a permit to change its generation's priority.
+struct SetPriority {
     PermitId id;
     int priority = 0;
 };
 
-using SchedulingAction = std::variant<Grant, Refusal, Protect>;
+using SchedulingAction = std::variant<Grant, Refusal, SetPriority>;
 
 /// How a permitted generation ended.
 enum class FinishKind {
--- a/src/scheduling/tests/granter_test.cpp
+++ b/src/scheduling/tests/granter_test.cpp
@@ -140,7 +140,7 @@
     f.grants();
     f.granter.onProgress(id, 10, true, f.now);
     auto actions = f.granter.takeActions();
-    cr_assert(actions.size() == 1 && std::holds_alternative<Protect>(actions[0]));
+    cr_assert(actions.size() == 1 && std::holds_alternative<SetPriority>(actions[0]));
     f.ask("b");
     cr_expect(f.grants().empty(), "room that a displaced generation will claim is not room");
     f.granter.onProgress(id, 11, false, f.now);
@@ -243,3 +243,37 @@
     cr_expect_not(f.granter.onHeld(lost, 5, f.now));
     cr_expect(f.granter.running() == 1);
 }
+
+Test(Granter, engineNearOverflow_designatesOneLargeGenerationOnce)
+{
+    // [GIVEN] an engine that is nearly full, with one large and several small generations
+    GranterFixture f(1);
+    auto large = f.ask("a", 5000);
+    for (int i = 0; i < 8; ++i)
+        f.ask("a", 1100);
+    f.grants();
+    f.granter.onProgress(large, 10, false, f.now);
+    // [WHEN] time passes
+    auto lowered = [&] {
+        std::vector<SetPriority> found;
+        for (const auto& action : f.granter.takeActions()) {
+            if (const auto* change = std::get_if<SetPriority>(&action))
+                found.push_back(*change);
+        }
+        return found;
+    };
+    f.granter.onTick(f.now += Milliseconds(50));
+    auto first = lowered();
+    // [THEN] it alone is put below the others, and after a displacement above them
+    cr_assert(first.size() == 1);
+    cr_expect(first[0].id == large && first[0].priority == 0);
+    f.granter.onTick(f.now += Milliseconds(50));
+    cr_expect(lowered().empty());
+    f.granter.onProgress(large, 11, true, f.now);
+    auto raised = lowered();
+    cr_assert(raised.size() == 1);
+    cr_expect(raised[0].id == large && raised[0].priority > 2);
+    f.granter.onTick(f.now += Milliseconds(50));
+    for (const auto& change : lowered())
+        cr_expect(change.id != large, "nobody is designated twice");
+}
