Learn and charge from extrapolated progress; report it a fifth as often

Cause: progress of every stream went to the owner each second: at full size 480 streams x 30 bytes a second and instance, five times the whole control budget. A request cost the owner of a full cell 766 us, most of it shares of all organisations computed once for each engine.

Change: a generation whose end was not reported has reached its extrapolated length, so it is learnt and charged each 32 tokens; displaced ones stand still. Holders name progress every 5 s and tell displacements at once. The share is computed once a request.

--- a/src/bench/internal/decisions.cpp
+++ b/src/bench/internal/decisions.cpp
@@ -125,6 +125,7 @@
         for (const auto& policy : options.sweep ? sweep() : policies())
             runs.push_back(std::async(std::launch::async, [&, policy] { return PoolExperiment(experimentOptions(options), policy).run(arrivals); }));
         std::vector<ExperimentResult> results;
+        results.reserve(runs.size());
         for (auto& run : runs)
             results.push_back(run.get());
         printTable(scenario.name, results);
--- a/src/bench/internal/relay.cpp
+++ b/src/bench/internal/relay.cpp
@@ -18,6 +18,7 @@
         std::vector<double> gaps;
         std::size_t tokens = 0;
         int failures = 0;
+        int open = 0;
         double seconds = 0;
     };
 
@@ -30,7 +31,7 @@
         return values[position];
     }
 
-    Awaitable<> oneStream(HttpCall call, Measures& measures, int& open)
+    Awaitable<> oneStream(HttpCall call, Measures& measures)
     {
         EventStreamReader reader(co_await asio::this_coro::executor);
         auto started = Clock::now();
@@ -54,23 +55,23 @@
             ++measures.tokens;
         }
         measures.failures += failed;
-        --open;
+        --measures.open;
     }
 
     Awaitable<> allStreams(const RelayOptions& options, bool direct, Measures& measures, double& residentAtPeak)
     {
         auto context = co_await asio::this_coro::executor;
-        int open = options.streams;
+        measures.open = options.streams;
         auto started = Clock::now();
         for (int i = 0; i < options.streams; ++i) {
             nlohmann::json body { { "model", "relay" }, { "prompt", fmt::format("[[tokens={}]] {}", options.tokensPerStream, i) }, { "stream", true } };
             const auto& address = direct ? options.engines[static_cast<std::size_t>(i) % options.engines.size()] : options.instance;
             HttpCall call { .endpoint = *parseEndpoint(address), .method = "POST", .target = "/v1/completions", .body = body.dump(), .timeout = Seconds(10) };
             call.headers["Authorization"] = "Bearer " + options.callerKey;
-            asio::co_spawn(context, oneStream(std::move(call), measures, open), asio::detached);
+            asio::co_spawn(context, oneStream(std::move(call), measures), asio::detached);
             co_await sleepFor(Milliseconds(2));
         }
-        while (open > 0) {
+        while (measures.open > 0) {
             residentAtPeak = std::max(residentAtPeak, usageOfProcess(options.instancePidFile).residentKib);
             co_await sleepFor(Milliseconds(50));
         }
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "bench/costs.h"
 #include "bench/decisions.h"
 #include "bench/promises.h"
 #include "bench/relay.h"
@@ -49,7 +50,7 @@
 int main(int argc, char** argv)
 {
     using Strings = std::vector<std::string>;
-    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one: decisions, promises or relay.");
+    cxxopts::Options options("guavaspan-bench", "Measurements; the first argument names one: decisions, promises, relay or costs.");
     auto add = options.add_options();
     add("what", "Measurement", cxxopts::value<std::string>()->default_value("decisions"));
     add("seed", "Seed", cxxopts::value<std::uint64_t>()->default_value("1"));
@@ -76,6 +77,8 @@
         return 0;
     }
     auto what = arguments["what"].as<std::string>();
+    if (what == "costs")
+        return runCosts();
     if (what == "decisions")
         return decisions(arguments);
     if (what == "relay")
--- a/src/bench/poolexperiment.h
+++ b/src/bench/poolexperiment.h
@@ -23,7 +23,7 @@
     standins::EngineProfile profile;
     double reportIntervalSeconds = 0.25;
     double reportLagSeconds = 0.25;
-    double progressIntervalSeconds = 1;
+    double progressIntervalSeconds = 5;
     double messageSeconds = 0.0015;
     double warmupSeconds = 60;
     double seconds = 180;
--- a/src/permits/internal/permitclient.cpp
+++ b/src/permits/internal/permitclient.cpp
@@ -197,6 +197,10 @@
         return;
     auto& holding = *found->second;
     holding.produced = produced;
+    bool tellNow = preempted || holding.displaced || holding.owner.isHere();
+    holding.displaced = preempted;
+    if (!tellNow)
+        return;
     tell(holding, PermitProgress { .model = holding.model, .id = id, .produced = produced, .preempted = preempted });
 }
 
--- a/src/permits/ipermitservice.h
+++ b/src/permits/ipermitservice.h
@@ -18,6 +18,7 @@
     /// Waits for a permit. `cancelled` is looked at while waiting.
     virtual Awaitable<Result<Grant>> acquire(std::string model, PermitRequest, PriorityHook, std::function<bool()> cancelled) = 0;
 
+    /// The owner hears at once of a displacement and of its end, else every few seconds.
     virtual void progress(const PermitId&, int produced, bool preempted) = 0;
     virtual void finish(const PermitId&, int produced, FinishKind) = 0;
     virtual PermitId nextId() = 0;
--- a/src/permits/permitclient.h
+++ b/src/permits/permitclient.h
@@ -37,6 +37,7 @@
         PoolOwner owner;
         std::string engine;
         int produced = 0;
+        bool displaced = false;
         TimePoint askedAt;
         std::optional<SchedulingAction> answer;
         std::unique_ptr<asio::steady_timer> news;
--- a/src/scheduling/granter.h
+++ b/src/scheduling/granter.h
@@ -127,7 +127,7 @@
     void updateForeseen();
     void designate(Engine&);
     double poolMedianStepSeconds() const;
-    double capacityFor(const Engine&, const std::string& organisation) const;
+    double capacityFor(const Engine&, bool belowShare) const;
     void chargeGrowth(GrantedGeneration&, int produced);
     Engine* engineOf(const PermitId&);
 
--- a/src/scheduling/internal/granter.cpp
+++ b/src/scheduling/internal/granter.cpp
@@ -12,6 +12,7 @@
     constexpr double prefillSecondsPerToken = 0.00002;
     constexpr double otherDomainSeconds = 0.002;
     constexpr double occupancyWeightSeconds = 0.4;
+    constexpr double tokensPerCharge = 32;
     constexpr int designatedPriority = 0;
     constexpr double riskToDesignate = 0.01;
     constexpr double tokensToRelieve = 3000;
@@ -113,7 +114,7 @@
         return;
     auto& generation = engine->running.at(id);
     chargeGrowth(generation, produced);
-    generation.estimated = generation.produced;
+    generation.estimated = produced;
     generation.reportedAt = now;
     generation.heldAt = now;
     if (!preempted) {
@@ -157,6 +158,7 @@
     auto& generation = engine->running.at(id);
     generation.heldAt = now;
     chargeGrowth(generation, produced);
+    generation.estimated = produced;
     return true;
 }
 
@@ -280,18 +282,21 @@
     rebuild(engine);
 }
 
-/// Between reports of progress the owner extrapolates at the engine's own pace.
+/// Between reports the owner extrapolates at the engine's own pace. A generation
+/// whose end was not reported has reached that length, so it is learnt and charged.
 void Granter::advance(Engine& engine, TimePoint now)
 {
     double stepSeconds = engine.report && engine.report->stepSeconds > 0 ? engine.report->stepSeconds : defaultStepSeconds;
     double elapsed = secondsBetween(m_lastTick, now);
     for (auto& [id, generation] : engine.running) {
         bool started = generation.produced > 0 || secondsBetween(generation.grantedAt, now) > 2 * stepSeconds;
-        if (!started)
+        if (!started || engine.displaced.contains(id))
             continue;
         generation.estimated += elapsed / stepSeconds;
         if (generation.request.maxTokens > 0)
             generation.estimated = std::min<double>(generation.estimated, generation.request.maxTokens);
+        if (generation.estimated - generation.produced >= tokensPerCharge)
+            chargeGrowth(generation, static_cast<int>(generation.estimated));
     }
 }
 
@@ -366,10 +371,10 @@
     return m_queue.shareRatio(organisation) < clearlyBelow;
 }
 
-double Granter::capacityFor(const Engine& engine, const std::string& organisation) const
+double Granter::capacityFor(const Engine& engine, bool belowShare) const
 {
     double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
-    if (m_queue.activeOrganisations() > 1 && !isBelowShare(organisation))
+    if (m_queue.activeOrganisations() > 1 && !belowShare)
         capacity *= 1 - m_options.reservedForBelowShare;
     return capacity;
 }
@@ -402,7 +407,8 @@
     double bestScore = 0;
     GrantedGeneration candidate { .request = request };
     auto whole = footprintOf(candidate, 0);
-    double highestRisk = isBelowShare(request.organisation) ? m_options.maxOverflowRiskBelowShare : m_options.maxOverflowRisk;
+    bool belowShare = isBelowShare(request.organisation);
+    double highestRisk = belowShare ? m_options.maxOverflowRiskBelowShare : m_options.maxOverflowRisk;
     for (auto& [name, engine] : m_engines) {
         if (!mayRun(engine, request, now) || reserved.contains(&engine))
             continue;
@@ -413,7 +419,7 @@
             continue;
         auto footprint = whole;
         footprint.tokens -= std::min(footprint.tokens, engine.shared.heldBlocks(request.prefixBlocks) * m_options.blockTokens);
-        double risk = engine.profile.overflowRisk(footprint, capacityFor(engine, request.organisation));
+        double risk = engine.profile.overflowRisk(footprint, capacityFor(engine, belowShare));
         // An empty engine takes whatever comes, or a request larger than any bound would wait for ever.
         if (risk > highestRisk && !engine.running.empty())
             continue;
