--- a/src/bench/internal/costs.cpp
+++ b/src/bench/internal/costs.cpp
@@ -63,6 +63,7 @@
     Random random(2);
     Granter granter({});
     std::vector<EngineInfo> engines;
+    engines.reserve(cellEngines);
     for (int i = 0; i < cellEngines; ++i)
         engines.push_back({ .name = fmt::format("engine-{:02}", i), .failureDomain = "finistere" });
     granter.setEngines(engines);
