Keep one calendar clock and one settings template

Cause: the calendar's milliseconds were computed in four places and the scripts wrote an instance's settings in two.

Change: unixMilliseconds in common/time.h; write_settings in scripts/lib.sh.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -39,18 +39,23 @@
 
 address_of() { awk -v name="$2" '$1 == name { print $2 }' "$work/$1.out"; }
 
-# start_instance NAME DOMAIN EXTRA_YAML: the address ends up in $work/NAME.address.
-start_instance() {
-    local name=$1 domain=$2 extra=${3:-}
-    cat >"$work/$name.yaml" <<YAML
-instance: { name: $name, failure_domain: $domain, region: west }
-listen: { callers: "127.0.0.1:0", peers: "127.0.0.1:0" }
+# write_settings NAME DOMAIN CALLERS PEERS EXTRA_YAML
+write_settings() {
+    cat >"$work/$1.yaml" <<YAML
+instance: { name: $1, failure_domain: $2, region: west }
+listen: { callers: "$3", peers: "$4" }
 platform: { key_value_service: "$platform", instance_list: "$platform" }
 peers: { key: $peer_key }
 operators: { key_hashes: [$(sha256 "$operator_key")] }
-traces: { file: $work/$name.spans }
-$extra
+traces: { file: $work/$1.spans }
+${5:-}
 YAML
+}
+
+# start_instance NAME DOMAIN EXTRA_YAML: the address ends up in $work/NAME.address.
+start_instance() {
+    local name=$1
+    write_settings "$name" "$2" 127.0.0.1:0 127.0.0.1:0 "${3:-}"
     "$bin/guavaspan" serve --settings "$work/$name.yaml" 2>"$work/$name.log" &
     pids+=($!)
     last_pid=$!
@@ -92,17 +97,10 @@
 
 # supervise_instance NAME DOMAIN EXTRA_YAML: as start_instance, on a port that survives restarts.
 supervise_instance() {
-    local name=$1 domain=$2 extra=${3:-} callers peers
+    local name=$1 callers peers
     callers=$(free_port)
     peers=$(free_port)
-    cat >"$work/$name.yaml" <<YAML
-instance: { name: $name, failure_domain: $domain, region: west }
-listen: { callers: "127.0.0.1:$callers", peers: "127.0.0.1:$peers" }
-platform: { key_value_service: "$platform", instance_list: "$platform" }
-peers: { key: $peer_key }
-operators: { key_hashes: [$(sha256 "$operator_key")] }
-$extra
-YAML
+    write_settings "$name" "$2" "127.0.0.1:$callers" "127.0.0.1:$peers" "${3:-}"
     echo "127.0.0.1:$callers" >"$work/$name.address"
     echo "127.0.0.1:$peers" >"$work/$name.peers"
     supervise "$name" "$bin/guavaspan" serve --settings "$work/$name.yaml"
--- a/src/claims/internal/claimcommitter.cpp
+++ b/src/claims/internal/claimcommitter.cpp
@@ -16,12 +16,6 @@
         return fmt::format("/guavaspan/claims/{:04}", index);
     }
 
-    std::int64_t unixMilliseconds()
-    {
-        auto now = std::chrono::system_clock::now().time_since_epoch();
-        return std::chrono::duration_cast<Milliseconds>(now).count();
-    }
-
 }
 
 ClaimCommitter::ClaimCommitter(asio::io_context& context, std::shared_ptr<IKeyValueStore> keyValue, ClaimCommitterOptions options)
--- a/src/claims/tests/claims_test.cpp
+++ b/src/claims/tests/claims_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::int64_t start = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+const std::int64_t start = unixMilliseconds();
 
 ClaimRequest request(const std::string& key, const std::string& nonce, const std::string& body = "body")
 {
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace guavaspan {
 
@@ -22,4 +23,10 @@
     return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
 }
 
+/// Milliseconds of the calendar clock, for what instances have to agree on.
+inline std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 }
--- a/src/gateway/internal/operatorhandler.cpp
+++ b/src/gateway/internal/operatorhandler.cpp
@@ -216,7 +216,7 @@
         co_return problemReply(record.error(), { .retryAfter = Seconds(1) });
     if (!*record)
         co_return stateReply(404, { { "code", "not_found" }, { "detail", "no claim is on record for this key" } });
-    auto now = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    auto now = unixMilliseconds();
     if ((*record)->state == ClaimState::Claimed && (*record)->deadlineMs > now)
         co_return stateReply(409, { { "code", "in_progress" }, { "detail", "the request may still be running" }, { "deadline_unix_ms", (*record)->deadlineMs } });
     bool settled = co_await m_context.claims.settle(settlement);
--- a/src/gateway/internal/plainhandler.cpp
+++ b/src/gateway/internal/plainhandler.cpp
@@ -16,11 +16,6 @@
     constexpr std::size_t longestKey = 256;
     constexpr std::size_t maxIdempotentAttempts = 3;
 
-    std::int64_t unixMilliseconds()
-    {
-        return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
-
     const Route* findRoute(const Service& service, const std::string& path, const std::string& method)
     {
         const Route* best = nullptr;
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -15,11 +15,6 @@
     constexpr std::size_t announceFanout = 4;
     constexpr std::size_t watchersPerDomain = 2;
 
-    std::int64_t unixMilliseconds()
-    {
-        return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    }
-
 }
 
 PeerNetwork::PeerNetwork(asio::io_context& context, PeerNetworkOptions options, ConfigurationHolder& configuration, Random random)
