--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -56,7 +56,7 @@
 start_instance() {
     local name=$1
     write_settings "$name" "$2" 127.0.0.1:0 127.0.0.1:0 "${3:-}"
-    "$bin/guavaspan" serve --settings "$work/$name.yaml" 2>"$work/$name.log" &
+    "$bin/guavaspan" serve --settings "$work/$name.yaml" >"$work/$name.log" 2>&1 &
     pids+=($!)
     last_pid=$!
     await 10 grep -q '"listening"' "$work/$name.log"
@@ -82,7 +82,7 @@
     (
         trap 'kill "$child" 2>/dev/null; exit 0' TERM
         while true; do
-            "$@" >>"$work/$name.out" 2>>"$work/$name.log" &
+            "$@" >>"$work/$name.log" 2>&1 &
             child=$!
             echo "$child" >"$work/$name.pid"
             wait "$child" 2>/dev/null || true
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -3,6 +3,7 @@
 #include "app/operatorclient.h"
 #include "app/tables.h"
 #include "instance/instance.h"
+#include "platform/entrymain.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <cxxopts.hpp>
@@ -21,6 +22,7 @@
 
 Commands:
   serve --settings FILE        run an instance
+  entry [--settings FILE]      run an entry instance on the users' platform
   settings check FILE          check a settings file
   ticket submit FILE           submit a change ticket
   ticket show N | ticket list  show accepted tickets
@@ -145,6 +147,19 @@
             [] { return static_cast<int>(ExitFailure); });
     }
 
+    int entry(const Arguments& arguments)
+    {
+        cxxopts::Options options("guavaspan entry", "Run an entry instance on the users' platform.");
+        options.add_options()("settings", "Settings file of the platform", cxxopts::value<std::string>()->default_value(platform::defaultSettingsPath()))("check", "Only check the settings")("help", "Show this help");
+        auto parsed = parseArguments(options, arguments);
+        if (parsed.count("help") > 0) {
+            std::cout << options.help();
+            return ExitSuccess;
+        }
+        auto path = parsed["settings"].as<std::string>();
+        return parsed.count("check") > 0 ? platform::checkEntrySettings(path) : platform::runEntry(path);
+    }
+
     int settings(const Arguments& arguments)
     {
         if (arguments.size() != 2 || arguments[0] != "check")
@@ -220,6 +235,8 @@
     try {
         if (name == "serve")
             return serve(rest);
+        if (name == "entry")
+            return entry(rest);
         if (name == "settings")
             return settings(rest);
         if (name == "ticket")
--- a/src/common/internal/log.cpp
+++ b/src/common/internal/log.cpp
@@ -1,10 +1,13 @@
 #include "common/log.h"
 
+#include "common/logqueue.h"
+
+#include <array>
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace guavaspan {
 
@@ -12,19 +15,21 @@
 
     LogLevel minimumLevel = LogLevel::Info;
 
+    /// A pipe that polls as writable takes this much without blocking (PIPE_BUF).
+    constexpr std::size_t safeWriteBytes = 4096;
+    /// Writes in one flush, so that a fast reader does not hold up the event loop.
+    constexpr int mostWritesPerFlush = 64;
+
+    LogQueue& queue()
+    {
+        static LogQueue instance { LogQueueOptions {} };
+        return instance;
+    }
+
     std::string_view levelName(LogLevel level)
     {
-        switch (level) {
-        case LogLevel::Debug:
-            return "debug";
-        case LogLevel::Info:
-            return "info";
-        case LogLevel::Warning:
-            return "warning";
-        case LogLevel::Error:
-            return "error";
-        }
-        return "info";
+        constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
+        return names[static_cast<std::size_t>(level)];
     }
 
     std::string timestamp()
@@ -35,6 +40,50 @@
         return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(whole)), millis);
     }
 
+    /// Bytes outside of printable ASCII are escaped one by one, so that no caller can break a line.
+    void appendQuoted(std::string& line, std::string_view text)
+    {
+        line += '"';
+        for (unsigned char letter : text) {
+            if (letter == '"' || letter == '\\') {
+                line += '\\';
+                line += static_cast<char>(letter);
+            } else if (letter < 0x20 || letter >= 0x7f) {
+                line += fmt::format("\\u{:04x}", letter);
+            } else {
+                line += static_cast<char>(letter);
+            }
+        }
+        line += '"';
+    }
+
+    void appendValue(std::string& line, const std::string& value) { appendQuoted(line, value); }
+    void appendValue(std::string& line, std::int64_t value) { fmt::format_to(std::back_inserter(line), "{}", value); }
+    void appendValue(std::string& line, double value) { fmt::format_to(std::back_inserter(line), "{:.6g}", value); }
+    void appendValue(std::string& line, bool value) { line += value ? "true" : "false"; }
+
+    std::string lineOf(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    {
+        auto line = fmt::format(R"({{"time":"{}","level":"{}","event":"{}")", timestamp(), levelName(level), event);
+        for (const auto& field : fields) {
+            line += ',';
+            appendQuoted(line, field.key);
+            line += ':';
+            std::visit([&](const auto& value) { appendValue(line, value); }, field.value);
+        }
+        line += "}\n";
+        return line;
+    }
+
+    std::size_t writeToOutput(std::string_view bytes)
+    {
+        pollfd output { .fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0 };
+        if (::poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
+            return 0;
+        auto written = ::write(STDOUT_FILENO, bytes.data(), std::min(bytes.size(), safeWriteBytes));
+        return written > 0 ? static_cast<std::size_t>(written) : 0;
+    }
+
 }
 
 void setLogLevel(LogLevel level)
@@ -44,13 +93,27 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level < minimumLevel)
+    if (level < minimumLevel || !queue().admit(event, Clock::now()))
         return;
-    nlohmann::ordered_json line = { { "time", timestamp() }, { "level", levelName(level) }, { "event", event } };
-    for (const auto& field : fields)
-        std::visit([&](const auto& value) { line[std::string(field.key)] = value; }, field.value);
-    // Replacing invalid UTF-8 keeps a log line from failing on what a caller sent.
-    fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    queue().push(lineOf(level, event, fields));
+    // Lines that report trouble are written at once: the process may be about to end.
+    if (level >= LogLevel::Warning)
+        flushLog();
+}
+
+void flushLog()
+{
+    int writes = 0;
+    queue().flush([&](std::string_view bytes) -> std::size_t {
+        return ++writes > mostWritesPerFlush ? 0 : writeToOutput(bytes);
+    });
+    if (auto dropped = queue().takeDropped(); dropped > 0)
+        queue().push(lineOf(LogLevel::Warning, "log_lines_dropped", { { "lines", static_cast<std::int64_t>(dropped) } }));
+}
+
+std::uint64_t droppedLogLines()
+{
+    return queue().dropped();
 }
 
 }
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -24,7 +24,14 @@
 /// Lines below this level are dropped.
 void setLogLevel(LogLevel);
 
-/// Writes one JSON line to standard error.
+/// Queues one JSON line for standard output. It never waits for the reader:
+/// what exceeds an event's rate or the queue is counted and dropped.
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Writes what the reader takes now. Called regularly by an event loop.
+void flushLog();
+
+/// Lines dropped since the start.
+std::uint64_t droppedLogLines();
+
 }
--- a/src/common/time.h
+++ b/src/common/time.h
@@ -23,6 +23,19 @@
     return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
 }
 
+/// Time since boot, which also passes while the machine is suspended.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+};
+
+using BootTime = BootClock::time_point;
+
 /// Milliseconds of the calendar clock, for what instances have to agree on.
 inline std::int64_t unixMilliseconds()
 {
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "common/random.h"
+#include "dispatch/loadledger.h"
+#include "dispatch/outcometracker.h"
+#include "dispatch/targetselector.h"
+#include "dispatch/waitingline.h"
+#include "net/nettypes.h"
+#include "targets/targetdirectory.h"
+
+#include <unordered_map>
+
+namespace guavaspan {
+
+/// A request that needs a target.
+struct PlacementRequest {
+    WorkId id = 0;
+    std::string service;
+    std::optional<EngineTraits> engine;
+    std::string organisation;
+    int priority = 0;
+    WorkEstimate estimate;
+    std::set<std::string> excluded;
+    TimePoint latestStart;
+};
+
+/// Where a request goes, and the figures that decided it.
+struct Placement {
+    TargetEntry target;
+    TargetChoice choice;
+    Clock::duration waited {};
+};
+
+/// Gives each request a target, at once or when one has room.
+class Dispatcher {
+public:
+    Dispatcher(asio::io_context&, TargetDirectory&, std::string failureDomain, Random);
+
+    /// Fails with Overloaded, and the time after which room is expected, or with Cancelled.
+    Awaitable<Result<Placement>> place(PlacementRequest);
+
+    /// Ends the wait of a request whose caller left.
+    void cancel(WorkId);
+
+    void produced(WorkId id, int outputTokens) { m_ledger.produced(id, outputTokens); }
+    void moved(WorkId id, const std::string& target) { m_ledger.moved(id, target); }
+    void ended(WorkId);
+
+    /// Memory kept for a copy at a destination; ends like a request.
+    void reserve(WorkId, const std::string& target, const WorkEstimate&);
+
+    /// Something changed that may let waiting requests start.
+    void pump();
+
+    /// Time after which a refused request should come back.
+    Clock::duration retryAfter(const std::string& service, int priority);
+
+    /// Destination of a move out of an engine.
+    std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
+
+    WorkId nextId() { return ++m_lastId; }
+    LoadLedger& ledger() { return m_ledger; }
+    OutcomeTracker& outcomes() { return m_outcomes; }
+    std::size_t waiting() const { return m_line.size(); }
+
+private:
+    struct Waiter {
+        explicit Waiter(asio::io_context& io)
+            : wakeUp(io)
+        {
+        }
+        asio::steady_timer wakeUp;
+        std::optional<TargetChoice> choice;
+        bool cancelled = false;
+    };
+    struct Started {
+        std::string service;
+        std::string organisation;
+        WorkEstimate estimate;
+    };
+
+    std::optional<TargetChoice> tryStart(const PlacementRequest&);
+    void start(const PlacementRequest&, const std::string& target);
+    Result<Placement> placementOf(const PlacementRequest&, const TargetChoice&, Clock::duration waited) const;
+
+    asio::io_context& m_io;
+    TargetDirectory& m_directory;
+    std::string m_failureDomain;
+    Random m_random;
+    LoadLedger m_ledger;
+    OutcomeTracker m_outcomes;
+    WaitingLine m_line;
+    std::unordered_map<WorkId, PlacementRequest> m_requests;
+    std::unordered_map<WorkId, std::shared_ptr<Waiter>> m_waiters;
+    std::unordered_map<WorkId, Started> m_started;
+    WorkId m_lastId = 0;
+};
+
+}
--- /dev/null
+++ b/src/dispatch/dispatchtypes.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace guavaspan {
+
+/// One request or stream that this instance has at a target or waiting for one.
+using WorkId = std::uint64_t;
+
+/// What a request will take of a target.
+struct WorkEstimate {
+    int promptTokens = 0;
+    /// Tokens that the whole answer is expected to have; 0 for plain requests.
+    int outputTokens = 0;
+
+    int totalTokens() const { return promptTokens + outputTokens; }
+
+    friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
+};
+
+/// Work at one target, as one instance or several know it.
+struct TargetLoad {
+    int requests = 0;
+    /// Memory that running generations hold or are expected to grow to.
+    double tokens = 0;
+    /// Prompt tokens of generations that have not shown their first event.
+    double unreadPromptTokens = 0;
+
+    TargetLoad& operator+=(const TargetLoad& other)
+    {
+        requests += other.requests;
+        tokens += other.tokens;
+        unreadPromptTokens += other.unreadPromptTokens;
+        return *this;
+    }
+
+    friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
+};
+
+using TargetLoads = std::map<std::string, TargetLoad>;
+
+}
--- /dev/null
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -0,0 +1,141 @@
+#include "dispatch/dispatcher.h"
+
+namespace guavaspan {
+
+namespace {
+
+    /// Shortest advice to come back: a few round trips, so that callers do not spin.
+    constexpr double shortestRetrySeconds = 0.25;
+    /// Advice is spread by up to this share, so that refused callers do not return together.
+    constexpr double retrySpread = 0.6;
+    /// A move to another failure domain takes twice as long, which may cost the runs behind it.
+    constexpr double moveDomainPenalty = 0.35;
+
+}
+
+Dispatcher::Dispatcher(asio::io_context& io, TargetDirectory& directory, std::string failureDomain, Random random)
+    : m_io(io)
+    , m_directory(directory)
+    , m_failureDomain(std::move(failureDomain))
+    , m_random(random)
+{
+}
+
+std::optional<TargetChoice> Dispatcher::tryStart(const PlacementRequest& request)
+{
+    auto candidates = m_directory.usable(request.service);
+    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now() }, m_random);
+}
+
+void Dispatcher::start(const PlacementRequest& request, const std::string& target)
+{
+    m_ledger.begin(request.id, target, request.estimate);
+    m_line.onStarted(request.organisation, request.estimate);
+    m_started.insert_or_assign(request.id, Started { .service = request.service, .organisation = request.organisation, .estimate = request.estimate });
+}
+
+Result<Placement> Dispatcher::placementOf(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited) const
+{
+    const auto* target = m_directory.find(choice.target);
+    if (!target)
+        return Error { .code = ErrorCode::Unavailable, .step = Step::Admit, .peer = choice.target, .detail = "target of " + request.service + " left", .outcome = Outcome::NotRun };
+    return Placement { .target = *target, .choice = choice, .waited = waited };
+}
+
+Awaitable<Result<Placement>> Dispatcher::place(PlacementRequest request)
+{
+    auto arrivedAt = Clock::now();
+    // Those who wait already go first, unless the newcomer is more urgent, which the line decides.
+    if (m_line.size() == 0) {
+        if (auto choice = tryStart(request)) {
+            start(request, choice->target);
+            co_return placementOf(request, *choice, {});
+        }
+    }
+    auto verdict = m_line.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .priority = request.priority, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
+    if (!verdict.accepted)
+        co_return Error { .code = ErrorCode::Overloaded, .step = Step::Admit, .peer = request.service, .detail = "expected wait too long", .outcome = Outcome::NotRun };
+    auto waiter = std::make_shared<Waiter>(m_io);
+    waiter->wakeUp.expires_at(request.latestStart);
+    m_requests.insert_or_assign(request.id, request);
+    m_waiters.insert_or_assign(request.id, waiter);
+    pump();
+    if (!waiter->choice && !waiter->cancelled)
+        co_await waiter->wakeUp.async_wait(asTuple);
+    m_waiters.erase(request.id);
+    m_requests.erase(request.id);
+    if (waiter->choice)
+        co_return placementOf(request, *waiter->choice, Clock::now() - arrivedAt);
+    m_line.remove(request.id);
+    if (waiter->cancelled)
+        co_return Error { .code = ErrorCode::Cancelled, .step = Step::Admit, .peer = request.service, .detail = "caller left", .outcome = Outcome::NotRun };
+    co_return Error { .code = ErrorCode::Overloaded, .step = Step::Admit, .peer = request.service, .detail = "no room in time", .outcome = Outcome::NotRun };
+}
+
+void Dispatcher::pump()
+{
+    while (m_line.size() > 0) {
+        std::optional<TargetChoice> choice;
+        auto next = m_line.takeNext([&](const WaitingRequest& waiting) {
+            choice = tryStart(m_requests.at(waiting.id));
+            return choice.has_value();
+        });
+        if (!next)
+            return;
+        start(m_requests.at(next->id), choice->target);
+        auto& waiter = *m_waiters.at(next->id);
+        waiter.choice = choice;
+        waiter.wakeUp.cancel();
+    }
+}
+
+void Dispatcher::cancel(WorkId id)
+{
+    auto found = m_waiters.find(id);
+    if (found == m_waiters.end() || found->second->choice)
+        return;
+    found->second->cancelled = true;
+    found->second->wakeUp.cancel();
+}
+
+void Dispatcher::ended(WorkId id)
+{
+    m_ledger.end(id);
+    auto found = m_started.find(id);
+    if (found != m_started.end()) {
+        m_line.onEnded(found->second.service, found->second.organisation, found->second.estimate, Clock::now());
+        m_started.erase(found);
+    }
+    pump();
+}
+
+void Dispatcher::reserve(WorkId id, const std::string& target, const WorkEstimate& estimate)
+{
+    m_ledger.begin(id, target, estimate);
+}
+
+Clock::duration Dispatcher::retryAfter(const std::string& service, int priority)
+{
+    double expected = std::chrono::duration<double>(m_line.expectedWait(service, priority, Clock::now())).count();
+    std::uniform_real_distribution<double> spread(1, 1 + retrySpread);
+    return fromSeconds(std::max(shortestRetrySeconds, expected) * spread(m_random));
+}
+
+std::optional<std::string> Dispatcher::chooseDestination(const TargetEntry& source, const EngineTraits& engine, const WorkEstimate& estimate, const std::set<std::string>& excluded)
+{
+    auto candidates = m_directory.usable(source.service);
+    auto avoided = excluded;
+    avoided.insert(source.id);
+    SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .ownDomain = source.failureDomain, .excluded = avoided, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
+    auto choice = selectTarget(inputs, m_random);
+    if (!choice) {
+        // A full engine may still take it: lengths are guesses, and a lost run is worth more than a crowded one.
+        inputs.requireRoom = false;
+        choice = selectTarget(inputs, m_random);
+    }
+    if (!choice)
+        return std::nullopt;
+    return choice->target;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/waitingline.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "dispatch/dispatchtypes.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace guavaspan {
+
+/// A request that no target has room for yet.
+struct WaitingRequest {
+    WorkId id = 0;
+    std::string service;
+    std::string organisation;
+    /// 0 is the most urgent.
+    int priority = 0;
+    WorkEstimate estimate;
+    TimePoint arrivedAt;
+    /// Last moment at which a start is still of use.
+    TimePoint latestStart;
+};
+
+/// The request may wait, or is refused with the time after which room is expected.
+struct WaitVerdict {
+    bool accepted = true;
+    Clock::duration expectedWait {};
+};
+
+/// Orders requests that wait for room: by urgency, then the organisation that has
+/// least at the targets, then arrival. Refuses at once what would wait too long.
+class WaitingLine {
+public:
+    WaitVerdict enqueue(WaitingRequest, TimePoint now);
+    void remove(WorkId);
+
+    /// The first request in order that can start now; it leaves the line.
+    std::optional<WaitingRequest> takeNext(const std::function<bool(const WaitingRequest&)>& canStart);
+
+    /// Requests whose latest start has passed; they leave the line.
+    std::vector<WaitingRequest> takeExpired(TimePoint now);
+
+    /// Work of an organisation started or ended at the targets.
+    void onStarted(const std::string& organisation, const WorkEstimate&);
+    void onEnded(const std::string& service, const std::string& organisation, const WorkEstimate&, TimePoint now);
+
+    Clock::duration expectedWait(const std::string& service, int priority, TimePoint now) const;
+    std::size_t size() const { return m_waiting.size(); }
+
+private:
+    struct Ended {
+        TimePoint at;
+        int tokens = 0;
+    };
+
+    bool before(const WaitingRequest&, const WaitingRequest&) const;
+
+    std::vector<WaitingRequest> m_waiting;
+    std::map<std::string, double> m_tokensAtTargets;
+    std::map<std::string, std::deque<Ended>> m_ended;
+};
+
+}
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "entry/entrysettings.h"
+#include "fleet/loadexchange.h"
+#include "fleet/peerfeed.h"
+#include "fleet/registration.h"
+#include "fleet/storefollower.h"
+#include "net/httpserver.h"
+#include "relay/handoverservice.h"
+#include "relay/requesthandler.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+
+namespace guavaspan {
+
+/// Reads what lies in the shared store, in the words of whoever writes there.
+struct StoreVocabulary {
+    std::string configurationKey;
+    std::string targetPrefix;
+    std::string instancePrefix;
+    std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
+    std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
+};
+
+/// Everything that an entry instance needs from the platform it runs on.
+struct EntryPlatform {
+    IKeyValueStore& keyValue;
+    IWatchedStore& store;
+    const IWireFormat& wire;
+    ITargetOperations& operations;
+    StoreVocabulary vocabulary;
+    /// Reads the settings again after they changed.
+    std::function<std::optional<EntrySettings>()> reloadSettings;
+};
+
+/// One instance that relays callers' requests to targets.
+class Entry {
+public:
+    Entry(EntrySettings, EntryPlatform);
+
+    /// Serves until it is told to stop; gives the exit code.
+    int run();
+
+private:
+    bool listen();
+    void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
+    void onConfiguration(const std::string& document);
+    Awaitable<> serveReadiness(HttpExchange&);
+    Awaitable<> tickLoop();
+    Awaitable<> stopLoop();
+    Awaitable<> stop();
+    Awaitable<> reloadLoop();
+    bool ready() const;
+    void updateGauges();
+
+    EntrySettings m_settings;
+    EntryPlatform m_platform;
+    asio::io_context m_io { 1 };
+    Random m_random;
+    ConfigurationGate m_gate;
+    TargetDirectory m_directory;
+    FleetView m_fleet;
+    StoreReplica m_replica;
+    StoreFollower m_follower;
+    Dispatcher m_dispatcher;
+    LiveStreams m_streams;
+    RetryBudget m_retries;
+    OutputEstimator m_outputs;
+    RelayMetrics m_metrics;
+    RelayContext m_context;
+    HandoverService m_handovers;
+    LoadExchange m_loads;
+    Registration m_registration;
+    RequestHandler m_handler;
+    PeerFeedServer m_feed;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_peers;
+    asio::signal_set m_stopSignals;
+    asio::signal_set m_reloadSignals;
+    bool m_wasReady = false;
+};
+
+}
--- /dev/null
+++ b/src/entry/internal/entry.cpp
@@ -0,0 +1,235 @@
+#include "entry/entry.h"
+
+#include "common/log.h"
+#include "net/logflusher.h"
+
+#include <csignal>
+
+namespace guavaspan {
+
+namespace {
+
+    constexpr auto tickInterval = Milliseconds(100);
+    constexpr auto stopCheckInterval = Milliseconds(50);
+    /// The balancer asks once a second and turns away after two misses.
+    constexpr auto balancerNotice = Milliseconds(3200);
+    /// Part of the revocation bound that is not used, for the way to the target and late timers.
+    constexpr auto revocationMargin = Milliseconds(600);
+
+    /// Callers may be slow to take an answer, but not for ever.
+    constexpr auto callerWriteTimeout = Seconds(20);
+
+    HttpLimits limitsFor(const CallerLimits& limits)
+    {
+        return { .maxBodyBytes = limits.maxBodyBytes, .maxHeaderBytes = limits.maxHeaderBytes, .headerTimeout = limits.headerTimeout, .writeTimeout = callerWriteTimeout, .idleTimeout = limits.idleTimeout };
+    }
+
+    StoreFollower::PeerSource peerSource()
+    {
+        return [](const InstanceRecord& peer) { return std::make_unique<PeerFeed>(peer.peers); };
+    }
+
+}
+
+Entry::Entry(EntrySettings settings, EntryPlatform platform)
+    : m_settings(std::move(settings))
+    , m_platform(std::move(platform))
+    , m_random(randomFromSystem())
+    , m_gate(m_settings.keyLifetimeAfterRevocation - revocationMargin)
+    , m_fleet(m_settings.instance)
+    , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerSource())
+    , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
+    , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
+    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
+    , m_handovers(m_io, m_dispatcher, m_streams, m_gate, m_directory, m_platform.operations, m_metrics, m_settings.instance)
+    , m_loads(m_io, m_settings.instance, m_fleet, m_dispatcher)
+    , m_registration(m_platform.keyValue, m_platform.vocabulary.instancePrefix, { .name = m_settings.instance, .peers = m_settings.peers, .failureDomain = m_settings.failureDomain }, unixMilliseconds())
+    , m_handler(m_context)
+    , m_feed(m_replica)
+    , m_callers(m_io, limitsFor({}), [this](HttpExchange& exchange) { return m_handler.handle(exchange); })
+    , m_readiness(m_io, {}, [this](HttpExchange& exchange) { return serveReadiness(exchange); })
+    , m_peers(m_io, {}, [this](HttpExchange& exchange) { return m_feed.handle(exchange); })
+    , m_stopSignals(m_io, SIGTERM, SIGINT)
+    , m_reloadSignals(m_io, SIGHUP)
+{
+    m_replica.onChange([this](const std::string& key, const std::optional<std::string>& value) { onStoreEntry(key, value); });
+    m_directory.onLeave([this](const TargetLeft& left) {
+        m_dispatcher.outcomes().forget(left.entry.id);
+        m_handovers.onTargetLeft(left);
+    });
+    m_follower.onContact([this](bool reachable) {
+        if (reachable)
+            m_directory.onStoreRegained(Clock::now());
+        else
+            m_directory.onStoreLost(Clock::now());
+    });
+}
+
+bool Entry::listen()
+{
+    auto report = [](const char* what, const Error& error) {
+        logEvent(LogLevel::Error, "listen_failed", { { "what", std::string(what) }, { "peer", error.peer }, { "detail", error.detail } });
+        return false;
+    };
+    if (auto bound = m_callers.listen(m_settings.callers); !bound)
+        return report("callers", bound.error());
+    if (auto bound = m_readiness.listen(m_settings.readiness); !bound)
+        return report("readiness", bound.error());
+    if (auto bound = m_peers.listen(m_settings.peers); !bound)
+        return report("peers", bound.error());
+    if (auto bound = m_loads.listen(m_settings.peers); !bound)
+        return report("loads", bound.error());
+    return true;
+}
+
+int Entry::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    if (!listen()) {
+        flushLog();
+        return 1;
+    }
+    logEvent(LogLevel::Info, "started", { { "instance", m_settings.instance }, { "failure_domain", m_settings.failureDomain }, { "callers", toString(m_settings.callers) }, { "store", toString(m_settings.store) } });
+    asio::co_spawn(m_io, flushLogRegularly(), asio::detached);
+    asio::co_spawn(m_io, m_follower.run(), asio::detached);
+    asio::co_spawn(m_io, m_registration.run(), asio::detached);
+    asio::co_spawn(m_io, m_loads.sendLoop(), asio::detached);
+    asio::co_spawn(m_io, m_loads.receiveLoop(), asio::detached);
+    asio::co_spawn(m_io, tickLoop(), asio::detached);
+    asio::co_spawn(m_io, stopLoop(), asio::detached);
+    asio::co_spawn(m_io, reloadLoop(), asio::detached);
+    m_io.run();
+    logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
+    flushLog();
+    return 0;
+}
+
+void Entry::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
+{
+    const auto& vocabulary = m_platform.vocabulary;
+    auto now = Clock::now();
+    if (key == vocabulary.configurationKey) {
+        if (value)
+            onConfiguration(*value);
+    } else if (key.starts_with(vocabulary.targetPrefix)) {
+        auto id = key.substr(vocabulary.targetPrefix.size());
+        if (value)
+            m_directory.onWritten(id, vocabulary.decodeTarget(id, *value), now);
+        else
+            m_directory.onRemoved(id, now);
+        m_dispatcher.pump();
+    } else if (key.starts_with(vocabulary.instancePrefix)) {
+        auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
+        if (record)
+            m_fleet.onRegistered(key, std::move(*record));
+        else
+            m_fleet.onUnregistered(key);
+    }
+}
+
+void Entry::onConfiguration(const std::string& document)
+{
+    auto configuration = m_platform.vocabulary.decodeConfiguration(document);
+    if (!configuration) {
+        logEvent(LogLevel::Error, "configuration_unreadable", { { "bytes", std::int64_t(document.size()) } });
+        return;
+    }
+    auto version = configuration->version;
+    if (!m_gate.adopt(std::move(*configuration)))
+        return;
+    m_callers.setLimits(limitsFor(m_gate.table()->limits()));
+    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "revision", m_replica.revision() } });
+}
+
+bool Entry::ready() const
+{
+    bool keyed = m_gate.ready() && m_gate.table()->requiresKeys();
+    bool current = !keyed || m_gate.keysAreCurrent(BootClock::now());
+    return m_gate.ready() && current && !m_context.stoppingSince;
+}
+
+Awaitable<> Entry::serveReadiness(HttpExchange& exchange)
+{
+    auto path = exchange.path();
+    if (path == "/metrics") {
+        updateGauges();
+        Reply metrics { .contentType = "text/plain; version=0.0.4", .body = m_metrics.serialize() };
+        co_await exchange.send(std::move(metrics));
+        co_return;
+    }
+    bool isReady = ready();
+    Reply reply { .status = isReady ? 200U : 503U, .body = isReady ? R"({"ready":true})" : R"({"ready":false})" };
+    co_await exchange.send(std::move(reply));
+}
+
+void Entry::updateGauges()
+{
+    m_metrics.setGauges({
+        .liveStreams = static_cast<double>(m_streams.size()),
+        .waiting = static_cast<double>(m_dispatcher.waiting()),
+        .configurationVersion = m_gate.ready() ? static_cast<double>(m_gate.table()->version()) : 0,
+        .configurationAgeSeconds = std::chrono::duration<double>(m_gate.age(BootClock::now())).count(),
+        .peers = static_cast<double>(m_fleet.reachablePeers(Clock::now()).size()),
+        .targets = static_cast<double>(m_directory.size()),
+        .storeCalls = static_cast<double>(m_follower.storeCalls()),
+        .droppedLogLines = static_cast<double>(droppedLogLines()),
+    });
+}
+
+Awaitable<> Entry::tickLoop()
+{
+    while (true) {
+        m_directory.onTick(Clock::now());
+        m_gate.confirm(m_replica.confirmedAt());
+        if (ready() != m_wasReady) {
+            m_wasReady = !m_wasReady;
+            logEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready", { { "configuration", m_gate.ready() ? m_gate.table()->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_gate.age(BootClock::now())).count() }, { "stopping", m_context.stoppingSince.has_value() } });
+        }
+        co_await sleepFor(tickInterval);
+    }
+}
+
+Awaitable<> Entry::reloadLoop()
+{
+    while (true) {
+        auto [error, signal] = co_await m_reloadSignals.async_wait(asTuple);
+        if (error)
+            co_return;
+        auto settings = m_platform.reloadSettings();
+        if (!settings) {
+            logEvent(LogLevel::Error, "settings_unreadable", { { "kept", true } });
+            continue;
+        }
+        // Bounds that may change while the process lives; addresses may not.
+        m_settings.stopLimit = settings->stopLimit;
+        m_context.stopLimit = settings->stopLimit;
+        logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() } });
+    }
+}
+
+Awaitable<> Entry::stopLoop()
+{
+    auto [error, signal] = co_await m_stopSignals.async_wait(asTuple);
+    if (error)
+        co_return;
+    m_context.stoppingSince = Clock::now();
+    m_registration.stop();
+    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_context.inFlight) }, { "streams", std::int64_t(m_streams.size()) } });
+    asio::co_spawn(m_io, stop(), asio::detached);
+    auto [secondError, second] = co_await m_stopSignals.async_wait(asTuple);
+    logEvent(LogLevel::Warning, "stopped_early", { { "cut_requests", std::int64_t(m_context.inFlight) } });
+    m_io.stop();
+}
+
+/// Readiness is false first and listening goes on, so that the balancer turns away
+/// before a caller meets a closed port. What runs ends by itself.
+Awaitable<> Entry::stop()
+{
+    co_await sleepFor(balancerNotice);
+    while (m_context.inFlight > 0)
+        co_await sleepFor(stopCheckInterval);
+    m_callers.close();
+    m_io.stop();
+}
+
+}
--- /dev/null
+++ b/src/fleet/fleetview.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+
+#include <map>
+
+namespace guavaspan {
+
+/// Which instances exist, and what each last said of its load.
+class FleetView {
+public:
+    explicit FleetView(std::string self)
+        : m_self(std::move(self))
+    {
+    }
+
+    void onRegistered(const std::string& key, InstanceRecord);
+    void onUnregistered(const std::string& key);
+
+    /// True if the report is newer than the last one of its instance.
+    bool onReport(const InstanceLoads&, TimePoint now);
+
+    /// Instances that fell silent since the last call.
+    std::vector<std::string> takeSilent(TimePoint now);
+
+    /// Everybody else who is registered.
+    std::vector<InstanceRecord> peers() const;
+
+    /// Peers that were heard of lately.
+    std::vector<InstanceRecord> reachablePeers(TimePoint now) const;
+
+    /// Instances that share a budget: all registered ones, this one included.
+    int instances() const { return static_cast<int>(peers().size()) + 1; }
+
+    /// True if this instance is among the few of its failure domain that read the shared store themselves.
+    bool readsStore(const std::string& ownDomain, TimePoint now) const;
+
+    /// Time between reports so that one instance's traffic stays bounded.
+    Clock::duration reportInterval() const;
+
+private:
+    struct Heard {
+        std::int64_t sequence = 0;
+        TimePoint at;
+    };
+
+    std::string m_self;
+    std::map<std::string, InstanceRecord> m_registered;
+    std::map<std::string, Heard> m_heard;
+};
+
+}
--- /dev/null
+++ b/src/fleet/internal/fleetview.cpp
@@ -0,0 +1,93 @@
+#include "fleet/fleetview.h"
+
+#include "common/hash.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+namespace {
+
+    /// Silence after which an instance's load no longer counts: several lost reports in a row.
+    constexpr auto silenceLimit = Milliseconds(1500);
+    /// Shortest time between reports; load moves by about one request in it.
+    constexpr auto shortestInterval = Milliseconds(150);
+    /// Added per peer, so that the reports an instance receives stay below 150 a second.
+    constexpr auto intervalPerPeer = Milliseconds(7);
+    /// Instances of one failure domain that read the store; two so that one may fail.
+    constexpr int storeReadersPerDomain = 2;
+
+}
+
+void FleetView::onRegistered(const std::string& key, InstanceRecord record)
+{
+    m_registered.insert_or_assign(key, std::move(record));
+}
+
+void FleetView::onUnregistered(const std::string& key)
+{
+    m_registered.erase(key);
+}
+
+bool FleetView::onReport(const InstanceLoads& report, TimePoint now)
+{
+    if (report.instance == m_self)
+        return false;
+    auto& heard = m_heard[report.instance];
+    if (report.sequence <= heard.sequence)
+        return false;
+    heard = { .sequence = report.sequence, .at = now };
+    return true;
+}
+
+std::vector<std::string> FleetView::takeSilent(TimePoint now)
+{
+    std::vector<std::string> silent;
+    for (auto& [name, heard] : m_heard) {
+        if (heard.at + silenceLimit < now)
+            silent.push_back(name);
+    }
+    for (const auto& name : silent)
+        m_heard.erase(name);
+    return silent;
+}
+
+std::vector<InstanceRecord> FleetView::peers() const
+{
+    std::map<std::string, InstanceRecord> byName;
+    for (const auto& [key, record] : m_registered) {
+        if (record.name != m_self)
+            byName.insert_or_assign(record.name, record);
+    }
+    std::vector<InstanceRecord> records;
+    records.reserve(byName.size());
+    for (auto& [name, record] : byName)
+        records.push_back(std::move(record));
+    return records;
+}
+
+std::vector<InstanceRecord> FleetView::reachablePeers(TimePoint now) const
+{
+    auto records = peers();
+    std::erase_if(records, [&](const InstanceRecord& record) {
+        auto heard = m_heard.find(record.name);
+        return heard == m_heard.end() || heard->second.at + silenceLimit < now;
+    });
+    return records;
+}
+
+bool FleetView::readsStore(const std::string& ownDomain, TimePoint now) const
+{
+    auto key = "store-reader/" + ownDomain;
+    auto own = rendezvousWeight(m_self, key);
+    auto reachable = reachablePeers(now);
+    auto ahead = std::count_if(reachable.begin(), reachable.end(), [&](const InstanceRecord& peer) { return peer.failureDomain == ownDomain && rendezvousWeight(peer.name, key) > own; });
+    return ahead < storeReadersPerDomain;
+}
+
+Clock::duration FleetView::reportInterval() const
+{
+    return std::max<Clock::duration>(shortestInterval, intervalPerPeer * static_cast<int>(peers().size()));
+}
+
+}
--- /dev/null
+++ b/src/fleet/registration.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+#include "keyvalue/ikeyvaluestore.h"
+
+namespace guavaspan {
+
+/// Keeps this instance's entry in the shared store under a lease, until it stops.
+class Registration {
+public:
+    Registration(IKeyValueStore&, std::string keyPrefix, InstanceRecord, std::int64_t life);
+
+    Awaitable<> run();
+    void stop() { m_stopped = true; }
+
+private:
+    Awaitable<bool> enter();
+
+    IKeyValueStore& m_store;
+    std::string m_key;
+    InstanceRecord m_record;
+    LeaseId m_lease = noLease;
+    bool m_stopped = false;
+};
+
+}
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "instance/httpinstancelist.h"
 #include "keyvalue/etcdkeyvaluestore.h"
+#include "net/logflusher.h"
 
 #include <nlohmann/json.hpp>
 
@@ -78,6 +79,7 @@
     m_peers.onOwnersChanged([this] { m_permits.onOwnersChanged(); });
     m_granters.start();
     m_permits.start();
+    asio::co_spawn(m_io, flushLogRegularly(), asio::detached);
     asio::co_spawn(m_io, loadConfigurationLoop(), asio::detached);
     asio::co_spawn(m_io, listLoop(), asio::detached);
     asio::co_spawn(m_io, signalLoop(), asio::detached);
@@ -85,6 +87,7 @@
     asio::co_spawn(m_io, m_usageWriter.run(m_settings.usage.flushInterval), asio::detached);
     m_io.run();
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance.name } });
+    flushLog();
     return 0;
 }
 
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -34,7 +34,16 @@
     bool answered() const { return m_answered; }
     bool keepAlive() const { return m_keepAlive; }
 
+    /// The connection ends with this answer, and the caller is told.
+    void closeAfterAnswer() { m_keepAlive = false; }
+
     Awaitable<> send(Reply);
+
+    /// Sends a response as it is, but for what concerns the connection.
+    Awaitable<> sendResponse(HttpResponse);
+
+    /// Sends a header whose body follows by writeEvents.
+    Awaitable<Result<void>> beginResponse(http::response<http::empty_body>);
     Awaitable<Result<void>> beginEvents(HttpHeaders);
     Awaitable<Result<void>> writeEvents(std::string);
     Awaitable<> endEvents();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -26,6 +26,9 @@
     /// Binds and starts to accept; port 0 lets the kernel choose.
     Result<Endpoint> listen(const Endpoint&);
 
+    /// Bounds for requests that are read from now on.
+    void setLimits(HttpLimits limits) { m_limits = limits; }
+
     /// Stops accepting; open connections go on.
     void close();
 
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -81,8 +81,13 @@
     response.set(http::field::content_type, reply.contentType);
     for (const auto& [name, value] : reply.headers)
         response.set(name, value);
-    response.keep_alive(m_keepAlive);
     response.body() = std::move(reply.body);
+    co_await sendResponse(std::move(response));
+}
+
+Awaitable<> HttpExchange::sendResponse(HttpResponse response)
+{
+    response.keep_alive(m_keepAlive);
     response.prepare_payload();
     m_answered = true;
     m_stream.expires_after(m_writeTimeout);
@@ -98,6 +103,11 @@
     response.set(http::field::cache_control, "no-cache");
     for (const auto& [name, value] : headers)
         response.set(name, value);
+    co_return co_await beginResponse(std::move(response));
+}
+
+Awaitable<Result<void>> HttpExchange::beginResponse(http::response<http::empty_body> response)
+{
     response.chunked(true);
     response.keep_alive(m_keepAlive);
     m_answered = true;
--- /dev/null
+++ b/src/relay/internal/relaymetrics.cpp
@@ -0,0 +1,97 @@
+#include "relay/relaymetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace guavaspan {
+
+namespace {
+
+    const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.18, 0.25, 0.5, 1, 1.5, 1.8, 2.5, 5, 10, 20, 40 };
+
+    template <typename Builder>
+    auto& family(Builder builder, const char* name, const char* help, prometheus::Registry& registry)
+    {
+        return builder.Name(name).Help(help).Register(registry);
+    }
+
+}
+
+struct RelayMetrics::Families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests = family(prometheus::BuildCounter(), "guavaspan_entry_requests_total", "Ended requests by route and result", registry);
+    prometheus::Family<prometheus::Histogram>& durations = family(prometheus::BuildHistogram(), "guavaspan_entry_request_seconds", "Time from a request to the end of its answer", registry);
+    prometheus::Family<prometheus::Histogram>& firstEvents = family(prometheus::BuildHistogram(), "guavaspan_entry_first_event_seconds", "Time from a request to its first event", registry);
+    prometheus::Family<prometheus::Histogram>& pauses = family(prometheus::BuildHistogram(), "guavaspan_entry_pause_seconds", "Time between events of one stream", registry);
+    prometheus::Family<prometheus::Histogram>& waits = family(prometheus::BuildHistogram(), "guavaspan_entry_wait_seconds", "Time that requests waited for room", registry);
+    prometheus::Family<prometheus::Counter>& retries = family(prometheus::BuildCounter(), "guavaspan_entry_retries_total", "Repeats by service; denied ones had no budget left", registry);
+    prometheus::Family<prometheus::Counter>& resumes = family(prometheus::BuildCounter(), "guavaspan_entry_stream_moves_total", "Streams that went on elsewhere, by result", registry);
+    prometheus::Family<prometheus::Counter>& steps = family(prometheus::BuildCounter(), "guavaspan_entry_handover_steps_total", "Calls that move generations, by phase and result", registry);
+    prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
+};
+
+RelayMetrics::RelayMetrics()
+    : m_families(std::make_unique<Families>())
+{
+}
+
+RelayMetrics::~RelayMetrics() = default;
+
+void RelayMetrics::requestEnded(const std::string& route, const std::string& result, double seconds)
+{
+    m_families->requests.Add({ { "route", route }, { "result", result } }).Increment();
+    m_families->durations.Add({}, secondsBuckets).Observe(seconds);
+}
+
+void RelayMetrics::firstEvent(const std::string& route, double seconds)
+{
+    m_families->firstEvents.Add({ { "route", route } }, secondsBuckets).Observe(seconds);
+}
+
+void RelayMetrics::pauseSeen(double seconds)
+{
+    m_families->pauses.Add({}, secondsBuckets).Observe(seconds);
+}
+
+void RelayMetrics::retried(const std::string& service, bool allowed)
+{
+    m_families->retries.Add({ { "service", service }, { "allowed", allowed ? "yes" : "no" } }).Increment();
+}
+
+void RelayMetrics::waited(double seconds)
+{
+    m_families->waits.Add({}, secondsBuckets).Observe(seconds);
+}
+
+void RelayMetrics::streamResumed(const std::string& result)
+{
+    m_families->resumes.Add({ { "result", result } }).Increment();
+}
+
+void RelayMetrics::onHandoverStep(HandoverPhase phase, HandoverResult result)
+{
+    m_families->steps.Add({ { "phase", std::string(toString(phase)) }, { "result", std::string(toString(result)) } }).Increment();
+}
+
+void RelayMetrics::setGauges(const RelayGauges& gauges)
+{
+    auto set = [&](const char* name, double value) { m_families->gauges.Add({ { "name", name } }).Set(value); };
+    set("live_streams", gauges.liveStreams);
+    set("waiting_requests", gauges.waiting);
+    set("configuration_version", gauges.configurationVersion);
+    set("configuration_age_seconds", gauges.configurationAgeSeconds);
+    set("peers", gauges.peers);
+    set("targets", gauges.targets);
+    set("store_calls", gauges.storeCalls);
+    set("dropped_log_lines", gauges.droppedLogLines);
+}
+
+std::string RelayMetrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
+}
+
+}
--- /dev/null
+++ b/src/relay/internal/requesthandler.cpp
@@ -0,0 +1,164 @@
+#include "relay/requesthandler.h"
+
+#include "common/log.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+namespace {
+
+    /// Time to come back after while no configuration is known: it is read in tens of ms.
+    constexpr auto retryWithoutConfiguration = Milliseconds(500);
+    /// Time to come back after while keys cannot be confirmed.
+    constexpr auto retryUnconfirmed = Milliseconds(1000);
+    /// A refusal of a stopping instance: another one can take the request at once.
+    constexpr auto retryElsewhere = Milliseconds(50);
+    /// Configurations are in force everywhere within 2 s; an older view may lack a new route or key.
+    constexpr auto oldestViewForDenial = Milliseconds(2500);
+    /// Kept free before the end of a stop.
+    constexpr auto stopMargin = Milliseconds(1500);
+    /// Requests without a deadline wait no longer than this.
+    constexpr auto longestWait = Seconds(120);
+    /// Time that an engine needs for one token, for what can end before a stop.
+    constexpr auto tokenTime = Milliseconds(11);
+
+    std::string pathOf(const HttpExchange& exchange)
+    {
+        return exchange.path();
+    }
+
+}
+
+/// Why a request goes on, or the refusal it gets.
+struct RequestHandler::Admission {
+    std::shared_ptr<const RouteTable> table;
+    const Route* route = nullptr;
+    const ServiceInfo* service = nullptr;
+    std::string organisation;
+    int priority = 0;
+    /// 0 if the request goes on.
+    unsigned refusal = 0;
+    std::string reason;
+    Clock::duration retryAfter {};
+    bool closes = false;
+};
+
+RequestHandler::RequestHandler(RelayContext& context)
+    : m_context(context)
+    , m_plain(context)
+    , m_streams(context)
+{
+}
+
+bool RequestHandler::outlivesStop(const Route& route, const CallerRequest& caller) const
+{
+    if (!m_context.stoppingSince || route.repetition != Repetition::Stream)
+        return false;
+    auto end = *m_context.stoppingSince + m_context.stopLimit - stopMargin;
+    int tokens = m_context.outputs.expect(route.name, caller.guessedOutputTokens, caller.maxOutputTokens);
+    return Clock::now() + tokens * tokenTime > end;
+}
+
+RequestHandler::Admission RequestHandler::admit(const HttpExchange& exchange, const CallerRequest& caller) const
+{
+    Admission admission { .table = m_context.gate.table() };
+    auto refuseWith = [&](unsigned status, const char* reason, Clock::duration retryAfter) {
+        admission.refusal = status;
+        admission.reason = reason;
+        admission.retryAfter = retryAfter;
+        return admission;
+    };
+    if (!admission.table)
+        return refuseWith(503, "no_configuration", retryWithoutConfiguration);
+    auto now = BootClock::now();
+    // An old view cannot tell a route or key that was just added from one that never was.
+    bool denies = m_context.gate.age(now) <= oldestViewForDenial;
+    admission.route = admission.table->match(exchange.header("Host"), pathOf(exchange));
+    if (!admission.route)
+        return denies ? refuseWith(404, "no_route", {}) : refuseWith(503, "configuration_unconfirmed", retryUnconfirmed);
+    admission.priority = admission.route->priority;
+    if (admission.table->requiresKeys() && !admission.route->keyless) {
+        if (!m_context.gate.keysAreCurrent(now))
+            return refuseWith(503, "keys_unconfirmed", retryUnconfirmed);
+        const auto* organisation = admission.table->organisationOf(caller.key);
+        if (!organisation)
+            return denies ? refuseWith(401, "unknown_key", {}) : refuseWith(503, "configuration_unconfirmed", retryUnconfirmed);
+        admission.organisation = organisation->name;
+        admission.priority = organisation->priority.value_or(admission.priority);
+    }
+    if (outlivesStop(*admission.route, caller)) {
+        admission.closes = true;
+        return refuseWith(503, "stopping", retryElsewhere);
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    admission.service = admission.table->service(pickService(*admission.route, draw(m_context.random)));
+    if (!admission.service)
+        return refuseWith(503, "no_service", retryUnconfirmed);
+    return admission;
+}
+
+Awaitable<RelayResult> RequestHandler::refuseAtOnce(HttpExchange& exchange, const Admission& admission)
+{
+    RelayResult result { .status = admission.refusal, .reason = admission.reason };
+    if (admission.closes)
+        exchange.closeAfterAnswer();
+    if (admission.refusal == 503)
+        co_await refuse(exchange, admission.refusal, admission.reason, admission.retryAfter);
+    else
+        co_await fail(exchange, admission.refusal, admission.reason);
+    co_return result;
+}
+
+Awaitable<RelayResult> RequestHandler::relay(HttpExchange& exchange, const Admission& admission, const CallerRequest& caller, TimePoint arrivedAt)
+{
+    CallerWatch watch(exchange);
+    Clock::duration wait = longestWait;
+    if (caller.timeLeft)
+        wait = std::min<Clock::duration>(wait, *caller.timeLeft);
+    if (admission.route->timeout.count() > 0)
+        wait = std::min<Clock::duration>(wait, admission.route->timeout);
+    RelayRequest request {
+        .exchange = exchange,
+        .watch = watch,
+        .table = admission.table,
+        .route = *admission.route,
+        .service = *admission.service,
+        .caller = caller,
+        .organisation = admission.organisation,
+        .priority = admission.priority,
+        .arrivedAt = arrivedAt,
+        .limit = arrivedAt + wait,
+    };
+    if (admission.route->repetition == Repetition::Stream)
+        co_return co_await m_streams.run(request);
+    co_return co_await m_plain.run(request);
+}
+
+void RequestHandler::record(const HttpExchange& exchange, const Admission& admission, const CallerRequest& caller, const RelayResult& result, TimePoint arrivedAt)
+{
+    auto now = Clock::now();
+    std::string route = admission.route ? admission.route->name : "none";
+    m_context.metrics.requestEnded(route, result.reason, secondsBetween(arrivedAt, now));
+    logEvent(LogLevel::Info, "request_ended",
+        { { "request", caller.requestId }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "took_ms", std::chrono::duration_cast<Milliseconds>(now - arrivedAt).count() }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_context.gate.age(BootClock::now())).count() }, { "caller", toString(exchange.remote()) } });
+}
+
+Awaitable<> RequestHandler::handle(HttpExchange& exchange)
+{
+    auto arrivedAt = Clock::now();
+    auto caller = m_context.wire.readCaller(exchange.request());
+    auto admission = admit(exchange, caller);
+    ++m_context.inFlight;
+    if (m_context.stoppingSince)
+        exchange.closeAfterAnswer();
+    RelayResult result;
+    if (admission.refusal != 0)
+        result = co_await refuseAtOnce(exchange, admission);
+    else
+        result = co_await relay(exchange, admission, caller, arrivedAt);
+    --m_context.inFlight;
+    record(exchange, admission, caller, result, arrivedAt);
+}
+
+}
--- /dev/null
+++ b/src/relay/plainrelay.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "relay/relaycontext.h"
+#include "relay/targetconnection.h"
+
+namespace guavaspan {
+
+/// Relays requests whose answers are sent whole.
+class PlainRelay {
+public:
+    explicit PlainRelay(RelayContext& context)
+        : m_context(context)
+    {
+    }
+
+    Awaitable<RelayResult> run(RelayRequest&);
+
+private:
+    struct Attempt;
+
+    Awaitable<Attempt> attempt(RelayRequest&, const Placement&, bool mayRepeat);
+    Awaitable<RelayResult> deliver(RelayRequest&, Attempt, RelayResult);
+    Awaitable<RelayResult> giveUp(RelayRequest&, RelayResult, bool mayHaveRun);
+    bool takeRepeat(const RelayRequest&);
+
+    RelayContext& m_context;
+};
+
+}
--- /dev/null
+++ b/src/relay/relaymetrics.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "relay/handoverservice.h"
+
+#include <memory>
+#include <string>
+
+namespace guavaspan {
+
+/// Gauges that are read when they are served.
+struct RelayGauges {
+    double liveStreams = 0;
+    double waiting = 0;
+    double configurationVersion = 0;
+    double configurationAgeSeconds = 0;
+    double peers = 0;
+    double targets = 0;
+    double storeCalls = 0;
+    double droppedLogLines = 0;
+};
+
+/// Counters and histograms of the entry service.
+class RelayMetrics : public IHandoverObserver {
+public:
+    RelayMetrics();
+    ~RelayMetrics() override;
+
+    void requestEnded(const std::string& route, const std::string& result, double seconds);
+    void firstEvent(const std::string& route, double seconds);
+    void pauseSeen(double seconds);
+    void retried(const std::string& service, bool allowed);
+    void waited(double seconds);
+    void streamResumed(const std::string& result);
+    void onHandoverStep(HandoverPhase, HandoverResult) override;
+    void setGauges(const RelayGauges&);
+
+    /// Text form for scraping.
+    std::string serialize() const;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> m_families;
+};
+
+}
--- /dev/null
+++ b/src/relay/requesthandler.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "relay/plainrelay.h"
+#include "relay/streamrelay.h"
+
+namespace guavaspan {
+
+/// Finds the route of each caller's request and has it relayed, or refuses it.
+class RequestHandler {
+public:
+    explicit RequestHandler(RelayContext&);
+
+    Awaitable<> handle(HttpExchange&);
+
+private:
+    struct Admission;
+
+    Admission admit(const HttpExchange&, const CallerRequest&) const;
+    Awaitable<RelayResult> relay(HttpExchange&, const Admission&, const CallerRequest&, TimePoint arrivedAt);
+    Awaitable<RelayResult> refuseAtOnce(HttpExchange&, const Admission&);
+    bool outlivesStop(const Route&, const CallerRequest&) const;
+    void record(const HttpExchange&, const Admission&, const CallerRequest&, const RelayResult&, TimePoint arrivedAt);
+
+    RelayContext& m_context;
+    PlainRelay m_plain;
+    StreamRelay m_streams;
+};
+
+}
--- /dev/null
+++ b/src/routing/internal/configurationgate.cpp
@@ -0,0 +1,13 @@
+#include "routing/configurationgate.h"
+
+namespace guavaspan {
+
+bool ConfigurationGate::adopt(RoutingConfiguration configuration)
+{
+    if (m_table && configuration.version <= m_table->version())
+        return false;
+    m_table = std::make_shared<const RouteTable>(std::move(configuration));
+    return true;
+}
+
+}
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -1,4 +1,5 @@
 #include "common/log.h"
+#include "net/logflusher.h"
 #include "standins/engineserver.h"
 #include "standins/plainserver.h"
 #include "standins/platformserver.h"
@@ -76,6 +77,7 @@
 
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&](auto, auto) { context.stop(); });
+    asio::co_spawn(context, flushLogRegularly(), asio::detached);
     context.run();
     return 0;
 }
--- /dev/null
+++ b/src/targets/targetdirectory.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "targets/targettypes.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace guavaspan {
+
+/// Why a target takes no new work any more.
+enum class LeaveReason {
+    Announced,
+    EntryRemoved,
+    Restarted,
+};
+
+std::string_view toString(LeaveReason);
+
+/// A target that stopped taking work, with its last known entry.
+struct TargetLeft {
+    TargetEntry entry;
+    LeaveReason reason = LeaveReason::Announced;
+    TimePoint at;
+};
+
+/// Which targets exist, which may be given work, and which are leaving.
+class TargetDirectory {
+public:
+    using LeaveListener = std::function<void(const TargetLeft&)>;
+
+    void onLeave(LeaveListener listener) { m_listener = std::move(listener); }
+
+    /// An entry was written. Without content it could not be read and names no target to use.
+    void onWritten(const std::string& id, std::optional<TargetEntry>, TimePoint now);
+    void onRemoved(const std::string& id, TimePoint now);
+
+    /// The whole list was read anew; what it lacks is gone.
+    void onListed(const std::vector<TargetEntry>&, TimePoint now);
+
+    /// Contact with the store was lost or is back. Entries that lapsed in between
+    /// stay in use until their targets had time to write them again.
+    void onStoreLost(TimePoint now);
+    void onStoreRegained(TimePoint now);
+
+    /// Drops lapsed entries whose time to come back is over.
+    void onTick(TimePoint now);
+
+    /// Targets of a service that take new work.
+    std::vector<const TargetEntry*> usable(const std::string& service) const;
+    const TargetEntry* find(const std::string& id) const;
+    bool isUsable(const std::string& id) const;
+    std::size_t size() const { return m_targets.size(); }
+
+private:
+    struct Known {
+        TargetEntry entry;
+        std::optional<TimePoint> lapsedUntil;
+    };
+
+    void leave(std::map<std::string, Known>::iterator, LeaveReason, TimePoint now);
+    bool removalMayBeLapse(TimePoint now) const;
+
+    std::map<std::string, Known> m_targets;
+    bool m_storeReachable = true;
+    std::optional<TimePoint> m_regainedAt;
+    LeaveListener m_listener;
+};
+
+}
