Let one owner of a pool place generations for the whole fleet

Change: slice placement: asks, answers and ends as CBOR datagrams; the owner, found by rendezvous hashing over the peers that were heard lately, keeps one line for all; grants count at the owner until the asker's report shows them; without an answer in three tries the next owner is asked, then the instance decides alone. Loads are told as they change.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,38 +6,29 @@
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
 #include "net/nettypes.h"
+#include "placement/placementtypes.h"
 #include "targets/targetdirectory.h"
 
 #include <unordered_map>
 
 namespace guavaspan {
 
-/// A request that needs a target.
-struct PlacementRequest {
-    WorkId id = 0;
-    std::string service;
-    std::optional<EngineTraits> engine;
-    std::string organisation;
-    int priority = 0;
-    WorkEstimate estimate;
-    std::set<std::string> excluded;
-    TimePoint latestStart;
-};
-
-/// Where a request goes, and the figures that decided it.
-struct Placement {
-    TargetEntry target;
-    TargetChoice choice;
-    Clock::duration waited {};
-};
-
 /// Gives each request a target, at once or when one has room.
 class Dispatcher {
 public:
     Dispatcher(asio::io_context&, TargetDirectory&, std::string failureDomain, Random);
 
-    /// Fails with Overloaded, and the time after which room is expected, or with Cancelled.
-    Awaitable<Result<Placement>> place(PlacementRequest);
+    /// Waits for room until the request's latest start.
+    Awaitable<PlacementOutcome> place(PlacementRequest);
+
+    /// The same for a peer, whose reports will show the work once it has begun.
+    Awaitable<PlacementOutcome> placeForPeer(PlacementRequest);
+
+    /// A peer's reports show this work now.
+    void shownByPeer(WorkId id) { m_ledger.end(id); }
+
+    /// Work that an owner gave a target to begins here.
+    void adopt(const PlacementRequest&, const std::string& target);
 
     /// Ends the wait of a request whose caller left.
     void cancel(WorkId);
@@ -70,6 +61,7 @@
         {
         }
         asio::steady_timer wakeUp;
+        bool forPeer = false;
         std::optional<TargetChoice> choice;
         bool cancelled = false;
     };
@@ -80,8 +72,10 @@
     };
 
     std::optional<TargetChoice> tryStart(const PlacementRequest&);
-    void start(const PlacementRequest&, const std::string& target);
-    Result<Placement> placementOf(const PlacementRequest&, const TargetChoice&, Clock::duration waited) const;
+    void start(const PlacementRequest&, const std::string& target, bool forPeer);
+    Awaitable<PlacementOutcome> placeOrWait(PlacementRequest, bool forPeer);
+    PlacementOutcome placementOf(const PlacementRequest&, const TargetChoice&, Clock::duration waited);
+    PlacementRefusal refusal(const PlacementRequest&, RefusalCause, std::string detail);
 
     asio::io_context& m_io;
     TargetDirectory& m_directory;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -27,35 +27,59 @@
     return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now() }, m_random);
 }
 
-void Dispatcher::start(const PlacementRequest& request, const std::string& target)
+void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
 {
-    m_ledger.begin(request.id, target, request.estimate);
+    if (forPeer)
+        m_ledger.beginForPeer(request.id, target, request.estimate);
+    else
+        m_ledger.begin(request.id, target, request.estimate);
     m_line.onStarted(request.organisation, request.estimate);
     m_started.insert_or_assign(request.id, Started { .service = request.service, .organisation = request.organisation, .estimate = request.estimate });
 }
 
-Result<Placement> Dispatcher::placementOf(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited) const
+void Dispatcher::adopt(const PlacementRequest& request, const std::string& target)
+{
+    start(request, target, false);
+}
+
+PlacementRefusal Dispatcher::refusal(const PlacementRequest& request, RefusalCause cause, std::string detail)
+{
+    return { .cause = cause, .retryAfter = retryAfter(request.service, request.priority), .detail = std::move(detail) };
+}
+
+PlacementOutcome Dispatcher::placementOf(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited)
 {
     const auto* target = m_directory.find(choice.target);
     if (!target)
-        return Error { .code = ErrorCode::Unavailable, .step = Step::Admit, .peer = choice.target, .detail = "target of " + request.service + " left", .outcome = Outcome::NotRun };
-    return Placement { .target = *target, .choice = choice, .waited = waited };
+        return refusal(request, RefusalCause::NoRoom, "the chosen target left");
+    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited };
+}
+
+Awaitable<PlacementOutcome> Dispatcher::place(PlacementRequest request)
+{
+    return placeOrWait(std::move(request), false);
+}
+
+Awaitable<PlacementOutcome> Dispatcher::placeForPeer(PlacementRequest request)
+{
+    return placeOrWait(std::move(request), true);
 }
 
-Awaitable<Result<Placement>> Dispatcher::place(PlacementRequest request)
+Awaitable<PlacementOutcome> Dispatcher::placeOrWait(PlacementRequest request, bool forPeer)
 {
     auto arrivedAt = Clock::now();
-    // Those who wait already go first, unless the newcomer is more urgent, which the line decides.
+    // Nobody overtakes those who wait already but by the line's own order.
     if (m_line.size() == 0) {
         if (auto choice = tryStart(request)) {
-            start(request, choice->target);
+            start(request, choice->target, forPeer);
             co_return placementOf(request, *choice, {});
         }
     }
     auto verdict = m_line.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .priority = request.priority, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
     if (!verdict.accepted)
-        co_return Error { .code = ErrorCode::Overloaded, .step = Step::Admit, .peer = request.service, .detail = "expected wait too long", .outcome = Outcome::NotRun };
+        co_return refusal(request, RefusalCause::NoRoom, "the expected wait is too long");
     auto waiter = std::make_shared<Waiter>(m_io);
+    waiter->forPeer = forPeer;
     waiter->wakeUp.expires_at(request.latestStart);
     m_requests.insert_or_assign(request.id, request);
     m_waiters.insert_or_assign(request.id, waiter);
@@ -68,8 +92,8 @@
         co_return placementOf(request, *waiter->choice, Clock::now() - arrivedAt);
     m_line.remove(request.id);
     if (waiter->cancelled)
-        co_return Error { .code = ErrorCode::Cancelled, .step = Step::Admit, .peer = request.service, .detail = "caller left", .outcome = Outcome::NotRun };
-    co_return Error { .code = ErrorCode::Overloaded, .step = Step::Admit, .peer = request.service, .detail = "no room in time", .outcome = Outcome::NotRun };
+        co_return refusal(request, RefusalCause::Cancelled, "the caller left");
+    co_return refusal(request, RefusalCause::NoRoom, "no room in time");
 }
 
 void Dispatcher::pump()
@@ -82,8 +106,8 @@
         });
         if (!next)
             return;
-        start(m_requests.at(next->id), choice->target);
         auto& waiter = *m_waiters.at(next->id);
+        start(m_requests.at(next->id), choice->target, waiter.forPeer);
         waiter.choice = choice;
         waiter.wakeUp.cancel();
     }
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/loadledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavaspan {
 
@@ -23,12 +24,15 @@
 void LoadLedger::add(const Work& work, int sign)
 {
     auto load = loadOf(work);
-    auto& sum = m_own[work.target];
+    auto& loads = work.forPeer ? m_forPeers : m_own;
+    auto& sum = loads[work.target];
     sum.requests += sign * load.requests;
     sum.tokens += sign * load.tokens;
     sum.unreadPromptTokens += sign * load.unreadPromptTokens;
+    if (!work.forPeer)
+        m_changed.insert(work.target);
     if (sum.requests == 0)
-        m_own.erase(work.target);
+        loads.erase(work.target);
 }
 
 void LoadLedger::begin(WorkId id, const std::string& target, const WorkEstimate& estimate)
@@ -39,6 +43,14 @@
     m_works.emplace(id, std::move(work));
 }
 
+void LoadLedger::beginForPeer(WorkId id, const std::string& target, const WorkEstimate& estimate)
+{
+    end(id);
+    Work work { .target = target, .estimate = estimate, .forPeer = true };
+    add(work, 1);
+    m_works.emplace(id, std::move(work));
+}
+
 void LoadLedger::produced(WorkId id, int outputTokens)
 {
     auto found = m_works.find(id);
@@ -73,6 +85,22 @@
     m_peers.insert_or_assign(instance, std::move(loads));
 }
 
+void LoadLedger::updatePeer(const std::string& instance, const TargetLoads& changed)
+{
+    auto& loads = m_peers[instance];
+    for (const auto& [target, load] : changed) {
+        if (load.requests > 0)
+            loads.insert_or_assign(target, load);
+        else
+            loads.erase(target);
+    }
+}
+
+std::set<std::string> LoadLedger::takeChanged()
+{
+    return std::exchange(m_changed, {});
+}
+
 void LoadLedger::dropPeer(const std::string& instance)
 {
     m_peers.erase(instance);
@@ -87,6 +115,9 @@
 TargetLoad LoadLedger::total(const std::string& target) const
 {
     auto sum = own(target);
+    auto granted = m_forPeers.find(target);
+    if (granted != m_forPeers.end())
+        sum += granted->second;
     for (const auto& [instance, loads] : m_peers) {
         auto found = loads.find(target);
         if (found != loads.end())
--- a/src/dispatch/loadledger.h
+++ b/src/dispatch/loadledger.h
@@ -2,7 +2,7 @@
 
 #include "dispatch/dispatchtypes.h"
 
-#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace guavaspan {
@@ -11,13 +11,21 @@
 class LoadLedger {
 public:
     void begin(WorkId, const std::string& target, const WorkEstimate&);
+
+    /// Work of a peer that its reports do not show yet. It counts here and is not reported.
+    void beginForPeer(WorkId, const std::string& target, const WorkEstimate&);
     void produced(WorkId, int outputTokens);
     void moved(WorkId, const std::string& target);
     void end(WorkId);
 
     void setPeer(const std::string& instance, TargetLoads);
+    /// Replaces what a peer has at some targets.
+    void updatePeer(const std::string& instance, const TargetLoads&);
     void dropPeer(const std::string& instance);
 
+    /// Targets whose own load changed since the last call.
+    std::set<std::string> takeChanged();
+
     TargetLoad own(const std::string& target) const;
     TargetLoad total(const std::string& target) const;
     const TargetLoads& ownLoads() const { return m_own; }
@@ -28,6 +36,7 @@
         std::string target;
         WorkEstimate estimate;
         int outputTokens = 0;
+        bool forPeer = false;
     };
 
     static TargetLoad loadOf(const Work&);
@@ -35,6 +44,8 @@
 
     std::unordered_map<WorkId, Work> m_works;
     TargetLoads m_own;
+    TargetLoads m_forPeers;
+    std::set<std::string> m_changed;
     std::map<std::string, TargetLoads> m_peers;
 };
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "entry/entrysettings.h"
-#include "fleet/loadexchange.h"
 #include "fleet/peerfeed.h"
 #include "fleet/registration.h"
 #include "fleet/storefollower.h"
 #include "net/httpserver.h"
+#include "placement/placementclient.h"
+#include "placement/placementserver.h"
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
 
@@ -47,6 +48,8 @@
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onConfiguration(const std::string& document);
     Awaitable<> serveReadiness(HttpExchange&);
+    void onFleetMessage(const FleetMessage&);
+    Awaitable<> reportLoop();
     Awaitable<> tickLoop();
     Awaitable<> stopLoop();
     Awaitable<> stop();
@@ -64,13 +67,15 @@
     StoreReplica m_replica;
     StoreFollower m_follower;
     Dispatcher m_dispatcher;
+    FleetLink m_link;
+    PlacementClient m_placement;
+    PlacementServer m_placementServer;
     LiveStreams m_streams;
     RetryBudget m_retries;
     OutputEstimator m_outputs;
     RelayMetrics m_metrics;
     RelayContext m_context;
     HandoverService m_handovers;
-    LoadExchange m_loads;
     Registration m_registration;
     RequestHandler m_handler;
     PeerFeedServer m_feed;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "common/log.h"
+#include "common/overloaded.h"
 #include "net/logflusher.h"
 
 #include <csignal>
@@ -10,6 +11,8 @@
 namespace {
 
     constexpr auto tickInterval = Milliseconds(100);
+    /// Time between whole reports of load; it also tells peers that this instance lives.
+    constexpr auto reportInterval = Milliseconds(500);
     constexpr auto stopCheckInterval = Milliseconds(50);
     /// The balancer asks once a second and turns away after two misses.
     constexpr auto balancerNotice = Milliseconds(3200);
@@ -39,10 +42,12 @@
     , m_fleet(m_settings.instance)
     , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerSource())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
+    , m_link(m_io, m_fleet)
+    , m_placement(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_link)
+    , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
+    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
     , m_handovers(m_io, m_dispatcher, m_streams, m_gate, m_directory, m_platform.operations, m_metrics, m_settings.instance)
-    , m_loads(m_io, m_settings.instance, m_fleet, m_dispatcher)
     , m_registration(m_platform.keyValue, m_platform.vocabulary.instancePrefix, { .name = m_settings.instance, .peers = m_settings.peers, .failureDomain = m_settings.failureDomain }, unixMilliseconds())
     , m_handler(m_context)
     , m_feed(m_replica)
@@ -57,6 +62,7 @@
         m_dispatcher.outcomes().forget(left.entry.id);
         m_handovers.onTargetLeft(left);
     });
+    m_link.onMessage([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.onContact([this](bool reachable) {
         if (reachable)
             m_directory.onStoreRegained(Clock::now());
@@ -77,7 +83,7 @@
         return report("readiness", bound.error());
     if (auto bound = m_peers.listen(m_settings.peers); !bound)
         return report("peers", bound.error());
-    if (auto bound = m_loads.listen(m_settings.peers); !bound)
+    if (auto bound = m_link.listen(m_settings.peers); !bound)
         return report("loads", bound.error());
     return true;
 }
@@ -93,8 +99,8 @@
     asio::co_spawn(m_io, flushLogRegularly(), asio::detached);
     asio::co_spawn(m_io, m_follower.run(), asio::detached);
     asio::co_spawn(m_io, m_registration.run(), asio::detached);
-    asio::co_spawn(m_io, m_loads.sendLoop(), asio::detached);
-    asio::co_spawn(m_io, m_loads.receiveLoop(), asio::detached);
+    asio::co_spawn(m_io, reportLoop(), asio::detached);
+    asio::co_spawn(m_io, m_link.receiveLoop(), asio::detached);
     asio::co_spawn(m_io, tickLoop(), asio::detached);
     asio::co_spawn(m_io, stopLoop(), asio::detached);
     asio::co_spawn(m_io, reloadLoop(), asio::detached);
@@ -176,10 +182,38 @@
     });
 }
 
+void Entry::onFleetMessage(const FleetMessage& message)
+{
+    std::visit(Overloaded {
+                   [&](const InstanceLoads& each) {
+                       m_placement.onLoads(each, Clock::now());
+                       m_placementServer.onLoads(each);
+                   },
+                   [&](const PlacementAsk& each) { m_placementServer.onAsk(each); },
+                   [&](const PlacementAnswer& each) { m_placement.onAnswer(each); },
+                   [&](const PlacementEnded& each) { m_placementServer.onEnded(each); },
+               },
+        message);
+}
+
+/// Changes are told at once; the whole is told now and then, which repairs what was lost.
+Awaitable<> Entry::reportLoop()
+{
+    while (true) {
+        m_placement.reportLoads(true);
+        for (const auto& name : m_fleet.takeSilent(Clock::now())) {
+            logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
+            m_dispatcher.ledger().dropPeer(name);
+        }
+        co_await sleepFor(reportInterval);
+    }
+}
+
 Awaitable<> Entry::tickLoop()
 {
     while (true) {
         m_directory.onTick(Clock::now());
+        m_placementServer.onTick(Clock::now());
         m_gate.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -21,17 +21,18 @@
 std::string encodeInstanceRecord(const InstanceRecord&);
 std::optional<InstanceRecord> decodeInstanceRecord(const std::string&);
 
-/// An instance's own work at every target.
+/// An instance's own work at targets.
 struct InstanceLoads {
     std::string instance;
     /// Grows within one life of the instance; a new life starts with its start time.
     std::int64_t sequence = 0;
+    /// All of its targets; otherwise only those whose load changed.
+    bool complete = true;
     TargetLoads loads;
+    /// The last grant that it took from each owner: those are among its loads now.
+    std::map<std::string, std::int64_t> grantsTaken;
 
     friend bool operator==(const InstanceLoads&, const InstanceLoads&) = default;
 };
 
-std::string encodeInstanceLoads(const InstanceLoads&);
-std::optional<InstanceLoads> decodeInstanceLoads(const std::string&);
-
 }
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -3,6 +3,7 @@
 #include "fleet/fleettypes.h"
 
 #include <map>
+#include <set>
 
 namespace guavaspan {
 
@@ -35,8 +36,10 @@
     /// True if this instance is among the few of its failure domain that read the shared store themselves.
     bool readsStore(const std::string& ownDomain, TimePoint now) const;
 
-    /// Time between reports so that one instance's traffic stays bounded.
-    Clock::duration reportInterval() const;
+    /// The instance that decides for a service's pool, this one included; those in `avoided` are passed over.
+    std::string ownerOf(const std::string& service, const std::set<std::string>& avoided, TimePoint now) const;
+
+    const InstanceRecord* find(const std::string& name) const;
 
 private:
     struct Heard {
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -8,12 +8,8 @@
 
 namespace {
 
-    /// Silence after which an instance's load no longer counts: several lost reports in a row.
+    /// Silence after which an instance's load no longer counts: three lost reports in a row.
     constexpr auto silenceLimit = Milliseconds(1500);
-    /// Shortest time between reports; load moves by about one request in it.
-    constexpr auto shortestInterval = Milliseconds(150);
-    /// Added per peer, so that the reports an instance receives stay below 150 a second.
-    constexpr auto intervalPerPeer = Milliseconds(7);
     /// Instances of one failure domain that read the store; two so that one may fail.
     constexpr int storeReadersPerDomain = 2;
 
@@ -85,9 +81,28 @@
     return ahead < storeReadersPerDomain;
 }
 
-Clock::duration FleetView::reportInterval() const
+std::string FleetView::ownerOf(const std::string& service, const std::set<std::string>& avoided, TimePoint now) const
 {
-    return std::max<Clock::duration>(shortestInterval, intervalPerPeer * static_cast<int>(peers().size()));
+    auto key = "pool/" + service;
+    std::string owner = m_self;
+    auto best = rendezvousWeight(m_self, key);
+    for (const auto& peer : reachablePeers(now)) {
+        auto weight = rendezvousWeight(peer.name, key);
+        if (weight <= best || avoided.count(peer.name) > 0)
+            continue;
+        best = weight;
+        owner = peer.name;
+    }
+    return owner;
+}
+
+const InstanceRecord* FleetView::find(const std::string& name) const
+{
+    for (const auto& [key, record] : m_registered) {
+        if (record.name == name)
+            return &record;
+    }
+    return nullptr;
 }
 
 }
--- /dev/null
+++ b/src/placement/fleetlink.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "fleet/fleetview.h"
+#include "placement/placementmessages.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+
+namespace guavaspan {
+
+/// Sends and receives datagrams between instances. What they say is soon replaced by
+/// newer news, so a lost one costs less than a stalled connection would.
+class FleetLink {
+public:
+    using Receiver = std::function<void(const FleetMessage&)>;
+
+    FleetLink(asio::io_context&, FleetView&);
+
+    Result<void> listen(const Endpoint&);
+    void onMessage(Receiver receiver) { m_receiver = std::move(receiver); }
+    Awaitable<> receiveLoop();
+
+    /// False if the instance is not known or the datagram could not be sent.
+    bool send(const std::string& instance, const FleetMessage&);
+    void sendToAll(const FleetMessage&);
+
+private:
+    bool transmit(const InstanceRecord&, const std::string& bytes);
+
+    static constexpr std::size_t maxDatagramBytes = 48 << 10;
+
+    FleetView& m_fleet;
+    asio::ip::udp::socket m_socket;
+    std::array<char, maxDatagramBytes> m_buffer {};
+    Receiver m_receiver;
+};
+
+}
--- /dev/null
+++ b/src/placement/internal/placementmessages.cpp
@@ -0,0 +1,128 @@
+#include "placement/placementmessages.h"
+
+#include "common/overloaded.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavaspan {
+
+namespace {
+
+    using nlohmann::json;
+
+    enum class Kind {
+        Loads,
+        Ask,
+        Answer,
+        Ended,
+    };
+
+    json fieldsOf(const InstanceLoads& report)
+    {
+        json loads = json::array();
+        for (const auto& [target, load] : report.loads)
+            loads.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.unreadPromptTokens) });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.grantsTaken });
+    }
+
+    json fieldsOf(const PlacementAsk& ask)
+    {
+        return json::array({ ask.asker, ask.askerLife, ask.id, ask.service, ask.organisation, ask.priority, ask.estimate.promptTokens, ask.estimate.outputTokens, ask.excluded, ask.patience.count() });
+    }
+
+    json fieldsOf(const PlacementAnswer& answer)
+    {
+        return json::array({ answer.owner, answer.id, static_cast<int>(answer.kind), answer.target, answer.grantNumber, answer.targetRequests, static_cast<std::int64_t>(answer.targetTokens), answer.retryAfter.count() });
+    }
+
+    json fieldsOf(const PlacementEnded& ended)
+    {
+        return json::array({ ended.asker, ended.askerLife, ended.id });
+    }
+
+    // Values are assigned one by one: a throw amid an aggregate's initialisation destroys
+    // members that this compiler (g++ 12) has not built yet.
+
+    InstanceLoads loadsFrom(const json& fields)
+    {
+        InstanceLoads report;
+        report.instance = fields.at(0).get<std::string>();
+        report.sequence = fields.at(1).get<std::int64_t>();
+        report.complete = fields.at(2).get<bool>();
+        for (const auto& load : fields.at(3))
+            report.loads.emplace(load.at(0).get<std::string>(), TargetLoad { .requests = load.at(1).get<int>(), .tokens = load.at(2).get<double>(), .unreadPromptTokens = load.at(3).get<double>() });
+        report.grantsTaken = fields.at(4).get<std::map<std::string, std::int64_t>>();
+        return report;
+    }
+
+    PlacementAsk askFrom(const json& fields)
+    {
+        PlacementAsk ask;
+        ask.asker = fields.at(0).get<std::string>();
+        ask.askerLife = fields.at(1).get<std::int64_t>();
+        ask.id = fields.at(2).get<WorkId>();
+        ask.service = fields.at(3).get<std::string>();
+        ask.organisation = fields.at(4).get<std::string>();
+        ask.priority = fields.at(5).get<int>();
+        ask.estimate.promptTokens = fields.at(6).get<int>();
+        ask.estimate.outputTokens = fields.at(7).get<int>();
+        ask.excluded = fields.at(8).get<std::vector<std::string>>();
+        ask.patience = Milliseconds(fields.at(9).get<std::int64_t>());
+        return ask;
+    }
+
+    PlacementAnswer answerFrom(const json& fields)
+    {
+        PlacementAnswer answer;
+        answer.owner = fields.at(0).get<std::string>();
+        answer.id = fields.at(1).get<WorkId>();
+        answer.kind = static_cast<PlacementAnswerKind>(fields.at(2).get<int>());
+        answer.target = fields.at(3).get<std::string>();
+        answer.grantNumber = fields.at(4).get<std::int64_t>();
+        answer.targetRequests = fields.at(5).get<int>();
+        answer.targetTokens = fields.at(6).get<double>();
+        answer.retryAfter = Milliseconds(fields.at(7).get<std::int64_t>());
+        return answer;
+    }
+
+    PlacementEnded endedFrom(const json& fields)
+    {
+        PlacementEnded ended;
+        ended.asker = fields.at(0).get<std::string>();
+        ended.askerLife = fields.at(1).get<std::int64_t>();
+        ended.id = fields.at(2).get<WorkId>();
+        return ended;
+    }
+
+}
+
+std::string encodeFleetMessage(const FleetMessage& message)
+{
+    auto fields = std::visit([](const auto& each) { return fieldsOf(each); }, message);
+    std::string bytes;
+    json::to_cbor(json::array({ message.index(), std::move(fields) }), bytes);
+    return bytes;
+}
+
+std::optional<FleetMessage> decodeFleetMessage(const std::string& bytes)
+{
+    try {
+        auto message = json::from_cbor(bytes);
+        const auto& fields = message.at(1);
+        switch (static_cast<Kind>(message.at(0).get<int>())) {
+        case Kind::Loads:
+            return loadsFrom(fields);
+        case Kind::Ask:
+            return askFrom(fields);
+        case Kind::Answer:
+            return answerFrom(fields);
+        case Kind::Ended:
+            return endedFrom(fields);
+        }
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/placement/placementclient.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "placement/fleetlink.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace guavaspan {
+
+/// Gets targets for this instance's requests: from the owner of the pool where
+/// memory is short and shared, and by itself for plain services or without an owner.
+class PlacementClient {
+public:
+    PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, FleetLink&);
+
+    Awaitable<PlacementOutcome> place(PlacementRequest);
+
+    /// Ends the wait of a request whose caller left.
+    void cancel(WorkId);
+
+    /// The work is over, or never began.
+    void ended(WorkId);
+
+    void onAnswer(const PlacementAnswer&);
+
+    /// Tells peers what changed, or everything.
+    void reportLoads(bool complete);
+
+    /// A peer's report.
+    void onLoads(const InstanceLoads&, TimePoint now);
+
+private:
+    struct Pending {
+        explicit Pending(asio::io_context& io)
+            : wakeUp(io)
+        {
+        }
+        asio::steady_timer wakeUp;
+        std::optional<PlacementAnswer> answer;
+        bool cancelled = false;
+    };
+
+    Awaitable<std::optional<PlacementOutcome>> askOwner(const std::string& owner, const PlacementRequest&);
+    std::optional<PlacementOutcome> settle(const std::string& owner, const PlacementRequest&, const PlacementAnswer&, TimePoint askedAt);
+    void suspect(const std::string& owner);
+    std::set<std::string> suspects(TimePoint now);
+
+    asio::io_context& m_io;
+    std::string m_instance;
+    std::int64_t m_life;
+    FleetView& m_fleet;
+    Dispatcher& m_dispatcher;
+    TargetDirectory& m_directory;
+    FleetLink& m_link;
+    std::int64_t m_sequence;
+    std::unordered_map<WorkId, std::shared_ptr<Pending>> m_pending;
+    /// Who decided on a piece of work at an engine.
+    std::unordered_map<WorkId, std::string> m_grantedBy;
+    std::map<std::string, std::int64_t> m_grantsTaken;
+    std::map<std::string, TimePoint> m_suspectUntil;
+};
+
+}
--- /dev/null
+++ b/src/placement/placementmessages.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "fleet/fleettypes.h"
+#include "placement/placementtypes.h"
+
+#include <optional>
+#include <variant>
+
+namespace guavaspan {
+
+/// Asks the owner of a pool for a target. Sent again until it is answered, and
+/// while it waits as a sign that the asker still wants it.
+struct PlacementAsk {
+    std::string asker;
+    std::int64_t askerLife = 0;
+    WorkId id = 0;
+    std::string service;
+    std::string organisation;
+    int priority = 0;
+    WorkEstimate estimate;
+    std::vector<std::string> excluded;
+    Milliseconds patience { 0 };
+
+    friend bool operator==(const PlacementAsk&, const PlacementAsk&) = default;
+};
+
+enum class PlacementAnswerKind {
+    Waiting,
+    Granted,
+    Refused,
+};
+
+struct PlacementAnswer {
+    std::string owner;
+    WorkId id = 0;
+    PlacementAnswerKind kind = PlacementAnswerKind::Waiting;
+    std::string target;
+    /// Counts the owner's grants to this asker.
+    std::int64_t grantNumber = 0;
+    int targetRequests = 0;
+    double targetTokens = 0;
+    Milliseconds retryAfter { 0 };
+
+    friend bool operator==(const PlacementAnswer&, const PlacementAnswer&) = default;
+};
+
+/// The work of an ask is over, or the asker no longer wants it.
+struct PlacementEnded {
+    std::string asker;
+    std::int64_t askerLife = 0;
+    WorkId id = 0;
+
+    friend bool operator==(const PlacementEnded&, const PlacementEnded&) = default;
+};
+
+/// Everything that instances tell each other in datagrams.
+using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded>;
+
+std::string encodeFleetMessage(const FleetMessage&);
+std::optional<FleetMessage> decodeFleetMessage(const std::string&);
+
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -155,25 +155,25 @@
         auto patience = std::max<Clock::duration>(shortestPatience, request.route.objective);
         wanted.latestStart = std::min<TimePoint>(request.limit, Clock::now() + patience);
         auto id = wanted.id;
-        request.watch.onGone([this, id] { m_context.dispatcher.cancel(id); });
-        auto placement = co_await m_context.dispatcher.place(wanted);
+        request.watch.onGone([this, id] { m_context.placement.cancel(id); });
+        auto placement = co_await m_context.placement.place(wanted);
         if (request.watch.gone()) {
-            m_context.dispatcher.ended(id);
+            m_context.placement.ended(id);
             result.reason = "caller_gone";
             co_return result;
         }
         if (!placement) {
-            m_context.dispatcher.ended(id);
-            result.detail = describe(placement.error());
+            m_context.placement.ended(id);
+            result.detail = placement.error().detail;
             break;
         }
         ++result.sends;
         result.target = placement->target.id;
         bool mayRepeat = idempotent && runs + 1 < request.route.maxTargets;
         auto attempt = co_await this->attempt(request, *placement, mayRepeat);
-        m_context.dispatcher.ended(id);
+        m_context.placement.ended(id);
         result.detail = attempt.detail;
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.verdict)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->choice.requests) }, { "score", placement->choice.score } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.verdict)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
         switch (attempt.verdict) {
         case AttemptVerdict::CallerGone:
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -41,6 +41,8 @@
     TimePoint lastEventAt;
     std::optional<std::int64_t> lastEventNumber;
     TargetAnswer answer;
+    /// Advice of whoever refused the request.
+    Clock::duration retryAfter {};
 };
 
 std::string StreamRelay::wordFor(Verdict verdict)
@@ -112,10 +114,12 @@
         session.id = m_context.dispatcher.nextId();
         wanted.id = session.id;
         auto id = session.id;
-        request.watch.onGone([this, id] { m_context.dispatcher.cancel(id); });
-        auto placement = co_await m_context.dispatcher.place(wanted);
+        request.watch.onGone([this, id] { m_context.placement.cancel(id); });
+        auto placement = co_await m_context.placement.place(wanted);
         if (request.watch.gone() || !placement) {
-            session.result.detail = placement ? "" : describe(placement.error());
+            session.result.detail = placement ? "" : placement.error().detail;
+            if (!placement)
+                session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
         m_context.metrics.waited(std::chrono::duration<double>(placement->waited).count());
@@ -125,14 +129,14 @@
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, wanted.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->choice.requests) }, { "target_tokens", placement->choice.tokens }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "configuration", request.table->version() } });
         if (accepted)
             co_return true;
         m_context.streams.remove(session.id);
         if (request.watch.gone() || !session.answer.notRun)
             co_return false;
         m_context.dispatcher.outcomes().onFailure(target.id, Clock::now());
-        m_context.dispatcher.ended(session.id);
+        m_context.placement.ended(session.id);
         session.id = 0;
         wanted.excluded.insert(target.id);
         bool allowed = m_context.retries.take(request.service.name, m_context.fleet.instances(), Clock::now());
@@ -246,7 +250,7 @@
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
-        auto retryAfter = m_context.dispatcher.retryAfter(request.service.name, request.priority);
+        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.priority));
         co_await refuse(request.exchange, result.status, result.reason, retryAfter);
         co_return;
     }
@@ -311,7 +315,7 @@
     }
     request.watch.onGone(nullptr);
     m_context.streams.remove(session.id);
-    m_context.dispatcher.ended(session.id);
+    m_context.placement.ended(session.id);
     co_return session.result;
 }
 
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -5,6 +5,7 @@
 #include "dispatch/retrybudget.h"
 #include "fleet/fleetview.h"
 #include "net/httpexchange.h"
+#include "placement/placementclient.h"
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
 #include "routing/configurationgate.h"
@@ -18,6 +19,7 @@
     ConfigurationGate& gate;
     TargetDirectory& directory;
     Dispatcher& dispatcher;
+    PlacementClient& placement;
     LiveStreams& streams;
     RetryBudget& retries;
     OutputEstimator& outputs;
