Give turns at the links between engines for moves

Cause: instances moved their generations out of one leaving engine at the same time; stops waited behind others' copies (stop p90 464 ms, a tenth of the moved streams late). Change: the pool's owner gives turns: an engine takes part in one move at a time, the longest generation first, over free links and to destinations with room; totals of load are kept instead of summed; owners are picked among the instances with most processor time. Ruled out: start times staggered by peers' reported loads (too coarse, measured before).

--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -38,6 +38,14 @@
         return *this;
     }
 
+    TargetLoad& operator-=(const TargetLoad& other)
+    {
+        requests -= other.requests;
+        tokens -= other.tokens;
+        unreadPromptTokens -= other.unreadPromptTokens;
+        return *this;
+    }
+
     friend bool operator==(const TargetLoad&, const TargetLoad&) = default;
 };
 
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -21,25 +21,47 @@
     return { .requests = 1, .tokens = static_cast<double>(work.estimate.promptTokens + output), .unreadPromptTokens = unread ? static_cast<double>(work.estimate.promptTokens) : 0 };
 }
 
-void LoadLedger::add(const Work& work, int sign)
+void LoadLedger::addTotal(const std::string& target, const TargetLoad& load)
+{
+    m_total[target] += load;
+}
+
+void LoadLedger::subtractTotal(const std::string& target, const TargetLoad& load)
+{
+    auto total = m_total.find(target);
+    total->second -= load;
+    if (total->second.requests == 0)
+        m_total.erase(total);
+}
+
+void LoadLedger::add(const Work& work)
+{
+    auto load = loadOf(work);
+    addTotal(work.target, load);
+    if (work.forPeer)
+        return;
+    m_own[work.target] += load;
+    m_changed.insert(work.target);
+}
+
+void LoadLedger::subtract(const Work& work)
 {
     auto load = loadOf(work);
-    auto& loads = work.forPeer ? m_forPeers : m_own;
-    auto& sum = loads[work.target];
-    sum.requests += sign * load.requests;
-    sum.tokens += sign * load.tokens;
-    sum.unreadPromptTokens += sign * load.unreadPromptTokens;
-    if (!work.forPeer)
-        m_changed.insert(work.target);
-    if (sum.requests == 0)
-        loads.erase(work.target);
+    subtractTotal(work.target, load);
+    if (work.forPeer)
+        return;
+    auto own = m_own.find(work.target);
+    own->second -= load;
+    if (own->second.requests == 0)
+        m_own.erase(own);
+    m_changed.insert(work.target);
 }
 
 void LoadLedger::begin(WorkId id, const std::string& target, const WorkEstimate& estimate)
 {
     end(id);
     Work work { .target = target, .estimate = estimate };
-    add(work, 1);
+    add(work);
     m_works.emplace(id, std::move(work));
 }
 
@@ -47,7 +69,7 @@
 {
     end(id);
     Work work { .target = target, .estimate = estimate, .forPeer = true };
-    add(work, 1);
+    add(work);
     m_works.emplace(id, std::move(work));
 }
 
@@ -56,9 +78,9 @@
     auto found = m_works.find(id);
     if (found == m_works.end())
         return;
-    add(found->second, -1);
+    subtract(found->second);
     found->second.outputTokens = outputTokens;
-    add(found->second, 1);
+    add(found->second);
 }
 
 void LoadLedger::moved(WorkId id, const std::string& target)
@@ -66,9 +88,9 @@
     auto found = m_works.find(id);
     if (found == m_works.end())
         return;
-    add(found->second, -1);
+    subtract(found->second);
     found->second.target = target;
-    add(found->second, 1);
+    add(found->second);
 }
 
 void LoadLedger::end(WorkId id)
@@ -76,12 +98,15 @@
     auto found = m_works.find(id);
     if (found == m_works.end())
         return;
-    add(found->second, -1);
+    subtract(found->second);
     m_works.erase(found);
 }
 
 void LoadLedger::setPeer(const std::string& instance, TargetLoads loads)
 {
+    dropPeer(instance);
+    for (const auto& [target, load] : loads)
+        addTotal(target, load);
     m_peers.insert_or_assign(instance, std::move(loads));
 }
 
@@ -89,10 +114,15 @@
 {
     auto& loads = m_peers[instance];
     for (const auto& [target, load] : changed) {
-        if (load.requests > 0)
-            loads.insert_or_assign(target, load);
-        else
-            loads.erase(target);
+        auto known = loads.find(target);
+        if (known != loads.end()) {
+            subtractTotal(target, known->second);
+            loads.erase(known);
+        }
+        if (load.requests <= 0)
+            continue;
+        addTotal(target, load);
+        loads.emplace(target, load);
     }
 }
 
@@ -103,7 +133,12 @@
 
 void LoadLedger::dropPeer(const std::string& instance)
 {
-    m_peers.erase(instance);
+    auto found = m_peers.find(instance);
+    if (found == m_peers.end())
+        return;
+    for (const auto& [target, load] : found->second)
+        subtractTotal(target, load);
+    m_peers.erase(found);
 }
 
 TargetLoad LoadLedger::own(const std::string& target) const
@@ -114,16 +149,8 @@
 
 TargetLoad LoadLedger::total(const std::string& target) const
 {
-    auto sum = own(target);
-    auto granted = m_forPeers.find(target);
-    if (granted != m_forPeers.end())
-        sum += granted->second;
-    for (const auto& [instance, loads] : m_peers) {
-        auto found = loads.find(target);
-        if (found != loads.end())
-            sum += found->second;
-    }
-    return sum;
+    auto found = m_total.find(target);
+    return found == m_total.end() ? TargetLoad {} : found->second;
 }
 
 }
--- a/src/dispatch/loadledger.h
+++ b/src/dispatch/loadledger.h
@@ -40,13 +40,17 @@
     };
 
     static TargetLoad loadOf(const Work&);
-    void add(const Work&, int sign);
+    void add(const Work&);
+    void subtract(const Work&);
+    void addTotal(const std::string& target, const TargetLoad&);
+    void subtractTotal(const std::string& target, const TargetLoad&);
 
     std::unordered_map<WorkId, Work> m_works;
     TargetLoads m_own;
-    TargetLoads m_forPeers;
     std::set<std::string> m_changed;
     std::map<std::string, TargetLoads> m_peers;
+    /// Sum over this instance, work for peers, and peers; kept up to date since it is read most.
+    TargetLoads m_total;
 };
 
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -75,6 +75,7 @@
     OutputEstimator m_outputs;
     RelayMetrics m_metrics;
     RelayContext m_context;
+    MoveServer m_moveServer;
     HandoverService m_handovers;
     Registration m_registration;
     RequestHandler m_handler;
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -15,6 +15,8 @@
     /// Peers over TCP and UDP.
     Endpoint peers;
     Endpoint store;
+    /// Processor time that this instance may use, in thousandths of a core.
+    int capacity = 1000;
     /// Time from SIGTERM to the end that the host allows.
     Milliseconds stopLimit { 8000 };
     /// A key that was taken away must not work for longer than this.
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -39,7 +39,7 @@
     , m_platform(std::move(platform))
     , m_random(randomFromSystem())
     , m_gate(m_settings.keyLifetimeAfterRevocation - revocationMargin)
-    , m_fleet(m_settings.instance)
+    , m_fleet(m_settings.instance, m_settings.capacity)
     , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerSource())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
@@ -47,8 +47,9 @@
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
     , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
-    , m_handovers(m_io, m_dispatcher, m_streams, m_gate, m_directory, m_platform.operations, m_metrics, m_settings.instance)
-    , m_registration(m_platform.keyValue, m_platform.vocabulary.instancePrefix, { .name = m_settings.instance, .peers = m_settings.peers, .failureDomain = m_settings.failureDomain }, unixMilliseconds())
+    , m_moveServer(m_settings.instance, m_dispatcher, m_gate, m_link)
+    , m_handovers({ .io = m_io, .instance = m_settings.instance, .placement = m_placement, .turns = m_moveServer, .link = m_link, .streams = m_streams, .gate = m_gate, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
+    , m_registration(m_platform.keyValue, m_platform.vocabulary.instancePrefix, { .name = m_settings.instance, .peers = m_settings.peers, .failureDomain = m_settings.failureDomain, .capacity = m_settings.capacity }, unixMilliseconds())
     , m_handler(m_context)
     , m_feed(m_replica)
     , m_callers(m_io, limitsFor({}), [this](HttpExchange& exchange) { return m_handler.handle(exchange); })
@@ -62,6 +63,7 @@
         m_dispatcher.outcomes().forget(left.entry.id);
         m_handovers.onTargetLeft(left);
     });
+    m_moveServer.onOwnAnswer([this](const MoveAnswer& answer) { m_handovers.onAnswer(answer); });
     m_link.onMessage([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.onContact([this](bool reachable) {
         if (reachable)
@@ -192,6 +194,9 @@
                    [&](const PlacementAsk& each) { m_placementServer.onAsk(each); },
                    [&](const PlacementAnswer& each) { m_placement.onAnswer(each); },
                    [&](const PlacementEnded& each) { m_placementServer.onEnded(each); },
+                   [&](const MoveAsk& each) { m_moveServer.onAsk(each); },
+                   [&](const MoveAnswer& each) { m_handovers.onAnswer(each); },
+                   [&](const MoveEnded& each) { m_moveServer.onEnded(each); },
                },
         message);
 }
@@ -214,6 +219,7 @@
     while (true) {
         m_directory.onTick(Clock::now());
         m_placementServer.onTick(Clock::now());
+        m_moveServer.onTick(Clock::now());
         m_gate.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -14,6 +14,8 @@
     std::string name;
     Endpoint peers;
     std::string failureDomain;
+    /// Processor time that it may use, in thousandths of a core.
+    int capacity = 0;
 
     friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -10,8 +10,10 @@
 /// Which instances exist, and what each last said of its load.
 class FleetView {
 public:
-    explicit FleetView(std::string self)
+    /// `capacity` is this instance's processor time in thousandths of a core.
+    FleetView(std::string self, int capacity)
         : m_self(std::move(self))
+        , m_capacity(capacity)
     {
     }
 
@@ -36,7 +38,8 @@
     /// True if this instance is among the few of its failure domain that read the shared store themselves.
     bool readsStore(const std::string& ownDomain, TimePoint now) const;
 
-    /// The instance that decides for a service's pool, this one included; those in `avoided` are passed over.
+    /// The instance that decides for a service's pool, this one included: one of those with most
+    /// processor time, found by hashing. Those in `avoided` are passed over.
     std::string ownerOf(const std::string& service, const std::set<std::string>& avoided, TimePoint now) const;
 
     const InstanceRecord* find(const std::string& name) const;
@@ -48,6 +51,7 @@
     };
 
     std::string m_self;
+    int m_capacity = 0;
     std::map<std::string, InstanceRecord> m_registered;
     std::map<std::string, Heard> m_heard;
 };
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -19,7 +19,7 @@
 
 std::string encodeInstanceRecord(const InstanceRecord& record)
 {
-    return toBytes(json::array({ record.name, toString(record.peers), record.failureDomain }));
+    return toBytes(json::array({ record.name, toString(record.peers), record.failureDomain, record.capacity }));
 }
 
 std::optional<InstanceRecord> decodeInstanceRecord(const std::string& bytes)
@@ -29,7 +29,12 @@
         auto peers = parseEndpoint(fields.at(1).get<std::string>());
         if (!peers)
             return std::nullopt;
-        return InstanceRecord { .name = fields.at(0), .peers = *peers, .failureDomain = fields.at(2) };
+        InstanceRecord record;
+        record.name = fields.at(0).get<std::string>();
+        record.peers = *peers;
+        record.failureDomain = fields.at(2).get<std::string>();
+        record.capacity = fields.at(3).get<int>();
+        return record;
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -85,9 +85,9 @@
 {
     auto key = "pool/" + service;
     std::string owner = m_self;
-    auto best = rendezvousWeight(m_self, key);
+    auto best = std::pair(m_capacity, rendezvousWeight(m_self, key));
     for (const auto& peer : reachablePeers(now)) {
-        auto weight = rendezvousWeight(peer.name, key);
+        auto weight = std::pair(peer.capacity, rendezvousWeight(peer.name, key));
         if (weight <= best || avoided.count(peer.name) > 0)
             continue;
         best = weight;
--- /dev/null
+++ b/src/handover/internal/moveserver.cpp
@@ -0,0 +1,90 @@
+#include "handover/moveserver.h"
+
+namespace guavaspan {
+
+MoveServer::MoveServer(std::string instance, Dispatcher& dispatcher, ConfigurationGate& gate, FleetLink& link)
+    : m_instance(std::move(instance))
+    , m_dispatcher(dispatcher)
+    , m_gate(gate)
+    , m_link(link)
+{
+}
+
+std::string MoveServer::keyOf(const std::string& asker, std::int64_t life, WorkId id)
+{
+    return asker + "/" + std::to_string(life) + "/" + std::to_string(id);
+}
+
+std::optional<std::string> MoveServer::chooseDestination(const MoveRequest& request, const std::set<std::string>& excluded)
+{
+    const auto& ask = m_known.at(request.key).ask;
+    auto table = m_gate.table();
+    const auto* service = table ? table->service(ask.service) : nullptr;
+    if (!service || !service->engine)
+        return std::nullopt;
+    TargetEntry source { .id = ask.source, .service = ask.service, .failureDomain = ask.sourceDomain };
+    WorkEstimate estimate { .promptTokens = ask.tokensHeld, .outputTokens = ask.remainingTokens };
+    return m_dispatcher.chooseDestination(source, *service->engine, estimate, excluded);
+}
+
+void MoveServer::answer(const MoveAsk& ask, const std::string& destination)
+{
+    MoveAnswer answer { .owner = m_instance, .id = ask.id, .destination = destination };
+    if (ask.asker == m_instance)
+        m_ownAnswer(answer);
+    else
+        m_link.send(ask.asker, answer);
+}
+
+void MoveServer::pump(TimePoint now)
+{
+    auto choose = [this](const MoveRequest& request, const std::set<std::string>& excluded) { return chooseDestination(request, excluded); };
+    for (const auto& turn : m_turns.grant(choose, now)) {
+        auto& known = m_known.at(turn.key);
+        known.reservation = m_dispatcher.nextId();
+        m_dispatcher.ledger().beginForPeer(known.reservation, turn.destination, { .promptTokens = known.ask.tokensHeld, .outputTokens = known.ask.remainingTokens });
+        answer(known.ask, turn.destination);
+    }
+}
+
+void MoveServer::onAsk(const MoveAsk& ask)
+{
+    auto now = Clock::now();
+    auto key = keyOf(ask.asker, ask.askerLife, ask.id);
+    if (const auto* turn = m_turns.turnOf(key)) {
+        // The answer was lost.
+        answer(ask, turn->destination);
+        return;
+    }
+    m_known.insert_or_assign(key, Known { .ask = ask });
+    m_turns.ask({ .key = key, .source = ask.source, .tokensHeld = ask.tokensHeld, .expectedRemainingTokens = ask.remainingTokens, .excluded = { ask.excluded.begin(), ask.excluded.end() } }, now);
+    pump(now);
+    if (!m_turns.turnOf(key))
+        answer(ask, {});
+}
+
+void MoveServer::finish(const std::string& key)
+{
+    m_turns.end(key);
+    auto found = m_known.find(key);
+    if (found == m_known.end())
+        return;
+    m_dispatcher.ledger().end(found->second.reservation);
+    m_known.erase(found);
+}
+
+void MoveServer::onEnded(const MoveEnded& ended)
+{
+    finish(keyOf(ended.asker, ended.askerLife, ended.id));
+    pump(Clock::now());
+}
+
+void MoveServer::onTick(TimePoint now)
+{
+    for (const auto& key : m_turns.expire(now))
+        finish(key);
+    pump(now);
+    std::erase_if(m_known, [&](const auto& each) { return !m_turns.knows(each.first); });
+}
+
+}
--- a/src/handover/itargetoperations.h
+++ b/src/handover/itargetoperations.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "handover/handoverplanner.h"
+#include "handover/handovertypes.h"
 #include "net/nettypes.h"
 
 namespace guavaspan {
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -56,18 +56,29 @@
 
 void PlacementClient::suspect(const std::string& owner)
 {
-    logEvent(LogLevel::Warning, "owner_unreachable", { { "owner", owner }, { "asks", std::int64_t(mostUnanswered) } });
+    logEvent(LogLevel::Warning, "owner_unreachable", { { "owner", owner } });
     m_suspectUntil[owner] = Clock::now() + suspicionTime;
 }
 
+std::string PlacementClient::ownerOf(const std::string& service)
+{
+    auto now = Clock::now();
+    return m_fleet.ownerOf(service, suspects(now), now);
+}
+
+void PlacementClient::moved(WorkId id, const std::string& target)
+{
+    m_dispatcher.moved(id, target);
+    reportLoads(false);
+}
+
 Awaitable<PlacementOutcome> PlacementClient::place(PlacementRequest request)
 {
     if (!request.engine)
         co_return co_await m_dispatcher.place(std::move(request));
     auto decider = PlacementDecider::Here;
     for (int tries = 0; tries < mostOwners; ++tries) {
-        auto now = Clock::now();
-        auto owner = m_fleet.ownerOf(request.service, suspects(now), now);
+        auto owner = ownerOf(request.service);
         if (owner == m_instance)
             break;
         auto outcome = co_await askOwner(owner, request);
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -15,6 +15,9 @@
         Ask,
         Answer,
         Ended,
+        MoveAsk,
+        MoveAnswer,
+        MoveEnded,
     };
 
     json fieldsOf(const InstanceLoads& report)
@@ -40,6 +43,21 @@
         return json::array({ ended.asker, ended.askerLife, ended.id });
     }
 
+    json fieldsOf(const MoveAsk& ask)
+    {
+        return json::array({ ask.asker, ask.askerLife, ask.id, ask.service, ask.source, ask.sourceDomain, ask.tokensHeld, ask.remainingTokens, ask.excluded });
+    }
+
+    json fieldsOf(const MoveAnswer& answer)
+    {
+        return json::array({ answer.owner, answer.id, answer.destination });
+    }
+
+    json fieldsOf(const MoveEnded& ended)
+    {
+        return json::array({ ended.asker, ended.askerLife, ended.id });
+    }
+
     // Values are assigned one by one: a throw amid an aggregate's initialisation destroys
     // members that this compiler (g++ 12) has not built yet.
 
@@ -85,15 +103,40 @@
         return answer;
     }
 
-    PlacementEnded endedFrom(const json& fields)
+    template <typename Ended>
+    Ended endedFrom(const json& fields)
     {
-        PlacementEnded ended;
+        Ended ended;
         ended.asker = fields.at(0).get<std::string>();
         ended.askerLife = fields.at(1).get<std::int64_t>();
         ended.id = fields.at(2).get<WorkId>();
         return ended;
     }
 
+    MoveAsk moveAskFrom(const json& fields)
+    {
+        MoveAsk ask;
+        ask.asker = fields.at(0).get<std::string>();
+        ask.askerLife = fields.at(1).get<std::int64_t>();
+        ask.id = fields.at(2).get<WorkId>();
+        ask.service = fields.at(3).get<std::string>();
+        ask.source = fields.at(4).get<std::string>();
+        ask.sourceDomain = fields.at(5).get<std::string>();
+        ask.tokensHeld = fields.at(6).get<int>();
+        ask.remainingTokens = fields.at(7).get<int>();
+        ask.excluded = fields.at(8).get<std::vector<std::string>>();
+        return ask;
+    }
+
+    MoveAnswer moveAnswerFrom(const json& fields)
+    {
+        MoveAnswer answer;
+        answer.owner = fields.at(0).get<std::string>();
+        answer.id = fields.at(1).get<WorkId>();
+        answer.destination = fields.at(2).get<std::string>();
+        return answer;
+    }
+
 }
 
 std::string encodeFleetMessage(const FleetMessage& message)
@@ -117,7 +160,13 @@
         case Kind::Answer:
             return answerFrom(fields);
         case Kind::Ended:
-            return endedFrom(fields);
+            return endedFrom<PlacementEnded>(fields);
+        case Kind::MoveAsk:
+            return moveAskFrom(fields);
+        case Kind::MoveAnswer:
+            return moveAnswerFrom(fields);
+        case Kind::MoveEnded:
+            return endedFrom<MoveEnded>(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -22,8 +22,19 @@
     /// The work is over, or never began.
     void ended(WorkId);
 
+    /// The work goes on at another target.
+    void moved(WorkId, const std::string& target);
+
     void onAnswer(const PlacementAnswer&);
 
+    /// The instance that decides for a service's pool now; this one if no other can be reached.
+    std::string ownerOf(const std::string& service);
+
+    /// An owner did not answer.
+    void suspect(const std::string& owner);
+
+    std::int64_t life() const { return m_life; }
+
     /// Tells peers what changed, or everything.
     void reportLoads(bool complete);
 
@@ -43,7 +54,6 @@
 
     Awaitable<std::optional<PlacementOutcome>> askOwner(const std::string& owner, const PlacementRequest&);
     std::optional<PlacementOutcome> settle(const std::string& owner, const PlacementRequest&, const PlacementAnswer&, TimePoint askedAt);
-    void suspect(const std::string& owner);
     std::set<std::string> suspects(TimePoint now);
 
     asio::io_context& m_io;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -53,8 +53,41 @@
     friend bool operator==(const PlacementEnded&, const PlacementEnded&) = default;
 };
 
+/// Asks the owner of a pool for a turn to move a generation out of a leaving engine.
+struct MoveAsk {
+    std::string asker;
+    std::int64_t askerLife = 0;
+    WorkId id = 0;
+    std::string service;
+    std::string source;
+    std::string sourceDomain;
+    int tokensHeld = 0;
+    int remainingTokens = 0;
+    std::vector<std::string> excluded;
+
+    friend bool operator==(const MoveAsk&, const MoveAsk&) = default;
+};
+
+/// The generation may move to this engine now; without one it waits for its turn.
+struct MoveAnswer {
+    std::string owner;
+    WorkId id = 0;
+    std::string destination;
+
+    friend bool operator==(const MoveAnswer&, const MoveAnswer&) = default;
+};
+
+/// The links are free again, or the move is not wanted any more.
+struct MoveEnded {
+    std::string asker;
+    std::int64_t askerLife = 0;
+    WorkId id = 0;
+
+    friend bool operator==(const MoveEnded&, const MoveEnded&) = default;
+};
+
 /// Everything that instances tell each other in datagrams.
-using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded>;
+using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded, MoveAsk, MoveAnswer, MoveEnded>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/relay/handoverservice.h
+++ b/src/relay/handoverservice.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "dispatch/dispatcher.h"
 #include "handover/itargetoperations.h"
+#include "handover/moveserver.h"
+#include "placement/placementclient.h"
 #include "relay/livestream.h"
-#include "routing/configurationgate.h"
 
 namespace guavaspan {
 
@@ -14,32 +14,42 @@
     virtual void onHandoverStep(HandoverPhase, HandoverResult) = 0;
 };
 
+/// What moving a generation needs of the rest of the instance.
+struct HandoverContext {
+    asio::io_context& io;
+    std::string instance;
+    PlacementClient& placement;
+    MoveServer& turns;
+    FleetLink& link;
+    LiveStreams& streams;
+    ConfigurationGate& gate;
+    TargetDirectory& directory;
+    ITargetOperations& operations;
+    IHandoverObserver& observer;
+};
+
 /// Moves this instance's generations out of engines that leave.
 class HandoverService {
 public:
-    HandoverService(asio::io_context&, Dispatcher&, LiveStreams&, ConfigurationGate&, TargetDirectory&, ITargetOperations&, IHandoverObserver&, std::string instance);
+    explicit HandoverService(HandoverContext);
 
     void onTargetLeft(const TargetLeft&);
+    void onAnswer(const MoveAnswer&);
 
 private:
-    Awaitable<> evacuate(TargetLeft, EngineTraits);
-    Awaitable<HandoverResult> perform(const HandoverStep&, const TargetLeft&, const EngineTraits&);
-    Awaitable<HandoverResult> copy(std::shared_ptr<LiveStream>, const TargetEntry& destination, const TargetLeft&);
-    Awaitable<HandoverResult> stop(std::shared_ptr<LiveStream>, const TargetEntry& destination, const TargetLeft&);
+    struct Move;
+    struct PendingTurn;
+
+    Awaitable<> moveOut(Move);
+    Awaitable<std::optional<std::string>> takeTurn(const Move&);
+    void endTurn(const Move&, const std::string& owner);
+    void send(const std::string& owner, const MoveAsk&);
+    Awaitable<bool> moveTo(Move&, const std::string& destination);
+    Awaitable<HandoverResult> call(const Move&, HandoverPhase, const TargetEntry& destination);
     Awaitable<> interruptIfSilent(std::shared_ptr<LiveStream>);
-    Clock::duration startDelay(const std::string& target, const EngineTraits&) const;
-
-    asio::io_context& m_io;
-    Dispatcher& m_dispatcher;
-    LiveStreams& m_streams;
-    ConfigurationGate& m_gate;
-    TargetDirectory& m_directory;
-    ITargetOperations& m_operations;
-    IHandoverObserver& m_observer;
-    std::string m_instance;
-};
 
-/// Time that an engine's link takes to copy so many tokens within its failure domain.
-Clock::duration copyTime(const EngineTraits&, double tokens);
+    HandoverContext m_context;
+    std::map<WorkId, std::shared_ptr<PendingTurn>> m_pending;
+};
 
 }
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -1,6 +1,5 @@
 #include "relay/handoverservice.h"
 
-#include "common/hash.h"
 #include "common/log.h"
 
 namespace guavaspan {
@@ -9,137 +8,194 @@
 
     /// Engines that announced their leave serve for seconds at most after it.
     constexpr auto longestEvacuation = Seconds(12);
-    /// Pause while nothing can be moved now.
-    constexpr auto idlePause = Milliseconds(15);
-    /// A copy that waits behind others on both links takes seconds at most.
-    constexpr auto callTimeout = Milliseconds(4000);
+    /// Pause before a generation that cannot move now is looked at again.
+    constexpr auto idlePause = Milliseconds(20);
+    /// An ask for a turn is repeated after this; it also tells that the turn is still wanted.
+    constexpr auto askInterval = Milliseconds(150);
+    /// Time without an answer after which this instance gives itself turns: most evacuations end before.
+    constexpr auto ownerSilence = Milliseconds(600);
+    /// A copy over free links takes a few hundred ms.
+    constexpr auto callTimeout = Milliseconds(3000);
     /// A stopped run's stream ends within a round trip; after this its connection is taken for silent.
     constexpr auto streamEndPatience = Milliseconds(250);
-
-    double tokensOf(const LiveStream& stream)
-    {
-        return stream.estimate().promptTokens + stream.outputTokens();
-    }
+    /// Generations with fewer tokens to go end before a move pays.
+    constexpr int tokensNotWorthMoving = 24;
+    /// Calls without an answer after which a generation is left where it is.
+    constexpr int mostUnknown = 4;
 
 }
 
-Clock::duration copyTime(const EngineTraits& engine, double tokens)
-{
-    if (engine.linkMegabitsPerSecond <= 0)
-        return {};
-    constexpr double bitsPerByte = 8;
-    constexpr double bitsPerMegabit = 1e6;
-    return fromSeconds(tokens * static_cast<double>(engine.bytesPerToken) * bitsPerByte / (engine.linkMegabitsPerSecond * bitsPerMegabit));
-}
+/// One generation on its way out.
+struct HandoverService::Move {
+    TargetLeft left;
+    std::shared_ptr<LiveStream> stream;
+    std::set<std::string> full;
+    int unknown = 0;
+
+    int tokensHeld() const { return stream->estimate().promptTokens + stream->outputTokens(); }
+    bool atSource() const { return stream->target().id == left.entry.id; }
+};
+
+struct HandoverService::PendingTurn {
+    explicit PendingTurn(asio::io_context& io)
+        : wakeUp(io)
+    {
+    }
+    asio::steady_timer wakeUp;
+    std::optional<MoveAnswer> answer;
+};
 
-HandoverService::HandoverService(asio::io_context& io, Dispatcher& dispatcher, LiveStreams& streams, ConfigurationGate& gate, TargetDirectory& directory, ITargetOperations& operations, IHandoverObserver& observer, std::string instance)
-    : m_io(io)
-    , m_dispatcher(dispatcher)
-    , m_streams(streams)
-    , m_gate(gate)
-    , m_directory(directory)
-    , m_operations(operations)
-    , m_observer(observer)
-    , m_instance(std::move(instance))
+HandoverService::HandoverService(HandoverContext context)
+    : m_context(std::move(context))
 {
 }
 
 void HandoverService::onTargetLeft(const TargetLeft& left)
 {
-    auto table = m_gate.table();
+    auto table = m_context.gate.table();
     const auto* service = table ? table->service(left.entry.service) : nullptr;
     bool movable = service && service->engine && service->engine->canMove && left.reason != LeaveReason::Restarted;
-    auto streams = m_streams.at(left.entry.id);
+    auto streams = m_context.streams.at(left.entry.id);
     logEvent(LogLevel::Info, "target_left", { { "target", left.entry.id }, { "service", left.entry.service }, { "reason", std::string(toString(left.reason)) }, { "streams", static_cast<std::int64_t>(streams.size()) }, { "movable", movable } });
-    if (movable && !streams.empty())
-        asio::co_spawn(m_io, evacuate(left, *service->engine), asio::detached);
+    if (!movable)
+        return;
+    for (auto& stream : streams)
+        asio::co_spawn(m_context.io, moveOut(Move { .left = left, .stream = std::move(stream) }), asio::detached);
 }
 
-/// Instances take turns at the engine's link in an order that all of them work out
-/// alike, each for the time that those before it need for their runs.
-Clock::duration HandoverService::startDelay(const std::string& target, const EngineTraits& engine) const
+Awaitable<> HandoverService::moveOut(Move move)
 {
-    auto own = rendezvousWeight(m_instance, target);
-    double tokensAhead = 0;
-    for (const auto& [instance, loads] : m_dispatcher.ledger().peers()) {
-        auto found = loads.find(target);
-        if (found != loads.end() && rendezvousWeight(instance, target) > own)
-            tokensAhead += found->second.tokens;
-    }
-    return copyTime(engine, tokensAhead);
-}
-
-Awaitable<> HandoverService::evacuate(TargetLeft left, EngineTraits engine)
-{
-    HandoverPlanner planner(left.at + startDelay(left.entry.id, engine));
-    auto until = left.at + longestEvacuation;
-    while (Clock::now() < until) {
-        auto streams = m_streams.at(left.entry.id);
-        if (streams.empty())
-            co_return;
-        std::vector<HandoverRun> runs;
-        for (const auto& stream : streams)
-            runs.push_back({ .id = stream->id(), .tokensHeld = static_cast<int>(tokensOf(*stream)), .expectedRemainingTokens = stream->expectedRemainingTokens(), .begun = stream->events() > 0 });
-        auto chooser = [&](const HandoverRun& run, const std::set<std::string>& excluded) -> std::optional<std::string> {
-            WorkEstimate estimate { .promptTokens = run.tokensHeld, .outputTokens = run.expectedRemainingTokens };
-            return m_dispatcher.chooseDestination(left.entry, engine, estimate, excluded);
-        };
-        auto step = planner.nextStep(runs, chooser, Clock::now());
-        if (!step) {
+    auto until = move.left.at + longestEvacuation;
+    while (Clock::now() < until && m_context.streams.find(move.stream->id()) && move.atSource()) {
+        bool movable = move.stream->events() > 0 && move.stream->expectedRemainingTokens() >= tokensNotWorthMoving;
+        if (!movable || move.stream->hasMove()) {
             co_await sleepFor(idlePause);
             continue;
         }
-        auto result = co_await perform(*step, left, engine);
-        m_observer.onHandoverStep(step->phase, result);
-        planner.onStepEnded(*step, result, Clock::now());
+        auto destination = co_await takeTurn(move);
+        if (!destination)
+            continue;
+        bool over = co_await moveTo(move, *destination);
+        auto owner = m_context.placement.ownerOf(move.left.entry.service);
+        endTurn(move, owner);
+        if (over)
+            co_return;
     }
 }
 
-Awaitable<HandoverResult> HandoverService::perform(const HandoverStep& step, const TargetLeft& left, const EngineTraits&)
+void HandoverService::send(const std::string& owner, const MoveAsk& ask)
 {
-    auto stream = m_streams.find(step.run);
-    const auto* destination = m_directory.find(step.destination);
-    if (!stream)
-        co_return HandoverResult::NoSuchRun;
-    if (!destination || !m_directory.isUsable(step.destination))
-        co_return HandoverResult::DestinationFull;
-    auto entry = *destination;
-    auto startedAt = Clock::now();
-    HandoverResult result {};
-    if (step.phase == HandoverPhase::Copy)
-        result = co_await copy(stream, entry, left);
+    if (owner == m_context.instance)
+        m_context.turns.onAsk(ask);
     else
-        result = co_await stop(stream, entry, left);
-    logEvent(LogLevel::Info, "handover_step", { { "request", stream->requestId() }, { "phase", std::string(toString(step.phase)) }, { "source", left.entry.id }, { "destination", step.destination }, { "result", std::string(toString(result)) }, { "tokens", static_cast<std::int64_t>(tokensOf(*stream)) }, { "since_leave_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - left.at).count() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt).count() } });
-    co_return result;
+        m_context.link.send(owner, ask);
 }
 
-Awaitable<HandoverResult> HandoverService::copy(std::shared_ptr<LiveStream> stream, const TargetEntry& destination, const TargetLeft& left)
+void HandoverService::endTurn(const Move& move, const std::string& owner)
 {
-    auto reservation = m_dispatcher.nextId();
-    m_dispatcher.reserve(reservation, destination.id, { .promptTokens = 0, .outputTokens = static_cast<int>(tokensOf(*stream)) });
-    CopyOptions options { .source = left.entry.endpoint, .requestId = stream->requestId(), .destination = destination.endpoint, .timeout = callTimeout };
-    auto answer = co_await m_operations.copyRun(options);
-    m_dispatcher.ended(reservation);
-    co_return answer.result;
+    MoveEnded ended { .asker = m_context.instance, .askerLife = m_context.placement.life(), .id = move.stream->id() };
+    m_context.turns.onEnded(ended);
+    if (owner != m_context.instance)
+        m_context.link.send(owner, ended);
+}
+
+/// Asks the pool's owner until it gives a turn. Nothing if the generation ended meanwhile.
+Awaitable<std::optional<std::string>> HandoverService::takeTurn(const Move& move)
+{
+    const auto& stream = *move.stream;
+    auto pending = std::make_shared<PendingTurn>(m_context.io);
+    m_pending.insert_or_assign(stream.id(), pending);
+    auto lastHeard = Clock::now();
+    std::optional<std::string> destination;
+    while (!destination && m_context.streams.find(stream.id()) && move.atSource()) {
+        auto owner = m_context.placement.ownerOf(move.left.entry.service);
+        MoveAsk ask { .asker = m_context.instance, .askerLife = m_context.placement.life(), .id = stream.id(), .service = move.left.entry.service, .source = move.left.entry.id, .sourceDomain = move.left.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { move.full.begin(), move.full.end() } };
+        pending->wakeUp.expires_after(askInterval);
+        // The answer may come before the send returns, where this instance is the owner.
+        send(owner, ask);
+        if (!pending->answer)
+            co_await pending->wakeUp.async_wait(asTuple);
+        auto answer = std::exchange(pending->answer, std::nullopt);
+        if (answer && !answer->destination.empty())
+            destination = answer->destination;
+        else if (answer)
+            lastHeard = Clock::now();
+        else if (lastHeard + ownerSilence < Clock::now() && owner != m_context.instance)
+            m_context.placement.suspect(owner);
+    }
+    m_pending.erase(stream.id());
+    co_return destination;
+}
+
+void HandoverService::onAnswer(const MoveAnswer& answer)
+{
+    auto found = m_pending.find(answer.id);
+    if (found == m_pending.end())
+        return;
+    found->second->answer = answer;
+    found->second->wakeUp.cancel();
 }
 
-Awaitable<HandoverResult> HandoverService::stop(std::shared_ptr<LiveStream> stream, const TargetEntry& destination, const TargetLeft& left)
+/// Copies and stops one generation. True if nothing more is to be done for it.
+Awaitable<bool> HandoverService::moveTo(Move& move, const std::string& destinationId)
 {
-    stream->beginStop();
-    CopyOptions options { .source = left.entry.endpoint, .requestId = stream->requestId(), .destination = destination.endpoint, .stop = true, .timeout = callTimeout };
-    auto answer = co_await m_operations.copyRun(options);
-    if (answer.handle.empty()) {
-        // Without an answer the run may have stopped; the call is made again, and the relay waits for its outcome.
-        if (answer.result != HandoverResult::Unknown)
-            stream->stopFailed();
-        co_return answer.result;
+    const auto* known = m_context.directory.find(destinationId);
+    if (!known || !m_context.directory.isUsable(destinationId)) {
+        move.full.insert(destinationId);
+        co_return false;
+    }
+    auto destination = *known;
+    auto phase = HandoverPhase::Copy;
+    while (m_context.streams.find(move.stream->id()) && move.unknown < mostUnknown) {
+        auto result = co_await call(move, phase, destination);
+        switch (result) {
+        case HandoverResult::Done:
+            if (phase == HandoverPhase::Stop)
+                co_return true;
+            phase = HandoverPhase::Stop;
+            break;
+        case HandoverResult::DestinationFull:
+            move.full.insert(destinationId);
+            co_return false;
+        case HandoverResult::NoSuchRun:
+        case HandoverResult::Busy:
+            co_await sleepFor(idlePause);
+            co_return false;
+        case HandoverResult::Unknown:
+            // Whether the run stopped is unknown; only a repeated call gives its handle.
+            ++move.unknown;
+            if (phase == HandoverPhase::Copy)
+                co_return false;
+            break;
+        }
+    }
+    move.stream->stopFailed();
+    co_return true;
+}
+
+Awaitable<HandoverResult> HandoverService::call(const Move& move, HandoverPhase phase, const TargetEntry& destination)
+{
+    auto& stream = *move.stream;
+    const auto& source = move.left.entry;
+    bool stops = phase == HandoverPhase::Stop;
+    auto startedAt = Clock::now();
+    if (stops)
+        stream.beginStop();
+    CopyOptions options { .source = source.endpoint, .requestId = stream.requestId(), .destination = destination.endpoint, .stop = stops, .timeout = callTimeout };
+    auto answer = co_await m_context.operations.copyRun(options);
+    bool stopped = stops && !answer.handle.empty();
+    if (stopped) {
+        Continuation continuation { .issuer = source.endpoint, .handle = answer.handle };
+        // A run that stopped without a copy goes on where it was, and may be moved again.
+        bool copied = answer.result == HandoverResult::Done;
+        stream.moveTo({ .destination = copied ? destination : source, .continuation = continuation, .source = source });
+        asio::co_spawn(m_context.io, interruptIfSilent(move.stream), asio::detached);
+    } else if (stops && answer.result != HandoverResult::Unknown) {
+        stream.stopFailed();
     }
-    Continuation continuation { .issuer = left.entry.endpoint, .handle = answer.handle };
-    bool copied = answer.result == HandoverResult::Done;
-    // A run that stopped without a copy goes on where it was, and may be moved again.
-    stream->moveTo({ .destination = copied ? destination : left.entry, .continuation = continuation, .source = left.entry });
-    asio::co_spawn(m_io, interruptIfSilent(stream), asio::detached);
+    auto now = Clock::now();
+    m_context.observer.onHandoverStep(phase, answer.result);
+    logEvent(LogLevel::Info, "handover_step", { { "request", stream.requestId() }, { "phase", std::string(toString(phase)) }, { "source", source.id }, { "destination", destination.id }, { "result", std::string(toString(answer.result)) }, { "detail", answer.detail }, { "tokens", static_cast<std::int64_t>(move.tokensHeld()) }, { "since_leave_ms", std::chrono::duration_cast<Milliseconds>(now - move.left.at).count() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(now - startedAt).count() } });
     co_return answer.result;
 }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -225,13 +225,13 @@
         logEvent(LogLevel::Info, "stream_moved", { { "request", session.request.caller.requestId }, { "source", move->source.id }, { "destination", target.id }, { "last_event", continuation.lastEventId }, { "accepted", accepted }, { "detail", session.result.detail }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - brokeAt).count() } });
     };
     session.stream->setTarget(move->destination);
-    m_context.dispatcher.moved(session.id, move->destination.id);
+    m_context.placement.moved(session.id, move->destination.id);
     bool accepted = co_await open(session, move->destination, continuation);
     log(move->destination, accepted);
     bool mayTrySource = !accepted && session.answer.notRun && move->destination.id != move->source.id && !session.request.watch.gone();
     if (mayTrySource) {
         session.stream->setTarget(move->source);
-        m_context.dispatcher.moved(session.id, move->source.id);
+        m_context.placement.moved(session.id, move->source.id);
         accepted = co_await open(session, move->source, continuation);
         log(move->source, accepted);
     }
