Test the cores of the entry service in tables of events

Cause: the new cores had no tests of their own. One of them found that a short generation was counted with 64 tokens more from its start; the growth is added only once it has outlived its estimate.

--- /dev/null
+++ b/src/common/tests/logqueue_test.cpp
@@ -0,0 +1,49 @@
+#include "common/logqueue.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+Test(LogQueue, readerThatNeverReads_boundsMemoryAndCountsDrops)
+{
+    LogQueue queue({ .maxQueuedBytes = 1000, .linesPerSecond = 1e9 });
+    for (int i = 0; i < 100; ++i) {
+        queue.push(std::string(50, 'x'));
+        queue.flush([](std::string_view) { return std::size_t(0); });
+    }
+    cr_expect(queue.queuedBytes() <= 1000);
+    cr_expect(queue.takeDropped() == 80);
+    cr_expect(queue.takeDropped() == 0);
+}
+
+Test(LogQueue, readerThatTakesPieces_getsEveryByteInOrder)
+{
+    LogQueue queue({});
+    queue.push("first\n");
+    queue.push("second\n");
+    std::string read;
+    for (int i = 0; i < 10; ++i) {
+        bool took = false;
+        queue.flush([&](std::string_view bytes) -> std::size_t {
+            if (took)
+                return 0;
+            took = true;
+            read += bytes.substr(0, 2);
+            return std::min<std::size_t>(2, bytes.size());
+        });
+    }
+    cr_expect(read == "first\nsecond\n");
+    cr_expect(queue.queuedBytes() == 0);
+}
+
+Test(LogQueue, eventAboveItsRate_isDroppedWithoutTouchingOthers)
+{
+    LogQueue queue({ .linesPerSecond = 10 });
+    TimePoint now { Seconds(5) };
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i)
+        admitted += queue.admit("noisy", now) ? 1 : 0;
+    cr_expect(admitted == 10);
+    cr_expect(queue.admit("quiet", now));
+    cr_expect(queue.admit("noisy", now + Seconds(1)));
+}
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -1,6 +1,5 @@
 #include "dispatch/loadledger.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace guavaspan {
@@ -15,8 +14,8 @@
 TargetLoad LoadLedger::loadOf(const Work& work)
 {
     int output = work.estimate.outputTokens;
-    if (output > 0)
-        output = std::max(output, work.outputTokens + growthBeyondEstimate);
+    if (output > 0 && work.outputTokens >= output)
+        output = work.outputTokens + growthBeyondEstimate;
     bool unread = work.outputTokens == 0;
     return { .requests = 1, .tokens = static_cast<double>(work.estimate.promptTokens + output), .unreadPromptTokens = unread ? static_cast<double>(work.estimate.promptTokens) : 0 };
 }
--- /dev/null
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -0,0 +1,275 @@
+#include "dispatch/outputestimator.h"
+#include "dispatch/retrybudget.h"
+#include "dispatch/targetselector.h"
+#include "dispatch/waitingline.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+/// Engines of one pool in two failure domains.
+struct SelectionFixture {
+    std::vector<TargetEntry> entries;
+    LoadLedger ledger;
+    OutcomeTracker outcomes;
+    std::optional<EngineTraits> engine = EngineTraits { .slots = 24, .memoryTokens = 20000 };
+    std::set<std::string> excluded;
+    TimePoint now { Seconds(50) };
+    Random random { 7 };
+    WorkId lastId = 0;
+
+    explicit SelectionFixture(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            entries.push_back({ .id = "engine-" + std::to_string(i), .service = "writer", .failureDomain = i % 2 == 0 ? "near" : "far", .slots = 6 });
+    }
+
+    std::optional<TargetChoice> select(WorkEstimate estimate)
+    {
+        std::vector<const TargetEntry*> candidates;
+        for (const auto& entry : entries)
+            candidates.push_back(&entry);
+        return selectTarget({ .candidates = candidates, .ledger = ledger, .outcomes = outcomes, .engine = engine, .ownDomain = "near", .excluded = excluded, .estimate = estimate, .now = now }, random);
+    }
+
+    /// Starts a generation where the selection says; false if no engine had room.
+    bool start(WorkEstimate estimate)
+    {
+        auto choice = select(estimate);
+        if (choice)
+            ledger.begin(++lastId, choice->target, estimate);
+        return choice.has_value();
+    }
+};
+
+struct LineFixture {
+    WaitingLine line;
+    TimePoint now { Seconds(50) };
+    WorkId lastId = 0;
+
+    WorkId push(const std::string& organisation, int priority = 1, int tokens = 1000, Milliseconds patience = Milliseconds(1000))
+    {
+        line.enqueue({ .id = ++lastId, .service = "writer", .organisation = organisation, .priority = priority, .estimate = { .promptTokens = tokens }, .arrivedAt = now, .latestStart = now + patience }, now);
+        now += Milliseconds(1);
+        return lastId;
+    }
+
+    WorkId take()
+    {
+        auto next = line.takeNext([](const WaitingRequest&) { return true; });
+        return next ? next->id : 0;
+    }
+};
+
+}
+
+Test(LoadLedger, progressBeyondTheEstimate_growsTheReservation)
+{
+    LoadLedger ledger;
+    ledger.begin(1, "a", { .promptTokens = 100, .outputTokens = 50 });
+    cr_expect(ledger.total("a") == TargetLoad({ .requests = 1, .tokens = 150, .unreadPromptTokens = 100 }));
+    ledger.produced(1, 40);
+    cr_expect(ledger.total("a").unreadPromptTokens == 0);
+    ledger.produced(1, 200);
+    cr_expect(ledger.total("a").tokens > 300);
+    ledger.moved(1, "b");
+    cr_expect(ledger.total("a") == TargetLoad {});
+    ledger.end(1);
+    cr_expect(ledger.total("b") == TargetLoad {});
+    cr_expect(ledger.ownLoads().empty());
+}
+
+Test(LoadLedger, reportsOfPeers_replaceWhatTheySaidBefore)
+{
+    LoadLedger ledger;
+    ledger.setPeer("p", { { "a", { .requests = 2, .tokens = 10 } }, { "b", { .requests = 1, .tokens = 5 } } });
+    ledger.updatePeer("p", { { "a", { .requests = 1, .tokens = 4 } }, { "b", {} } });
+    cr_expect(ledger.total("a").tokens == 4);
+    cr_expect(ledger.total("b").requests == 0);
+    ledger.setPeer("p", { { "c", { .requests = 1, .tokens = 1 } } });
+    cr_expect(ledger.total("a").requests == 0);
+    ledger.dropPeer("p");
+    cr_expect(ledger.total("c").requests == 0);
+}
+
+Test(LoadLedger, workGrantedToAPeer_countsHereAndIsNotReported)
+{
+    LoadLedger ledger;
+    ledger.beginForPeer(1, "a", { .promptTokens = 100 });
+    cr_expect(ledger.total("a").requests == 1);
+    cr_expect(ledger.ownLoads().empty());
+    cr_expect(ledger.takeChanged().empty());
+    ledger.end(1);
+    cr_expect(ledger.total("a").requests == 0);
+}
+
+Test(TargetSelector, burstOfGenerations_spreadsAndStopsBeforeMemoryIsFull)
+{
+    SelectionFixture f(4);
+    int started = 0;
+    while (f.start({ .promptTokens = 3000, .outputTokens = 900 }))
+        ++started;
+    cr_expect(started == 4 * 4, "each engine holds four of 3,900 tokens in 19,000, started %d", started);
+    for (const auto& entry : f.entries)
+        cr_expect(f.ledger.total(entry.id).requests == 4);
+}
+
+Test(TargetSelector, generationLargerThanAnEngine_runsAlone)
+{
+    SelectionFixture f(1);
+    cr_expect(f.start({ .promptTokens = 30000, .outputTokens = 10 }));
+    cr_expect(!f.start({ .promptTokens = 10, .outputTokens = 10 }));
+}
+
+Test(TargetSelector, failingTarget_isUsedOnlyWhereNoOtherIsLeft)
+{
+    SelectionFixture f(2);
+    f.engine.reset();
+    for (int i = 0; i < 6; ++i)
+        f.outcomes.onFailure("engine-0", f.now);
+    for (int i = 0; i < 5; ++i)
+        f.ledger.begin(static_cast<WorkId>(100 + i), "engine-1", {});
+    cr_expect(f.select({})->target == "engine-1");
+    f.excluded.insert("engine-1");
+    cr_expect(f.select({})->target == "engine-0");
+    f.excluded.clear();
+    f.now += Seconds(20);
+    cr_expect(f.select({})->target == "engine-0", "failures fade");
+}
+
+Test(TargetSelector, equalLoads_preferTheOwnFailureDomain)
+{
+    SelectionFixture f(2);
+    f.engine.reset();
+    cr_expect(f.select({})->target == "engine-0");
+}
+
+Test(OutcomeTracker, ordinaryErrorRate_doesNotConvict)
+{
+    OutcomeTracker outcomes;
+    TimePoint now { Seconds(1) };
+    for (int i = 0; i < 200; ++i) {
+        now += Milliseconds(30);
+        if (i % 7 == 0)
+            outcomes.onFailure("a", now);
+        else
+            outcomes.onSuccess("a", now);
+        cr_assert(!outcomes.isSuspect("a", now));
+    }
+}
+
+Test(OutcomeTracker, twoOfFiveFailing_isNoticedWithinASecond)
+{
+    OutcomeTracker outcomes;
+    TimePoint now { Seconds(1) };
+    for (int i = 0; i < 30; ++i) {
+        now += Milliseconds(33);
+        if (i % 5 < 2)
+            outcomes.onFailure("a", now);
+        else
+            outcomes.onSuccess("a", now);
+    }
+    cr_expect(outcomes.isSuspect("a", now));
+}
+
+Test(RetryBudget, partsOfAllInstances_stayBelowTheFleetsBound)
+{
+    const int instances = 6;
+    const int allowance = 52;
+    TimePoint now { Seconds(100) };
+    int spent = 0;
+    int requests = 0;
+    for (int instance = 0; instance < instances; ++instance) {
+        RetryBudget budget({ .ratio = 0.2, .fleetAllowance = allowance, .window = Milliseconds(10000) });
+        for (int i = 0; i < 50; ++i, ++requests)
+            budget.onRequest("writer", now);
+        while (budget.take("writer", instances, now))
+            ++spent;
+    }
+    cr_expect(spent > 0);
+    cr_expect(spent <= 0.2 * requests + allowance, "spent %d", spent);
+}
+
+Test(RetryBudget, repeatsOfThePastWindow_areForgotten)
+{
+    RetryBudget budget({ .ratio = 0, .fleetAllowance = 2, .window = Milliseconds(1000) });
+    TimePoint now { Seconds(100) };
+    cr_expect(budget.take("writer", 1, now));
+    cr_expect(!budget.take("writer", 1, now));
+    cr_expect(budget.take("writer", 1, now + Milliseconds(1001)));
+}
+
+Test(WaitingLine, urgentRequests_goFirstWhateverTheirArrival)
+{
+    LineFixture f;
+    auto late = f.push("a", 1);
+    auto urgent = f.push("a", 0);
+    cr_expect(f.take() == urgent);
+    cr_expect(f.take() == late);
+}
+
+Test(WaitingLine, floodOfOneOrganisation_doesNotKeepOthersWaiting)
+{
+    LineFixture f;
+    for (int i = 0; i < 20; ++i)
+        f.line.onStarted("flood", { .promptTokens = 1000 });
+    for (int i = 0; i < 20; ++i)
+        f.push("flood");
+    auto modest = f.push("modest");
+    cr_expect(f.take() == modest);
+}
+
+Test(WaitingLine, largeRequestAtTheFront_isNotPassedBySmallerOnes)
+{
+    LineFixture f;
+    f.push("a", 1, 9000);
+    f.push("a", 1, 10);
+    auto next = f.line.takeNext([](const WaitingRequest& request) { return request.estimate.promptTokens < 100; });
+    cr_expect(!next.has_value());
+}
+
+Test(WaitingLine, otherService_isNotHeldUp)
+{
+    LineFixture f;
+    f.push("a", 1, 9000);
+    f.line.enqueue({ .id = 77, .service = "other", .priority = 5, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
+    auto next = f.line.takeNext([](const WaitingRequest& request) { return request.service == "other"; });
+    cr_expect(next && next->id == 77);
+}
+
+Test(WaitingLine, waitKnownToBeTooLong_isRefusedAtOnce)
+{
+    LineFixture f;
+    for (int i = 0; i < 4; ++i)
+        f.line.onEnded("writer", "a", { .promptTokens = 1000 }, f.now);
+    for (int i = 0; i < 3; ++i)
+        f.push("a", 1, 1000, Seconds(10));
+    // 1,000 tokens a second are freed, and 3,000 wait ahead.
+    auto verdict = f.line.enqueue({ .id = 50, .service = "writer", .organisation = "a", .priority = 1, .estimate = { .promptTokens = 10 }, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
+    cr_expect(!verdict.accepted);
+    cr_expect(verdict.expectedWait > Seconds(2));
+}
+
+Test(WaitingLine, latestStartPassed_leavesTheLine)
+{
+    LineFixture f;
+    f.push("a", 1, 10, Milliseconds(50));
+    f.push("a", 1, 10, Milliseconds(500));
+    auto expired = f.line.takeExpired(f.now + Milliseconds(100));
+    cr_expect(expired.size() == 1);
+    cr_expect(f.line.size() == 1);
+}
+
+Test(OutputEstimator, historyOfARoute_replacesHalfTheBound)
+{
+    OutputEstimator outputs;
+    cr_expect(outputs.expect("r", std::nullopt, 2000) > 1000);
+    for (int i = 0; i < 50; ++i)
+        outputs.observe("r", 100);
+    auto expected = outputs.expect("r", std::nullopt, 2000);
+    cr_expect(expected >= 100 && expected <= 150, "expected %d", expected);
+    cr_expect(outputs.expect("r", 800, 2000) > expected, "a guess moves it");
+    cr_expect(outputs.expect("r", std::nullopt, 40) <= 40, "the caller's bound holds");
+}
--- /dev/null
+++ b/src/fleet/tests/fleet_test.cpp
@@ -0,0 +1,142 @@
+#include "fleet/fleetview.h"
+#include "fleet/storereplica.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+const BootTime start { Seconds(500) };
+using Heard = std::pair<std::string, std::string>;
+
+struct ReplicaFixture {
+    StoreReplica replica;
+    std::vector<Heard> heard;
+
+    ReplicaFixture()
+    {
+        replica.onChange([this](const std::string& key, const std::optional<std::string>& value) { heard.emplace_back(key, value.value_or("removed")); });
+        replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "1", .version = 6 } }, .revision = 6 }, start);
+    }
+
+    StoreChanges changes(std::int64_t revision, std::vector<StoreChange> list) { return { .changes = std::move(list), .revision = revision }; }
+};
+
+InstanceLoads reportOf(const std::string& name, std::int64_t sequence)
+{
+    return { .instance = name, .sequence = sequence };
+}
+
+}
+
+Test(StoreReplica, listing_tellsEachEntryOnce)
+{
+    ReplicaFixture f;
+    cr_expect(f.heard.size() == 2);
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "2", .version = 8 } }, .revision = 8 }, start + Seconds(1));
+    cr_assert(f.heard.size() == 3);
+    cr_expect(f.heard[2] == Heard("b", "2"));
+}
+
+Test(StoreReplica, entryMissingFromANewerListing_wasRemoved)
+{
+    ReplicaFixture f;
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 } }, .revision = 9 }, start);
+    cr_expect(f.heard.back() == Heard("b", "removed"));
+}
+
+Test(StoreReplica, changeOfAnOlderRevision_takesNothingBack)
+{
+    ReplicaFixture f;
+    f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "new", .revision = 8 } }), start);
+    f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "old", .revision = 7 }, { .key = "a", .revision = 6 } }), start);
+    cr_expect(f.heard.back() == Heard("a", "new"));
+    f.replica.applyListing({ .revision = 7 }, start);
+    cr_expect(f.replica.revision() == 8);
+    cr_expect(f.heard.back().second == "new", "an older listing is ignored");
+}
+
+Test(StoreReplica, follower_getsWhatItMissedOrIsToldToListAnew)
+{
+    ReplicaFixture f;
+    f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "2", .revision = 8 } }), start + Seconds(2));
+    auto missed = f.replica.changesAfter(6, start + Seconds(3));
+    cr_expect(!missed.historyLost);
+    cr_assert(missed.changes.size() == 1);
+    cr_expect(missed.age == Seconds(1));
+    cr_expect(f.replica.changesAfter(3, start).historyLost, "before this copy began");
+    cr_expect(f.replica.changesAfter(12, start).historyLost, "the follower is ahead");
+}
+
+Test(StoreReplica, confirmation_neverGoesBack)
+{
+    ReplicaFixture f;
+    f.replica.applyChanges(f.changes(7, {}), start + Seconds(4));
+    f.replica.applyChanges(f.changes(7, {}), start + Seconds(2));
+    cr_expect(f.replica.confirmedAt() == start + Seconds(4));
+}
+
+Test(FleetView, silentPeer_isNoOwnerAndIsToldOnce)
+{
+    FleetView fleet("self", 100);
+    TimePoint now { Seconds(10) };
+    fleet.onRegistered("k1", { .name = "strong", .capacity = 500 });
+    cr_expect(fleet.ownerOf("writer", {}, now) == "self", "never heard of");
+    fleet.onReport(reportOf("strong", 1), now);
+    cr_expect(fleet.ownerOf("writer", {}, now) == "strong");
+    cr_expect(fleet.ownerOf("writer", { "strong" }, now) == "self");
+    now += Seconds(2);
+    cr_expect(fleet.ownerOf("writer", {}, now) == "self");
+    cr_expect(fleet.takeSilent(now).size() == 1);
+    cr_expect(fleet.takeSilent(now).empty());
+}
+
+Test(FleetView, allInstances_nameTheSameOwner)
+{
+    std::vector<std::string> names { "a", "b", "c", "d" };
+    TimePoint now { Seconds(10) };
+    std::set<std::string> owners;
+    for (const auto& self : names) {
+        FleetView fleet(self, 250);
+        for (const auto& name : names) {
+            fleet.onRegistered(name, { .name = name, .capacity = 250 });
+            fleet.onReport(reportOf(name, 1), now);
+        }
+        owners.insert(fleet.ownerOf("writer", {}, now));
+    }
+    cr_expect(owners.size() == 1);
+}
+
+Test(FleetView, reportsOutOfOrder_areIgnored)
+{
+    FleetView fleet("self", 100);
+    TimePoint now { Seconds(10) };
+    cr_expect(fleet.onReport(reportOf("p", 5), now));
+    cr_expect(!fleet.onReport(reportOf("p", 4), now));
+    cr_expect(!fleet.onReport(reportOf("self", 9), now));
+}
+
+Test(FleetView, storeReaders_areTwoOfEachDomain)
+{
+    std::vector<std::string> names { "a", "b", "c", "d", "e" };
+    TimePoint now { Seconds(10) };
+    int readers = 0;
+    for (const auto& self : names) {
+        FleetView fleet(self, 250);
+        for (const auto& name : names) {
+            fleet.onRegistered(name, { .name = name, .failureDomain = "north" });
+            fleet.onReport(reportOf(name, 1), now);
+        }
+        readers += fleet.readsStore("north", now) ? 1 : 0;
+    }
+    cr_expect(readers == 2);
+}
+
+Test(InstanceRecord, codec_roundTripsAndRejectsGarbage)
+{
+    InstanceRecord record { .name = "n", .peers = { .address = "10.0.0.1", .port = 7200 }, .failureDomain = "d", .capacity = 250 };
+    cr_expect(decodeInstanceRecord(encodeInstanceRecord(record)) == record);
+    cr_expect(!decodeInstanceRecord("not cbor").has_value());
+    cr_expect(!decodeInstanceRecord("").has_value());
+}
--- /dev/null
+++ b/src/handover/tests/moveturns_test.cpp
@@ -0,0 +1,101 @@
+#include "handover/moveturns.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+struct TurnsFixture {
+    MoveTurns turns;
+    TimePoint now { Seconds(10) };
+    std::vector<std::string> destinations { "d1", "d2", "d3" };
+
+    void ask(const std::string& key, const std::string& source, int remaining, std::set<std::string> excluded = {})
+    {
+        turns.ask({ .key = key, .source = source, .tokensHeld = 3000, .expectedRemainingTokens = remaining, .excluded = std::move(excluded) }, now);
+    }
+
+    std::vector<MoveTurn> grant()
+    {
+        auto choose = [this](const MoveRequest&, const std::set<std::string>& excluded) -> std::optional<std::string> {
+            for (const auto& destination : destinations) {
+                if (excluded.count(destination) == 0)
+                    return destination;
+            }
+            return std::nullopt;
+        };
+        return turns.grant(choose, now);
+    }
+};
+
+}
+
+Test(MoveTurns, severalGenerationsOfOneEngine_moveOneAfterTheOtherLongestFirst)
+{
+    TurnsFixture f;
+    f.ask("short", "s1", 100);
+    f.ask("long", "s1", 900);
+    auto first = f.grant();
+    cr_assert(first.size() == 1);
+    cr_expect(first[0].key == "long");
+    cr_expect(f.grant().empty(), "the engine's link is busy");
+    f.turns.end("long");
+    auto second = f.grant();
+    cr_assert(second.size() == 1);
+    cr_expect(second[0].key == "short");
+}
+
+Test(MoveTurns, enginesLeavingTogether_useDifferentDestinations)
+{
+    TurnsFixture f;
+    f.ask("a", "s1", 100);
+    f.ask("b", "s2", 100);
+    auto turns = f.grant();
+    cr_assert(turns.size() == 2);
+    cr_expect(turns[0].destination != turns[1].destination);
+}
+
+Test(MoveTurns, destinationThatRefused_isNotChosenAgain)
+{
+    TurnsFixture f;
+    f.ask("a", "s1", 100, { "d1", "d2" });
+    auto turns = f.grant();
+    cr_assert(turns.size() == 1);
+    cr_expect(turns[0].destination == "d3");
+}
+
+Test(MoveTurns, noDestinationLeft_waitsUntilOneIsFree)
+{
+    TurnsFixture f;
+    f.destinations = { "d1" };
+    f.ask("a", "s1", 200);
+    f.ask("b", "s2", 100);
+    cr_expect(f.grant().size() == 1);
+    cr_expect(f.turns.waiting() == 1);
+    f.turns.end("a");
+    cr_expect(f.grant().size() == 1);
+}
+
+Test(MoveTurns, holderThatDied_losesItsTurn)
+{
+    TurnsFixture f;
+    f.ask("a", "s1", 200);
+    f.grant();
+    f.now += Seconds(2);
+    auto ended = f.turns.expire(f.now);
+    cr_assert(ended.size() == 1);
+    cr_expect(ended[0] == "a");
+    f.ask("b", "s1", 100);
+    cr_expect(f.grant().size() == 1);
+}
+
+Test(MoveTurns, askThatIsNotRepeated_isForgotten)
+{
+    TurnsFixture f;
+    f.destinations.clear();
+    f.ask("a", "s1", 200);
+    f.now += Seconds(1);
+    f.turns.expire(f.now);
+    cr_expect(f.turns.waiting() == 0);
+}
--- /dev/null
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -0,0 +1,39 @@
+#include "placement/placementmessages.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+template <typename Message>
+bool survives(const Message& message)
+{
+    auto decoded = decodeFleetMessage(encodeFleetMessage(message));
+    return decoded && std::holds_alternative<Message>(*decoded) && std::get<Message>(*decoded) == message;
+}
+
+}
+
+Test(FleetMessage, everyKind_survivesTheCodec)
+{
+    cr_expect(survives(InstanceLoads { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .unreadPromptTokens = 3 } } }, .grantsTaken = { { "o", 9 } } }));
+    cr_expect(survives(PlacementAsk { .asker = "n", .askerLife = 5, .id = ~0ULL, .service = "s", .organisation = "c", .priority = 2, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .patience = Milliseconds(90) }));
+    cr_expect(survives(PlacementAnswer { .owner = "o", .id = 3, .kind = PlacementAnswerKind::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .retryAfter = Milliseconds(70) }));
+    cr_expect(survives(PlacementEnded { .asker = "n", .askerLife = 5, .id = 6 }));
+    cr_expect(survives(MoveAsk { .asker = "n", .askerLife = 5, .id = 6, .service = "s", .source = "a", .sourceDomain = "d", .tokensHeld = 10, .remainingTokens = 11, .excluded = { "x" } }));
+    cr_expect(survives(MoveAnswer { .owner = "o", .id = 6, .destination = "b" }));
+    cr_expect(survives(MoveEnded { .asker = "n", .askerLife = 5, .id = 6 }));
+}
+
+Test(FleetMessage, garbage_isNoMessage)
+{
+    auto valid = encodeFleetMessage(PlacementEnded { .asker = "n", .askerLife = 5, .id = 6 });
+    for (std::size_t size = 0; size < valid.size(); ++size)
+        cr_expect(!decodeFleetMessage(valid.substr(0, size)).has_value());
+    for (std::size_t at = 0; at < valid.size(); ++at) {
+        auto damaged = valid;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x55);
+        decodeFleetMessage(damaged);
+    }
+}
--- /dev/null
+++ b/src/relay/tests/eventframes_test.cpp
@@ -0,0 +1,33 @@
+#include "relay/eventframes.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+Test(EventFrames, bytesInAnyPieces_giveTheSameWholeEvents)
+{
+    const std::string stream = "weights: 3\nid: 1\ndata: a b\n\nid:2\r\ndata: c\r\n\r\ndata: no id\n\n";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventFrames frames;
+        for (std::size_t at = 0; at < stream.size(); at += size)
+            frames.feed(std::string_view(stream).substr(at, size));
+        std::string bytes;
+        std::string ids;
+        while (auto frame = frames.next()) {
+            bytes += frame->bytes;
+            ids += frame->id + ",";
+        }
+        cr_assert(bytes == stream);
+        cr_assert(ids == "1,2,,");
+        cr_assert(!frames.hasPartialFrame());
+    }
+}
+
+Test(EventFrames, streamCutInAnEvent_keepsThePartBack)
+{
+    EventFrames frames;
+    frames.feed("id: 1\ndata: a\n\nid: 2\ndata: hal");
+    cr_expect(frames.next()->id == "1");
+    cr_expect(!frames.next().has_value());
+    cr_expect(frames.hasPartialFrame());
+}
