Follow the store and a peer side by side, and only peers that read the store

An owner's own ask for a turn was answered with 'wait' at once and asked again without a pause: the owner spun, its peers went silent. Change: readers of the store are found by hashing and followed, own domain first; a copy older than 1.5 s looks elsewhere; the two loops are independent; only changes beyond the copy's revision are applied. A waiting ask always waits for its timer.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -35,6 +35,9 @@
     /// Instances that share a budget: all registered ones, this one included.
     int instances() const { return static_cast<int>(peers().size()) + 1; }
 
+    /// Peers that read the shared store themselves, those of the own failure domain first.
+    std::vector<InstanceRecord> storeReaders(const std::string& ownDomain, TimePoint now) const;
+
     /// True if this instance is among the few of its failure domain that read the shared store themselves.
     bool readsStore(const std::string& ownDomain, TimePoint now) const;
 
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -81,6 +81,24 @@
     return ahead < storeReadersPerDomain;
 }
 
+std::vector<InstanceRecord> FleetView::storeReaders(const std::string& ownDomain, TimePoint now) const
+{
+    std::map<std::string, std::vector<InstanceRecord>> byDomain;
+    for (auto& peer : reachablePeers(now))
+        byDomain[peer.failureDomain].push_back(std::move(peer));
+    std::vector<InstanceRecord> own;
+    std::vector<InstanceRecord> others;
+    for (auto& [domain, members] : byDomain) {
+        auto key = "store-reader/" + domain;
+        std::sort(members.begin(), members.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return rendezvousWeight(left.name, key) > rendezvousWeight(right.name, key); });
+        members.resize(std::min<std::size_t>(members.size(), storeReadersPerDomain));
+        auto& readers = domain == ownDomain ? own : others;
+        readers.insert(readers.end(), members.begin(), members.end());
+    }
+    own.insert(own.end(), others.begin(), others.end());
+    return own;
+}
+
 std::string FleetView::ownerOf(const std::string& service, const std::set<std::string>& avoided, TimePoint now) const
 {
     auto key = "pool/" + service;
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -35,14 +35,16 @@
 {
 }
 
-bool StoreFollower::shouldReadStore() const
+bool StoreFollower::stale() const
 {
-    auto now = Clock::now();
-    if (now < m_storeRetryAt)
-        return false;
-    if (!m_replica.loaded() || m_fleet.instances() <= m_options.directReaders)
+    return m_replica.age(BootClock::now()) > m_options.staleAge;
+}
+
+bool StoreFollower::readsStore() const
+{
+    if (!m_replica.loaded() || m_fleet.instances() <= m_options.directReaders || stale())
         return true;
-    return m_fleet.readsStore(m_options.failureDomain, now);
+    return m_fleet.readsStore(m_options.failureDomain, Clock::now());
 }
 
 void StoreFollower::setContact(bool reachable)
@@ -56,77 +58,83 @@
         m_contact(reachable);
 }
 
-Awaitable<bool> StoreFollower::updateFrom(IWatchedStore& source)
+Awaitable<StoreFollower::Update> StoreFollower::updateFrom(IWatchedStore& source, bool listAnew)
 {
     auto askedAt = BootClock::now();
     std::string everything;
-    if (!m_replica.loaded() || m_listAnew) {
+    if (!m_replica.loaded() || listAnew) {
         auto listing = co_await source.listAll(everything);
-        if (!listing)
-            co_return false;
-        // A peer that lags behind this copy has nothing to give.
-        if (m_replica.loaded() && listing->revision < m_replica.revision())
-            co_return false;
+        // A source that lags behind this copy has nothing to give.
+        if (!listing || (m_replica.loaded() && listing->revision < m_replica.revision()))
+            co_return Update::Failed;
         // The entries were current at some moment after the call was sent, less what the source says.
         m_replica.applyListing(*listing, askedAt - listing->age);
-        m_listAnew = false;
-        co_return true;
+        co_return Update::Current;
     }
     auto changes = co_await source.watch(everything, m_replica.revision(), m_options.watchWait);
     if (!changes)
-        co_return false;
-    if (changes->historyLost) {
-        m_listAnew = true;
-        co_return true;
-    }
+        co_return Update::Failed;
+    if (changes->historyLost)
+        co_return Update::HistoryLost;
     m_replica.applyChanges(*changes, askedAt - changes->age);
-    co_return true;
+    co_return Update::Current;
 }
 
-Awaitable<bool> StoreFollower::updateFromStore()
+Awaitable<> StoreFollower::updateFromStore()
 {
     ++m_storeCalls;
-    bool listsAnew = m_listAnew || !m_replica.loaded();
-    bool updated = co_await updateFrom(m_store);
-    if (updated) {
-        m_source = StoreSource::Store;
-        setContact(true);
-        co_return true;
-    }
+    auto update = co_await updateFrom(m_store, m_listAnew);
     // A listing that fails leaves the wish to list; a watch that fails tells nothing of the history.
-    m_listAnew = listsAnew;
-    setContact(false);
-    m_storeRetryAt = Clock::now() + storeRetryPause;
-    co_return false;
+    if (update != Update::Failed)
+        m_listAnew = update == Update::HistoryLost;
+    setContact(update != Update::Failed);
+    if (update == Update::Failed)
+        m_storeRetryAt = Clock::now() + storeRetryPause;
+    else
+        m_source = StoreSource::Store;
 }
 
+/// Gives true if the peer brought the copy up to date.
 Awaitable<bool> StoreFollower::updateFromPeer()
 {
-    auto peers = m_fleet.reachablePeers(Clock::now());
+    auto peers = m_fleet.storeReaders(m_options.failureDomain, Clock::now());
     if (peers.empty())
         peers = m_fleet.peers();
     if (peers.empty())
         co_return false;
-    auto source = m_peerSource(peers[m_nextPeer++ % peers.size()]);
-    bool listAnew = m_listAnew;
-    bool updated = co_await updateFrom(*source);
-    if (!updated) {
-        m_listAnew = listAnew;
+    auto source = m_peerSource(peers[m_nextPeer % peers.size()]);
+    auto update = co_await updateFrom(*source, m_listAnewFromPeer);
+    m_listAnewFromPeer = update == Update::HistoryLost;
+    if (update == Update::Failed || stale()) {
+        // Another reader may still reach the store.
+        ++m_nextPeer;
         co_return false;
     }
-    --m_nextPeer;
     m_source = StoreSource::Peer;
     co_return true;
 }
 
-Awaitable<> StoreFollower::run()
+Awaitable<> StoreFollower::followStore()
+{
+    while (true) {
+        auto startedAt = Clock::now();
+        if (startedAt >= m_storeRetryAt && readsStore())
+            co_await updateFromStore();
+        auto next = startedAt + m_options.callInterval;
+        if (Clock::now() < next)
+            co_await sleepFor(next - Clock::now());
+    }
+}
+
+Awaitable<> StoreFollower::followPeers()
 {
     while (true) {
         auto startedAt = Clock::now();
-        bool updated = shouldReadStore() ? co_await updateFromStore() : co_await updateFromPeer();
+        bool needed = m_replica.loaded() ? (!readsStore() || stale() || !m_reachable) : !m_reachable;
+        bool updated = needed && co_await updateFromPeer();
         auto next = startedAt + m_options.callInterval;
-        if (!updated)
-            next = std::max(next, Clock::now() + failurePause);
+        if (needed && !updated)
+            next = std::max<TimePoint>(next, Clock::now() + failurePause);
         if (Clock::now() < next)
             co_await sleepFor(next - Clock::now());
     }
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -66,11 +66,15 @@
 
 void StoreReplica::applyChanges(const StoreChanges& changes, BootTime knownAt)
 {
-    if (!m_loaded || changes.historyLost)
+    // An answer that was under way while a newer one came from elsewhere tells nothing new.
+    if (!m_loaded || changes.historyLost || changes.revision < m_revision)
         return;
-    for (const auto& change : changes.changes)
-        apply(change);
-    m_revision = std::max(m_revision, changes.revision);
+    auto known = m_revision;
+    for (const auto& change : changes.changes) {
+        if (change.revision > known)
+            apply(change);
+    }
+    m_revision = changes.revision;
     confirm(knownAt);
 }
 
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -25,6 +25,8 @@
     Milliseconds callInterval { 120 };
     /// Time that a call waits for a change; it also bounds the age of the confirmation.
     Milliseconds watchWait { 1000 };
+    /// Age from which an instance looks for another source than its usual one.
+    Milliseconds staleAge { 1500 };
 };
 
 /// Keeps the replica current: from the store, or from a peer where the store
@@ -38,16 +40,26 @@
     StoreFollower(IWatchedStore&, StoreReplica&, const FleetView&, StoreFollowerOptions, PeerSource);
 
     void onContact(ContactListener listener) { m_contact = std::move(listener); }
-    Awaitable<> run();
+
+    /// Both run side by side, so that a silent store does not keep a peer's news away.
+    Awaitable<> followStore();
+    Awaitable<> followPeers();
 
     StoreSource source() const { return m_source; }
     std::uint64_t storeCalls() const { return m_storeCalls; }
 
 private:
-    Awaitable<bool> updateFrom(IWatchedStore&);
-    Awaitable<bool> updateFromStore();
+    enum class Update {
+        Current,
+        HistoryLost,
+        Failed,
+    };
+
+    Awaitable<Update> updateFrom(IWatchedStore&, bool listAnew);
+    Awaitable<> updateFromStore();
     Awaitable<bool> updateFromPeer();
-    bool shouldReadStore() const;
+    bool readsStore() const;
+    bool stale() const;
     void setContact(bool reachable);
 
     IWatchedStore& m_store;
@@ -58,6 +70,7 @@
     ContactListener m_contact;
     bool m_reachable = true;
     bool m_listAnew = false;
+    bool m_listAnewFromPeer = false;
     TimePoint m_storeRetryAt;
     std::size_t m_nextPeer = 0;
     StoreSource m_source = StoreSource::None;
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -110,16 +110,18 @@
     while (!destination && m_context.streams.find(stream.id()) && move.atSource()) {
         auto owner = m_context.placement.ownerOf(move.left.entry.service);
         MoveAsk ask { .asker = m_context.instance, .askerLife = m_context.placement.life(), .id = stream.id(), .service = move.left.entry.service, .source = move.left.entry.id, .sourceDomain = move.left.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { move.full.begin(), move.full.end() } };
-        pending->wakeUp.expires_after(askInterval);
         // The answer may come before the send returns, where this instance is the owner.
         send(owner, ask);
-        if (!pending->answer)
+        bool granted = pending->answer && !pending->answer->destination.empty();
+        if (!granted) {
+            pending->wakeUp.expires_after(askInterval);
             co_await pending->wakeUp.async_wait(asTuple);
+        }
         auto answer = std::exchange(pending->answer, std::nullopt);
+        if (answer)
+            lastHeard = Clock::now();
         if (answer && !answer->destination.empty())
             destination = answer->destination;
-        else if (answer)
-            lastHeard = Clock::now();
         else if (lastHeard + ownerSilence < Clock::now() && owner != m_context.instance)
             m_context.placement.suspect(owner);
     }
@@ -133,7 +135,9 @@
     if (found == m_pending.end())
         return;
     found->second->answer = answer;
-    found->second->wakeUp.cancel();
+    // Word that the ask waits ends no wait.
+    if (!answer.destination.empty())
+        found->second->wakeUp.cancel();
 }
 
 /// Copies and stops one generation. True if nothing more is to be done for it.
