Decide who waits by what can still be served in time

Reports were placed behind several unread prompts (first events after 1.8 s), callers who came back after a refusal took room from those who could still be in time, and waits were predicted from releases that more urgent requests used up. Change: the line orders by urgency, then those that can be in time, then organisation and arrival; callers who come back are known by a hash of what they want; late work may plan for 75% of an engine's memory, moved runs for 105%; prompts that wait at an engine are bounded at 7,000 tokens; the wait is predicted from who goes ahead and how fast their like started; what cannot start in time is refused on arrival. One instance a zone reads the store. Ruled out: telling attempts apart by the deadline they send (first attempts of reports carry 29 to 39 s). Each with a test of the load: late behind fresh, urgent traffic in the prediction, bounded prompts, memory left by late work, flood of one organisation (which showed that the first prediction refused a modest organisation at once).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "common/random.h"
 #include "dispatch/loadledger.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/refusalmemory.h"
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
 #include "net/nettypes.h"
@@ -44,7 +45,7 @@
     void pump();
 
     /// Time after which a refused request should come back.
-    Clock::duration retryAfter(const std::string& service, int priority);
+    Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank);
 
     /// Destination of a move out of an engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
@@ -66,13 +67,13 @@
         bool cancelled = false;
     };
     struct Started {
-        std::string service;
         std::string organisation;
         WorkEstimate estimate;
     };
 
     std::optional<TargetChoice> tryStart(const PlacementRequest&);
     void start(const PlacementRequest&, const std::string& target, bool forPeer);
+    static void noteEarlierAttempt(PlacementRequest&, TimePoint firstAskedAt, TimePoint now);
     Awaitable<PlacementOutcome> placeOrWait(PlacementRequest, bool forPeer);
     PlacementOutcome placementOf(const PlacementRequest&, const TargetChoice&, Clock::duration waited);
     PlacementRefusal refusal(const PlacementRequest&, RefusalCause, std::string detail);
@@ -84,6 +85,7 @@
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
     WaitingLine m_line;
+    RefusalMemory m_refusals;
     std::unordered_map<WorkId, PlacementRequest> m_requests;
     std::unordered_map<WorkId, std::shared_ptr<Waiter>> m_waiters;
     std::unordered_map<WorkId, Started> m_started;
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -2,6 +2,7 @@
 
 #include "common/time.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,6 +23,14 @@
     friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
 };
 
+/// Urgency, and within it whether an answer can still be in time; lower goes first.
+struct Rank {
+    int priority = 0;
+    bool late = false;
+
+    friend auto operator<=>(const Rank&, const Rank&) = default;
+};
+
 /// Work at one target, as one instance or several know it.
 struct TargetLoad {
     int requests = 0;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -8,6 +8,8 @@
     constexpr double shortestRetrySeconds = 0.25;
     /// Advice is spread by up to this share, so that refused callers do not return together.
     constexpr double retrySpread = 0.6;
+    /// Time that a request waits which is late already: callers of streams leave after some seconds without an event.
+    constexpr auto latePatience = Milliseconds(2000);
     /// A move to another failure domain takes twice as long, which may cost the runs behind it.
     constexpr double moveDomainPenalty = 0.35;
 
@@ -24,7 +26,7 @@
 std::optional<TargetChoice> Dispatcher::tryStart(const PlacementRequest& request)
 {
     auto candidates = m_directory.usable(request.service);
-    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now() }, m_random);
+    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now(), .memoryShare = request.rank.late ? lateMemoryShare : plannedMemoryShare }, m_random);
 }
 
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
@@ -33,8 +35,8 @@
         m_ledger.beginForPeer(request.id, target, request.estimate);
     else
         m_ledger.begin(request.id, target, request.estimate);
-    m_line.onStarted(request.organisation, request.estimate);
-    m_started.insert_or_assign(request.id, Started { .service = request.service, .organisation = request.organisation, .estimate = request.estimate });
+    m_line.onStarted(request.service, request.organisation, request.rank, request.estimate, Clock::now());
+    m_started.insert_or_assign(request.id, Started { .organisation = request.organisation, .estimate = request.estimate });
 }
 
 void Dispatcher::adopt(const PlacementRequest& request, const std::string& target)
@@ -44,7 +46,7 @@
 
 PlacementRefusal Dispatcher::refusal(const PlacementRequest& request, RefusalCause cause, std::string detail)
 {
-    return { .cause = cause, .retryAfter = retryAfter(request.service, request.priority), .detail = std::move(detail) };
+    return { .cause = cause, .retryAfter = retryAfter(request.service, request.organisation, request.rank), .detail = std::move(detail) };
 }
 
 PlacementOutcome Dispatcher::placementOf(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited)
@@ -52,7 +54,7 @@
     const auto* target = m_directory.find(choice.target);
     if (!target)
         return refusal(request, RefusalCause::NoRoom, "the chosen target left");
-    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited };
+    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited, .late = request.rank.late };
 }
 
 Awaitable<PlacementOutcome> Dispatcher::place(PlacementRequest request)
@@ -65,9 +67,23 @@
     return placeOrWait(std::move(request), true);
 }
 
+/// A caller who was refused has used up part of the time in which an answer is of full use.
+void Dispatcher::noteEarlierAttempt(PlacementRequest& request, TimePoint firstAskedAt, TimePoint now)
+{
+    if (firstAskedAt == now)
+        return;
+    request.latestStart -= now - firstAskedAt;
+    if (request.latestStart > now)
+        return;
+    request.rank.late = true;
+    request.latestStart = now + latePatience;
+}
+
 Awaitable<PlacementOutcome> Dispatcher::placeOrWait(PlacementRequest request, bool forPeer)
 {
     auto arrivedAt = Clock::now();
+    auto firstAskedAt = request.content != 0 ? m_refusals.firstAsked(request.content, arrivedAt).value_or(arrivedAt) : arrivedAt;
+    noteEarlierAttempt(request, firstAskedAt, arrivedAt);
     // Nobody overtakes those who wait already but by the line's own order.
     if (m_line.size() == 0) {
         if (auto choice = tryStart(request)) {
@@ -75,9 +91,11 @@
             co_return placementOf(request, *choice, {});
         }
     }
-    auto verdict = m_line.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .priority = request.priority, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
-    if (!verdict.accepted)
+    auto verdict = m_line.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
+    if (!verdict.accepted) {
+        m_refusals.onRefused(request.content, firstAskedAt, arrivedAt);
         co_return refusal(request, RefusalCause::NoRoom, "the expected wait is too long");
+    }
     auto waiter = std::make_shared<Waiter>(m_io);
     waiter->forPeer = forPeer;
     waiter->wakeUp.expires_at(request.latestStart);
@@ -93,6 +111,7 @@
     m_line.remove(request.id);
     if (waiter->cancelled)
         co_return refusal(request, RefusalCause::Cancelled, "the caller left");
+    m_refusals.onRefused(request.content, firstAskedAt, Clock::now());
     co_return refusal(request, RefusalCause::NoRoom, "no room in time");
 }
 
@@ -127,7 +146,7 @@
     m_ledger.end(id);
     auto found = m_started.find(id);
     if (found != m_started.end()) {
-        m_line.onEnded(found->second.service, found->second.organisation, found->second.estimate, Clock::now());
+        m_line.onEnded(found->second.organisation, found->second.estimate);
         m_started.erase(found);
     }
     pump();
@@ -138,9 +157,11 @@
     m_ledger.begin(id, target, estimate);
 }
 
-Clock::duration Dispatcher::retryAfter(const std::string& service, int priority)
+Clock::duration Dispatcher::retryAfter(const std::string& service, const std::string& organisation, Rank rank)
 {
-    double expected = std::chrono::duration<double>(m_line.expectedWait(service, priority, Clock::now())).count();
+    auto now = Clock::now();
+    auto wait = m_line.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .arrivedAt = now }, now);
+    double expected = std::chrono::duration<double>(wait).count();
     std::uniform_real_distribution<double> spread(1, 1 + retrySpread);
     return fromSeconds(std::max(shortestRetrySeconds, expected) * spread(m_random));
 }
@@ -151,12 +172,9 @@
     auto avoided = excluded;
     avoided.insert(source.id);
     SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .ownDomain = source.failureDomain, .excluded = avoided, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
+    // Lengths are guesses, and a lost run costs more than a crowded engine.
+    inputs.memoryShare = movedMemoryShare;
     auto choice = selectTarget(inputs, m_random);
-    if (!choice) {
-        // A full engine may still take it: lengths are guesses, and a lost run is worth more than a crowded one.
-        inputs.requireRoom = false;
-        choice = selectTarget(inputs, m_random);
-    }
     if (!choice)
         return std::nullopt;
     return choice->target;
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -6,12 +6,13 @@
 
 namespace {
 
-    /// Part of an engine's memory that is planned for; the rest covers wrong length estimates.
-    constexpr double plannedMemoryShare = 0.95;
     /// A target in warm-up counts as half used.
     constexpr double warmUpPenalty = 0.5;
-    /// Prompt tokens ahead that weigh as much as a full memory: about 1.5 s of reading.
-    constexpr double promptTokensAsFull = 20000;
+    /// Prompt tokens ahead that weigh as much as a full memory: about a second of reading.
+    constexpr double promptTokensAsFull = 8000;
+    /// Prompt tokens that may wait at an engine. Beside running generations it reads about 7 a ms
+    /// (measured), so the last of them shows its first event after about a second.
+    constexpr double mostUnreadPromptTokens = 7000;
     /// Weight of the failing share in the score; a target that fails half its requests is as bad as two full ones.
     constexpr double failureWeight = 4;
     /// Keeps equal scores from falling to the same target at all instances.
@@ -32,12 +33,14 @@
 
 }
 
-bool hasRoom(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate)
+bool hasRoom(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, double memoryShare)
 {
     // A generation larger than the planned share may still run alone.
     if (load.requests == 0)
         return true;
-    return load.requests < engine.slots && load.tokens + estimate.totalTokens() <= plannedMemoryShare * engine.memoryTokens;
+    if (load.unreadPromptTokens > 0 && load.unreadPromptTokens + estimate.promptTokens > mostUnreadPromptTokens)
+        return false;
+    return load.requests < engine.slots && load.tokens + estimate.totalTokens() <= memoryShare * engine.memoryTokens;
 }
 
 std::optional<TargetChoice> selectTarget(const SelectionInputs& inputs, Random& random)
@@ -48,7 +51,7 @@
         if (inputs.excluded.count(target->id) > 0)
             continue;
         auto load = inputs.ledger.total(target->id);
-        if (inputs.requireRoom && inputs.engine && !hasRoom(*inputs.engine, load, inputs.estimate))
+        if (inputs.engine && !hasRoom(*inputs.engine, load, inputs.estimate, inputs.memoryShare))
             continue;
         double score = inputs.engine ? engineScore(*inputs.engine, load, inputs.estimate) : plainScore(*target, load);
         if (target->failureDomain != inputs.ownDomain)
--- a/src/dispatch/internal/waitingline.cpp
+++ b/src/dispatch/internal/waitingline.cpp
@@ -7,17 +7,17 @@
 
 namespace {
 
-    /// Span over which freed memory is averaged: about half the life of a long generation.
-    constexpr auto releaseWindow = Milliseconds(4000);
-    /// Freed generations below which the rate is not trusted.
-    constexpr std::size_t fewestReleases = 3;
+    /// Span over which starts are averaged: about half the life of a long generation.
+    constexpr auto startWindow = Milliseconds(4000);
+    /// Starts below which a rate is not trusted.
+    constexpr std::size_t fewestStarts = 3;
 
 }
 
 bool WaitingLine::before(const WaitingRequest& left, const WaitingRequest& right) const
 {
-    if (left.priority != right.priority)
-        return left.priority < right.priority;
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
     auto tokensOf = [&](const std::string& organisation) {
         auto found = m_tokensAtTargets.find(organisation);
         return found == m_tokensAtTargets.end() ? 0.0 : found->second;
@@ -31,32 +31,40 @@
     return left.arrivedAt < right.arrivedAt;
 }
 
-Clock::duration WaitingLine::expectedWait(const std::string& service, int priority, TimePoint now) const
+/// More urgent requests that arrive later go ahead as well, so each rank is measured by its own starts.
+Clock::duration WaitingLine::expectedWait(const WaitingRequest& newcomer, TimePoint now) const
 {
-    double tokensAhead = 0;
+    double ahead = 0;
+    double aheadOfRank = 0;
     for (const auto& each : m_waiting) {
-        if (each.service == service && each.priority <= priority)
-            tokensAhead += each.estimate.totalTokens();
+        if (each.service != newcomer.service || !before(each, newcomer))
+            continue;
+        (each.rank == newcomer.rank ? aheadOfRank : ahead) += each.estimate.totalTokens();
     }
-    auto ended = m_ended.find(service);
-    if (ended == m_ended.end())
+    auto starts = m_started.find(newcomer.service);
+    if (starts == m_started.end() || ahead + aheadOfRank == 0)
         return {};
-    double released = 0;
+    double started = 0;
+    double startedOfRank = 0;
     std::size_t count = 0;
-    for (const auto& each : ended->second) {
-        if (each.at + releaseWindow < now)
+    for (const auto& each : starts->second) {
+        if (each.at + startWindow < now)
             continue;
-        released += each.tokens;
         ++count;
+        started += each.tokens;
+        if (each.rank >= newcomer.rank)
+            startedOfRank += each.tokens;
     }
-    if (count < fewestReleases)
+    if (count < fewestStarts)
         return {};
-    return fromSeconds(tokensAhead / released * std::chrono::duration<double>(releaseWindow).count());
+    double windows = ahead / started + (aheadOfRank > 0 ? aheadOfRank / std::max(1.0, startedOfRank) : 0);
+    constexpr double mostWindows = 10;
+    return fromSeconds(std::min(windows, mostWindows) * std::chrono::duration<double>(startWindow).count());
 }
 
 WaitVerdict WaitingLine::enqueue(WaitingRequest request, TimePoint now)
 {
-    auto wait = expectedWait(request.service, request.priority, now);
+    auto wait = expectedWait(request, now);
     if (now + wait > request.latestStart)
         return { .accepted = false, .expectedWait = wait };
     m_waiting.push_back(std::move(request));
@@ -99,23 +107,23 @@
     return expired;
 }
 
-void WaitingLine::onStarted(const std::string& organisation, const WorkEstimate& estimate)
+void WaitingLine::onStarted(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate, TimePoint now)
 {
     m_tokensAtTargets[organisation] += estimate.totalTokens();
+    auto& started = m_started[service];
+    started.push_back({ .at = now, .rank = rank, .tokens = estimate.totalTokens() });
+    while (!started.empty() && started.front().at + startWindow < now)
+        started.pop_front();
 }
 
-void WaitingLine::onEnded(const std::string& service, const std::string& organisation, const WorkEstimate& estimate, TimePoint now)
+void WaitingLine::onEnded(const std::string& organisation, const WorkEstimate& estimate)
 {
     auto found = m_tokensAtTargets.find(organisation);
-    if (found != m_tokensAtTargets.end()) {
-        found->second -= estimate.totalTokens();
-        if (found->second < 1)
-            m_tokensAtTargets.erase(found);
-    }
-    auto& ended = m_ended[service];
-    ended.push_back({ .at = now, .tokens = estimate.totalTokens() });
-    while (!ended.empty() && ended.front().at + releaseWindow < now)
-        ended.pop_front();
+    if (found == m_tokensAtTargets.end())
+        return;
+    found->second -= estimate.totalTokens();
+    if (found->second < 1)
+        m_tokensAtTargets.erase(found);
 }
 
 }
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -13,6 +13,14 @@
 /// Preference for the own failure domain where a round trip of some ms is all that differs.
 inline constexpr double nearDomainPreference = 0.02;
 
+/// Part of an engine's memory that is planned for; the rest covers wrong length estimates.
+inline constexpr double plannedMemoryShare = 0.95;
+/// The same for work that is late anyway, so that it takes no room from work that can be in time.
+inline constexpr double lateMemoryShare = 0.75;
+
+/// The same for generations that move out of a leaving engine.
+inline constexpr double movedMemoryShare = 1.05;
+
 /// What a choice may look at.
 struct SelectionInputs {
     const std::vector<const TargetEntry*>& candidates;
@@ -26,8 +34,8 @@
     TimePoint now;
     /// Load that another failure domain adds, in parts of an engine or of a slot.
     double otherDomainPenalty = nearDomainPreference;
-    /// Engines without room are passed over.
-    bool requireRoom = true;
+    /// Part of an engine's memory that may be planned for.
+    double memoryShare = plannedMemoryShare;
 };
 
 /// The target of a request and the figures that chose it.
@@ -43,6 +51,6 @@
 std::optional<TargetChoice> selectTarget(const SelectionInputs&, Random&);
 
 /// True if the engine has memory and a slot for this estimate.
-bool hasRoom(const EngineTraits&, const TargetLoad&, const WorkEstimate&);
+bool hasRoom(const EngineTraits&, const TargetLoad&, const WorkEstimate&, double memoryShare);
 
 }
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -1,4 +1,5 @@
 #include "dispatch/outputestimator.h"
+#include "dispatch/refusalmemory.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
@@ -49,9 +50,9 @@
     TimePoint now { Seconds(50) };
     WorkId lastId = 0;
 
-    WorkId push(const std::string& organisation, int priority = 1, int tokens = 1000, Milliseconds patience = Milliseconds(1000))
+    WorkId push(const std::string& organisation, int priority = 1, int tokens = 1000, Milliseconds patience = Milliseconds(1000), bool late = false)
     {
-        line.enqueue({ .id = ++lastId, .service = "writer", .organisation = organisation, .priority = priority, .estimate = { .promptTokens = tokens }, .arrivedAt = now, .latestStart = now + patience }, now);
+        line.enqueue({ .id = ++lastId, .service = "writer", .organisation = organisation, .rank = { .priority = priority, .late = late }, .estimate = { .promptTokens = tokens }, .arrivedAt = now, .latestStart = now + patience }, now);
         now += Milliseconds(1);
         return lastId;
     }
@@ -109,13 +110,41 @@
 {
     SelectionFixture f(4);
     int started = 0;
-    while (f.start({ .promptTokens = 3000, .outputTokens = 900 }))
-        ++started;
+    for (bool room = true; room;) {
+        room = f.start({ .promptTokens = 3000, .outputTokens = 900 });
+        started += room ? 1 : 0;
+        // Its prompt is read before the next one comes.
+        f.ledger.produced(f.lastId, 1);
+    }
     cr_expect(started == 4 * 4, "each engine holds four of 3,900 tokens in 19,000, started %d", started);
     for (const auto& entry : f.entries)
         cr_expect(f.ledger.total(entry.id).requests == 4);
 }
 
+Test(TargetSelector, promptsThatWaitAtAnEngine_areBounded)
+{
+    SelectionFixture f(2);
+    f.engine->memoryTokens = 1000000;
+    int started = 0;
+    while (f.start({ .promptTokens = 3000, .outputTokens = 900 }))
+        ++started;
+    cr_expect(started == 4, "two of 3,000 tokens each within 7,000, started %d", started);
+    f.ledger.produced(1, 4);
+    cr_expect(f.start({ .promptTokens = 3000, .outputTokens = 900 }), "a prompt was read");
+}
+
+Test(TargetSelector, lateWork_leavesMemoryToWorkThatCanBeInTime)
+{
+    SelectionFixture f(1);
+    f.ledger.begin(1, "engine-0", { .promptTokens = 11000 });
+    f.ledger.produced(1, 1);
+    std::vector<const TargetEntry*> candidates { &f.entries[0] };
+    SelectionInputs inputs { .candidates = candidates, .ledger = f.ledger, .outcomes = f.outcomes, .engine = f.engine, .ownDomain = "near", .excluded = f.excluded, .estimate = { .promptTokens = 6000 }, .now = f.now };
+    cr_expect(selectTarget(inputs, f.random).has_value());
+    inputs.memoryShare = lateMemoryShare;
+    cr_expect(!selectTarget(inputs, f.random).has_value());
+}
+
 Test(TargetSelector, generationLargerThanAnEngine_runsAlone)
 {
     SelectionFixture f(1);
@@ -210,11 +239,45 @@
     cr_expect(f.take() == late);
 }
 
+Test(WaitingLine, requestThatIsLateAnyway_goesBehindThoseThatCanBeInTime)
+{
+    LineFixture f;
+    auto late = f.push("a", 1, 1000, Milliseconds(1000), true);
+    auto fresh = f.push("a", 1);
+    auto lateUrgent = f.push("a", 0, 1000, Milliseconds(1000), true);
+    cr_expect(f.take() == lateUrgent, "urgency counts first");
+    cr_expect(f.take() == fresh);
+    cr_expect(f.take() == late);
+}
+
+Test(WaitingLine, urgentTraffic_isCountedInTheWaitOfTheRest)
+{
+    LineFixture f;
+    for (int i = 0; i < 30; ++i)
+        f.line.onStarted("writer", "a", { .priority = 0 }, { .promptTokens = 1000 }, f.now);
+    f.line.onStarted("writer", "a", { .priority = 1 }, { .promptTokens = 1000 }, f.now);
+    f.push("b", 1, 1000, Seconds(10));
+    cr_expect(f.line.expectedWait({ .service = "writer", .organisation = "b", .rank = { .priority = 1 }, .arrivedAt = f.now }, f.now) > Seconds(3), "one of its kind started in the window");
+    cr_expect(f.line.expectedWait({ .service = "writer", .organisation = "b", .rank = { .priority = 0 }, .arrivedAt = f.now }, f.now) == Clock::duration {}, "nothing urgent waits");
+}
+
+Test(RefusalMemory, callerWhoComesBack_isKnownSinceItsFirstAttempt)
+{
+    RefusalMemory refusals;
+    TimePoint first { Seconds(10) };
+    cr_expect(!refusals.firstAsked(7, first).has_value());
+    refusals.onRefused(7, first, first + Seconds(1));
+    refusals.onRefused(7, first, first + Seconds(2));
+    cr_expect(refusals.firstAsked(7, first + Seconds(3)) == first);
+    cr_expect(!refusals.firstAsked(8, first).has_value());
+    cr_expect(!refusals.firstAsked(7, first + Seconds(30)).has_value());
+}
+
 Test(WaitingLine, floodOfOneOrganisation_doesNotKeepOthersWaiting)
 {
     LineFixture f;
     for (int i = 0; i < 20; ++i)
-        f.line.onStarted("flood", { .promptTokens = 1000 });
+        f.line.onStarted("writer", "flood", { .priority = 1 }, { .promptTokens = 1000 }, f.now);
     for (int i = 0; i < 20; ++i)
         f.push("flood");
     auto modest = f.push("modest");
@@ -234,7 +297,7 @@
 {
     LineFixture f;
     f.push("a", 1, 9000);
-    f.line.enqueue({ .id = 77, .service = "other", .priority = 5, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
+    f.line.enqueue({ .id = 77, .service = "other", .rank = { .priority = 5 }, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
     auto next = f.line.takeNext([](const WaitingRequest& request) { return request.service == "other"; });
     cr_expect(next && next->id == 77);
 }
@@ -243,11 +306,11 @@
 {
     LineFixture f;
     for (int i = 0; i < 4; ++i)
-        f.line.onEnded("writer", "a", { .promptTokens = 1000 }, f.now);
+        f.line.onStarted("writer", "a", { .priority = 1 }, { .promptTokens = 1000 }, f.now);
     for (int i = 0; i < 3; ++i)
         f.push("a", 1, 1000, Seconds(10));
-    // 1,000 tokens a second are freed, and 3,000 wait ahead.
-    auto verdict = f.line.enqueue({ .id = 50, .service = "writer", .organisation = "a", .priority = 1, .estimate = { .promptTokens = 10 }, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
+    // 1,000 tokens a second start, and 3,000 wait ahead.
+    auto verdict = f.line.enqueue({ .id = 50, .service = "writer", .organisation = "a", .rank = { .priority = 1 }, .estimate = { .promptTokens = 10 }, .arrivedAt = f.now, .latestStart = f.now + Seconds(1) }, f.now);
     cr_expect(!verdict.accepted);
     cr_expect(verdict.expectedWait > Seconds(2));
 }
--- a/src/dispatch/waitingline.h
+++ b/src/dispatch/waitingline.h
@@ -15,8 +15,7 @@
     WorkId id = 0;
     std::string service;
     std::string organisation;
-    /// 0 is the most urgent.
-    int priority = 0;
+    Rank rank;
     WorkEstimate estimate;
     TimePoint arrivedAt;
     /// Last moment at which a start is still of use.
@@ -29,7 +28,7 @@
     Clock::duration expectedWait {};
 };
 
-/// Orders requests that wait for room: by urgency, then the organisation that has
+/// Orders requests that wait for room: by rank, then the organisation that has
 /// least at the targets, then arrival. Refuses at once what would wait too long.
 class WaitingLine {
 public:
@@ -43,15 +42,17 @@
     std::vector<WaitingRequest> takeExpired(TimePoint now);
 
     /// Work of an organisation started or ended at the targets.
-    void onStarted(const std::string& organisation, const WorkEstimate&);
-    void onEnded(const std::string& service, const std::string& organisation, const WorkEstimate&, TimePoint now);
+    void onStarted(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&, TimePoint now);
+    void onEnded(const std::string& organisation, const WorkEstimate&);
 
-    Clock::duration expectedWait(const std::string& service, int priority, TimePoint now) const;
+    /// Time until those ahead of a newcomer have started, at the rate at which their like started lately.
+    Clock::duration expectedWait(const WaitingRequest&, TimePoint now) const;
     std::size_t size() const { return m_waiting.size(); }
 
 private:
-    struct Ended {
+    struct Started {
         TimePoint at;
+        Rank rank;
         int tokens = 0;
     };
 
@@ -59,7 +60,7 @@
 
     std::vector<WaitingRequest> m_waiting;
     std::map<std::string, double> m_tokensAtTargets;
-    std::map<std::string, std::deque<Ended>> m_ended;
+    std::map<std::string, std::deque<Started>> m_started;
 };
 
 }
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -10,8 +10,9 @@
 
     /// Silence after which an instance's load no longer counts: three lost reports in a row.
     constexpr auto silenceLimit = Milliseconds(1500);
-    /// Instances of one failure domain that read the store; two so that one may fail.
-    constexpr int storeReadersPerDomain = 2;
+    /// Instances of one failure domain that read the store. Where one fails, its followers turn
+    /// to another domain's, or to the store once their copy is stale.
+    constexpr int storeReadersPerDomain = 1;
 
 }
 
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -20,13 +20,13 @@
 struct StoreFollowerOptions {
     std::string failureDomain;
     /// Every instance reads the store itself while there are no more than this.
-    int directReaders = 12;
+    int directReaders = 4;
     /// Shortest time between two calls, which bounds their number.
     Milliseconds callInterval { 120 };
     /// Time that a call waits for a change; it also bounds the age of the confirmation.
-    Milliseconds watchWait { 1000 };
+    Milliseconds watchWait { 700 };
     /// Age from which an instance looks for another source than its usual one.
-    Milliseconds staleAge { 1500 };
+    Milliseconds staleAge { 2000 };
 };
 
 /// Keeps the replica current: from the store, or from a peer where the store
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -117,7 +117,7 @@
     cr_expect(!fleet.onReport(reportOf("self", 9), now));
 }
 
-Test(FleetView, storeReaders_areTwoOfEachDomain)
+Test(FleetView, storeReader_isOneOfEachDomain)
 {
     std::vector<std::string> names { "a", "b", "c", "d", "e" };
     TimePoint now { Seconds(10) };
@@ -130,7 +130,7 @@
         }
         readers += fleet.readsStore("north", now) ? 1 : 0;
     }
-    cr_expect(readers == 2);
+    cr_expect(readers == 1);
 }
 
 Test(InstanceRecord, codec_roundTripsAndRejectsGarbage)
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -105,7 +105,7 @@
     while (!outcome) {
         auto now = Clock::now();
         auto patience = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(request.latestStart - now));
-        PlacementAsk ask { .asker = m_instance, .askerLife = m_life, .id = request.id, .service = request.service, .organisation = request.organisation, .priority = request.priority, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .patience = patience };
+        PlacementAsk ask { .asker = m_instance, .askerLife = m_life, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .content = request.content, .patience = patience };
         m_link.send(owner, ask);
         pending->answer.reset();
         pending->wakeUp.expires_after(unanswered == 0 && now - askedAt > firstAnswerTime ? Clock::duration(waitingPause) : Clock::duration(firstAnswerTime));
@@ -150,8 +150,8 @@
     reportLoads(false);
     const auto* target = m_directory.find(answer.target);
     if (!target || !m_directory.isUsable(answer.target))
-        return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.priority), .detail = "the granted target is not known here" });
-    return PlacementOutcome(Placement { .target = *target, .targetRequests = answer.targetRequests, .targetTokens = answer.targetTokens, .waited = Clock::now() - askedAt, .decider = PlacementDecider::Owner });
+        return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank), .detail = "the granted target is not known here" });
+    return PlacementOutcome(Placement { .target = *target, .targetRequests = answer.targetRequests, .targetTokens = answer.targetTokens, .waited = Clock::now() - askedAt, .late = answer.late, .decider = PlacementDecider::Owner });
 }
 
 void PlacementClient::onAnswer(const PlacementAnswer& answer)
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -30,12 +30,12 @@
 
     json fieldsOf(const PlacementAsk& ask)
     {
-        return json::array({ ask.asker, ask.askerLife, ask.id, ask.service, ask.organisation, ask.priority, ask.estimate.promptTokens, ask.estimate.outputTokens, ask.excluded, ask.patience.count() });
+        return json::array({ ask.asker, ask.askerLife, ask.id, ask.service, ask.organisation, ask.rank.priority, ask.rank.late, ask.estimate.promptTokens, ask.estimate.outputTokens, ask.excluded, ask.content, ask.patience.count() });
     }
 
     json fieldsOf(const PlacementAnswer& answer)
     {
-        return json::array({ answer.owner, answer.id, static_cast<int>(answer.kind), answer.target, answer.grantNumber, answer.targetRequests, static_cast<std::int64_t>(answer.targetTokens), answer.retryAfter.count() });
+        return json::array({ answer.owner, answer.id, static_cast<int>(answer.kind), answer.target, answer.grantNumber, answer.targetRequests, static_cast<std::int64_t>(answer.targetTokens), answer.late, answer.retryAfter.count() });
     }
 
     json fieldsOf(const PlacementEnded& ended)
@@ -81,11 +81,13 @@
         ask.id = fields.at(2).get<WorkId>();
         ask.service = fields.at(3).get<std::string>();
         ask.organisation = fields.at(4).get<std::string>();
-        ask.priority = fields.at(5).get<int>();
-        ask.estimate.promptTokens = fields.at(6).get<int>();
-        ask.estimate.outputTokens = fields.at(7).get<int>();
-        ask.excluded = fields.at(8).get<std::vector<std::string>>();
-        ask.patience = Milliseconds(fields.at(9).get<std::int64_t>());
+        ask.rank.priority = fields.at(5).get<int>();
+        ask.rank.late = fields.at(6).get<bool>();
+        ask.estimate.promptTokens = fields.at(7).get<int>();
+        ask.estimate.outputTokens = fields.at(8).get<int>();
+        ask.excluded = fields.at(9).get<std::vector<std::string>>();
+        ask.content = fields.at(10).get<std::uint64_t>();
+        ask.patience = Milliseconds(fields.at(11).get<std::int64_t>());
         return ask;
     }
 
@@ -99,7 +101,8 @@
         answer.grantNumber = fields.at(4).get<std::int64_t>();
         answer.targetRequests = fields.at(5).get<int>();
         answer.targetTokens = fields.at(6).get<double>();
-        answer.retryAfter = Milliseconds(fields.at(7).get<std::int64_t>());
+        answer.late = fields.at(7).get<bool>();
+        answer.retryAfter = Milliseconds(fields.at(8).get<std::int64_t>());
         return answer;
     }
 
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -40,9 +40,10 @@
         .service = ask.service,
         .engine = service->engine,
         .organisation = ask.organisation,
-        .priority = ask.priority,
+        .rank = ask.rank,
         .estimate = ask.estimate,
         .excluded = { ask.excluded.begin(), ask.excluded.end() },
+        .content = ask.content,
         .latestStart = now + ask.patience,
     };
     m_asks.emplace(key, Ask { .work = request.id, .answer = { .owner = m_instance, .id = ask.id }, .lastHeard = now });
@@ -70,6 +71,7 @@
         answer.grantNumber = ++m_grantNumbers[asker];
         answer.targetRequests = outcome->targetRequests;
         answer.targetTokens = outcome->targetTokens;
+        answer.late = outcome->late;
     } else {
         answer.kind = PlacementAnswerKind::Refused;
         answer.retryAfter = std::chrono::duration_cast<Milliseconds>(outcome.error().retryAfter);
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -16,9 +16,10 @@
     WorkId id = 0;
     std::string service;
     std::string organisation;
-    int priority = 0;
+    Rank rank;
     WorkEstimate estimate;
     std::vector<std::string> excluded;
+    std::uint64_t content = 0;
     Milliseconds patience { 0 };
 
     friend bool operator==(const PlacementAsk&, const PlacementAsk&) = default;
@@ -39,6 +40,7 @@
     std::int64_t grantNumber = 0;
     int targetRequests = 0;
     double targetTokens = 0;
+    bool late = false;
     Milliseconds retryAfter { 0 };
 
     friend bool operator==(const PlacementAnswer&, const PlacementAnswer&) = default;
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -16,9 +16,12 @@
     std::string service;
     std::optional<EngineTraits> engine;
     std::string organisation;
-    int priority = 0;
+    Rank rank;
     WorkEstimate estimate;
     std::set<std::string> excluded;
+    /// Hash of what the caller wants, by which one that was refused is known again; 0 if it does not matter.
+    std::uint64_t content = 0;
+    /// A start later than this cannot be in time.
     TimePoint latestStart;
 };
 
@@ -40,6 +43,8 @@
     double targetTokens = 0;
     double score = 0;
     Clock::duration waited {};
+    /// Its caller was refused before and can no longer be answered in time.
+    bool late = false;
     PlacementDecider decider = PlacementDecider::Here;
 };
 
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -18,8 +18,8 @@
 Test(FleetMessage, everyKind_survivesTheCodec)
 {
     cr_expect(survives(InstanceLoads { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .unreadPromptTokens = 3 } } }, .grantsTaken = { { "o", 9 } } }));
-    cr_expect(survives(PlacementAsk { .asker = "n", .askerLife = 5, .id = ~0ULL, .service = "s", .organisation = "c", .priority = 2, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .patience = Milliseconds(90) }));
-    cr_expect(survives(PlacementAnswer { .owner = "o", .id = 3, .kind = PlacementAnswerKind::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .retryAfter = Milliseconds(70) }));
+    cr_expect(survives(PlacementAsk { .asker = "n", .askerLife = 5, .id = ~0ULL, .service = "s", .organisation = "c", .rank = { .priority = 2, .late = true }, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .content = 99, .patience = Milliseconds(90) }));
+    cr_expect(survives(PlacementAnswer { .owner = "o", .id = 3, .kind = PlacementAnswerKind::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .late = true, .retryAfter = Milliseconds(70) }));
     cr_expect(survives(PlacementEnded { .asker = "n", .askerLife = 5, .id = 6 }));
     cr_expect(survives(MoveAsk { .asker = "n", .askerLife = 5, .id = 6, .service = "s", .source = "a", .sourceDomain = "d", .tokensHeld = 10, .remainingTokens = 11, .excluded = { "x" } }));
     cr_expect(survives(MoveAnswer { .owner = "o", .id = 6, .destination = "b" }));
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -132,7 +132,7 @@
     if (!mayHaveRun) {
         result.status = 503;
         result.reason = "no_target";
-        auto retryAfter = m_context.dispatcher.retryAfter(request.service.name, request.priority);
+        auto retryAfter = m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank());
         co_await refuse(request.exchange, result.status, result.reason, retryAfter);
         co_return result;
     }
@@ -149,7 +149,7 @@
     bool mayHaveRun = false;
     int runs = 0;
     m_context.retries.onRequest(request.service.name, Clock::now());
-    PlacementRequest wanted { .service = request.service.name, .organisation = request.organisation, .priority = request.priority };
+    PlacementRequest wanted { .service = request.service.name, .organisation = request.organisation, .rank = request.rank() };
     while (result.sends < mostSends) {
         wanted.id = m_context.dispatcher.nextId();
         auto patience = std::max<Clock::duration>(shortestPatience, request.route.objective);
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -140,8 +140,9 @@
     auto now = Clock::now();
     std::string route = admission.route ? admission.route->name : "none";
     m_context.metrics.requestEnded(route, result.reason, secondsBetween(arrivedAt, now));
+    auto milliseconds = [](Clock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     logEvent(LogLevel::Info, "request_ended",
-        { { "request", caller.requestId }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "took_ms", std::chrono::duration_cast<Milliseconds>(now - arrivedAt).count() }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_context.gate.age(BootClock::now())).count() }, { "caller", toString(exchange.remote()) } });
+        { { "request", caller.requestId }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waited) }, { "first_event_ms", milliseconds(result.firstEventAfter) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.gate.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
 }
 
 Awaitable<> RequestHandler::handle(HttpExchange& exchange)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -109,7 +109,7 @@
     auto& request = session.request;
     m_context.retries.onRequest(request.service.name, Clock::now());
     auto patience = std::max<Clock::duration>(Milliseconds(0), request.route.objective - firstEventTime);
-    PlacementRequest wanted { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .priority = request.priority, .estimate = estimateOf(request), .latestStart = std::min<TimePoint>(request.limit, request.arrivedAt + patience) };
+    PlacementRequest wanted { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .content = request.caller.content, .latestStart = std::min<TimePoint>(request.limit, request.arrivedAt + patience) };
     while (session.result.sends < mostSends) {
         session.id = m_context.dispatcher.nextId();
         wanted.id = session.id;
@@ -124,12 +124,13 @@
         }
         m_context.metrics.waited(std::chrono::duration<double>(placement->waited).count());
         ++session.result.sends;
+        session.result.waited += placement->waited;
         session.result.target = placement->target.id;
         auto target = placement->target;
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, wanted.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted)
             co_return true;
         m_context.streams.remove(session.id);
@@ -172,11 +173,13 @@
         auto header = withoutHopHeaders(session.connection->header());
         http::response<http::empty_body> head { std::move(header.base()) };
         session.headerSent = true;
+        session.result.firstEventAfter = now - session.request.arrivedAt;
         m_context.metrics.firstEvent(session.request.route.name, secondsBetween(session.request.arrivedAt, now));
         auto begun = co_await session.request.exchange.beginResponse(std::move(head));
         if (!begun)
             co_return Verdict::CallerGone;
     } else {
+        session.result.longestPause = std::max<Clock::duration>(session.result.longestPause, now - session.lastEventAt);
         m_context.metrics.pauseSeen(secondsBetween(session.lastEventAt, now));
     }
     session.lastEventAt = now;
@@ -236,6 +239,7 @@
         log(move->source, accepted);
     }
     session.result.target = session.stream->target().id;
+    ++session.result.moves;
     co_return accepted;
 }
 
@@ -250,7 +254,7 @@
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
-        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.priority));
+        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank()));
         co_await refuse(request.exchange, result.status, result.reason, retryAfter);
         co_return;
     }
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -18,6 +18,8 @@
     int maxOutputTokens = 0;
     /// The caller's own guess of the output, right at the median and often far off.
     std::optional<int> guessedOutputTokens;
+    /// Hash of what is wanted, the same for each of the caller's attempts.
+    std::uint64_t content = 0;
 };
 
 /// Where a stopped generation can be taken up again.
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -68,6 +68,8 @@
     TimePoint arrivedAt;
     /// The answer is due by then: the caller's deadline or the route's timeout.
     TimePoint limit;
+
+    Rank rank() const { return { .priority = priority }; }
 };
 
 /// How a request ended, for logs and metrics.
@@ -79,6 +81,10 @@
     std::string detail;
     int sends = 0;
     std::int64_t events = 0;
+    int moves = 0;
+    Clock::duration waited {};
+    Clock::duration firstEventAfter {};
+    Clock::duration longestPause {};
 };
 
 /// Answers that the request has not run, with the time to come back after.
