--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -45,7 +45,7 @@
     void pump();
 
     /// Time after which a refused request should come back.
-    Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank);
+    Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
 
     /// Destination of a move out of an engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -20,6 +20,11 @@
 
     int totalTokens() const { return promptTokens + outputTokens; }
 
+    /// Gives its memory back within about a second.
+    bool isBrief() const { return outputTokens <= mostBriefOutputTokens; }
+
+    static constexpr int mostBriefOutputTokens = 64;
+
     friend bool operator==(const WorkEstimate&, const WorkEstimate&) = default;
 };
 
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -10,6 +10,14 @@
     constexpr double retrySpread = 0.6;
     /// Time that a request waits which is late already: callers of streams leave after some seconds without an event.
     constexpr auto latePatience = Milliseconds(2000);
+    double memoryShareFor(const PlacementRequest& request)
+    {
+        if (request.rank.late)
+            return lateMemoryShare;
+        bool urgent = request.rank.priority == 0 || request.estimate.isBrief();
+        return urgent ? urgentMemoryShare : plannedMemoryShare;
+    }
+
     /// A move to another failure domain takes twice as long, which may cost the runs behind it.
     constexpr double moveDomainPenalty = 0.35;
 
@@ -26,7 +34,7 @@
 std::optional<TargetChoice> Dispatcher::tryStart(const PlacementRequest& request)
 {
     auto candidates = m_directory.usable(request.service);
-    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now(), .memoryShare = request.rank.late ? lateMemoryShare : plannedMemoryShare }, m_random);
+    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now(), .memoryShare = memoryShareFor(request) }, m_random);
 }
 
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
@@ -46,7 +54,7 @@
 
 PlacementRefusal Dispatcher::refusal(const PlacementRequest& request, RefusalCause cause, std::string detail)
 {
-    return { .cause = cause, .retryAfter = retryAfter(request.service, request.organisation, request.rank), .detail = std::move(detail) };
+    return { .cause = cause, .retryAfter = retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = std::move(detail) };
 }
 
 PlacementOutcome Dispatcher::placementOf(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited)
@@ -157,10 +165,10 @@
     m_ledger.begin(id, target, estimate);
 }
 
-Clock::duration Dispatcher::retryAfter(const std::string& service, const std::string& organisation, Rank rank)
+Clock::duration Dispatcher::retryAfter(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate)
 {
     auto now = Clock::now();
-    auto wait = m_line.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .arrivedAt = now }, now);
+    auto wait = m_line.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .estimate = estimate, .arrivedAt = now }, now);
     double expected = std::chrono::duration<double>(wait).count();
     std::uniform_real_distribution<double> spread(1, 1 + retrySpread);
     return fromSeconds(std::max(shortestRetrySeconds, expected) * spread(m_random));
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -1,11 +1,15 @@
 #include "dispatch/loadledger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace guavaspan {
 
 namespace {
 
+    /// Part of its remaining growth that a generation is counted with. The generations of an engine
+    /// are at different points of their lives, so not all of them are at their largest at once.
+    constexpr double expectedGrowthShare = 0.7;
     /// Growth assumed for a generation that has outlived its estimate, in tokens: a few events.
     constexpr int growthBeyondEstimate = 64;
 
@@ -17,7 +21,8 @@
     if (output > 0 && work.outputTokens >= output)
         output = work.outputTokens + growthBeyondEstimate;
     bool unread = work.outputTokens == 0;
-    return { .requests = 1, .tokens = static_cast<double>(work.estimate.promptTokens + output), .unreadPromptTokens = unread ? static_cast<double>(work.estimate.promptTokens) : 0 };
+    double growth = expectedGrowthShare * std::max(0, output - work.outputTokens);
+    return { .requests = 1, .tokens = work.estimate.promptTokens + work.outputTokens + growth, .unreadPromptTokens = unread ? static_cast<double>(work.estimate.promptTokens) : 0 };
 }
 
 void LoadLedger::addTotal(const std::string& target, const TargetLoad& load)
--- a/src/dispatch/internal/outcometracker.cpp
+++ b/src/dispatch/internal/outcometracker.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/outcometracker.h"
 
+#include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace guavaspan {
 
@@ -8,8 +10,8 @@
 
     /// Time in which an observation loses half its weight: a few outcomes of a busy target.
     constexpr double halfLifeSeconds = 2;
-    /// Successes assumed of an unknown target, so that one failure does not convict it.
-    constexpr double assumedSuccesses = 4;
+    /// Successes assumed of an unknown target, so that one old failure does not convict it.
+    constexpr double assumedSuccesses = 3.5;
     /// Failing share from which a target is avoided; ordinary error rates stay far below.
     constexpr double suspectShare = 0.25;
 
@@ -33,6 +35,7 @@
 void OutcomeTracker::onSuccess(const std::string& target, TimePoint now)
 {
     faded(target, now).requests += 1;
+    ++m_own[target].requests;
 }
 
 void OutcomeTracker::onFailure(const std::string& target, TimePoint now)
@@ -40,6 +43,23 @@
     auto& record = faded(target, now);
     record.requests += 1;
     record.failures += 1;
+    auto& own = m_own[target];
+    ++own.requests;
+    ++own.failures;
+}
+
+void OutcomeTracker::onPeerOutcomes(const std::map<std::string, OutcomeCount>& outcomes, TimePoint now)
+{
+    for (const auto& [target, count] : outcomes) {
+        auto& record = faded(target, now);
+        record.requests += count.requests;
+        record.failures += count.failures;
+    }
+}
+
+std::map<std::string, OutcomeCount> OutcomeTracker::takeOwn()
+{
+    return std::exchange(m_own, {});
 }
 
 void OutcomeTracker::forget(const std::string& target)
--- a/src/dispatch/internal/waitingline.cpp
+++ b/src/dispatch/internal/waitingline.cpp
@@ -37,7 +37,8 @@
     double ahead = 0;
     double aheadOfRank = 0;
     for (const auto& each : m_waiting) {
-        if (each.service != newcomer.service || !before(each, newcomer))
+        bool sameLine = each.service == newcomer.service && each.estimate.isBrief() == newcomer.estimate.isBrief();
+        if (!sameLine || !before(each, newcomer))
             continue;
         (each.rank == newcomer.rank ? aheadOfRank : ahead) += each.estimate.totalTokens();
     }
@@ -50,6 +51,8 @@
     for (const auto& each : starts->second) {
         if (each.at + startWindow < now)
             continue;
+        if (each.brief != newcomer.estimate.isBrief())
+            continue;
         ++count;
         started += each.tokens;
         if (each.rank >= newcomer.rank)
@@ -82,14 +85,16 @@
     for (std::size_t i = 0; i < order.size(); ++i)
         order[i] = i;
     std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) { return before(m_waiting[left], m_waiting[right]); });
-    std::set<std::string> blocked;
+    std::set<std::pair<std::string, bool>> blocked;
     for (auto index : order) {
         const auto& request = m_waiting[index];
-        if (blocked.count(request.service) > 0)
+        std::pair kind(request.service, request.estimate.isBrief());
+        if (blocked.count(kind) > 0)
             continue;
         if (!canStart(request)) {
-            // Smaller requests that pass a large one would keep it waiting for good.
-            blocked.insert(request.service);
+            // Smaller requests that pass a large one would keep it waiting for good; brief ones
+            // give their memory back before it could have used it.
+            blocked.insert(kind);
             continue;
         }
         auto chosen = m_waiting[index];
@@ -111,7 +116,7 @@
 {
     m_tokensAtTargets[organisation] += estimate.totalTokens();
     auto& started = m_started[service];
-    started.push_back({ .at = now, .rank = rank, .tokens = estimate.totalTokens() });
+    started.push_back({ .at = now, .rank = rank, .brief = estimate.isBrief(), .tokens = estimate.totalTokens() });
     while (!started.empty() && started.front().at + startWindow < now)
         started.pop_front();
 }
--- a/src/dispatch/outcometracker.h
+++ b/src/dispatch/outcometracker.h
@@ -7,6 +7,14 @@
 
 namespace guavaspan {
 
+/// Outcomes of requests at one target.
+struct OutcomeCount {
+    int requests = 0;
+    int failures = 0;
+
+    friend bool operator==(const OutcomeCount&, const OutcomeCount&) = default;
+};
+
 /// Recent failures of each target, judged by what happened to requests.
 class OutcomeTracker {
 public:
@@ -15,6 +23,12 @@
     void onFailure(const std::string& target, TimePoint now);
     void forget(const std::string& target);
 
+    /// What peers saw.
+    void onPeerOutcomes(const std::map<std::string, OutcomeCount>&, TimePoint now);
+
+    /// What this instance saw since the last call, for its peers.
+    std::map<std::string, OutcomeCount> takeOwn();
+
     /// Share of recent requests that failed, fading with time.
     double failureShare(const std::string& target, TimePoint now) const;
 
@@ -31,6 +45,7 @@
     Record& faded(const std::string& target, TimePoint now);
 
     std::map<std::string, Record> m_records;
+    std::map<std::string, OutcomeCount> m_own;
 };
 
 }
--- a/src/dispatch/waitingline.h
+++ b/src/dispatch/waitingline.h
@@ -28,7 +28,7 @@
     Clock::duration expectedWait {};
 };
 
-/// Orders requests that wait for room: by rank, then the organisation that has
+/// Orders requests that wait for room, brief ones and others apart: by rank, then the organisation that has
 /// least at the targets, then arrival. Refuses at once what would wait too long.
 class WaitingLine {
 public:
@@ -53,6 +53,7 @@
     struct Started {
         TimePoint at;
         Rank rank;
+        bool brief = false;
         int tokens = 0;
     };
 
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchtypes.h"
+#include "dispatch/outcometracker.h"
 #include "net/nettypes.h"
 
 #include <optional>
@@ -33,6 +34,8 @@
     TargetLoads loads;
     /// The last grant that it took from each owner: those are among its loads now.
     std::map<std::string, std::int64_t> grantsTaken;
+    /// How requests ended at targets since the last report.
+    std::map<std::string, OutcomeCount> outcomes;
 
     friend bool operator==(const InstanceLoads&, const InstanceLoads&) = default;
 };
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -8,6 +8,8 @@
 
     /// Pause after a failed call.
     constexpr auto failurePause = Milliseconds(100);
+    /// Time in which a new instance hears of its peers: two of their reports.
+    constexpr auto acquaintanceTime = Milliseconds(1200);
     /// Pause before a store that failed is asked again while a peer serves.
     constexpr auto storeRetryPause = Milliseconds(500);
 
@@ -116,8 +118,16 @@
 
 Awaitable<> StoreFollower::followStore()
 {
+    auto beganAt = Clock::now();
+    bool hadListing = false;
     while (true) {
         auto startedAt = Clock::now();
+        // All instances begin together, and none knows yet which of them will read for the others.
+        if (m_replica.loaded() && !hadListing && startedAt < beganAt + acquaintanceTime) {
+            co_await sleepFor(beganAt + acquaintanceTime - startedAt);
+            hadListing = true;
+            continue;
+        }
         if (startedAt >= m_storeRetryAt && readsStore())
             co_await updateFromStore();
         auto next = startedAt + m_options.callInterval;
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -22,7 +22,7 @@
     /// Every instance reads the store itself while there are no more than this.
     int directReaders = 4;
     /// Shortest time between two calls, which bounds their number.
-    Milliseconds callInterval { 120 };
+    Milliseconds callInterval { 180 };
     /// Time that a call waits for a change; it also bounds the age of the confirmation.
     Milliseconds watchWait { 700 };
     /// Age from which an instance looks for another source than its usual one.
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -150,7 +150,7 @@
     reportLoads(false);
     const auto* target = m_directory.find(answer.target);
     if (!target || !m_directory.isUsable(answer.target))
-        return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank), .detail = "the granted target is not known here" });
+        return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = "the granted target is not known here" });
     return PlacementOutcome(Placement { .target = *target, .targetRequests = answer.targetRequests, .targetTokens = answer.targetTokens, .waited = Clock::now() - askedAt, .late = answer.late, .decider = PlacementDecider::Owner });
 }
 
@@ -192,7 +192,7 @@
     auto changed = ledger.takeChanged();
     if (!complete && changed.empty())
         return;
-    InstanceLoads report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .grantsTaken = m_grantsTaken };
+    InstanceLoads report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .grantsTaken = m_grantsTaken, .outcomes = m_dispatcher.outcomes().takeOwn() };
     if (complete) {
         report.loads = ledger.ownLoads();
     } else {
@@ -210,6 +210,7 @@
         m_dispatcher.ledger().setPeer(report.instance, report.loads);
     else
         m_dispatcher.ledger().updatePeer(report.instance, report.loads);
+    m_dispatcher.outcomes().onPeerOutcomes(report.outcomes, now);
     m_dispatcher.pump();
 }
 
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -25,7 +25,10 @@
         json loads = json::array();
         for (const auto& [target, load] : report.loads)
             loads.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.unreadPromptTokens) });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.grantsTaken });
+        json outcomes = json::array();
+        for (const auto& [target, count] : report.outcomes)
+            outcomes.push_back({ target, count.requests, count.failures });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.grantsTaken, outcomes });
     }
 
     json fieldsOf(const PlacementAsk& ask)
@@ -70,6 +73,8 @@
         for (const auto& load : fields.at(3))
             report.loads.emplace(load.at(0).get<std::string>(), TargetLoad { .requests = load.at(1).get<int>(), .tokens = load.at(2).get<double>(), .unreadPromptTokens = load.at(3).get<double>() });
         report.grantsTaken = fields.at(4).get<std::map<std::string, std::int64_t>>();
+        for (const auto& count : fields.at(5))
+            report.outcomes.emplace(count.at(0).get<std::string>(), OutcomeCount { .requests = count.at(1).get<int>(), .failures = count.at(2).get<int>() });
         return report;
     }
 
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -132,7 +132,7 @@
     if (!mayHaveRun) {
         result.status = 503;
         result.reason = "no_target";
-        auto retryAfter = m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank());
+        auto retryAfter = m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), {});
         co_await refuse(request.exchange, result.status, result.reason, retryAfter);
         co_return result;
     }
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -131,12 +131,15 @@
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
         logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
-        if (accepted)
+        if (accepted) {
+            m_context.dispatcher.outcomes().onSuccess(target.id, Clock::now());
             co_return true;
+        }
         m_context.streams.remove(session.id);
+        if (!request.watch.gone())
+            m_context.dispatcher.outcomes().onFailure(target.id, Clock::now());
         if (request.watch.gone() || !session.answer.notRun)
             co_return false;
-        m_context.dispatcher.outcomes().onFailure(target.id, Clock::now());
         m_context.placement.ended(session.id);
         session.id = 0;
         wanted.excluded.insert(target.id);
@@ -254,7 +257,7 @@
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
-        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank()));
+        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), estimateOf(request)));
         co_await refuse(request.exchange, result.status, result.reason, retryAfter);
         co_return;
     }
@@ -286,7 +289,6 @@
     if (verdict == Verdict::Complete && session.headerSent) {
         session.result.status = 200;
         m_context.outputs.observe(session.request.route.name, session.stream->outputTokens());
-        m_context.dispatcher.outcomes().onSuccess(session.result.target, Clock::now());
         co_await exchange.endEvents();
         co_return;
     }
