--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -211,6 +211,7 @@
 {
     SelectionFixture f(2);
     f.ledger.begin(1, "engine-0", { .promptTokens = 5000 });
+    f.ledger.produced(1, 4);
     cr_expect(f.select({ .promptTokens = 3000 })->target == "engine-1", "the empty engine is the least loaded");
     OutcomeTracker peer;
     peer.onFailure("engine-1", f.now);
