Ask any peer once the own copy is stale, and bound the wait for a turn

Cause: tests of the follower and of handovers with fakes, written for the findings so far, showed two more: with the one reader of a zone stale, no other peer was asked; an ask for a turn without any destination had no end but the stream's own. Change: a stale copy turns to every reachable peer in turn; turns are asked for until the evacuation's end. The linter's two findings are mended.

--- a/src/common/time.h
+++ b/src/common/time.h
@@ -29,6 +29,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
+    // NOLINTNEXTLINE(readability-identifier-naming): the standard names this member of a clock.
     static constexpr bool is_steady = true;
 
     static time_point now();
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -99,7 +99,9 @@
 /// Gives true if the peer brought the copy up to date.
 Awaitable<bool> StoreFollower::updateFromPeer()
 {
-    auto peers = m_fleet.storeReaders(m_options.failureDomain, Clock::now());
+    // Where the readers are cut off too, anybody may be the one who still reaches the store.
+    auto now = Clock::now();
+    auto peers = stale() ? m_fleet.reachablePeers(now) : m_fleet.storeReaders(m_options.failureDomain, now);
     if (peers.empty())
         peers = m_fleet.peers();
     if (peers.empty())
--- a/src/relay/handoverservice.h
+++ b/src/relay/handoverservice.h
@@ -41,7 +41,7 @@
     struct PendingTurn;
 
     Awaitable<> moveOut(Move);
-    Awaitable<std::optional<std::string>> takeTurn(const Move&);
+    Awaitable<std::optional<std::string>> takeTurn(const Move&, TimePoint until);
     void endTurn(const Move&, const std::string& owner);
     void send(const std::string& owner, const MoveAsk&);
     Awaitable<bool> moveTo(Move&, const std::string& destination);
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -72,7 +72,7 @@
             co_await sleepFor(idlePause);
             continue;
         }
-        auto destination = co_await takeTurn(move);
+        auto destination = co_await takeTurn(move, until);
         if (!destination)
             continue;
         bool over = co_await moveTo(move, *destination);
@@ -100,14 +100,14 @@
 }
 
 /// Asks the pool's owner until it gives a turn. Nothing if the generation ended meanwhile.
-Awaitable<std::optional<std::string>> HandoverService::takeTurn(const Move& move)
+Awaitable<std::optional<std::string>> HandoverService::takeTurn(const Move& move, TimePoint until)
 {
     const auto& stream = *move.stream;
     auto pending = std::make_shared<PendingTurn>(m_context.io);
     m_pending.insert_or_assign(stream.id(), pending);
     auto lastHeard = Clock::now();
     std::optional<std::string> destination;
-    while (!destination && m_context.streams.find(stream.id()) && move.atSource()) {
+    while (!destination && Clock::now() < until && m_context.streams.find(stream.id()) && move.atSource()) {
         auto owner = m_context.placement.ownerOf(move.left.entry.service);
         MoveAsk ask { .asker = m_context.instance, .askerLife = m_context.placement.life(), .id = stream.id(), .service = move.left.entry.service, .source = move.left.entry.id, .sourceDomain = move.left.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { move.full.begin(), move.full.end() } };
         // The answer may come before the send returns, where this instance is the owner.
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -54,7 +54,7 @@
     std::array<char, chunkBytes> chunk {};
 };
 
-TargetConnection::TargetConnection(asio::any_io_executor executor)
+TargetConnection::TargetConnection(const asio::any_io_executor& executor)
     : m_link(std::make_shared<Link>(executor))
 {
 }
--- a/src/relay/targetconnection.h
+++ b/src/relay/targetconnection.h
@@ -9,7 +9,7 @@
 /// One request on a connection of its own, so that no answer can belong to another request.
 class TargetConnection {
 public:
-    explicit TargetConnection(asio::any_io_executor);
+    explicit TargetConnection(const asio::any_io_executor&);
     ~TargetConnection();
     TargetConnection(const TargetConnection&) = delete;
     TargetConnection& operator=(const TargetConnection&) = delete;
