Ask engines whether they leave while the store cannot tell; give a silent engine one test a second

Change: while an instance's copy of the store is older than it ever is in calm, it asks the engines that run its streams, three times a second, and tells its peers what it hears. Outcomes belong to the address, so a restarted engine does not start anew; a suspect engine gets one request a second as a test unless most engines are suspects.

--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -34,7 +34,11 @@
 std::optional<TargetChoice> Dispatcher::tryStart(const PlacementRequest& request)
 {
     auto candidates = m_directory.usable(request.service);
-    return selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = Clock::now(), .memoryShare = memoryShareFor(request) }, m_random);
+    auto now = Clock::now();
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request) }, m_random);
+    if (choice && choice->trial)
+        m_outcomes.onTried(toString(m_directory.find(choice->target)->endpoint), now);
+    return choice;
 }
 
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
@@ -182,6 +186,7 @@
     SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .ownDomain = source.failureDomain, .excluded = avoided, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
     // Lengths are guesses, and a lost run costs more than a crowded engine.
     inputs.memoryShare = movedMemoryShare;
+    inputs.mayTest = false;
     auto choice = selectTarget(inputs, m_random);
     if (!choice)
         return std::nullopt;
--- a/src/dispatch/internal/outcometracker.cpp
+++ b/src/dispatch/internal/outcometracker.cpp
@@ -10,10 +10,14 @@
 
     /// Time in which an observation loses half its weight: a few outcomes of a busy target.
     constexpr double halfLifeSeconds = 2;
-    /// Successes assumed of an unknown target, so that one old failure does not convict it.
+    /// Successes assumed of an unknown address, so that one old failure does not convict it.
     constexpr double assumedSuccesses = 3.5;
     /// Failing share from which a target is avoided; ordinary error rates stay far below.
     constexpr double suspectShare = 0.25;
+    /// Ordinary failures that a missing answer weighs as much as: with it alone the address is a suspect.
+    constexpr int unreachableWeight = 2;
+    /// Pause between two requests that test a suspect. A crashed engine is back after some seconds.
+    constexpr auto trialPause = Milliseconds(1000);
 
     double fadeFactor(TimePoint from, TimePoint to)
     {
@@ -22,9 +26,9 @@
 
 }
 
-OutcomeTracker::Record& OutcomeTracker::faded(const std::string& target, TimePoint now)
+OutcomeTracker::Record& OutcomeTracker::faded(const std::string& address, TimePoint now)
 {
-    auto& record = m_records[target];
+    auto& record = m_records[address];
     auto factor = fadeFactor(record.updatedAt, now);
     record.failures *= factor;
     record.requests *= factor;
@@ -32,53 +36,70 @@
     return record;
 }
 
-void OutcomeTracker::onSuccess(const std::string& target, TimePoint now)
+void OutcomeTracker::count(const std::string& address, const OutcomeCount& outcomes, TimePoint now)
 {
-    faded(target, now).requests += 1;
-    ++m_own[target].requests;
+    auto& record = faded(address, now);
+    record.requests += outcomes.requests;
+    record.failures += outcomes.failures;
 }
 
-void OutcomeTracker::onFailure(const std::string& target, TimePoint now)
+void OutcomeTracker::countOwn(const std::string& address, const OutcomeCount& outcomes, TimePoint now)
 {
-    auto& record = faded(target, now);
-    record.requests += 1;
-    record.failures += 1;
-    auto& own = m_own[target];
-    ++own.requests;
-    ++own.failures;
+    count(address, outcomes, now);
+    auto& own = m_own[address];
+    own.requests += outcomes.requests;
+    own.failures += outcomes.failures;
 }
 
-void OutcomeTracker::onPeerOutcomes(const std::map<std::string, OutcomeCount>& outcomes, TimePoint now)
+void OutcomeTracker::onSuccess(const std::string& address, TimePoint now)
 {
-    for (const auto& [target, count] : outcomes) {
-        auto& record = faded(target, now);
-        record.requests += count.requests;
-        record.failures += count.failures;
-    }
+    countOwn(address, { .requests = 1 }, now);
 }
 
-std::map<std::string, OutcomeCount> OutcomeTracker::takeOwn()
+void OutcomeTracker::onFailure(const std::string& address, TimePoint now)
 {
-    return std::exchange(m_own, {});
+    countOwn(address, { .requests = 1, .failures = 1 }, now);
+}
+
+void OutcomeTracker::onUnreachable(const std::string& address, TimePoint now)
+{
+    countOwn(address, { .requests = unreachableWeight, .failures = unreachableWeight }, now);
 }
 
-void OutcomeTracker::forget(const std::string& target)
+void OutcomeTracker::onPeerOutcomes(const std::map<std::string, OutcomeCount>& outcomes, TimePoint now)
 {
-    m_records.erase(target);
+    for (const auto& [address, outcome] : outcomes)
+        count(address, outcome, now);
 }
 
-double OutcomeTracker::failureShare(const std::string& target, TimePoint now) const
+std::map<std::string, OutcomeCount> OutcomeTracker::takeOwn()
 {
-    auto found = m_records.find(target);
+    return std::exchange(m_own, {});
+}
+
+double OutcomeTracker::failureShare(const std::string& address, TimePoint now) const
+{
+    auto found = m_records.find(address);
     if (found == m_records.end())
         return 0;
     auto factor = fadeFactor(found->second.updatedAt, now);
     return found->second.failures * factor / (found->second.requests * factor + assumedSuccesses);
 }
 
-bool OutcomeTracker::isSuspect(const std::string& target, TimePoint now) const
+bool OutcomeTracker::isSuspect(const std::string& address, TimePoint now) const
+{
+    return failureShare(address, now) >= suspectShare;
+}
+
+bool OutcomeTracker::mayTry(const std::string& address, TimePoint now) const
+{
+    auto found = m_records.find(address);
+    return found == m_records.end() || found->second.triedAt + trialPause <= now;
+}
+
+void OutcomeTracker::onTried(const std::string& address, TimePoint now)
 {
-    return failureShare(target, now) >= suspectShare;
+    faded(address, now).triedAt = now;
 }
 
 }
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -31,6 +31,32 @@
         return static_cast<double>(load.requests) / std::max(1, target.slots);
     }
 
+    struct Candidate {
+        const TargetEntry* target = nullptr;
+        std::string address;
+        bool suspect = false;
+    };
+
+    std::vector<Candidate> candidatesOf(const SelectionInputs& inputs)
+    {
+        std::vector<Candidate> candidates;
+        candidates.reserve(inputs.candidates.size());
+        for (const auto* target : inputs.candidates) {
+            auto address = toString(target->endpoint);
+            bool suspect = inputs.outcomes.isSuspect(address, inputs.now);
+            candidates.push_back({ .target = target, .address = std::move(address), .suspect = suspect });
+        }
+        return candidates;
+    }
+
+    /// An engine that fails everything is always empty, so with the others full it would draw all new
+    /// generations. Where most engines are suspects, the fault is elsewhere and nothing is gained by waiting.
+    bool suspectsAreBarred(const SelectionInputs& inputs, const std::vector<Candidate>& candidates)
+    {
+        auto suspects = std::count_if(candidates.begin(), candidates.end(), [](const Candidate& each) { return each.suspect; });
+        return inputs.engine && 2 * suspects <= static_cast<std::ptrdiff_t>(candidates.size());
+    }
+
 }
 
 bool hasRoom(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, double memoryShare)
@@ -45,11 +71,16 @@
 
 std::optional<TargetChoice> selectTarget(const SelectionInputs& inputs, Random& random)
 {
+    auto candidates = candidatesOf(inputs);
+    bool barsSuspects = suspectsAreBarred(inputs, candidates);
     std::optional<TargetChoice> best;
     std::uniform_real_distribution<double> tieBreak(0, tieBreakSpread);
-    for (const auto* target : inputs.candidates) {
+    for (const auto& [target, address, suspect] : candidates) {
         if (inputs.excluded.count(target->id) > 0)
             continue;
+        bool trial = barsSuspects && suspect;
+        if (trial && !(inputs.mayTest && inputs.outcomes.mayTry(address, inputs.now)))
+            continue;
         auto load = inputs.ledger.total(target->id);
         if (inputs.engine && !hasRoom(*inputs.engine, load, inputs.estimate, inputs.memoryShare))
             continue;
@@ -58,12 +89,12 @@
             score += inputs.otherDomainPenalty;
         if (target->warmUpRemaining.count() > 0)
             score += warmUpPenalty;
-        score += failureWeight * inputs.outcomes.failureShare(target->id, inputs.now);
-        if (inputs.outcomes.isSuspect(target->id, inputs.now))
+        score += failureWeight * inputs.outcomes.failureShare(address, inputs.now);
+        if (suspect)
             score += lastResortPenalty;
         score += tieBreak(random);
         if (!best || score < best->score)
-            best = TargetChoice { .target = target->id, .score = score, .requests = load.requests, .tokens = load.tokens };
+            best = TargetChoice { .target = target->id, .trial = trial, .score = score, .requests = load.requests, .tokens = load.tokens };
     }
     return best;
 }
--- a/src/dispatch/outcometracker.h
+++ b/src/dispatch/outcometracker.h
@@ -7,7 +7,7 @@
 
 namespace guavaspan {
 
-/// Outcomes of requests at one target.
+/// Outcomes of requests at one address.
 struct OutcomeCount {
     int requests = 0;
     int failures = 0;
@@ -15,13 +15,15 @@
     friend bool operator==(const OutcomeCount&, const OutcomeCount&) = default;
 };
 
-/// Recent failures of each target, judged by what happened to requests.
+/// Recent failures at each address, judged by what happened to requests. An address outlives
+/// the targets behind it, so one that crashes again and again does not start anew each time.
 class OutcomeTracker {
 public:
-    void onSuccess(const std::string& target, TimePoint now);
-    /// The target failed a request: no answer, a broken one, or a refusal while it had room.
-    void onFailure(const std::string& target, TimePoint now);
-    void forget(const std::string& target);
+    void onSuccess(const std::string& address, TimePoint now);
+    /// The target failed a request: a broken answer, or a refusal while it had room.
+    void onFailure(const std::string& address, TimePoint now);
+    /// No answer came at all: whatever ran there is most likely gone.
+    void onUnreachable(const std::string& address, TimePoint now);
 
     /// What peers saw.
     void onPeerOutcomes(const std::map<std::string, OutcomeCount>&, TimePoint now);
@@ -30,19 +32,26 @@
     std::map<std::string, OutcomeCount> takeOwn();
 
     /// Share of recent requests that failed, fading with time.
-    double failureShare(const std::string& target, TimePoint now) const;
+    double failureShare(const std::string& address, TimePoint now) const;
 
-    /// True while the target is avoided if there is another.
-    bool isSuspect(const std::string& target, TimePoint now) const;
+    /// True while the address is avoided if there is another.
+    bool isSuspect(const std::string& address, TimePoint now) const;
+
+    /// True if one request may test whether a suspect works again.
+    bool mayTry(const std::string& address, TimePoint now) const;
+    void onTried(const std::string& address, TimePoint now);
 
 private:
     struct Record {
         double failures = 0;
         double requests = 0;
         TimePoint updatedAt;
+        TimePoint triedAt;
     };
 
-    Record& faded(const std::string& target, TimePoint now);
+    Record& faded(const std::string& address, TimePoint now);
+    void count(const std::string& address, const OutcomeCount&, TimePoint now);
+    void countOwn(const std::string& address, const OutcomeCount&, TimePoint now);
 
     std::map<std::string, Record> m_records;
     std::map<std::string, OutcomeCount> m_own;
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -38,11 +38,15 @@
     double otherDomainPenalty = nearDomainPreference;
     /// Part of an engine's memory that may be planned for.
     double memoryShare = plannedMemoryShare;
+    /// Work that must not be lost tests no suspects.
+    bool mayTest = true;
 };
 
 /// The target of a request and the figures that chose it.
 struct TargetChoice {
     std::string target;
+    /// Its recent requests failed, and this one tests whether it works again.
+    bool trial = false;
     double score = 0;
     int requests = 0;
     double tokens = 0;
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -24,7 +24,16 @@
     explicit SelectionFixture(int count)
     {
         for (int i = 0; i < count; ++i)
-            entries.push_back({ .id = "engine-" + std::to_string(i), .service = "writer", .failureDomain = i % 2 == 0 ? "near" : "far", .slots = 6 });
+            entries.push_back({ .id = "engine-" + std::to_string(i), .service = "writer", .endpoint = { .address = "10.0.0." + std::to_string(i), .port = 80 }, .failureDomain = i % 2 == 0 ? "near" : "far", .slots = 6 });
+    }
+
+    std::string address(std::size_t index) const { return toString(entries.at(index).endpoint); }
+
+    /// Leaves no room at an engine.
+    void fill(std::size_t index)
+    {
+        ledger.begin(++lastId, entries.at(index).id, { .promptTokens = engine->memoryTokens });
+        ledger.produced(lastId, 1);
     }
 
     std::optional<TargetChoice> select(WorkEstimate estimate)
@@ -161,7 +170,7 @@
     SelectionFixture f(2);
     f.engine.reset();
     for (int i = 0; i < 6; ++i)
-        f.outcomes.onFailure("engine-0", f.now);
+        f.outcomes.onFailure(f.address(0), f.now);
     for (int i = 0; i < 5; ++i)
         f.ledger.begin(static_cast<WorkId>(100 + i), "engine-1", {});
     cr_expect(f.select({})->target == "engine-1");
@@ -214,13 +223,59 @@
     f.ledger.produced(1, 4);
     cr_expect(f.select({ .promptTokens = 3000 })->target == "engine-1", "the empty engine is the least loaded");
     OutcomeTracker peer;
-    peer.onFailure("engine-1", f.now);
-    f.outcomes.onFailure("engine-1", f.now);
+    peer.onFailure(f.address(1), f.now);
+    f.outcomes.onFailure(f.address(1), f.now);
     f.outcomes.onPeerOutcomes(peer.takeOwn(), f.now);
     cr_expect(f.select({ .promptTokens = 3000 })->target == "engine-0");
     cr_expect(peer.takeOwn().empty(), "told once");
 }
 
+/// An engine that crashes again and again is empty whenever the others are full.
+Test(TargetSelector, crashedEngineAmongFullOnes_getsOneTestAndNoOtherRequest)
+{
+    SelectionFixture f(4);
+    for (std::size_t i = 1; i < 4; ++i)
+        f.fill(i);
+    cr_expect(f.select({ .promptTokens = 3000 })->target == "engine-0", "it alone has room");
+    f.outcomes.onUnreachable(f.address(0), f.now);
+    auto test = f.select({ .promptTokens = 3000 });
+    cr_assert(test && test->trial);
+    f.outcomes.onTried(f.address(0), f.now);
+    for (int i = 0; i < 9; ++i) {
+        f.now += Milliseconds(100);
+        cr_expect(!f.select({ .promptTokens = 3000 }), "the rest wait for an engine that works");
+    }
+    f.now += Milliseconds(100);
+    cr_expect(f.select({ .promptTokens = 3000 })->trial, "tested again after a second");
+    for (int i = 0; i < 8; ++i)
+        f.outcomes.onSuccess(f.address(0), f.now);
+    cr_expect(!f.select({ .promptTokens = 3000 })->trial, "it works again");
+}
+
+Test(TargetSelector, newTargetAtACrashedAddress_isStillASuspect)
+{
+    SelectionFixture f(3);
+    f.fill(1);
+    f.fill(2);
+    f.outcomes.onUnreachable(f.address(0), f.now);
+    f.outcomes.onUnreachable(f.address(0), f.now);
+    f.entries[0].id = "engine-0-again";
+    f.now += Milliseconds(700);
+    cr_expect(f.select({ .promptTokens = 3000 })->trial);
+}
+
+Test(TargetSelector, mostEnginesSuspect_noneIsBarred)
+{
+    SelectionFixture f(4);
+    for (std::size_t i = 0; i < 3; ++i) {
+        f.outcomes.onUnreachable(f.address(i), f.now);
+        f.outcomes.onTried(f.address(i), f.now);
+    }
+    f.fill(3);
+    auto choice = f.select({ .promptTokens = 3000 });
+    cr_expect(choice && !choice->trial);
+}
+
 Test(RetryBudget, partsOfAllInstances_stayBelowTheFleetsBound)
 {
     const int instances = 6;
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -8,6 +8,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "relay/handoverservice.h"
+#include "relay/leaveinquiry.h"
 #include "relay/requesthandler.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -55,6 +56,7 @@
     Awaitable<> stop();
     Awaitable<> reloadLoop();
     bool ready() const;
+    StoreView storeView() const;
     void updateGauges();
 
     EntrySettings m_settings;
@@ -77,6 +79,7 @@
     RelayContext m_context;
     MoveServer m_moveServer;
     HandoverService m_handovers;
+    LeaveInquiry m_leaveInquiry;
     Registration m_registration;
     RequestHandler m_handler;
     PeerFeedServer m_feed;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -49,6 +49,7 @@
     , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
     , m_moveServer(m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_handovers({ .io = m_io, .instance = m_settings.instance, .placement = m_placement, .turns = m_moveServer, .link = m_link, .streams = m_streams, .gate = m_gate, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
+    , m_leaveInquiry({ .io = m_io, .streams = m_streams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
     , m_registration(m_platform.keyValue, m_platform.vocabulary.instancePrefix, { .name = m_settings.instance, .peers = m_settings.peers, .failureDomain = m_settings.failureDomain, .capacity = m_settings.capacity }, unixMilliseconds())
     , m_handler(m_context)
     , m_feed(m_replica)
@@ -59,10 +60,7 @@
     , m_reloadSignals(m_io, SIGHUP)
 {
     m_replica.onChange([this](const std::string& key, const std::optional<std::string>& value) { onStoreEntry(key, value); });
-    m_directory.onLeave([this](const TargetLeft& left) {
-        m_dispatcher.outcomes().forget(left.entry.id);
-        m_handovers.onTargetLeft(left);
-    });
+    m_directory.onLeave([this](const TargetLeft& left) { m_handovers.onTargetLeft(left); });
     m_moveServer.onOwnAnswer([this](const MoveAnswer& answer) { m_handovers.onAnswer(answer); });
     m_link.onMessage([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.onContact([this](bool reachable) {
@@ -157,6 +155,11 @@
     return m_gate.ready() && current && !m_context.stoppingSince;
 }
 
+StoreView Entry::storeView() const
+{
+    return { .reachable = m_follower.reachable(), .age = m_replica.age(BootClock::now()) };
+}
+
 Awaitable<> Entry::serveReadiness(HttpExchange& exchange)
 {
     auto path = exchange.path();
@@ -198,6 +201,7 @@
                    [&](const MoveAsk& each) { m_moveServer.onAsk(each); },
                    [&](const MoveAnswer& each) { m_handovers.onAnswer(each); },
                    [&](const MoveEnded& each) { m_moveServer.onEnded(each); },
+                   [&](const TargetLeaving& each) { m_leaveInquiry.onPeerNews(each, Clock::now()); },
                },
         message);
 }
@@ -221,6 +225,7 @@
         m_directory.onTick(Clock::now());
         m_placementServer.onTick(Clock::now());
         m_moveServer.onTick(Clock::now());
+        m_leaveInquiry.onTick(Clock::now());
         m_gate.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -45,6 +45,8 @@
     Awaitable<> followStore();
     Awaitable<> followPeers();
 
+    /// False while this instance's own calls to the store fail.
+    bool reachable() const { return m_reachable; }
     StoreSource source() const { return m_source; }
     std::uint64_t storeCalls() const { return m_storeCalls; }
 
--- a/src/handover/itargetoperations.h
+++ b/src/handover/itargetoperations.h
@@ -23,6 +23,16 @@
     std::string detail;
 };
 
+/// What an engine says of itself when it is asked.
+struct TargetReport {
+    std::int64_t startedAt = 0;
+    bool leaving = false;
+    /// Time until it is gone, where it knows.
+    std::optional<Milliseconds> leavesIn;
+
+    friend bool operator==(const TargetReport&, const TargetReport&) = default;
+};
+
 /// Operations on generations that run at engines.
 class ITargetOperations {
 public:
@@ -30,6 +40,9 @@
 
     virtual Awaitable<CopyAnswer> copyRun(CopyOptions) = 0;
 
+    /// Nothing if the engine does not answer, or not in a form that can be read.
+    virtual Awaitable<std::optional<TargetReport>> readReport(Endpoint, Clock::duration timeout) = 0;
+
     /// Frees a copy that will not be used.
     virtual Awaitable<> freeCopy(Endpoint source, std::string handle) = 0;
 };
--- a/src/net/internal/nettypes.cpp
+++ b/src/net/internal/nettypes.cpp
@@ -1,7 +1,6 @@
 #include "net/nettypes.h"
 
 #include <charconv>
-#include <fmt/format.h>
 
 namespace guavaspan {
 
@@ -25,13 +24,6 @@
     return Endpoint { .address = std::string(host), .port = port };
 }
 
-std::string toString(const Endpoint& endpoint)
-{
-    if (endpoint.address.find(':') != std::string::npos)
-        return fmt::format("[{}]:{}", endpoint.address, endpoint.port);
-    return fmt::format("{}:{}", endpoint.address, endpoint.port);
-}
-
 Awaitable<> sleepFor(Clock::duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -2,6 +2,7 @@
 
 #include "common/error.h"
 #include "common/time.h"
+#include "net/endpoint.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -31,19 +32,9 @@
 /// Completion token that hands the error code back instead of throwing.
 inline constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-/// An IP address and port.
-struct Endpoint {
-    std::string address;
-    std::uint16_t port = 0;
-
-    friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
-};
-
 /// Reads "127.0.0.1:80" or "[::1]:80"; names are refused, since peers are known by number.
 std::optional<Endpoint> parseEndpoint(std::string_view);
 
-std::string toString(const Endpoint&);
-
 /// Suspends the calling coroutine.
 Awaitable<> sleepFor(Clock::duration);
 
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -18,6 +18,7 @@
         MoveAsk,
         MoveAnswer,
         MoveEnded,
+        TargetLeaving,
     };
 
     json fieldsOf(const InstanceLoads& report)
@@ -61,6 +62,11 @@
         return json::array({ ended.asker, ended.askerLife, ended.id });
     }
 
+    json fieldsOf(const TargetLeaving& leaving)
+    {
+        return json::array({ leaving.target, leaving.startedAt });
+    }
+
     // Values are assigned one by one: a throw amid an aggregate's initialisation destroys
     // members that this compiler (g++ 12) has not built yet.
 
@@ -145,6 +151,14 @@
         return answer;
     }
 
+    TargetLeaving leavingFrom(const json& fields)
+    {
+        TargetLeaving leaving;
+        leaving.target = fields.at(0).get<std::string>();
+        leaving.startedAt = fields.at(1).get<std::int64_t>();
+        return leaving;
+    }
+
 }
 
 std::string encodeFleetMessage(const FleetMessage& message)
@@ -175,6 +189,8 @@
             return moveAnswerFrom(fields);
         case Kind::MoveEnded:
             return endedFrom<MoveEnded>(fields);
+        case Kind::TargetLeaving:
+            return leavingFrom(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -88,8 +88,17 @@
     friend bool operator==(const MoveEnded&, const MoveEnded&) = default;
 };
 
+/// An engine itself said that it leaves, which the shared store does not show yet.
+struct TargetLeaving {
+    std::string target;
+    /// The life of the target that this is about.
+    std::int64_t startedAt = 0;
+
+    friend bool operator==(const TargetLeaving&, const TargetLeaving&) = default;
+};
+
 /// Everything that instances tell each other in datagrams.
-using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded, MoveAsk, MoveAnswer, MoveEnded>;
+using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded, MoveAsk, MoveAnswer, MoveEnded, TargetLeaving>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/relay/internal/livestream.cpp
+++ b/src/relay/internal/livestream.cpp
@@ -85,6 +85,14 @@
     return found;
 }
 
+std::set<std::string> LiveStreams::targets() const
+{
+    std::set<std::string> targets;
+    for (const auto& [id, stream] : m_streams)
+        targets.insert(stream->target().id);
+    return targets;
+}
+
 std::shared_ptr<LiveStream> LiveStreams::find(WorkId id) const
 {
     auto found = m_streams.find(id);
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -169,6 +169,7 @@
         }
         ++result.sends;
         result.target = placement->target.id;
+        auto address = toString(placement->target.endpoint);
         bool mayRepeat = idempotent && runs + 1 < request.route.maxTargets;
         auto attempt = co_await this->attempt(request, *placement, mayRepeat);
         m_context.placement.ended(id);
@@ -180,17 +181,17 @@
             result.reason = "caller_gone";
             co_return result;
         case AttemptVerdict::Answered:
-            m_context.dispatcher.outcomes().onSuccess(result.target, now);
+            m_context.dispatcher.outcomes().onSuccess(address, now);
             co_return co_await deliver(request, std::move(attempt), std::move(result));
         case AttemptVerdict::FailedAnswer:
             mayHaveRun = true;
             ++runs;
-            m_context.dispatcher.outcomes().onFailure(result.target, now);
+            m_context.dispatcher.outcomes().onFailure(address, now);
             if (!mayRepeat || !takeRepeat(request))
                 co_return co_await deliver(request, std::move(attempt), std::move(result));
             break;
         case AttemptVerdict::NotRun:
-            m_context.dispatcher.outcomes().onFailure(result.target, now);
+            m_context.dispatcher.outcomes().onFailure(address, now);
             if (!takeRepeat(request))
                 co_return co_await giveUp(request, std::move(result), mayHaveRun);
             break;
@@ -198,7 +199,7 @@
         case AttemptVerdict::TimedOut:
             mayHaveRun = true;
             ++runs;
-            m_context.dispatcher.outcomes().onFailure(result.target, now);
+            m_context.dispatcher.outcomes().onFailure(address, now);
             if (!mayRepeat || !takeRepeat(request))
                 co_return co_await giveUp(request, std::move(result), mayHaveRun);
             break;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -103,6 +103,15 @@
     co_return accepted;
 }
 
+void StreamRelay::noteFailedBegin(const std::string& address, const TargetAnswer& answer)
+{
+    auto& outcomes = m_context.dispatcher.outcomes();
+    if (answer.status == 0)
+        outcomes.onUnreachable(address, Clock::now());
+    else
+        outcomes.onFailure(address, Clock::now());
+}
+
 /// Finds an engine that starts the request. False if the request is over; it may have been answered then.
 Awaitable<bool> StreamRelay::begin(Session& session)
 {
@@ -127,17 +136,18 @@
         session.result.waited += placement->waited;
         session.result.target = placement->target.id;
         auto target = placement->target;
+        auto address = toString(target.endpoint);
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, wanted.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
         logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
-            m_context.dispatcher.outcomes().onSuccess(target.id, Clock::now());
+            m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
         }
         m_context.streams.remove(session.id);
         if (!request.watch.gone())
-            m_context.dispatcher.outcomes().onFailure(target.id, Clock::now());
+            noteFailedBegin(address, session.answer);
         if (request.watch.gone() || !session.answer.notRun)
             co_return false;
         m_context.placement.ended(session.id);
@@ -313,6 +323,9 @@
         auto verdict = co_await relayEvents(session);
         while (verdict == Verdict::Interrupted && co_await resume(session))
             verdict = co_await relayEvents(session);
+        const auto& last = session.stream->target();
+        if (verdict == Verdict::Interrupted && m_context.directory.isUsable(last.id))
+            m_context.dispatcher.outcomes().onFailure(toString(last.endpoint), Clock::now());
         if (request.watch.gone())
             verdict = Verdict::CallerGone;
         session.connection->cancel();
--- /dev/null
+++ b/src/relay/leaveinquiry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "handover/itargetoperations.h"
+#include "handover/leavewatch.h"
+#include "placement/fleetlink.h"
+#include "relay/livestream.h"
+#include "targets/targetdirectory.h"
+
+#include <functional>
+
+namespace guavaspan {
+
+/// What asking engines needs of the rest of the instance.
+struct LeaveInquiryContext {
+    asio::io_context& io;
+    LiveStreams& streams;
+    TargetDirectory& directory;
+    ITargetOperations& operations;
+    FleetLink& link;
+    std::function<StoreView()> storeView;
+};
+
+/// Asks engines whether they leave while the shared store cannot tell, and tells peers.
+class LeaveInquiry {
+public:
+    explicit LeaveInquiry(LeaveInquiryContext);
+
+    /// Asks whom it is time to ask.
+    void onTick(TimePoint now);
+
+    /// A peer's engine told it.
+    void onPeerNews(const TargetLeaving&, TimePoint now);
+
+private:
+    Awaitable<> ask(TargetEntry);
+
+    LeaveInquiryContext m_context;
+    LeaveWatch m_watch;
+};
+
+}
--- a/src/relay/livestream.h
+++ b/src/relay/livestream.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace guavaspan {
 
@@ -73,6 +74,8 @@
     void remove(WorkId id) { m_streams.erase(id); }
     std::vector<std::shared_ptr<LiveStream>> at(const std::string& target) const;
     std::shared_ptr<LiveStream> find(WorkId) const;
+    /// Where streams run.
+    std::set<std::string> targets() const;
     std::size_t size() const { return m_streams.size(); }
 
 private:
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -34,6 +34,7 @@
     Awaitable<Verdict> forwardFrames(Session&);
     Awaitable<> finish(Session&, Verdict);
     Awaitable<> refuseUnstarted(Session&);
+    void noteFailedBegin(const std::string& address, const TargetAnswer&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string wordFor(Verdict);
 
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -1,5 +1,6 @@
 #include "net/tests/runcoroutine.h"
 #include "relay/handoverservice.h"
+#include "relay/leaveinquiry.h"
 
 #include <criterion/criterion.h>
 
@@ -17,8 +18,17 @@
         co_return answer;
     }
 
+    Awaitable<std::optional<TargetReport>> readReport(Endpoint target, Clock::duration) override
+    {
+        asked.push_back(target);
+        co_return report;
+    }
+
     Awaitable<> freeCopy(Endpoint, std::string) override { co_return; }
 
+    std::vector<Endpoint> asked;
+    std::optional<TargetReport> report;
+
     std::vector<CopyOptions> calls;
     std::vector<CopyAnswer> answers;
     std::size_t next = 0;
@@ -152,3 +162,57 @@
     f.run(Milliseconds(100));
     cr_expect(f.operations.calls.empty());
 }
+
+namespace {
+
+/// The same instance while its copy of the store is old.
+struct InquiryFixture : HandoverFixture {
+    StoreView view { .reachable = false, .age = Seconds(3) };
+    LeaveInquiry inquiry { { .io = io, .streams = streams, .directory = directory, .operations = operations, .link = link, .storeView = [this] { return view; } } };
+
+    InquiryFixture()
+        : HandoverFixture(1)
+    {
+    }
+};
+
+}
+
+Test(LeaveInquiry, engineLeavesWhileTheStoreIsDown_itsRunMovesAllTheSame)
+{
+    InquiryFixture f;
+    f.operations.report = TargetReport { .startedAt = 1, .leaving = true, .leavesIn = Milliseconds(1500) };
+    f.inquiry.onTick(Clock::now());
+    f.run(Milliseconds(100));
+    cr_expect(!f.directory.isUsable("engine-0"));
+    cr_expect(f.operations.calls.size() == 2, "copied and stopped");
+    cr_expect(f.move().has_value());
+    f.inquiry.onTick(Clock::now() + Seconds(1));
+    cr_expect(f.operations.asked.size() == 1, "a leaving engine is not asked again");
+}
+
+Test(LeaveInquiry, anotherTargetAtTheAddress_saysNothingOfThisOne)
+{
+    InquiryFixture f;
+    f.operations.report = TargetReport { .startedAt = 2, .leaving = true };
+    f.inquiry.onTick(Clock::now());
+    f.run(Milliseconds(50));
+    cr_expect(f.directory.isUsable("engine-0"));
+}
+
+Test(LeaveInquiry, storeIsCurrent_noEngineIsAsked)
+{
+    InquiryFixture f;
+    f.view = { .reachable = true, .age = Milliseconds(500) };
+    f.inquiry.onTick(Clock::now());
+    f.run(Milliseconds(50));
+    cr_expect(f.operations.asked.empty());
+}
+
+Test(LeaveInquiry, peersNews_movesTheRunsHere)
+{
+    InquiryFixture f;
+    f.inquiry.onPeerNews({ .target = "engine-0", .startedAt = 1 }, Clock::now());
+    f.run(Milliseconds(100));
+    cr_expect(f.move().has_value());
+}
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -14,6 +14,8 @@
     switch (reason) {
     case LeaveReason::Announced:
         return "announced";
+    case LeaveReason::AskedTarget:
+        return "asked_target";
     case LeaveReason::EntryRemoved:
         return "entry_removed";
     case LeaveReason::Restarted:
@@ -35,10 +37,13 @@
         return;
     }
     bool restarted = known->second.entry.startedAt != entry->startedAt;
+    bool saidToLeave = known->second.saidToLeave && !restarted;
+    if (saidToLeave)
+        entry->state = TargetState::Leaving;
     bool leavesNow = known->second.entry.state == TargetState::Ready && entry->state == TargetState::Leaving;
     if (restarted && m_listener)
         m_listener({ .entry = known->second.entry, .reason = LeaveReason::Restarted, .at = now });
-    known->second = Known { .entry = std::move(*entry) };
+    known->second = Known { .entry = std::move(*entry), .saidToLeave = saidToLeave };
     if (!restarted && leavesNow && m_listener)
         m_listener({ .entry = known->second.entry, .reason = LeaveReason::Announced, .at = now });
 }
@@ -55,6 +60,19 @@
     leave(known, LeaveReason::EntryRemoved, now);
 }
 
+void TargetDirectory::onSaidToLeave(const std::string& id, std::int64_t startedAt, TimePoint now)
+{
+    auto known = m_targets.find(id);
+    if (known == m_targets.end() || known->second.entry.startedAt != startedAt)
+        return;
+    known->second.saidToLeave = true;
+    if (known->second.entry.state == TargetState::Leaving)
+        return;
+    known->second.entry.state = TargetState::Leaving;
+    if (m_listener)
+        m_listener({ .entry = known->second.entry, .reason = LeaveReason::AskedTarget, .at = now });
+}
+
 void TargetDirectory::onListed(const std::vector<TargetEntry>& listed, TimePoint now)
 {
     std::map<std::string, const TargetEntry*> byId;
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -12,6 +12,8 @@
 /// Why a target takes no new work any more.
 enum class LeaveReason {
     Announced,
+    /// The target said so itself before its entry did.
+    AskedTarget,
     EntryRemoved,
     Restarted,
 };
@@ -36,6 +38,10 @@
     void onWritten(const std::string& id, std::optional<TargetEntry>, TimePoint now);
     void onRemoved(const std::string& id, TimePoint now);
 
+    /// The target itself, or a peer that asked it, says that this life of it leaves.
+    /// Entries of the same life that still call it ready are older news.
+    void onSaidToLeave(const std::string& id, std::int64_t startedAt, TimePoint now);
+
     /// The whole list was read anew; what it lacks is gone.
     void onListed(const std::vector<TargetEntry>&, TimePoint now);
 
@@ -57,6 +63,7 @@
     struct Known {
         TargetEntry entry;
         std::optional<TimePoint> lapsedUntil;
+        bool saidToLeave = false;
     };
 
     void leave(std::map<std::string, Known>::iterator, LeaveReason, TimePoint now);
--- a/src/targets/targettypes.h
+++ b/src/targets/targettypes.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/time.h"
-#include "net/nettypes.h"
+#include "net/endpoint.h"
 
 #include <string>
 
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -104,3 +104,29 @@
     cr_expect(!f.directory.isUsable("a"));
     cr_expect(f.directory.isUsable("b"));
 }
+
+Test(TargetDirectory, leaveThatTheTargetTold_holdsAgainstOlderEntriesOfThatLife)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.directory.onSaidToLeave("a", 1, f.now);
+    f.directory.onSaidToLeave("a", 1, f.now);
+    cr_expect(!f.directory.isUsable("a"));
+    cr_assert(f.left.size() == 1);
+    cr_expect(f.left[0].second == LeaveReason::AskedTarget);
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isUsable("a"), "written before it began to leave");
+    f.directory.onRemoved("a", f.now);
+    cr_expect(f.left.size() == 1, "told once");
+}
+
+Test(TargetDirectory, leaveOfAnEarlierLife_doesNotTouchTheNextOne)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a", TargetState::Ready, 1));
+    f.directory.onSaidToLeave("a", 1, f.now);
+    f.write(f.entry("a", TargetState::Ready, 2));
+    cr_expect(f.directory.isUsable("a"));
+    f.directory.onSaidToLeave("a", 1, f.now);
+    cr_expect(f.directory.isUsable("a"));
+}
