Let short generations go first where engines are full, and learn what callers' guesses tell

Cause: on the grown sites engines are asked for about a sixth more than they hold. A generation takes memory for as long as it is long (31 to 439 events, p10 and most), the caller's bound is the same for all, and the line went by organisation, then arrival.

Change: organisations above their share wait behind the others, and within that expected length counts as later arrival, 0.8 ms a token, so a long one is passed only by those that come within its delay. Guesses and lengths are summed and told to peers; a line through them gives the estimate. What outlived its estimate is expected to grow on by a third. Advice to return is at least the time for which engines have been full. Three hundredths less memory is planned for.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -89,6 +89,8 @@
     std::unordered_map<WorkId, PlacementRequest> m_requests;
     std::unordered_map<WorkId, std::shared_ptr<Waiter>> m_waiters;
     std::unordered_map<WorkId, Started> m_started;
+    /// When an engine of a service last had room for a request that comes back.
+    std::map<std::string, TimePoint> m_hadRoomAt;
     WorkId m_lastId = 0;
 };
 
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -6,6 +6,8 @@
 
     /// Shortest advice to come back: a few round trips, so that callers do not spin.
     constexpr double shortestRetrySeconds = 0.25;
+    /// Longest advice that is drawn from how long engines have been full: callers of generations wait some 40 s in all.
+    constexpr double longestRetrySeconds = 8;
     /// Advice is spread by up to this share, so that refused callers do not return together.
     constexpr double retrySpread = 0.6;
     /// Time that a request waits which is late already: callers of streams leave after some seconds without an event.
@@ -37,6 +39,8 @@
     auto candidates = m_directory.usable(request.service);
     auto now = Clock::now();
     auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request) }, m_random);
+    if (choice && request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
+        m_hadRoomAt[request.service] = now;
     if (choice && choice->trial)
         m_outcomes.onTried(toString(m_directory.find(choice->target)->endpoint), now);
     return choice;
@@ -175,8 +179,11 @@
     auto now = Clock::now();
     auto wait = m_line.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .estimate = estimate, .arrivedAt = now }, now);
     double expected = std::chrono::duration<double>(wait).count();
+    // Engines that have been full for some time are likely to stay so for about as long again.
+    auto hadRoom = m_hadRoomAt.find(service);
+    double full = hadRoom == m_hadRoomAt.end() ? 0 : std::min(longestRetrySeconds, secondsBetween(hadRoom->second, now));
     std::uniform_real_distribution<double> spread(1, 1 + retrySpread);
-    return fromSeconds(std::max(shortestRetrySeconds, expected) * spread(m_random));
+    return fromSeconds(std::max({ shortestRetrySeconds, expected, full }) * spread(m_random));
 }
 
 std::optional<std::string> Dispatcher::chooseDestination(const TargetEntry& source, const EngineTraits& engine, const WorkEstimate& estimate, const std::set<std::string>& excluded)
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -10,18 +10,21 @@
     /// Part of its remaining growth that a generation is counted with. The generations of an engine
     /// are at different points of their lives, so not all of them are at their largest at once.
     constexpr double expectedGrowthShare = 0.7;
-    /// Growth assumed for a generation that has outlived its estimate, in tokens: a few events.
-    constexpr int growthBeyondEstimate = 64;
+    /// What a generation is expected to grow to, as a multiple of what it has: lengths vary over
+    /// orders of magnitude, so the longer one runs the longer it is likely to run on.
+    constexpr double expectedOverMade = 1.35;
+    /// Added to it, in tokens: a few events.
+    constexpr int leastGrowth = 32;
 
 }
 
 TargetLoad LoadLedger::loadOf(const Work& work)
 {
-    int output = work.estimate.outputTokens;
-    if (output > 0 && work.outputTokens >= output)
-        output = work.outputTokens + growthBeyondEstimate;
+    double output = work.estimate.outputTokens;
+    if (output > 0 && work.outputTokens > 0)
+        output = std::max(output, expectedOverMade * work.outputTokens + leastGrowth);
     bool unread = work.outputTokens == 0;
-    double growth = expectedGrowthShare * std::max(0, output - work.outputTokens);
+    double growth = expectedGrowthShare * std::max(0.0, output - work.outputTokens);
     return { .requests = 1, .tokens = work.estimate.promptTokens + work.estimate.copiedTokens + work.outputTokens + growth, .unreadPromptTokens = unread ? static_cast<double>(work.estimate.promptTokens) : 0 };
 }
 
--- a/src/dispatch/internal/waitingline.cpp
+++ b/src/dispatch/internal/waitingline.cpp
@@ -9,26 +9,35 @@
 
     /// Span over which starts are averaged: about half the life of a long generation.
     constexpr auto startWindow = Milliseconds(4000);
+    /// Later arrival that one expected output token counts as: generations of the longest kind, some
+    /// 2,000 tokens, are passed by short ones for about as long as callers of streams can wait.
+    constexpr auto delayOfToken = Microseconds(800);
     /// Starts below which a rate is not trusted.
     constexpr std::size_t fewestStarts = 3;
 
 }
 
+/// Whoever waits beside an organisation that has all of the targets counts as another one.
+bool WaitingLine::isAboveShare(const std::string& organisation) const
+{
+    auto found = m_tokensAtTargets.find(organisation);
+    if (found == m_tokensAtTargets.end())
+        return false;
+    auto organisations = std::max<std::size_t>(2, m_tokensAtTargets.size());
+    return found->second * static_cast<double>(organisations) > m_tokensInAll;
+}
+
+/// A generation takes its memory for as long as it is long, so where not all can run more of them run
+/// if the short ones go first. A long one is passed only by those that arrive within its delay.
 bool WaitingLine::before(const WaitingRequest& left, const WaitingRequest& right) const
 {
     if (left.rank != right.rank)
         return left.rank < right.rank;
-    auto tokensOf = [&](const std::string& organisation) {
-        auto found = m_tokensAtTargets.find(organisation);
-        return found == m_tokensAtTargets.end() ? 0.0 : found->second;
-    };
-    if (left.organisation != right.organisation) {
-        auto leftTokens = tokensOf(left.organisation);
-        auto rightTokens = tokensOf(right.organisation);
-        if (leftTokens != rightTokens)
-            return leftTokens < rightTokens;
-    }
-    return left.arrivedAt < right.arrivedAt;
+    bool leftAbove = isAboveShare(left.organisation);
+    bool rightAbove = isAboveShare(right.organisation);
+    if (leftAbove != rightAbove)
+        return rightAbove;
+    return left.arrivedAt + left.estimate.outputTokens * delayOfToken < right.arrivedAt + right.estimate.outputTokens * delayOfToken;
 }
 
 /// More urgent requests that arrive later go ahead as well, so each rank is measured by its own starts.
@@ -115,6 +124,7 @@
 void WaitingLine::onStarted(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate, TimePoint now)
 {
     m_tokensAtTargets[organisation] += estimate.totalTokens();
+    m_tokensInAll += estimate.totalTokens();
     auto& started = m_started[service];
     started.push_back({ .at = now, .rank = rank, .brief = estimate.isBrief(), .tokens = estimate.totalTokens() });
     while (!started.empty() && started.front().at + startWindow < now)
@@ -127,6 +137,7 @@
     if (found == m_tokensAtTargets.end())
         return;
     found->second -= estimate.totalTokens();
+    m_tokensInAll -= estimate.totalTokens();
     if (found->second < 1)
         m_tokensAtTargets.erase(found);
 }
--- a/src/dispatch/outputestimator.h
+++ b/src/dispatch/outputestimator.h
@@ -6,21 +6,45 @@
 
 namespace guavaspan {
 
+/// Sums over generations that ended, from which a line through guesses and lengths
+/// is drawn. Both count in logarithms; sums of several instances add up.
+struct LengthSums {
+    double lengths = 0;
+    double length = 0;
+    /// Those of the generations whose callers guessed.
+    double guesses = 0;
+    double guess = 0;
+    double guessedLength = 0;
+    double guessSquared = 0;
+    double guessTimesLength = 0;
+
+    LengthSums& operator+=(const LengthSums&);
+    LengthSums& operator*=(double);
+
+    friend bool operator==(const LengthSums&, const LengthSums&) = default;
+};
+
+using LengthsByRoute = std::map<std::string, LengthSums>;
+
 /// Expects output lengths from what a route's generations had and what the caller guesses.
 class OutputEstimator {
 public:
-    void observe(const std::string& route, int outputTokens);
+    void observe(const std::string& route, std::optional<int> guess, int outputTokens);
+
+    /// What peers saw.
+    void onPeerLengths(const LengthsByRoute&);
+
+    /// What this instance saw since the last call, for its peers.
+    LengthsByRoute takeOwn();
 
     /// Tokens that a generation will have, not above the caller's bound.
     int expect(const std::string& route, std::optional<int> guess, int maxOutputTokens) const;
 
 private:
-    struct Record {
-        double meanLog = 0;
-        double weight = 0;
-    };
+    void add(const std::string& route, const LengthSums&);
 
-    std::map<std::string, Record> m_routes;
+    LengthsByRoute m_routes;
+    LengthsByRoute m_own;
 };
 
 }
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -14,11 +14,11 @@
 inline constexpr double nearDomainPreference = 0.02;
 
 /// Part of an engine's memory that is planned for; the rest covers wrong length estimates.
-inline constexpr double plannedMemoryShare = 0.95;
+inline constexpr double plannedMemoryShare = 0.92;
 /// The same for the most urgent work, and for brief work, which gives it back at once.
-inline constexpr double urgentMemoryShare = 1.03;
+inline constexpr double urgentMemoryShare = 1.0;
 /// The same for work that is late anyway, so that it takes no room from work that can be in time.
-inline constexpr double lateMemoryShare = 0.75;
+inline constexpr double lateMemoryShare = 0.7;
 
 /// The same for generations that move out of a leaving engine.
 inline constexpr double movedMemoryShare = 1.05;
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
 
+#include <cmath>
 #include <criterion/criterion.h>
 
 using namespace guavaspan;
@@ -85,7 +86,7 @@
     ledger.produced(1, 40);
     cr_expect(ledger.total("a").unreadPromptTokens == 0);
     ledger.produced(1, 200);
-    cr_expect(ledger.total("a").tokens > 300, "it outlived its estimate");
+    cr_expect(ledger.total("a").tokens > 350, "it outlived its estimate, and grows on");
     ledger.moved(1, "b");
     cr_expect(ledger.total("a") == TargetLoad {});
     ledger.end(1);
@@ -428,9 +429,74 @@
     OutputEstimator outputs;
     cr_expect(outputs.expect("r", std::nullopt, 2000) > 1000);
     for (int i = 0; i < 50; ++i)
-        outputs.observe("r", 100);
+        outputs.observe("r", std::nullopt, 100);
     auto expected = outputs.expect("r", std::nullopt, 2000);
     cr_expect(expected >= 100 && expected <= 150, "expected %d", expected);
     cr_expect(outputs.expect("r", 800, 2000) > expected, "a guess moves it");
     cr_expect(outputs.expect("r", std::nullopt, 40) <= 40, "the caller's bound holds");
 }
+
+/// Callers' guesses that are right at the median and vary more than the lengths do.
+Test(OutputEstimator, noisyGuesses_areTrustedAsFarAsTheyTell)
+{
+    OutputEstimator outputs;
+    Random random(11);
+    std::normal_distribution<double> length(std::log(400), 0.95);
+    std::normal_distribution<double> noise(0, 1.1);
+    double squared = 0;
+    double squaredOfMedian = 0;
+    double squaredOfGuess = 0;
+    const int generations = 2000;
+    const int firstKnown = 100;
+    for (int i = 0; i < generations; ++i) {
+        double actual = length(random);
+        int guess = static_cast<int>(std::exp(actual + noise(random)));
+        double expected = std::log(outputs.expect("r", guess, 100000) / 1.25);
+        outputs.observe("r", guess, static_cast<int>(std::exp(actual)));
+        if (i < firstKnown)
+            continue;
+        squared += (expected - actual) * (expected - actual);
+        squaredOfMedian += (std::log(400) - actual) * (std::log(400) - actual);
+        squaredOfGuess += (std::log(std::max(1, guess)) - actual) * (std::log(std::max(1, guess)) - actual);
+    }
+    // With these spreads a line explains 0.95^2 / (0.95^2 + 1.1^2) = 43% of the variance.
+    cr_expect(squared < 0.62 * squaredOfMedian, "%.2f of the variance is left", squared / squaredOfMedian);
+    cr_expect(squared < 0.62 * squaredOfGuess);
+}
+
+Test(OutputEstimator, lengthsOfPeers_countLikeOwnOnes)
+{
+    OutputEstimator here;
+    OutputEstimator peer;
+    for (int i = 0; i < 40; ++i)
+        peer.observe("r", 200, 100);
+    here.onPeerLengths(peer.takeOwn());
+    cr_expect(here.expect("r", 200, 5000) == peer.expect("r", 200, 5000));
+    cr_expect(peer.takeOwn().empty(), "told once");
+}
+
+/// Engines that are asked for more than they hold: what all requests hold while they run is
+/// their length, and the short ones are known as far as callers' guesses tell.
+Test(WaitingLine, moreThanTheEnginesHold_shortGenerationsGoFirstAndLongOnesStillRun)
+{
+    LineFixture f;
+    auto longOne = f.push("a", 1, 3000, Seconds(5), false, 1700);
+    auto shortOne = f.push("a", 1, 3000, Seconds(5), false, 200);
+    auto middle = f.push("a", 1, 3000, Seconds(5), false, 600);
+    cr_expect(f.take() == shortOne);
+    cr_expect(f.take() == middle);
+    f.now += Milliseconds(1600);
+    f.push("a", 1, 3000, Seconds(5), false, 200);
+    cr_expect(f.take() == longOne, "a long one that waited is not passed for good");
+}
+
+Test(WaitingLine, organisationAboveItsShare_waitsBehindLongRequestsOfOthers)
+{
+    LineFixture f;
+    for (int i = 0; i < 10; ++i)
+        f.line.onStarted("writer", "flood", { .priority = 1 }, { .promptTokens = 3000, .outputTokens = 500 }, f.now);
+    f.line.onStarted("writer", "modest", { .priority = 1 }, { .promptTokens = 3000, .outputTokens = 500 }, f.now);
+    f.push("flood", 1, 3000, Seconds(5), false, 100);
+    auto modest = f.push("modest", 1, 3000, Seconds(5), false, 1700);
+    cr_expect(f.take() == modest);
+}
--- a/src/dispatch/waitingline.h
+++ b/src/dispatch/waitingline.h
@@ -28,8 +28,9 @@
     Clock::duration expectedWait {};
 };
 
-/// Orders requests that wait for room, brief ones and others apart: by rank, then the organisation that has
-/// least at the targets, then arrival. Refuses at once what would wait too long.
+/// Orders requests that wait for room, brief ones and others apart: by rank, then organisations that have no more
+/// than their share at the targets, then arrival, where expected length counts as later arrival. Refuses at once
+/// what would wait too long.
 class WaitingLine {
 public:
     WaitVerdict enqueue(WaitingRequest, TimePoint now);
@@ -58,9 +59,12 @@
     };
 
     bool before(const WaitingRequest&, const WaitingRequest&) const;
+    bool isAboveShare(const std::string& organisation) const;
 
     std::vector<WaitingRequest> m_waiting;
     std::map<std::string, double> m_tokensAtTargets;
+    /// Sum over organisations.
+    double m_tokensInAll = 0;
     std::map<std::string, std::deque<Started>> m_started;
 };
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -69,12 +69,12 @@
     StoreReplica m_replica;
     StoreFollower m_follower;
     Dispatcher m_dispatcher;
+    OutputEstimator m_outputs;
     FleetLink m_link;
     PlacementClient m_placement;
     PlacementServer m_placementServer;
     LiveStreams m_streams;
     RetryBudget m_retries;
-    OutputEstimator m_outputs;
     RelayMetrics m_metrics;
     RelayContext m_context;
     MoveServer m_moveServer;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -43,7 +43,7 @@
     , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerSource())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
-    , m_placement(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_link)
+    , m_placement(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_outputs, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
     , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatchtypes.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/outputestimator.h"
 #include "net/nettypes.h"
 
 #include <optional>
@@ -34,8 +35,10 @@
     TargetLoads loads;
     /// The last grant that it took from each owner: those are among its loads now.
     std::map<std::string, std::int64_t> grantsTaken;
-    /// How requests ended at targets since the last report.
+    /// How requests ended at addresses since the last report.
     std::map<std::string, OutcomeCount> outcomes;
+    /// Lengths of generations that ended since the last report.
+    LengthsByRoute lengths;
 
     friend bool operator==(const InstanceLoads&, const InstanceLoads&) = default;
 };
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -32,13 +32,14 @@
     return "here";
 }
 
-PlacementClient::PlacementClient(asio::io_context& io, std::string instance, FleetView& fleet, Dispatcher& dispatcher, TargetDirectory& directory, FleetLink& link)
+PlacementClient::PlacementClient(asio::io_context& io, std::string instance, FleetView& fleet, Dispatcher& dispatcher, TargetDirectory& directory, OutputEstimator& outputs, FleetLink& link)
     : m_io(io)
     , m_instance(std::move(instance))
     , m_life(unixMilliseconds())
     , m_fleet(fleet)
     , m_dispatcher(dispatcher)
     , m_directory(directory)
+    , m_outputs(outputs)
     , m_link(link)
     // A new life goes on above the old one's numbers, so that its reports are taken for newer.
     , m_sequence(m_life)
@@ -192,7 +193,7 @@
     auto changed = ledger.takeChanged();
     if (!complete && changed.empty())
         return;
-    InstanceLoads report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .grantsTaken = m_grantsTaken, .outcomes = m_dispatcher.outcomes().takeOwn() };
+    InstanceLoads report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .grantsTaken = m_grantsTaken, .outcomes = m_dispatcher.outcomes().takeOwn(), .lengths = m_outputs.takeOwn() };
     if (complete) {
         report.loads = ledger.ownLoads();
     } else {
@@ -211,6 +212,7 @@
     else
         m_dispatcher.ledger().updatePeer(report.instance, report.loads);
     m_dispatcher.outcomes().onPeerOutcomes(report.outcomes, now);
+    m_outputs.onPeerLengths(report.lengths);
     m_dispatcher.pump();
 }
 
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -27,9 +27,12 @@
         for (const auto& [target, load] : report.loads)
             loads.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.unreadPromptTokens) });
         json outcomes = json::array();
-        for (const auto& [target, count] : report.outcomes)
-            outcomes.push_back({ target, count.requests, count.failures });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.grantsTaken, outcomes });
+        for (const auto& [address, count] : report.outcomes)
+            outcomes.push_back({ address, count.requests, count.failures });
+        json lengths = json::array();
+        for (const auto& [route, sums] : report.lengths)
+            lengths.push_back({ route, sums.lengths, sums.length, sums.guesses, sums.guess, sums.guessedLength, sums.guessSquared, sums.guessTimesLength });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.grantsTaken, outcomes, lengths });
     }
 
     json fieldsOf(const PlacementAsk& ask)
@@ -70,6 +73,19 @@
     // Values are assigned one by one: a throw amid an aggregate's initialisation destroys
     // members that this compiler (g++ 12) has not built yet.
 
+    LengthSums lengthSumsFrom(const json& fields)
+    {
+        LengthSums sums;
+        sums.lengths = fields.at(1).get<double>();
+        sums.length = fields.at(2).get<double>();
+        sums.guesses = fields.at(3).get<double>();
+        sums.guess = fields.at(4).get<double>();
+        sums.guessedLength = fields.at(5).get<double>();
+        sums.guessSquared = fields.at(6).get<double>();
+        sums.guessTimesLength = fields.at(7).get<double>();
+        return sums;
+    }
+
     InstanceLoads loadsFrom(const json& fields)
     {
         InstanceLoads report;
@@ -81,6 +97,8 @@
         report.grantsTaken = fields.at(4).get<std::map<std::string, std::int64_t>>();
         for (const auto& count : fields.at(5))
             report.outcomes.emplace(count.at(0).get<std::string>(), OutcomeCount { .requests = count.at(1).get<int>(), .failures = count.at(2).get<int>() });
+        for (const auto& sums : fields.at(6))
+            report.lengths.emplace(sums.at(0).get<std::string>(), lengthSumsFrom(sums));
         return report;
     }
 
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -12,7 +12,7 @@
 /// memory is short and shared, and by itself for plain services or without an owner.
 class PlacementClient {
 public:
-    PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, FleetLink&);
+    PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, OutputEstimator&, FleetLink&);
 
     Awaitable<PlacementOutcome> place(PlacementRequest);
 
@@ -62,6 +62,7 @@
     FleetView& m_fleet;
     Dispatcher& m_dispatcher;
     TargetDirectory& m_directory;
+    OutputEstimator& m_outputs;
     FleetLink& m_link;
     std::int64_t m_sequence;
     std::unordered_map<WorkId, std::shared_ptr<Pending>> m_pending;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -140,7 +140,7 @@
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, wanted.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(wanted.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
             m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
@@ -298,7 +298,7 @@
     session.result.events = session.stream->events();
     if (verdict == Verdict::Complete && session.headerSent) {
         session.result.status = 200;
-        m_context.outputs.observe(session.request.route.name, session.stream->outputTokens());
+        m_context.outputs.observe(session.request.route.name, session.request.caller.guessedOutputTokens, session.stream->outputTokens());
         co_await exchange.endEvents();
         co_return;
     }
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -56,7 +56,8 @@
     FleetView fleet { "self", 1000 };
     Dispatcher dispatcher { io, directory, "north", Random(3) };
     FleetLink link { io, fleet };
-    PlacementClient placement { io, "self", fleet, dispatcher, directory, link };
+    OutputEstimator outputs;
+    PlacementClient placement { io, "self", fleet, dispatcher, directory, outputs, link };
     MoveServer turns { "self", dispatcher, gate, link };
     LiveStreams streams;
     FakeOperations operations;
