Add a fault soak of the entry service with real processes

Change: soak/ starts the entry program, a store and engines as processes of their own on loopback. Links to the store and to engines go through a proxy that delays, resets, cuts one way or silences; processes are stopped, paused, killed and restarted by signals; the store fails in four ways; configurations, keys and settings change; faults come in series and overlap. Callers stay on their connections until these end. Engines write what they ran to a file that outlives them. The checks are a function of what callers and engines saw, with tests that plant each violation.

Clocks are not changed from outside: that needs privileges; pauses stand for what the code uses.

--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,94 @@
+#include "common/log.h"
+#include "net/logflusher.h"
+#include "soak/engine.h"
+#include "soak/soak.h"
+#include "standins/metadataserver.h"
+
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fmt/format.h>
+#include <iostream>
+
+using namespace guavaspan;
+using namespace guavaspan::soak;
+
+namespace {
+
+constexpr int exitUsage = 2;
+
+/// Engines themselves fail one order in twenty and lose one answer in forty.
+constexpr double leastServedWhenCalm = 0.85;
+
+int runStore(const cxxopts::ParseResult& arguments)
+{
+    asio::io_context io { 1 };
+    standins::MetadataServer store(io);
+    if (!store.listen(*parseEndpoint(arguments["listen"].as<std::string>())))
+        return 1;
+    io.run();
+    return 0;
+}
+
+int runEngine(const cxxopts::ParseResult& arguments)
+{
+    auto endpoint = [&](const char* name) { return *parseEndpoint(arguments[name].as<std::string>()); };
+    asio::io_context io { 1 };
+    Engine engine(io, { .id = arguments["id"].as<std::string>(), .service = arguments["service"].as<std::string>(), .failureDomain = arguments["zone"].as<std::string>(), .listen = endpoint("listen"), .announced = endpoint("announced"), .store = endpoint("store"), .recordFile = arguments["records"].as<std::string>(), .generates = arguments.count("generates") > 0, .seed = arguments["seed"].as<std::uint64_t>() });
+    if (!engine.start())
+        return 1;
+    io.run();
+    return 0;
+}
+
+int runSoak(const cxxopts::ParseResult& arguments)
+{
+    SoakOptions options { .seed = arguments["seed"].as<std::uint64_t>(), .seconds = arguments["seconds"].as<double>(), .instances = arguments["instances"].as<int>(), .engines = arguments["engines"].as<int>(), .callers = arguments["callers"].as<int>(), .faults = arguments["faults"].as<std::string>(), .program = arguments["program"].as<std::string>(), .self = std::filesystem::canonical("/proc/self/exe"), .folder = arguments["folder"].as<std::string>() };
+    if (!std::filesystem::exists(options.program)) {
+        std::cerr << "--program " << options.program << " does not exist\n";
+        return exitUsage;
+    }
+    if (options.folder.empty())
+        options.folder = fmt::format("{}/guavaspan-soak-{}-{}", std::filesystem::temp_directory_path().string(), options.seed, soakNow());
+    Soak soak(options);
+    auto violations = soak.run();
+    double served = servedWhenCalm(soak.record());
+    if (served < leastServedWhenCalm)
+        violations.push_back({ .promise = "callers are served again after the last fault", .evidence = fmt::format("{:.2f} of what was owed", served) });
+    for (const auto& each : violations)
+        std::cout << "violation: " << each.promise << ": " << each.evidence << "\n";
+    std::cout << fmt::format("seed {}: {} attempts, {} engine records, {:.3f} served when calm, {} violations\n", options.seed, soak.record().attempts.size(), soak.record().engineRecords.size(), served, violations.size());
+    for (const auto& [name, count] : soak.faultCounts())
+        std::cout << "  " << count << " x " << name << "\n";
+    if (violations.empty())
+        std::filesystem::remove_all(options.folder);
+    else
+        std::cout << "logs and records: " << options.folder << "\n";
+    return violations.empty() ? 0 : 1;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("guavaspan-soak", "Runs the entry service's real processes under faults and checks its promises.\nUsage: guavaspan-soak run [options]; store and engine are started by it.");
+    options.add_options()("verb", "run, store or engine", cxxopts::value<std::string>()->default_value("run"))("seed", "Seed of faults and requests", cxxopts::value<std::uint64_t>()->default_value("1"))("seconds", "Time under faults; 20 more follow without", cxxopts::value<double>()->default_value("20"))("instances", "Instances of the entry service", cxxopts::value<int>()->default_value("4"))("engines", "Engines, a third of them plain services", cxxopts::value<int>()->default_value("6"))("callers", "Callers at once", cxxopts::value<int>()->default_value("24"))("faults", "all, planned or none", cxxopts::value<std::string>()->default_value("all"))("program", "The guavaspan program", cxxopts::value<std::string>()->default_value("build/release/src/guavaspan"))("folder", "Folder for logs and records", cxxopts::value<std::string>()->default_value(""))("listen", "Of a store or an engine", cxxopts::value<std::string>()->default_value(""))("announced", "Of an engine", cxxopts::value<std::string>()->default_value(""))("store", "Of an engine", cxxopts::value<std::string>()->default_value(""))("id", "Of an engine", cxxopts::value<std::string>()->default_value(""))("service", "Of an engine", cxxopts::value<std::string>()->default_value(""))("zone", "Of an engine", cxxopts::value<std::string>()->default_value(""))("records", "Of an engine", cxxopts::value<std::string>()->default_value(""))("generates", "The engine streams")("plain", "The engine answers whole")("help", "Show this help");
+    options.parse_positional("verb");
+    try {
+        auto arguments = options.parse(argc, argv);
+        auto verb = arguments["verb"].as<std::string>();
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        if (verb == "store")
+            return runStore(arguments);
+        if (verb == "engine")
+            return runEngine(arguments);
+        if (verb == "run")
+            return runSoak(arguments);
+        std::cerr << "no verb " << verb << "\n";
+    } catch (const cxxopts::exceptions::exception& exception) {
+        std::cerr << exception.what() << "\n";
+    }
+    return exitUsage;
+}
