Bill use once on the users' platform, and hold the bills against what callers got

Keys that nobody needs are neither held in copies of the store nor passed on to peers. A kill loses at most 20 s of use; records are not removed.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -39,6 +39,7 @@
                 checkPlannedStop(attempt);
             }
             checkRegress();
+            checkBills();
             checkLeavingEngines();
             return std::move(m_violations);
         }
@@ -138,6 +139,26 @@
             }
         }
 
+        /// A kill loses what was not on record yet; nothing may be there that callers did not get.
+        void checkBills()
+        {
+            std::map<std::string, std::int64_t> delivered;
+            std::map<std::string, std::int64_t> unanswered;
+            for (const auto& attempt : m_record.attempts) {
+                auto owner = m_record.organisationOfKey.find(attempt.key);
+                if (owner == m_record.organisationOfKey.end())
+                    continue;
+                delivered[owner->second] += attempt.status == 200 ? 1 : 0;
+                unanswered[owner->second] += attempt.status == 0 ? 1 : 0;
+            }
+            for (const auto& [organisation, billed] : m_record.billedRequests) {
+                auto most = delivered[organisation] + unanswered[organisation];
+                auto least = m_record.recordsComplete ? delivered[organisation] : 0;
+                if (billed < least || billed > most)
+                    m_violations.push_back({ .promise = "use is billed once", .evidence = fmt::format("{}: {} on record, {} delivered, {} unanswered", organisation, billed, delivered[organisation], unanswered[organisation]) });
+            }
+        }
+
         void checkLeavingEngines()
         {
             std::map<std::string, const Attempt*> attempts;
--- a/soak/record.h
+++ b/soak/record.h
@@ -76,6 +76,10 @@
     std::map<std::string, std::string> organisationOfKey;
     /// When the store acknowledged that an engine leaves.
     std::map<std::string, SoakTime> leavingEngines;
+    /// Requests that instances put on record for each organisation, read after all of them stopped.
+    std::map<std::string, std::int64_t> billedRequests;
+    /// No process ended but by a planned stop, so every record is complete.
+    bool recordsComplete = false;
     /// When the last fault was over.
     SoakTime calmSince = 0;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,8 +1,12 @@
 #include "soak/soak.h"
 
 #include "net/httpclient.h"
+#include "platform/names.h"
+#include "platform/platformstore.h"
 #include "soak/names.h"
+#include "usage/usagewriter.h"
 
+#include <algorithm>
 #include <boost/asio/ip/udp.hpp>
 #include <csignal>
 #include <filesystem>
@@ -427,9 +431,28 @@
     m_calling = false;
     co_await sleepFor(Milliseconds(2500));
     m_going = false;
+    co_await readBills();
     m_io.stop();
 }
 
+/// Stopping instances put their last use on record.
+Awaitable<> Soak::readBills()
+{
+    for (const auto& instance : m_instances)
+        m_processes.signal(instance->name, SIGTERM);
+    auto until = soakNow() + stopLimit.count();
+    auto someRun = [this] { return std::any_of(m_instances.begin(), m_instances.end(), [this](const auto& each) { return m_processes.running(each->name); }); };
+    while (someRun() && soakNow() < until)
+        co_await sleepFor(Milliseconds(50));
+    platform::PlatformStore store(m_store);
+    auto usage = co_await readUsage(store, platform::usagePrefix);
+    if (!usage)
+        co_return;
+    for (const auto& [organisation, used] : *usage)
+        m_record.billedRequests[organisation] = used.requests;
+    m_record.recordsComplete = m_options.faults != "all";
+}
+
 std::vector<Violation> Soak::run()
 {
     if (!startAll())
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -51,6 +51,7 @@
     Awaitable<> control(std::string path, std::string body);
     Awaitable<> publishConfiguration();
     Awaitable<> wholeRun();
+    Awaitable<> readBills();
     Awaitable<> supervise();
     Awaitable<> strikeRepeatedly();
     void strike();
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -132,3 +132,17 @@
     f.record.calmSince = 99000;
     cr_expect(servedWhenCalm(f.record) == 0, "nothing is owed yet, and nothing was shown");
 }
+
+Test(SoakChecks, billsAreHeldAgainstWhatCallersGot)
+{
+    ChecksFixture f;
+    f.record.billedRequests["org"] = 1;
+    f.record.recordsComplete = true;
+    cr_expect(f.promise().empty());
+    f.record.billedRequests["org"] = 2;
+    cr_expect(f.promise() == "use is billed once");
+    f.record.billedRequests["org"] = 0;
+    cr_expect(f.promise() == "use is billed once");
+    f.record.recordsComplete = false;
+    cr_expect(f.promise().empty(), "a kill loses what was not on record");
+}
--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -150,13 +150,15 @@
     int entry(const Arguments& arguments)
     {
         cxxopts::Options options("guavaspan entry", "Run an entry instance on the users' platform.");
-        options.add_options()("settings", "Settings file of the platform", cxxopts::value<std::string>()->default_value(platform::defaultSettingsPath()))("check", "Only check the settings")("help", "Show this help");
+        options.add_options()("settings", "Settings file of the platform", cxxopts::value<std::string>()->default_value(platform::defaultSettingsPath()))("check", "Only check the settings")("usage", "Print the use of each organisation on record")("help", "Show this help");
         auto parsed = parseArguments(options, arguments);
         if (parsed.count("help") > 0) {
             std::cout << options.help();
             return ExitSuccess;
         }
         auto path = parsed["settings"].as<std::string>();
+        if (parsed.count("usage") > 0)
+            return platform::printUsage(path);
         return parsed.count("check") > 0 ? platform::checkEntrySettings(path) : platform::runEntry(path);
     }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -10,6 +10,7 @@
 #include "relay/handoverservice.h"
 #include "relay/leaveinquiry.h"
 #include "relay/requesthandler.h"
+#include "usage/usagewriter.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <functional>
@@ -21,6 +22,7 @@
     std::string configurationKey;
     std::string targetPrefix;
     std::string instancePrefix;
+    std::string usagePrefix;
     std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
     std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
 };
@@ -54,6 +56,7 @@
     Awaitable<> tickLoop();
     Awaitable<> stopLoop();
     Awaitable<> stop();
+    Awaitable<> recordUsage();
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
@@ -75,6 +78,8 @@
     PlacementServer m_placementServer;
     LiveStreams m_streams;
     RetryBudget m_retries;
+    UsageLedger m_usage;
+    UsageWriter m_usageWriter;
     RelayMetrics m_metrics;
     RelayContext m_context;
     MoveServer m_moveServer;
@@ -89,6 +94,7 @@
     asio::signal_set m_stopSignals;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
+    bool m_usageRecorded = false;
 };
 
 }
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -19,6 +19,12 @@
     /// Part of the revocation bound that is not used, for the way to the target and late timers.
     constexpr auto revocationMargin = Milliseconds(600);
 
+    /// Time between records of use. A kill loses at most what was delivered since the last one;
+    /// each record is a priced call to the store.
+    constexpr auto usageInterval = Milliseconds(20000);
+    /// Time that a stopping instance gives its last record while the store does not answer.
+    constexpr auto lastRecordPatience = Milliseconds(1000);
+
     /// Callers may be slow to take an answer, but not for ever.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -46,7 +52,8 @@
     , m_placement(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_outputs, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
+    , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.vocabulary.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
+    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .usage = m_usage, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
     , m_moveServer(m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_handovers({ .io = m_io, .instance = m_settings.instance, .placement = m_placement, .turns = m_moveServer, .link = m_link, .streams = m_streams, .gate = m_gate, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
     , m_leaveInquiry({ .io = m_io, .streams = m_streams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -59,6 +66,9 @@
     , m_stopSignals(m_io, SIGTERM, SIGINT)
     , m_reloadSignals(m_io, SIGHUP)
 {
+    m_replica.keepOnly([&vocabulary = m_platform.vocabulary](const std::string& key) {
+        return key == vocabulary.configurationKey || key.starts_with(vocabulary.targetPrefix) || key.starts_with(vocabulary.instancePrefix);
+    });
     m_replica.onChange([this](const std::string& key, const std::optional<std::string>& value) {
         onStoreEntry(key, value);
         m_feed.onReplicaChanged();
@@ -108,6 +118,7 @@
     asio::co_spawn(m_io, tickLoop(), asio::detached);
     asio::co_spawn(m_io, stopLoop(), asio::detached);
     asio::co_spawn(m_io, reloadLoop(), asio::detached);
+    asio::co_spawn(m_io, m_usageWriter.run(usageInterval), asio::detached);
     m_io.run();
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
     flushLog();
@@ -270,6 +281,11 @@
     m_io.stop();
 }
 
+Awaitable<> Entry::recordUsage()
+{
+    m_usageRecorded = co_await m_usageWriter.flushChanges();
+}
+
 /// Readiness is false first and listening goes on, so that the balancer turns away
 /// before a caller meets a closed port. What runs ends by itself.
 Awaitable<> Entry::stop()
@@ -278,6 +294,12 @@
     while (m_context.inFlight > 0)
         co_await sleepFor(stopCheckInterval);
     m_callers.close();
+    asio::co_spawn(m_io, recordUsage(), asio::detached);
+    auto until = Clock::now() + lastRecordPatience;
+    while (!m_usageRecorded && Clock::now() < until)
+        co_await sleepFor(stopCheckInterval);
+    if (!m_usageRecorded)
+        logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
     m_io.stop();
 }
 
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -19,6 +19,8 @@
 
 void StoreReplica::apply(const StoreChange& change)
 {
+    if (m_relevant && !m_relevant(change.key))
+        return;
     auto known = m_entries.find(change.key);
     if (change.value) {
         if (known != m_entries.end() && known->second.revision >= change.revision)
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -30,6 +30,17 @@
 
 }
 
+Test(StoreReplica, entriesOfNoUse_areNeitherHeldNorPassedOn)
+{
+    ReplicaFixture f;
+    f.replica.keepOnly([](const std::string& key) { return key != "c"; });
+    f.replica.applyChanges(f.changes(8, { { .key = "c", .value = "1", .revision = 7 }, { .key = "b", .value = "2", .revision = 8 } }), start);
+    cr_expect(f.replica.revision() == 8, "they count as seen");
+    cr_expect(f.replica.listing(start).entries.size() == 2);
+    cr_expect(f.replica.changesAfter(6, start).changes.size() == 1);
+    cr_expect(f.heard.back() == Heard("b", "2"));
+}
+
 Test(StoreReplica, listing_tellsEachEntryOnce)
 {
     ReplicaFixture f;
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -123,6 +123,8 @@
     result.status = attempt.response.result_int();
     result.reason = attempt.verdict == AttemptVerdict::Answered ? "answered" : "target_failure";
     co_await request.exchange.sendResponse(std::move(attempt.response));
+    if (attempt.verdict == AttemptVerdict::Answered)
+        m_context.usage.charge(request.organisation, { .requests = 1 });
     co_return result;
 }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -39,6 +39,8 @@
     bool answered = false;
     bool mayHaveRun = false;
     TimePoint lastEventAt;
+    /// Tokens of events that were written to the caller.
+    int deliveredTokens = 0;
     std::optional<std::int64_t> lastEventNumber;
     TargetAnswer answer;
     /// Advice of whoever refused the request.
@@ -164,6 +166,7 @@
 Awaitable<StreamRelay::Verdict> StreamRelay::forwardFrames(Session& session)
 {
     std::string bytes;
+    int newTokens = 0;
     int tokens = session.request.service.engine ? session.request.service.engine->tokensPerEvent : 1;
     while (auto frame = session.frames.next()) {
         auto number = numberOf(frame->id);
@@ -178,6 +181,7 @@
             session.lastEventNumber = number;
         session.stream->onEvent(frame->id, tokens);
         bytes += frame->bytes;
+        newTokens += tokens;
     }
     if (bytes.empty())
         co_return Verdict::Complete;
@@ -198,7 +202,10 @@
     session.lastEventAt = now;
     m_context.dispatcher.produced(session.id, session.stream->outputTokens());
     auto written = co_await session.request.exchange.writeEvents(std::move(bytes));
-    co_return written ? Verdict::Complete : Verdict::CallerGone;
+    if (!written)
+        co_return Verdict::CallerGone;
+    session.deliveredTokens += newTokens;
+    co_return Verdict::Complete;
 }
 
 /// Forwards one engine's events until its stream ends.
@@ -331,6 +338,9 @@
         session.connection->cancel();
         co_await finish(session, verdict);
         session.stream->onInterrupt(nullptr);
+        // What was delivered is charged once, however often the generation moved.
+        if (session.headerSent)
+            m_context.usage.charge(request.organisation, { .promptTokens = request.caller.promptTokens, .outputTokens = session.deliveredTokens, .requests = 1 });
     }
     request.watch.onGone(nullptr);
     m_context.streams.remove(session.id);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -9,6 +9,7 @@
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
 #include "routing/configurationgate.h"
+#include "usage/usageledger.h"
 
 namespace guavaspan {
 
@@ -23,6 +24,7 @@
     LiveStreams& streams;
     RetryBudget& retries;
     OutputEstimator& outputs;
+    UsageLedger& usage;
     FleetView& fleet;
     RelayMetrics& metrics;
     Random& random;
--- a/src/usage/internal/usagewriter.cpp
+++ b/src/usage/internal/usagewriter.cpp
@@ -4,32 +4,34 @@
 
 namespace guavaspan {
 
-namespace {
-
-    const std::string usagePrefix = "/guavaspan/usage/";
-
+UsageWriter::UsageWriter(IKeyValueStore& keyValue, UsageLedger& ledger, std::string key)
+    : m_keyValue(keyValue)
+    , m_ledger(ledger)
+    , m_key(std::move(key))
+{
 }
 
-UsageWriter::UsageWriter(std::shared_ptr<IKeyValueStore> keyValue, UsageLedger& ledger, const std::string& instance, const std::string& incarnation)
-    : m_keyValue(std::move(keyValue))
-    , m_ledger(ledger)
-    , m_key(usagePrefix + instance + "/" + incarnation)
+std::string usageKey(const std::string& prefix, const std::string& instance, const std::string& incarnation)
 {
+    return prefix + instance + "/" + incarnation;
 }
 
 Awaitable<> UsageWriter::run(Clock::duration interval)
 {
-    bool pending = false;
     while (true) {
         co_await sleepFor(interval);
-        pending = m_ledger.takeChanged() || pending;
-        if (!pending)
-            continue;
-        auto written = co_await flush();
-        pending = !written;
+        co_await flushChanges();
     }
 }
 
+Awaitable<bool> UsageWriter::flushChanges()
+{
+    m_pending = m_ledger.takeChanged() || m_pending;
+    if (m_pending)
+        m_pending = !co_await flush();
+    co_return !m_pending;
+}
+
 /// The record belongs to this life of this instance alone, so a swap that fails
 /// is an earlier one whose answer was lost: its version is read back.
 Awaitable<bool> UsageWriter::flush()
@@ -37,14 +39,14 @@
     constexpr int attempts = 3;
     for (int attempt = 0; attempt < attempts; ++attempt) {
         if (!m_versionKnown) {
-            auto entry = co_await m_keyValue->get(m_key);
+            auto entry = co_await m_keyValue.get(m_key);
             if (!entry)
                 continue;
             m_version = *entry ? (*entry)->version : absentVersion;
             m_versionKnown = true;
         }
         SwapOptions options { .key = m_key, .expectedVersion = m_version, .value = encodeUsage(m_ledger.totals()) };
-        auto answer = co_await m_keyValue->compareAndSwap(std::move(options));
+        auto answer = co_await m_keyValue.compareAndSwap(std::move(options));
         if (answer && answer->swapped) {
             m_version = answer->version;
             co_return true;
@@ -55,9 +57,9 @@
     co_return false;
 }
 
-Awaitable<Result<UsageByOrganisation>> readUsage(std::shared_ptr<IKeyValueStore> keyValue)
+Awaitable<Result<UsageByOrganisation>> readUsage(IKeyValueStore& keyValue, std::string prefix)
 {
-    auto entries = co_await keyValue->list(usagePrefix);
+    auto entries = co_await keyValue.list(std::move(prefix));
     if (!entries)
         co_return entries.error();
     UsageByOrganisation total;
--- a/src/usage/tests/usage_test.cpp
+++ b/src/usage/tests/usage_test.cpp
@@ -31,8 +31,8 @@
         auto store = std::make_shared<FakeKeyValueStore>();
         UsageLedger one;
         UsageLedger two;
-        UsageWriter first(store, one, "entry-1", "life-1");
-        UsageWriter second(store, two, "entry-1", "life-2");
+        UsageWriter first(*store, one, usageKey("u/", "entry-1", "life-1"));
+        UsageWriter second(*store, two, usageKey("u/", "entry-1", "life-2"));
         store->faults.assign(faults.begin(), faults.end());
         one.charge("a", { .promptTokens = 3, .outputTokens = 100, .requests = 1 });
         runCoroutine(context, first.flush());
@@ -41,7 +41,23 @@
         store->faults.clear();
         for (auto* writer : { &first, &first, &second })
             runCoroutine(context, writer->flush());
-        auto total = *runCoroutine(context, readUsage(store));
+        auto total = *runCoroutine(context, readUsage(*store, "u/"));
         cr_expect(total.at("a") == (Usage { .promptTokens = 3, .outputTokens = 127, .requests = 1 }));
     }
 }
+
+Test(UsageWriter, nothingCharged_writesNothing)
+{
+    asio::io_context context;
+    FakeKeyValueStore store;
+    UsageLedger ledger;
+    UsageWriter writer(store, ledger, usageKey("u/", "entry-1", "life-1"));
+    cr_expect(runCoroutine(context, writer.flushChanges()));
+    cr_expect(runCoroutine(context, readUsage(store, "u/"))->empty());
+    store.faults = { StoreFault::Outage, StoreFault::Outage, StoreFault::Outage, StoreFault::Outage };
+    ledger.charge("a", { .outputTokens = 5 });
+    cr_expect(!runCoroutine(context, writer.flushChanges()), "three tries failed");
+    store.faults.clear();
+    cr_expect(runCoroutine(context, writer.flushChanges()), "kept until it is written");
+    cr_expect(runCoroutine(context, readUsage(store, "u/"))->at("a").outputTokens == 5);
+}
--- a/src/usage/usagewriter.h
+++ b/src/usage/usagewriter.h
@@ -5,29 +5,40 @@
 #include "net/nettypes.h"
 #include "usage/usageledger.h"
 
-#include <memory>
+#include <string>
 
 namespace guavaspan {
 
 /// Puts the ledger's totals on record in the key-value service.
 class UsageWriter {
 public:
-    UsageWriter(std::shared_ptr<IKeyValueStore>, UsageLedger&, const std::string& instance, const std::string& incarnation);
+    /// The key belongs to this life of this instance alone.
+    UsageWriter(IKeyValueStore&, UsageLedger&, std::string key);
 
     Awaitable<> run(Clock::duration interval);
 
+    /// Writes what was not written yet, if anything.
+    Awaitable<bool> flushChanges();
+
     /// Writes now; false if the record could not be confirmed.
     Awaitable<bool> flush();
 
 private:
-    std::shared_ptr<IKeyValueStore> m_keyValue;
+    IKeyValueStore& m_keyValue;
     UsageLedger& m_ledger;
     std::string m_key;
     std::int64_t m_version = absentVersion;
     bool m_versionKnown = true;
+    bool m_pending = false;
 };
 
-/// Sum over all records in the service.
-Awaitable<Result<UsageByOrganisation>> readUsage(std::shared_ptr<IKeyValueStore>);
+/// Key of the record of one life of an instance.
+std::string usageKey(const std::string& prefix, const std::string& instance, const std::string& incarnation);
+
+/// Where the own interface keeps its records.
+inline constexpr const char* ownUsagePrefix = "/guavaspan/usage/";
+
+/// Sum over all records under a prefix.
+Awaitable<Result<UsageByOrganisation>> readUsage(IKeyValueStore&, std::string prefix);
 
 }
