Read the store with two instances for the fleet, and ask a lost store less often

Ruled out: registration (about 4 calls an instance) and listings at the start (1 to 2).

After a failure the pause grows to 1.5 s.

--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace guavaspan::soak {
 
@@ -33,19 +34,11 @@
     constexpr const char* modelService = "model";
     constexpr const char* plainService = "shop";
 
-    /// A port that is free for both protocols at this moment.
-    std::uint16_t freePort(asio::io_context& io)
+    /// A loopback address of this run alone, so that runs side by side share no ports.
+    std::string ownAddress()
     {
-        while (true) {
-            asio::ip::tcp::acceptor acceptor(io, { asio::ip::make_address("127.0.0.1"), 0 });
-            auto port = acceptor.local_endpoint().port();
-            asio::ip::udp::socket socket(io);
-            boost::system::error_code error;
-            socket.open(asio::ip::udp::v4(), error);
-            socket.bind({ asio::ip::make_address("127.0.0.1"), port }, error);
-            if (!error)
-                return port;
-        }
+        auto id = static_cast<unsigned>(::getpid());
+        return fmt::format("127.{}.{}.{}", 1 + (id >> 16) % 250, (id >> 8) % 256, 1 + id % 254);
     }
 
 }
@@ -74,6 +67,7 @@
 Soak::Soak(SoakOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_address(ownAddress())
     , m_processes(m_options.folder)
 {
     for (int i = 0; i < organisations; ++i) {
@@ -88,6 +82,23 @@
 
 Soak::~Soak() = default;
 
+/// An address that is free for both protocols. The kernel may offer a port again that
+/// was given to a process which does not listen yet.
+Endpoint Soak::freeEndpoint()
+{
+    auto address = asio::ip::make_address(m_address);
+    while (true) {
+        asio::ip::tcp::acceptor acceptor(m_io, { address, 0 });
+        auto port = acceptor.local_endpoint().port();
+        asio::ip::udp::socket socket(m_io);
+        boost::system::error_code error;
+        socket.open(asio::ip::udp::v4(), error);
+        socket.bind({ address, port }, error);
+        if (!error && m_givenPorts.insert(port).second)
+            return { .address = m_address, .port = port };
+    }
+}
+
 Milliseconds Soak::between(int low, int high)
 {
     return Milliseconds(low + static_cast<int>(m_random() % static_cast<std::uint64_t>(high - low)));
@@ -145,7 +156,7 @@
 bool Soak::startEngine(EngineSlot& slot)
 {
     slot.id = fmt::format("e{}", ++m_lastEngine);
-    Endpoint own { .address = "127.0.0.1", .port = freePort(m_io) };
+    auto own = freeEndpoint();
     slot.link->setTarget(own);
     return m_processes.start(slot.id, { m_options.self, "engine", "--id", slot.id, "--service", slot.generates ? modelService : plainService, "--zone", slot.failureDomain, "--listen", toString(own), "--announced", toString(slot.announced), "--store", toString(m_store), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), slot.generates ? "--generates" : "--plain" });
 }
@@ -153,7 +164,7 @@
 bool Soak::startAll()
 {
     std::filesystem::create_directories(m_options.folder);
-    m_store = { .address = "127.0.0.1", .port = freePort(m_io) };
+    m_store = freeEndpoint();
     bool started = m_processes.start("store", { m_options.self, "store", "--listen", toString(m_store) });
     for (int i = 0; i < m_options.engines; ++i) {
         auto slot = std::make_unique<EngineSlot>();
@@ -168,11 +179,11 @@
         auto instance = std::make_unique<Instance>();
         instance->name = fmt::format("entry-{}", i);
         instance->failureDomain = fmt::format("d{}", i % 3);
-        instance->callers = { .address = "127.0.0.1", .port = freePort(m_io) };
-        instance->readiness = { .address = "127.0.0.1", .port = freePort(m_io) };
-        instance->peers = freePort(m_io);
+        instance->callers = freeEndpoint();
+        instance->readiness = freeEndpoint();
+        instance->peers = freeEndpoint().port;
         instance->storeLink = std::make_unique<Proxy>(m_io, m_store);
-        json settings { { "node_name", instance->name }, { "zone", instance->failureDomain }, { "ip", "127.0.0.1" }, { "listen", { { "frontend", toString(instance->callers) }, { "ready", toString(instance->readiness) } } }, { "port_range", { instance->peers, instance->peers } }, { "limits", { { "cpu_quota", 0.25 }, { "cpu_cores", 1 } } }, { "bounds", { { "grace_s", stopLimit.count() / 1000 }, { "revoke_ms", revocationBound.count() }, { "retry_ratio", 0.2 }, { "retry_slack", 50 }, { "retry_window_s", 10 } } }, { "platform", { { "address", toString(instance->storeLink->listen()) }, { "min_ttl_ms", 1000 } } } };
+        json settings { { "node_name", instance->name }, { "zone", instance->failureDomain }, { "ip", m_address }, { "listen", { { "frontend", toString(instance->callers) }, { "ready", toString(instance->readiness) } } }, { "port_range", { instance->peers, instance->peers } }, { "limits", { { "cpu_quota", 0.25 }, { "cpu_cores", 1 } } }, { "bounds", { { "grace_s", stopLimit.count() / 1000 }, { "revoke_ms", revocationBound.count() }, { "retry_ratio", 0.2 }, { "retry_slack", 50 }, { "retry_window_s", 10 } } }, { "platform", { { "address", toString(instance->storeLink->listen()) }, { "min_ttl_ms", 1000 } } } };
         std::ofstream(m_options.folder + "/" + instance->name + ".json") << settings.dump();
         started = startInstance(*instance) && started;
         m_instances.push_back(std::move(instance));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -44,6 +44,7 @@
     struct Instance;
     struct EngineSlot;
 
+    Endpoint freeEndpoint();
     bool startAll();
     bool startInstance(Instance&);
     bool startEngine(EngineSlot&);
@@ -75,6 +76,8 @@
     SoakOptions m_options;
     asio::io_context m_io { 1 };
     Random m_random;
+    std::string m_address;
+    std::set<std::uint16_t> m_givenPorts;
     Processes m_processes;
     SoakRecord m_record;
     Endpoint m_store;
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -35,11 +35,11 @@
     /// Instances that share a budget: all registered ones, this one included.
     int instances() const { return static_cast<int>(peers().size()) + 1; }
 
-    /// Peers that read the shared store themselves, those of the own failure domain first.
+    /// Peers that read the shared store for the fleet, those of the own failure domain first.
     std::vector<InstanceRecord> storeReaders(const std::string& ownDomain, TimePoint now) const;
 
-    /// True if this instance is among the few of its failure domain that read the shared store themselves.
-    bool readsStore(const std::string& ownDomain, TimePoint now) const;
+    /// True if this instance is among the few that read the shared store for the fleet.
+    bool readsStore(TimePoint now) const;
 
     /// The instance that decides for a service's pool, this one included: one of those with most
     /// processor time, found by hashing. Those in `avoided` are passed over.
@@ -48,6 +48,8 @@
     const InstanceRecord* find(const std::string& name) const;
 
 private:
+    std::size_t storeReaderCount() const;
+
     struct Heard {
         std::int64_t sequence = 0;
         TimePoint at;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -10,9 +10,12 @@
 
     /// Silence after which an instance's load no longer counts: three lost reports in a row.
     constexpr auto silenceLimit = Milliseconds(1500);
-    /// Instances of one failure domain that read the store. Where one fails, its followers turn
-    /// to another domain's, or to the store once their copy is stale.
-    constexpr int storeReadersPerDomain = 1;
+    /// Instances that read the store for the fleet. Where one fails, its followers turn to
+    /// another, and to anybody or the store once their copy is stale. Each call is priced.
+    constexpr std::size_t fewestStoreReaders = 2;
+    /// Followers that one reader feeds: each asks about once a second.
+    constexpr std::size_t followersOfReader = 100;
+    constexpr const char* storeReaderKey = "store-reader";
 
 }
 
@@ -73,31 +76,27 @@
     return records;
 }
 
-bool FleetView::readsStore(const std::string& ownDomain, TimePoint now) const
+std::size_t FleetView::storeReaderCount() const
 {
-    auto key = "store-reader/" + ownDomain;
-    auto own = rendezvousWeight(m_self, key);
+    return std::max(fewestStoreReaders, (static_cast<std::size_t>(instances()) + followersOfReader - 1) / followersOfReader);
+}
+
+bool FleetView::readsStore(TimePoint now) const
+{
+    auto own = std::pair(m_capacity, rendezvousWeight(m_self, storeReaderKey));
     auto reachable = reachablePeers(now);
-    auto ahead = std::count_if(reachable.begin(), reachable.end(), [&](const InstanceRecord& peer) { return peer.failureDomain == ownDomain && rendezvousWeight(peer.name, key) > own; });
-    return ahead < storeReadersPerDomain;
+    auto ahead = std::count_if(reachable.begin(), reachable.end(), [&](const InstanceRecord& peer) { return std::pair(peer.capacity, rendezvousWeight(peer.name, storeReaderKey)) > own; });
+    return static_cast<std::size_t>(ahead) < storeReaderCount();
 }
 
 std::vector<InstanceRecord> FleetView::storeReaders(const std::string& ownDomain, TimePoint now) const
 {
-    std::map<std::string, std::vector<InstanceRecord>> byDomain;
-    for (auto& peer : reachablePeers(now))
-        byDomain[peer.failureDomain].push_back(std::move(peer));
-    std::vector<InstanceRecord> own;
-    std::vector<InstanceRecord> others;
-    for (auto& [domain, members] : byDomain) {
-        auto key = "store-reader/" + domain;
-        std::sort(members.begin(), members.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return rendezvousWeight(left.name, key) > rendezvousWeight(right.name, key); });
-        members.resize(std::min<std::size_t>(members.size(), storeReadersPerDomain));
-        auto& readers = domain == ownDomain ? own : others;
-        readers.insert(readers.end(), members.begin(), members.end());
-    }
-    own.insert(own.end(), others.begin(), others.end());
-    return own;
+    auto readers = reachablePeers(now);
+    auto weight = [](const InstanceRecord& peer) { return std::pair(peer.capacity, rendezvousWeight(peer.name, storeReaderKey)); };
+    std::sort(readers.begin(), readers.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return weight(left) > weight(right); });
+    readers.resize(std::min(readers.size(), storeReaderCount()));
+    std::stable_partition(readers.begin(), readers.end(), [&](const InstanceRecord& peer) { return peer.failureDomain == ownDomain; });
+    return readers;
 }
 
 std::string FleetView::ownerOf(const std::string& service, const std::set<std::string>& avoided, TimePoint now) const
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -10,8 +10,9 @@
     constexpr auto failurePause = Milliseconds(100);
     /// Time in which a new instance hears of its peers: two of their reports.
     constexpr auto acquaintanceTime = Milliseconds(1200);
-    /// Pause before a store that failed is asked again while a peer serves.
+    /// Pause before a store that failed is asked again; it grows with each failure in a row up to so many times.
     constexpr auto storeRetryPause = Milliseconds(500);
+    constexpr int mostRetryPauses = 3;
 
 }
 
@@ -46,7 +47,7 @@
 {
     if (!m_replica.loaded() || m_fleet.instances() <= m_options.directReaders || stale())
         return true;
-    return m_fleet.readsStore(m_options.failureDomain, Clock::now());
+    return m_fleet.readsStore(Clock::now());
 }
 
 void StoreFollower::setContact(bool reachable)
@@ -90,10 +91,14 @@
     if (update != Update::Failed)
         m_listAnew = update == Update::HistoryLost;
     setContact(update != Update::Failed);
-    if (update == Update::Failed)
-        m_storeRetryAt = Clock::now() + storeRetryPause;
-    else
-        m_source = StoreSource::Store;
+    if (update == Update::Failed) {
+        // While all instances are cut off, any one that gets through serves the others.
+        m_failures = std::min(m_failures + 1, mostRetryPauses);
+        m_storeRetryAt = Clock::now() + m_failures * storeRetryPause;
+        co_return;
+    }
+    m_failures = 0;
+    m_source = StoreSource::Store;
 }
 
 /// Gives true if the peer brought the copy up to date.
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -74,6 +74,8 @@
     bool m_listAnew = false;
     bool m_listAnewFromPeer = false;
     TimePoint m_storeRetryAt;
+    /// Calls to the store that failed in a row.
+    int m_failures = 0;
     std::size_t m_nextPeer = 0;
     StoreSource m_source = StoreSource::None;
     std::uint64_t m_storeCalls = 0;
