Refuse requests that crash the targets which run them, on the users' platform too

Ruled out: counting at one instance as on the own interface (a completion elsewhere would not clear a request that many callers send); counting breaks at engines whose entry went first (reclaimed engines serve on for 1.5 to 2 s and then end their runs); counting crashes within a second apart.

Change: each instance tells its peers which requests broke off at targets that then vanished without notice, and which ended well. After three crashes of different moments the request is refused with 503 and told to come back in a minute; whoever ends well is cleared.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -78,6 +78,7 @@
     PlacementServer m_placementServer;
     LiveStreams m_streams;
     RetryBudget m_retries;
+    CrashGuard m_crashes;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
     RelayMetrics m_metrics;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -52,8 +52,9 @@
     , m_placement(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_outputs, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_retries({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
+    , m_crashes([this](const QuarantineMessage& message) { std::visit([this](const auto& each) { m_link.sendToAll(each); }, message); })
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.vocabulary.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .usage = m_usage, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
+    , m_context { .io = m_io, .wire = m_platform.wire, .gate = m_gate, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placement, .streams = m_streams, .retries = m_retries, .outputs = m_outputs, .usage = m_usage, .crashes = m_crashes, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
     , m_moveServer(m_settings.instance, m_dispatcher, m_gate, m_link)
     , m_handovers({ .io = m_io, .instance = m_settings.instance, .placement = m_placement, .turns = m_moveServer, .link = m_link, .streams = m_streams, .gate = m_gate, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
     , m_leaveInquiry({ .io = m_io, .streams = m_streams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -73,7 +74,10 @@
         onStoreEntry(key, value);
         m_feed.onReplicaChanged();
     });
-    m_directory.onLeave([this](const TargetLeft& left) { m_handovers.onTargetLeft(left); });
+    m_directory.onLeave([this](const TargetLeft& left) {
+        m_crashes.onTargetLeft(left);
+        m_handovers.onTargetLeft(left);
+    });
     m_moveServer.onOwnAnswer([this](const MoveAnswer& answer) { m_handovers.onAnswer(answer); });
     m_link.onMessage([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.onContact([this](bool reachable) {
@@ -216,6 +220,10 @@
                    [&](const MoveAnswer& each) { m_handovers.onAnswer(each); },
                    [&](const MoveEnded& each) { m_moveServer.onEnded(each); },
                    [&](const TargetLeaving& each) { m_leaveInquiry.onPeerNews(each, Clock::now()); },
+                   [&](const DeathReport& each) { m_crashes.onPeerNews(each, Clock::now()); },
+                   [&](const CompletionReport& each) { m_crashes.onPeerNews(each, Clock::now()); },
+                   [&](const ConvictionNews& each) { m_crashes.onPeerNews(each, Clock::now()); },
+                   [&](const PardonNews& each) { m_crashes.onPeerNews(each, Clock::now()); },
                },
         message);
 }
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -19,6 +19,10 @@
         MoveAnswer,
         MoveEnded,
         TargetLeaving,
+        Death,
+        Completion,
+        Conviction,
+        Pardon,
     };
 
     json fieldsOf(const InstanceLoads& report)
@@ -70,6 +74,26 @@
         return json::array({ leaving.target, leaving.startedAt });
     }
 
+    json fieldsOf(const DeathReport& report)
+    {
+        return json::array({ report.fingerprint, report.target, report.incarnation });
+    }
+
+    json fieldsOf(const CompletionReport& report)
+    {
+        return json::array({ report.fingerprint });
+    }
+
+    json fieldsOf(const ConvictionNews& news)
+    {
+        return json::array({ news.fingerprint });
+    }
+
+    json fieldsOf(const PardonNews& news)
+    {
+        return json::array({ news.fingerprint });
+    }
+
     // Values are assigned one by one: a throw amid an aggregate's initialisation destroys
     // members that this compiler (g++ 12) has not built yet.
 
@@ -169,6 +193,21 @@
         return answer;
     }
 
+    DeathReport deathFrom(const json& fields)
+    {
+        DeathReport report;
+        report.fingerprint = fields.at(0).get<Fingerprint>();
+        report.target = fields.at(1).get<std::string>();
+        report.incarnation = fields.at(2).get<std::string>();
+        return report;
+    }
+
+    template <typename News>
+    News newsFrom(const json& fields)
+    {
+        return { .fingerprint = fields.at(0).get<Fingerprint>() };
+    }
+
     TargetLeaving leavingFrom(const json& fields)
     {
         TargetLeaving leaving;
@@ -209,6 +248,14 @@
             return endedFrom<MoveEnded>(fields);
         case Kind::TargetLeaving:
             return leavingFrom(fields);
+        case Kind::Death:
+            return deathFrom(fields);
+        case Kind::Completion:
+            return newsFrom<CompletionReport>(fields);
+        case Kind::Conviction:
+            return newsFrom<ConvictionNews>(fields);
+        case Kind::Pardon:
+            return newsFrom<PardonNews>(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleettypes.h"
 #include "placement/placementtypes.h"
+#include "quarantine/quarantineservice.h"
 
 #include <optional>
 #include <variant>
@@ -98,7 +99,7 @@
 };
 
 /// Everything that instances tell each other in datagrams.
-using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded, MoveAsk, MoveAnswer, MoveEnded, TargetLeaving>;
+using FleetMessage = std::variant<InstanceLoads, PlacementAsk, PlacementAnswer, PlacementEnded, MoveAsk, MoveAnswer, MoveEnded, TargetLeaving, DeathReport, CompletionReport, ConvictionNews, PardonNews>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/quarantine/quarantineservice.h
+++ b/src/quarantine/quarantineservice.h
@@ -9,16 +9,22 @@
 /// A request that had been suspected ended well.
 struct CompletionReport {
     Fingerprint fingerprint = 0;
+
+    friend bool operator==(const CompletionReport&, const CompletionReport&) = default;
 };
 
 /// To be refused everywhere; each receiver passes it on once.
 struct ConvictionNews {
     Fingerprint fingerprint = 0;
+
+    friend bool operator==(const ConvictionNews&, const ConvictionNews&) = default;
 };
 
 /// To be let run again everywhere; each receiver passes it on once.
 struct PardonNews {
     Fingerprint fingerprint = 0;
+
+    friend bool operator==(const PardonNews&, const PardonNews&) = default;
 };
 
 using QuarantineMessage = std::variant<DeathReport, CompletionReport, ConvictionNews, PardonNews>;
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -184,6 +184,7 @@
             co_return result;
         case AttemptVerdict::Answered:
             m_context.dispatcher.outcomes().onSuccess(address, now);
+            m_context.crashes.onCompleted(request.caller.content, now);
             co_return co_await deliver(request, std::move(attempt), std::move(result));
         case AttemptVerdict::FailedAnswer:
             mayHaveRun = true;
@@ -199,6 +200,8 @@
             break;
         case AttemptVerdict::Broken:
         case AttemptVerdict::TimedOut:
+            if (attempt.verdict == AttemptVerdict::Broken)
+                m_context.crashes.onBrokenOff(request.caller.content, placement->target, now);
             mayHaveRun = true;
             ++runs;
             m_context.dispatcher.outcomes().onFailure(address, now);
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -12,6 +12,8 @@
     constexpr auto retryWithoutConfiguration = Milliseconds(500);
     /// Time to come back after while keys cannot be confirmed.
     constexpr auto retryUnconfirmed = Milliseconds(1000);
+    /// Time to come back after for a request that crashes targets: operators have to look at it first.
+    constexpr auto retryConvicted = Seconds(60);
     /// A refusal of a stopping instance: another one can take the request at once.
     constexpr auto retryElsewhere = Milliseconds(50);
     /// Configurations are in force everywhere within 2 s; an older view may lack a new route or key.
@@ -87,6 +89,8 @@
         admission.organisation = organisation->name;
         admission.priority = organisation->priority.value_or(admission.priority);
     }
+    if (m_context.crashes.refuses(caller.content, Clock::now()))
+        return refuseWith(503, "crashes_targets", retryConvicted);
     if (outlivesStop(*admission.route, caller)) {
         admission.closes = true;
         return refuseWith(503, "stopping", retryElsewhere);
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -150,6 +150,8 @@
         m_context.streams.remove(session.id);
         if (!request.watch.gone())
             noteFailedBegin(address, session.answer);
+        if (session.mayHaveRun && session.answer.status == 0 && !request.watch.gone())
+            m_context.crashes.onBrokenOff(request.caller.content, target, Clock::now());
         if (request.watch.gone() || !session.answer.notRun)
             co_return false;
         m_context.placement.ended(session.id);
@@ -331,6 +333,10 @@
         while (verdict == Verdict::Interrupted && co_await resume(session))
             verdict = co_await relayEvents(session);
         const auto& last = session.stream->target();
+        if (verdict == Verdict::Interrupted)
+            m_context.crashes.onBrokenOff(request.caller.content, last, Clock::now());
+        if (verdict == Verdict::Complete)
+            m_context.crashes.onCompleted(request.caller.content, Clock::now());
         if (verdict == Verdict::Interrupted && m_context.directory.isUsable(last.id))
             m_context.dispatcher.outcomes().onFailure(toString(last.endpoint), Clock::now());
         if (request.watch.gone())
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -6,6 +6,7 @@
 #include "fleet/fleetview.h"
 #include "net/httpexchange.h"
 #include "placement/placementclient.h"
+#include "quarantine/crashguard.h"
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
 #include "routing/configurationgate.h"
@@ -25,6 +26,7 @@
     RetryBudget& retries;
     OutputEstimator& outputs;
     UsageLedger& usage;
+    CrashGuard& crashes;
     FleetView& fleet;
     RelayMetrics& metrics;
     Random& random;
