--- a/src/app/internal/commands.cpp
+++ b/src/app/internal/commands.cpp
@@ -2,11 +2,13 @@
 
 #include "app/operatorclient.h"
 #include "app/tables.h"
+#include "explain/requeststory.h"
 #include "instance/instance.h"
 #include "platform/entrymain.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <cxxopts.hpp>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
@@ -30,6 +32,7 @@
   status                       show an instance's state
   usage [--organisation NAME]  show use on record
   explain REQUEST_ID           show every decision made for a request
+  explain REQUEST_ID --logs FILE...  the same from log files, one of each instance
   claim show | claim settle    look up or settle a non-idempotent request
   pardon FINGERPRINT           let a quarantined request run again
   version                      print the version
@@ -162,6 +165,24 @@
         return parsed.count("check") > 0 ? platform::checkEntrySettings(path) : platform::runEntry(path);
     }
 
+    int explainLogs(const std::string& request, const Arguments& files)
+    {
+        std::vector<InstanceLog> logs;
+        for (const auto& path : files) {
+            auto text = readFile(path);
+            if (!text)
+                return usageError(path + " cannot be opened");
+            logs.push_back({ .instance = std::filesystem::path(path).stem().string(), .text = std::move(*text) });
+        }
+        auto story = storyOf(request, logs);
+        if (!story) {
+            std::cerr << "no line names " << request << "\n";
+            return ExitFailure;
+        }
+        std::cout << toText(*story);
+        return ExitSuccess;
+    }
+
     int settings(const Arguments& arguments)
     {
         if (arguments.size() != 2 || arguments[0] != "check")
@@ -251,6 +272,8 @@
             return usage(rest);
         if (name == "claim")
             return claim(rest);
+        if (name == "explain" && rest.size() > 2 && rest[1] == "--logs")
+            return explainLogs(rest[0], { rest.begin() + 2, rest.end() });
         if (name == "explain" && !rest.empty())
             return query("explain REQUEST_ID", "Show every decision made for a request.", rest, "GET", "/v1/explain/" + rest[0]);
         if (name == "pardon" && !rest.empty())
