Count full engines from the first request that found no room

Change: the time counts from the first request that found no room; a small core with a test of that pattern.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include "dispatch/loadledger.h"
 #include "dispatch/outcometracker.h"
 #include "dispatch/refusalmemory.h"
+#include "dispatch/roomhistory.h"
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
 #include "net/nettypes.h"
@@ -89,8 +90,7 @@
     std::unordered_map<WorkId, PlacementRequest> m_requests;
     std::unordered_map<WorkId, std::shared_ptr<Waiter>> m_waiters;
     std::unordered_map<WorkId, Started> m_started;
-    /// When an engine of a service last had room for a request that comes back.
-    std::map<std::string, TimePoint> m_hadRoomAt;
+    RoomHistory m_room;
     WorkId m_lastId = 0;
 };
 
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -39,8 +39,10 @@
     auto candidates = m_directory.usable(request.service);
     auto now = Clock::now();
     auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .ownDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request) }, m_random);
-    if (choice && request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
-        m_hadRoomAt[request.service] = now;
+    if (!choice)
+        m_room.onFull(request.service, now);
+    else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
+        m_room.onRoom(request.service);
     if (choice && choice->trial)
         m_outcomes.onTried(toString(m_directory.find(choice->target)->endpoint), now);
     return choice;
@@ -180,8 +182,7 @@
     auto wait = m_line.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .estimate = estimate, .arrivedAt = now }, now);
     double expected = std::chrono::duration<double>(wait).count();
     // Engines that have been full for some time are likely to stay so for about as long again.
-    auto hadRoom = m_hadRoomAt.find(service);
-    double full = hadRoom == m_hadRoomAt.end() ? 0 : std::min(longestRetrySeconds, secondsBetween(hadRoom->second, now));
+    double full = std::min(longestRetrySeconds, std::chrono::duration<double>(m_room.fullFor(service, now)).count());
     std::uniform_real_distribution<double> spread(1, 1 + retrySpread);
     return fromSeconds(std::max({ shortestRetrySeconds, expected, full }) * spread(m_random));
 }
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/outputestimator.h"
 #include "dispatch/refusalmemory.h"
 #include "dispatch/retrybudget.h"
+#include "dispatch/roomhistory.h"
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingline.h"
 
@@ -500,3 +501,18 @@
     auto modest = f.push("modest", 1, 3000, Seconds(5), false, 1700);
     cr_expect(f.take() == modest);
 }
+
+Test(RoomHistory, quietTime_isNotTakenForFullEngines)
+{
+    RoomHistory room;
+    TimePoint now { Seconds(100) };
+    room.onRoom("writer");
+    now += Seconds(10);
+    room.onFull("writer", now);
+    cr_expect(room.fullFor("writer", now) == Clock::duration {}, "nobody asked in the quiet time");
+    room.onFull("writer", now + Seconds(2));
+    cr_expect(room.fullFor("writer", now + Seconds(3)) == Seconds(3), "since the first that found no room");
+    cr_expect(room.fullFor("other", now) == Clock::duration {});
+    room.onRoom("writer");
+    cr_expect(room.fullFor("writer", now + Seconds(4)) == Clock::duration {});
+}
