Log and count the evidence against requests that crash engines

Every send and end of a request now has its fingerprint; interrupted answers, crashes with what became of their count, and cleared requests are logged and counted. No decision changes.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -204,6 +204,9 @@
         .targets = static_cast<double>(m_directory.size()),
         .storeCalls = static_cast<double>(m_follower.storeCalls()),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
+        .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
+        .countedCrashes = static_cast<double>(m_crashGuard.statistics().countedCrashes),
+        .uncountedCrashes = static_cast<double>(m_crashGuard.statistics().uncountedCrashes),
     });
 }
 
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -8,6 +8,14 @@
 
 namespace guavaspan {
 
+/// Numbers of events since the process started.
+struct CrashGuardStatistics {
+    std::uint64_t interruptedAnswers = 0;
+    std::uint64_t countedCrashes = 0;
+    /// Crashes that were known already or taken to be part of a counted incident.
+    std::uint64_t uncountedCrashes = 0;
+};
+
 /// Detects requests that crash the targets that run them, by matching interrupted answers with
 /// targets that disappear. Every instance receives a report of every crash, so each one decides
 /// by itself which requests to refuse.
@@ -29,6 +37,8 @@
 
     bool refuses(Fingerprint, TimePoint now) const;
 
+    const CrashGuardStatistics& statistics() const { return m_statistics; }
+
 private:
     struct InterruptedRequest {
         Fingerprint fingerprint = 0;
@@ -43,6 +53,7 @@
 
     Broadcaster m_broadcast;
     Quarantine m_quarantine;
+    CrashGuardStatistics m_statistics;
     /// Recently interrupted requests, kept until it is known whether their targets crashed.
     std::deque<InterruptedRequest> m_interrupted;
     std::map<Fingerprint, TimePoint> m_lastCrash;
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -37,7 +37,13 @@
 bool CrashGuard::recordCrash(const CrashReport& report, TimePoint now)
 {
     removeExpired(now);
-    return m_lastCrash.emplace(report.fingerprint, now).second && m_quarantine.onCrash(report, now);
+    bool sameIncident = !m_lastCrash.emplace(report.fingerprint, now).second;
+    bool counted = !sameIncident && m_quarantine.onCrash(report, now);
+    ++(counted ? m_statistics.countedCrashes : m_statistics.uncountedCrashes);
+    const char* result = counted ? "counted" : sameIncident ? "same_incident"
+                                                            : "already_counted";
+    logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string(result) }, { "crashes", std::int64_t(m_quarantine.crashCount(report.fingerprint)) } });
+    return counted;
 }
 
 void CrashGuard::onCrash(const InterruptedRequest& interrupted, TimePoint now)
@@ -45,7 +51,6 @@
     CrashReport report { .fingerprint = interrupted.fingerprint, .target = interrupted.target, .incarnation = std::to_string(interrupted.startedAt) };
     if (!recordCrash(report, now))
         return;
-    logEvent(LogLevel::Info, "request_suspected", { { "fingerprint", hexOf(interrupted.fingerprint) }, { "target", interrupted.target } });
     m_broadcast(report);
     convictIfProven(interrupted.fingerprint, interrupted.target, now);
 }
@@ -61,6 +66,8 @@
 void CrashGuard::onAnswerInterrupted(Fingerprint fingerprint, const TargetEntry& target, TimePoint now)
 {
     removeExpired(now);
+    ++m_statistics.interruptedAnswers;
+    logEvent(LogLevel::Info, "answer_interrupted", { { "fingerprint", hexOf(fingerprint) }, { "target", target.id }, { "incarnation", std::to_string(target.startedAt) } });
     m_interrupted.push_back({ .fingerprint = fingerprint, .target = target.id, .startedAt = target.startedAt, .at = now });
 }
 
@@ -81,8 +88,10 @@
 
 void CrashGuard::onCompleted(Fingerprint fingerprint, TimePoint now)
 {
-    if (m_quarantine.onCompleted(fingerprint, now))
-        m_broadcast(CompletionReport { .fingerprint = fingerprint });
+    if (!m_quarantine.onCompleted(fingerprint, now))
+        return;
+    logEvent(LogLevel::Info, "request_cleared", { { "fingerprint", hexOf(fingerprint) } });
+    m_broadcast(CompletionReport { .fingerprint = fingerprint });
 }
 
 void CrashGuard::onPeerMessage(const QuarantineMessage& message, TimePoint now)
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -1,5 +1,6 @@
 #include "relay/plainrelay.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 
 namespace guavaspan {
@@ -176,7 +177,7 @@
         auto attempt = co_await this->attempt(request, *placement, mayRetry);
         m_context.placement.release(id);
         result.detail = attempt.detail;
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.caller.contentHash) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
         switch (attempt.outcome) {
         case AttemptOutcome::CallerGone:
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -87,6 +87,9 @@
     set("targets", gauges.targets);
     set("store_calls", gauges.storeCalls);
     set("dropped_log_lines", gauges.droppedLogLines);
+    set("interrupted_answers", gauges.interruptedAnswers);
+    set("counted_crashes", gauges.countedCrashes);
+    set("uncounted_crashes", gauges.uncountedCrashes);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -1,5 +1,6 @@
 #include "relay/requesthandler.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 
 #include <algorithm>
@@ -146,7 +147,7 @@
     m_context.metrics.recordRequest(route, result.reason, secondsBetween(arrivedAt, now));
     auto milliseconds = [](Clock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     logEvent(LogLevel::Info, "request_ended",
-        { { "request", caller.requestId }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
+        { { "request", caller.requestId }, { "fingerprint", hexOf(caller.contentHash) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
 }
 
 Awaitable<> RequestHandler::handle(HttpExchange& exchange)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -1,5 +1,6 @@
 #include "relay/streamrelay.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 
 #include <charconv>
@@ -142,7 +143,7 @@
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, placementRequest.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.caller.contentHash) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
             m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -17,6 +17,9 @@
     double targets = 0;
     double storeCalls = 0;
     double droppedLogLines = 0;
+    double interruptedAnswers = 0;
+    double countedCrashes = 0;
+    double uncountedCrashes = 0;
 };
 
 /// Counters and histograms of the entry service.
