--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -13,8 +13,6 @@
     constexpr auto streamTimeout = Seconds(12);
     constexpr auto shortRequestTimeout = Milliseconds(1500);
     constexpr auto connectTimeout = Milliseconds(500);
-    constexpr auto pauseBetweenRequests = Milliseconds(40);
-
     /// Checks that a stream's events belong to the attempt, are consecutive and reach the announced count.
     class StreamVerifier {
     public:
@@ -61,12 +59,12 @@
 {
     while (m_options.shouldContinue()) {
         if (!m_connected && !co_await connect()) {
-            co_await sleepFor(pauseBetweenRequests);
+            co_await sleepFor(m_options.pauseBetweenRequests);
             continue;
         }
         auto spec = m_options.nextRequest(m_random);
         co_await sendRequest(spec);
-        co_await sleepFor(pauseBetweenRequests);
+        co_await sleepFor(m_options.pauseBetweenRequests);
     }
 }
 
@@ -91,7 +89,7 @@
     request.set(apiKeyHeader, spec.apiKey);
     request.set("X-Deadline-Ms", std::to_string(std::chrono::duration_cast<Milliseconds>(timeout).count()));
     if (spec.type == RequestType::Stream) {
-        request.set("X-Token-Count", fmt::format("500,{}", 4 * spec.eventCount));
+        request.set("X-Token-Count", fmt::format("500,{}", spec.outputTokenLimit > 0 ? spec.outputTokenLimit : 4 * spec.eventCount));
         request.body() = std::to_string(spec.eventCount);
     }
     request.prepare_payload();
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -15,6 +15,8 @@
     std::string apiKey;
     /// Number of events of a stream; unused for other types.
     int eventCount = 0;
+    /// Output limit that a stream's header states; 0 for that of its events.
+    int outputTokenLimit = 0;
 };
 
 /// The endpoint at which an incarnation of an instance accepts callers.
@@ -30,6 +32,7 @@
     std::function<RequestSpec(Random&)> nextRequest;
     std::function<InstanceEndpoint(Random&)> chooseEndpoint;
     std::function<bool()> shouldContinue;
+    Milliseconds pauseBetweenRequests { 40 };
     /// Receives a record of each request.
     std::vector<Attempt>& attempts;
 };
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -42,6 +42,7 @@
             checkConfigurationReverts();
             checkUsage();
             checkDrainingEngines();
+            checkCrashingRequests();
             return std::move(m_violations);
         }
 
@@ -177,6 +178,28 @@
             }
         }
 
+        /// Callers send a request that crashes engines again and again; soon after it has crashed three of them,
+        /// undisturbed instances must stop passing it on.
+        void checkCrashingRequests()
+        {
+            std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>> runsByPath;
+            for (const auto& attempt : m_record.attempts) {
+                if (attempt.path.find(crashMarker) == std::string::npos)
+                    continue;
+                for (const auto* engineRecord : engineRecordsOf(attempt.id))
+                    runsByPath[attempt.path].emplace_back(engineRecord->recordedAt, &attempt);
+            }
+            for (auto& [path, runs] : runsByPath) {
+                if (runs.size() <= static_cast<std::size_t>(crashesUntilKnown))
+                    continue;
+                std::sort(runs.begin(), runs.end());
+                auto knownAt = runs[crashesUntilKnown - 1].first + recoveryAllowance.count() + schedulingSlack.count();
+                auto lateRuns = std::count_if(runs.begin(), runs.end(), [&](const auto& run) { return run.first > knownAt && instanceAndStoreUndisturbed(*run.second); });
+                if (lateRuns > maxRunsOfKnownCrash)
+                    reportViolation("a request that crashed three engines is not executed again", *runs.back().second, fmt::format("executed {} times, {} of them later than {}", runs.size(), lateRuns, knownAt));
+            }
+        }
+
         /// Reports an accepted request with an incomplete response if only planned stops were in progress.
         void checkPlannedStop(const Attempt& attempt)
         {
@@ -207,7 +230,8 @@
     int eligible = 0;
     int served = 0;
     for (const auto& attempt : record.attempts) {
-        bool allowed = record.organisationByKey.contains(attempt.apiKey) && !record.revokedKeys.contains(attempt.apiKey) && !record.removedPaths.contains(attempt.path);
+        bool crashesEngines = attempt.path.find(crashMarker) != std::string::npos;
+        bool allowed = !crashesEngines && record.organisationByKey.contains(attempt.apiKey) && !record.revokedKeys.contains(attempt.apiKey) && !record.removedPaths.contains(attempt.path);
         if (!allowed || attempt.sentAt < record.faultsEndedAt + recoveryTimeout)
             continue;
         ++eligible;
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -19,6 +19,10 @@
 inline constexpr const char* streamPath = "/stream/";
 inline constexpr const char* orderPath = "/order/";
 inline constexpr const char* lookupPath = "/lookup/";
+/// Contained in the path of a request that ends every engine that executes it.
+inline constexpr const char* crashMarker = "crash";
+/// Contained in addition if the engine becomes silent for some seconds before it ends.
+inline constexpr const char* silentCrashMarker = "silent-crash";
 
 /// Time after which a configuration change must be in effect on every instance.
 inline constexpr auto maxConfigurationDelay = Milliseconds(2000);
@@ -30,6 +34,10 @@
 inline constexpr auto recoveryAllowance = Milliseconds(3000);
 /// Time from SIGTERM to SIGKILL.
 inline constexpr auto stopTimeout = Milliseconds(8000);
+/// Executions after which a request that crashes engines is known to do so.
+inline constexpr int crashesUntilKnown = 3;
+/// Executions allowed later than recoveryAllowance after the last of crashesUntilKnown.
+inline constexpr int maxRunsOfKnownCrash = 3;
 /// Added to time limits because other programs on the machine can delay the processes.
 inline constexpr auto schedulingSlack = Milliseconds(300);
 
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace guavaspan::soak {
 
@@ -18,6 +19,10 @@
     constexpr auto publishInterval = Milliseconds(500);
     /// Longer than maxDrainDelay, within which a draining engine may still receive new requests.
     constexpr auto drainTime = Milliseconds(3500);
+    /// Time without a heartbeat after which the store drops an engine's entry.
+    constexpr auto entryLifetime = 3 * publishInterval;
+    /// Time from a silent crash to the end of the process.
+    constexpr auto silentTime = Milliseconds(5000);
     constexpr auto copyDuration = Milliseconds(20);
     /// One plain request in 20 fails, and one in 40 loses its response after it was executed.
     constexpr std::uint64_t requestsPerFailure = 20;
@@ -60,7 +65,7 @@
 
 Awaitable<> Engine::publishEntryPeriodically()
 {
-    while (true) {
+    while (!m_silent) {
         co_await publishEntry();
         co_await sleepFor(publishInterval);
     }
@@ -75,6 +80,19 @@
     m_io.stop();
 }
 
+/// Ends the process as a crash would, or leaves all connections open and silent until then.
+Awaitable<> Engine::crash(bool silently)
+{
+    if (!silently)
+        ::_exit(EXIT_FAILURE);
+    m_silent = true;
+    co_await sleepFor(entryLifetime);
+    HttpCall call { .endpoint = m_options.storeEndpoint, .method = "POST", .target = "/standin/remove", .body = json { { "key", "servers/" + m_options.id } }.dump(), .timeout = Seconds(1) };
+    co_await callHttp(std::move(call));
+    co_await sleepFor(silentTime - entryLifetime);
+    ::_exit(EXIT_FAILURE);
+}
+
 Awaitable<> Engine::sendEmptyReply(HttpExchange& exchange, unsigned status, bool notExecuted)
 {
     Reply reply { .status = status, .body = "{}", .headers = { { attemptIdHeader, exchange.header(attemptIdHeader) } } };
@@ -91,6 +109,10 @@
 Awaitable<> Engine::handle(HttpExchange& exchange)
 {
     auto path = exchange.path();
+    if (m_silent) {
+        co_await sleepFor(silentTime);
+        co_return;
+    }
     if (path == "/report") {
         Reply report { .body = reportJson() };
         co_await exchange.send(std::move(report));
@@ -115,6 +137,11 @@
         co_await sendEmptyReply(exchange, 421, true);
         co_return;
     }
+    if (path.find(crashMarker) != std::string::npos) {
+        recordEvent(EngineRecord::Event::Run, exchange.header(attemptIdHeader), exchange.header(organisationHeader));
+        co_await crash(path.find(silentCrashMarker) != std::string::npos);
+        co_return;
+    }
     if (m_options.generates)
         co_await runStream(exchange);
     else
@@ -176,6 +203,8 @@
     for (int eventId = lastEventId + 1; eventId <= generation->totalEvents; ++eventId) {
         if (eventId > generation->producedEvents)
             co_await sleepFor(eventInterval);
+        if (m_silent)
+            co_await sleepFor(silentTime);
         if (generation->stopped) {
             exchange.abort();
             co_return;
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -48,6 +48,7 @@
     Awaitable<> publishEntryPeriodically();
     Awaitable<> publishEntry();
     Awaitable<> drainOnSignal();
+    Awaitable<> crash(bool silently);
     void recordEvent(EngineRecord::Event, const std::string& attemptId, const std::string& organisation);
     std::string reportJson() const;
 
@@ -59,6 +60,8 @@
     asio::signal_set m_drainSignal;
     std::int64_t m_startedAt;
     bool m_draining = false;
+    /// Crashed without closing its connections.
+    bool m_silent = false;
     std::map<std::string, std::shared_ptr<Generation>> m_generations;
     /// Generations whose state was copied to this engine, by handle.
     std::map<std::string, Generation> m_copies;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -30,6 +30,12 @@
     constexpr auto engineDrainTime = Milliseconds(3800);
     /// Time within which an engine's draining state reaches the store.
     constexpr SoakTime drainPublishTime = 300;
+    /// Time after which callers send another request that crashes engines instead of the previous one.
+    constexpr SoakTime crashingRequestPeriod = 9000;
+    constexpr int crashingCallers = 2;
+    constexpr auto pauseOfCrashingCallers = Milliseconds(250);
+    /// Longest time from a crash to the end of the engine's process, with the time to notice it.
+    constexpr SoakTime maxCrashDuration = 5500;
     constexpr int organisationCount = 3;
     constexpr int keysPerOrganisation = 3;
     constexpr const char* modelService = "model";
@@ -215,6 +221,20 @@
     return spec;
 }
 
+/// The next request that crashes engines. Its path, organisation and body stay the same for some time,
+/// while the key and the stated output limit change.
+RequestSpec Soak::nextCrashingRequest(Random& random) const
+{
+    auto number = (soakNow() - m_callersStartedAt) / crashingRequestPeriod;
+    RequestSpec spec;
+    spec.type = number % 2 == 0 ? RequestType::Stream : RequestType::Lookup;
+    spec.path = fmt::format("{}{}{}/", number % 2 == 0 ? streamPath : lookupPath, number % 4 == 2 ? silentCrashMarker : crashMarker, number);
+    spec.apiKey = fmt::format("key-{}-{}", number % organisationCount, random() % keysPerOrganisation);
+    spec.eventCount = 20;
+    spec.outputTokenLimit = 80 + static_cast<int>(random() % 20);
+    return spec;
+}
+
 InstanceEndpoint Soak::chooseEndpoint(Random& random) const
 {
     const auto& instance = *m_instances[random() % m_instances.size()];
@@ -236,6 +256,26 @@
     }
 }
 
+Awaitable<> Soak::replaceCrashedEngine(ManagedEngine& engine)
+{
+    ++m_faultCounts["engine crashed by a request"];
+    engine.beingReplaced = true;
+    co_await sleepFor(entryExpiryTime);
+    recordDisturbance(enginesSubject, soakNow() - entryExpiryTime.count() - maxCrashDuration, soakNow());
+    co_await replaceEngine(engine);
+}
+
+Awaitable<> Soak::replaceCrashedEngines()
+{
+    while (m_callersActive) {
+        for (auto& engine : m_engines) {
+            if (!engine->beingReplaced && !m_processes.isRunning(engine->id))
+                asio::co_spawn(m_io, replaceCrashedEngine(*engine), asio::detached);
+        }
+        co_await sleepFor(Milliseconds(50));
+    }
+}
+
 Awaitable<> Soak::stopInstance(Instance& instance)
 {
     auto startedAt = soakNow();
@@ -425,16 +465,25 @@
     }
 }
 
+void Soak::startCaller(CallerOptions options)
+{
+    m_callers.push_back(std::make_unique<Caller>(m_io, std::move(options)));
+    asio::co_spawn(m_io, m_callers.back()->run(), asio::detached);
+}
+
 Awaitable<> Soak::runScenario()
 {
     co_await sleepFor(Milliseconds(300));
     co_await publishConfiguration();
     co_await sleepFor(startupTime);
-    for (int i = 0; i < m_options.callers; ++i) {
-        CallerOptions options { .name = fmt::format("c{}", i), .seed = m_options.seed * 1000 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextRequest(random); }, .chooseEndpoint = [this](Random& random) { return chooseEndpoint(random); }, .shouldContinue = [this] { return m_callersActive; }, .attempts = m_record.attempts };
-        m_callers.push_back(std::make_unique<Caller>(m_io, std::move(options)));
-        asio::co_spawn(m_io, m_callers.back()->run(), asio::detached);
-    }
+    m_callersStartedAt = soakNow();
+    auto chooseEndpointOf = [this](Random& random) { return chooseEndpoint(random); };
+    auto shouldContinue = [this] { return m_callersActive; };
+    for (int i = 0; i < m_options.callers; ++i)
+        startCaller({ .name = fmt::format("c{}", i), .seed = m_options.seed * 1000 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .attempts = m_record.attempts });
+    for (int i = 0; m_options.crashingRequests && i < crashingCallers; ++i)
+        startCaller({ .name = fmt::format("x{}", i), .seed = m_options.seed * 1000 + 500 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
+    asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
     asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
     co_await sleepFor(fromSeconds(m_options.faultSeconds));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,6 +19,8 @@
     int callers = 24;
     /// "all", "planned" or "none".
     std::string faults = "all";
+    /// Some callers send requests that crash engines.
+    bool crashingRequests = false;
     /// Path of the program under test.
     std::string program;
     /// Path of this program, which also runs the store and engine processes.
@@ -56,6 +58,8 @@
     Awaitable<> runScenario();
     Awaitable<> readRecordedUsage();
     Awaitable<> restartEndedInstances();
+    Awaitable<> replaceCrashedEngines();
+    Awaitable<> replaceCrashedEngine(ManagedEngine&);
     Awaitable<> injectFaultsPeriodically();
     void injectFault();
     void startPlannedOperation();
@@ -72,6 +76,8 @@
     Instance& randomInstance();
     Milliseconds randomDuration(int minMilliseconds, int maxMilliseconds);
     RequestSpec nextRequest(Random&) const;
+    RequestSpec nextCrashingRequest(Random&) const;
+    void startCaller(CallerOptions);
     InstanceEndpoint chooseEndpoint(Random&) const;
     std::string configurationJson() const;
 
@@ -92,6 +98,7 @@
     int m_lastEngineNumber = 0;
     std::vector<std::string> m_addedPaths;
     std::map<std::string, std::set<std::string>> m_keysByOrganisation;
+    SoakTime m_callersStartedAt = 0;
     bool m_injectingFaults = true;
     bool m_restartingInstances = true;
     bool m_callersActive = true;
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -146,3 +146,22 @@
     f.record.usageComplete = false;
     cr_expect(f.firstViolatedGuarantee().empty(), "a killed instance may lose usage that was not recorded yet");
 }
+
+Test(SoakChecks, findViolations_crashingRequestExecutedAfterThirdCrash_reportsViolation)
+{
+    ChecksFixture f;
+    f.record.engineRecords.clear();
+    f.record.attempts.clear();
+    for (int run = 0; run < 7; ++run) {
+        auto id = "x" + std::to_string(run);
+        SoakTime sentAt = run < 3 ? 100000 + run : 104000 + run;
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = "/lookup/crash1/", .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
+        f.record.engineRecords.push_back({ .attemptId = id, .engineId = "e" + id, .organisation = "org", .recordedAt = sentAt + 1 });
+    }
+    cr_expect(f.firstViolatedGuarantee() == "a request that crashed three engines is not executed again");
+    f.record.disturbances.push_back({ .subject = "i", .startedAt = 102000, .endedAt = 102000 });
+    cr_expect(f.firstViolatedGuarantee().empty(), "an instance that was disturbed is excused");
+    f.record.disturbances.clear();
+    f.record.engineRecords.pop_back();
+    cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the third crash are allowed");
+}
