--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -225,7 +225,9 @@
 /// while the key and the stated output limit change.
 RequestSpec Soak::nextCrashingRequest(Random& random) const
 {
-    auto number = (soakNow() - m_callersStartedAt) / crashingRequestPeriod;
+    // Once faults have ended, no further request crashes engines, so that callers must be served again.
+    auto age = (m_injectingFaults ? soakNow() : m_faultInjectionEndedAt) - m_callersStartedAt;
+    auto number = age / crashingRequestPeriod;
     RequestSpec spec;
     spec.type = number % 2 == 0 ? RequestType::Stream : RequestType::Lookup;
     spec.path = fmt::format("{}{}{}/", number % 2 == 0 ? streamPath : lookupPath, number % 4 == 2 ? silentCrashMarker : crashMarker, number);
@@ -488,6 +490,7 @@
     asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
     co_await sleepFor(fromSeconds(m_options.faultSeconds));
     m_injectingFaults = false;
+    m_faultInjectionEndedAt = soakNow();
     // The longest fault and the longest stop have ended after this time.
     co_await sleepFor(stopTimeout);
     m_record.faultsEndedAt = soakNow();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -99,6 +99,7 @@
     std::vector<std::string> m_addedPaths;
     std::map<std::string, std::set<std::string>> m_keysByOrganisation;
     SoakTime m_callersStartedAt = 0;
+    SoakTime m_faultInjectionEndedAt = 0;
     bool m_injectingFaults = true;
     bool m_restartingInstances = true;
     bool m_callersActive = true;
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -7,6 +7,7 @@
 #include "net/httpserver.h"
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
+#include "quarantine/crashrecordwriter.h"
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
@@ -23,6 +24,7 @@
     std::string targetPrefix;
     std::string instancePrefix;
     std::string usagePrefix;
+    std::string crashPrefix;
     std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
     std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
 };
@@ -79,6 +81,7 @@
     LiveStreams m_liveStreams;
     RetryBudget m_retryBudget;
     CrashGuard m_crashGuard;
+    CrashRecordWriter m_crashRecordWriter;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
     RelayMetrics m_metrics;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -53,7 +53,8 @@
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_outputEstimator, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_retryBudget({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_crashGuard([this](const QuarantineMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); })
+    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashReport& report) { m_crashRecordWriter.add(report); })
+    , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
     , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
@@ -69,7 +70,7 @@
     , m_reloadSignals(m_io, SIGHUP)
 {
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
-        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix);
+        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
     });
     m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) {
         onStoreEntry(key, value);
@@ -124,6 +125,7 @@
     asio::co_spawn(m_io, handleStopSignals(), asio::detached);
     asio::co_spawn(m_io, reloadLoop(), asio::detached);
     asio::co_spawn(m_io, m_usageWriter.run(usageFlushInterval), asio::detached);
+    asio::co_spawn(m_io, m_crashRecordWriter.run(), asio::detached);
     m_io.run();
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
     flushLog();
@@ -150,6 +152,9 @@
             m_fleet.onRegistered(key, std::move(*record));
         else
             m_fleet.onUnregistered(key);
+    } else if (key.starts_with(schema.crashPrefix)) {
+        if (auto report = value ? decodeCrashReport(*value) : std::nullopt)
+            m_crashGuard.onStoredReport(*report, now);
     }
 }
 
@@ -224,6 +229,8 @@
                    [&](const MoveResponse& response) { m_handoverService.onMoveResponse(response); },
                    [&](const MoveRelease& release) { m_moveServer.onRelease(release); },
                    [&](const ShutdownNotice& notice) { m_shutdownPoller.onPeerNotice(notice, Clock::now()); },
+                   [&](const PriorCompletionNotice& notice) { m_crashGuard.onPeerMessage(notice, Clock::now()); },
+                   [&](const InterruptionReport& report) { m_crashGuard.onPeerMessage(report, Clock::now()); },
                    [&](const CrashReport& report) { m_crashGuard.onPeerMessage(report, Clock::now()); },
                    [&](const CompletionReport& report) { m_crashGuard.onPeerMessage(report, Clock::now()); },
                    [&](const ConvictionNotice& notice) { m_crashGuard.onPeerMessage(notice, Clock::now()); },
@@ -252,6 +259,7 @@
         m_placementServer.onTick(Clock::now());
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
+        m_crashGuard.onTick(Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -23,6 +23,8 @@
         CompletionReport,
         ConvictionNotice,
         PardonNotice,
+        InterruptionReport,
+        PriorCompletionNotice,
     };
 
     json fieldsOf(const InstanceLoadReport& report)
@@ -94,6 +96,16 @@
         return json::array({ notice.fingerprint });
     }
 
+    json fieldsOf(const PriorCompletionNotice& notice)
+    {
+        return json::array({ notice.fingerprint });
+    }
+
+    json fieldsOf(const InterruptionReport& report)
+    {
+        return json::array({ report.fingerprint, report.target, report.targetStartedAt, report.sentAgo.count(), report.interruptedAgo.count() });
+    }
+
     // Members are assigned individually: if an aggregate initialiser throws, g++ 12 destroys
     // members that are not constructed yet.
 
@@ -202,6 +214,17 @@
         return report;
     }
 
+    InterruptionReport interruptionReportFrom(const json& fields)
+    {
+        InterruptionReport report;
+        report.fingerprint = fields.at(0).get<Fingerprint>();
+        report.target = fields.at(1).get<std::string>();
+        report.targetStartedAt = fields.at(2).get<std::int64_t>();
+        report.sentAgo = Milliseconds(fields.at(3).get<std::int64_t>());
+        report.interruptedAgo = Milliseconds(fields.at(4).get<std::int64_t>());
+        return report;
+    }
+
     template <typename FingerprintMessage>
     FingerprintMessage fingerprintMessageFrom(const json& fields)
     {
@@ -256,6 +279,10 @@
             return fingerprintMessageFrom<ConvictionNotice>(fields);
         case MessageType::PardonNotice:
             return fingerprintMessageFrom<PardonNotice>(fields);
+        case MessageType::InterruptionReport:
+            return interruptionReportFrom(fields);
+        case MessageType::PriorCompletionNotice:
+            return fingerprintMessageFrom<PriorCompletionNotice>(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -2,7 +2,7 @@
 
 #include "fleet/fleettypes.h"
 #include "placement/placementtypes.h"
-#include "quarantine/quarantineservice.h"
+#include "quarantine/crashguardmessages.h"
 
 #include <optional>
 #include <variant>
@@ -100,7 +100,7 @@
 };
 
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
-using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice>;
+using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -28,6 +28,8 @@
     cr_expect(roundTrips(CompletionReport { .fingerprint = 7 }));
     cr_expect(roundTrips(ConvictionNotice { .fingerprint = 8 }));
     cr_expect(roundTrips(PardonNotice { .fingerprint = 9 }));
+    cr_expect(roundTrips(InterruptionReport { .fingerprint = 7, .target = "t", .targetStartedAt = 1LL << 41, .sentAgo = Milliseconds(30), .interruptedAgo = Milliseconds(2) }));
+    cr_expect(roundTrips(PriorCompletionNotice { .fingerprint = 11 }));
     cr_expect(roundTrips(ShutdownNotice { .target = "t", .startedAt = 1LL << 41 }));
 }
 
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -1,10 +1,13 @@
 #pragma once
 
-#include "quarantine/quarantineservice.h"
+#include "quarantine/completedrequests.h"
+#include "quarantine/crashguardmessages.h"
+#include "quarantine/interruptionlog.h"
 #include "targets/targetdirectory.h"
 
-#include <deque>
 #include <functional>
+#include <optional>
+#include <set>
 
 namespace guavaspan {
 
@@ -16,47 +19,90 @@
     std::uint64_t uncountedCrashes = 0;
 };
 
-/// Detects requests that crash the targets that run them, by matching interrupted answers with
-/// targets that disappear. Every instance receives a report of every crash, so each one decides
-/// by itself which requests to refuse.
+/// An attempt of this instance that ended without a complete answer, although the target may have run it.
+struct UnansweredAttempt {
+    Fingerprint fingerprint = 0;
+    const TargetEntry& target;
+    TimePoint sentAt;
+    /// When the target last sent a part of the answer; at least sentAt.
+    TimePoint lastHeardAt;
+    /// The caller left or the deadline passed; otherwise the connection broke.
+    bool abandoned = false;
+};
+
+/// Detects requests that crash the targets that run them, by matching unanswered attempts with
+/// targets that disappear. All instances learn of all crashes: by messages, and from the shared store
+/// if they were not running then. Each one decides by itself which requests to refuse.
 class CrashGuard {
 public:
     /// Sends a message to all peers.
-    using Broadcaster = std::function<void(const QuarantineMessage&)>;
+    using Broadcaster = std::function<void(const CrashGuardMessage&)>;
+    /// Keeps a report in the shared store. May be called again with the same report.
+    using Recorder = std::function<void(const CrashReport&)>;
 
-    explicit CrashGuard(Broadcaster);
+    CrashGuard(Broadcaster, Recorder);
 
-    /// Records that no complete answer arrived from the target, although it may have run the request.
-    void onAnswerInterrupted(Fingerprint, const TargetEntry&, TimePoint now);
+    void onUnanswered(const UnansweredAttempt&, TimePoint now);
     void onTargetUnavailable(const TargetUnavailable&);
 
+    /// The target answered a request that was sent at this time, so it has not crashed before.
+    void onTargetAnswered(const TargetEntry&, TimePoint sentAt);
+
     /// Records that the request was answered completely, which removes its recorded crashes.
     void onCompleted(Fingerprint, TimePoint now);
 
-    void onPeerMessage(const QuarantineMessage&, TimePoint now);
+    void onPeerMessage(const CrashGuardMessage&, TimePoint now);
+    void onStoredReport(const CrashReport&, TimePoint now);
+
+    /// Repeats recent reports, since messages to peers may be lost.
+    void onTick(TimePoint now);
 
-    bool refuses(Fingerprint, TimePoint now) const;
+    /// The retry delay to advise if the request must not be sent to a target.
+    std::optional<Clock::duration> retryDelayIfRefused(Fingerprint, TimePoint now) const;
+
+    /// True if a target crashed while it ran the request.
+    bool isSuspect(Fingerprint fingerprint) const { return m_crashes.contains(fingerprint); }
 
     const CrashGuardStatistics& statistics() const { return m_statistics; }
 
 private:
-    struct InterruptedRequest {
-        Fingerprint fingerprint = 0;
-        std::string target;
-        std::int64_t startedAt = 0;
+    struct CrashRecord {
+        std::vector<CrashReport> reports;
+        TimePoint lastCrashAt;
+        /// This instance observed one of the crashes, so it informs the others.
+        bool local = false;
+    };
+    /// What became of a target that takes no new requests.
+    struct UnavailableTarget {
+        bool announced = false;
         TimePoint at;
     };
+
     void removeExpired(TimePoint now);
-    void onCrash(const InterruptedRequest&, TimePoint now);
-    bool recordCrash(const CrashReport&, TimePoint now);
-    void convictIfProven(Fingerprint, const std::string& target, TimePoint now);
+    bool crashedBeforeRemoval(const UnansweredAttempt&, const UnavailableTarget&) const;
+    void addInterruption(Fingerprint, Interruption, TimePoint now);
+    void confirm(Fingerprint, const TargetIncarnation&, TimePoint now);
+    void markConfirmed(const CrashReport&);
+    bool countCrash(const CrashReport&, bool local, TimePoint now);
+    void convictIfProven(const CrashReport&, TimePoint now);
+    bool isSuspended(Fingerprint) const;
+    bool mayConvict(Fingerprint) const;
+    void notifyIfCompletedBefore(Fingerprint, TimePoint now);
+    void clear(Fingerprint, TimePoint now);
 
     Broadcaster m_broadcast;
+    Recorder m_recordInStore;
     Quarantine m_quarantine;
     CrashGuardStatistics m_statistics;
-    /// Recently interrupted requests, kept until it is known whether their targets crashed.
-    std::deque<InterruptedRequest> m_interrupted;
-    std::map<Fingerprint, TimePoint> m_lastCrash;
+    std::map<Fingerprint, InterruptionLog> m_interruptions;
+    /// Incarnations with interruptions that are neither confirmed nor refuted.
+    std::set<TargetIncarnation> m_unclearTargets;
+    std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
+    std::map<Fingerprint, CrashRecord> m_crashes;
+    CompletedRequests m_completed;
+    /// When peers were last told that a request was answered before.
+    std::map<Fingerprint, TimePoint> m_notifiedAt;
+    TimePoint m_nextRepetition;
 };
 
 }
--- /dev/null
+++ b/src/quarantine/crashguardmessages.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "common/time.h"
+#include "quarantine/quarantineservice.h"
+
+#include <variant>
+
+namespace guavaspan {
+
+/// Reports that a target stopped answering while it was running a request; it may have crashed.
+struct InterruptionReport {
+    Fingerprint fingerprint = 0;
+    std::string target;
+    std::int64_t targetStartedAt = 0;
+    /// Time from the sending of the request to this report.
+    Milliseconds sentAgo { 0 };
+    /// Time from the interruption to this report.
+    Milliseconds interruptedAgo { 0 };
+
+    friend bool operator==(const InterruptionReport&, const InterruptionReport&) = default;
+};
+
+/// Tells that a request which is suspected now was answered before, so that crashes weigh less against it.
+struct PriorCompletionNotice {
+    Fingerprint fingerprint = 0;
+
+    friend bool operator==(const PriorCompletionNotice&, const PriorCompletionNotice&) = default;
+};
+
+/// Messages that the crash guards of all instances exchange.
+using CrashGuardMessage = std::variant<InterruptionReport, PriorCompletionNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice>;
+
+}
--- /dev/null
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -0,0 +1,92 @@
+#include "quarantine/crashrecordwriter.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavaspan {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr auto pollInterval = Milliseconds(100);
+    constexpr auto retryInterval = Milliseconds(500);
+    /// Records are removed by their lease; the longest one that the platform grants lasts ten minutes.
+    constexpr auto recordLifetime = Seconds(600);
+    constexpr std::size_t maxKnownKeys = 10000;
+
+}
+
+std::string encodeCrashReport(const CrashReport& report)
+{
+    return json::array({ hexOf(report.fingerprint), report.target, report.incarnation }).dump();
+}
+
+std::optional<CrashReport> decodeCrashReport(const std::string& text)
+{
+    try {
+        auto fields = json::parse(text);
+        CrashReport report;
+        report.fingerprint = std::stoull(fields.at(0).get<std::string>(), nullptr, 16);
+        report.target = fields.at(1).get<std::string>();
+        report.incarnation = fields.at(2).get<std::string>();
+        return report;
+    } catch (const std::exception& exception) {
+        logEvent(LogLevel::Warning, "crash_record_unreadable", { { "detail", std::string(exception.what()) } });
+        return std::nullopt;
+    }
+}
+
+CrashRecordWriter::CrashRecordWriter(IKeyValueStore& store, std::string keyPrefix)
+    : m_store(store)
+    , m_keyPrefix(std::move(keyPrefix))
+{
+}
+
+std::string CrashRecordWriter::keyOf(const CrashReport& report) const
+{
+    return m_keyPrefix + hexOf(report.fingerprint) + "/" + hexOf(stableHash(report.incarnation, stableHash(report.target)));
+}
+
+void CrashRecordWriter::add(const CrashReport& report)
+{
+    if (m_knownKeys.size() >= maxKnownKeys)
+        m_knownKeys.clear();
+    if (m_knownKeys.insert(keyOf(report)).second)
+        m_queue.push_back(report);
+}
+
+Awaitable<bool> CrashRecordWriter::writeQueued()
+{
+    if (m_queue.empty())
+        co_return true;
+    auto lease = co_await m_store.grantLease(recordLifetime);
+    if (!lease) {
+        logEvent(LogLevel::Warning, "crash_record_not_written", { { "detail", describe(lease.error()) }, { "queued", std::int64_t(m_queue.size()) } });
+        co_return false;
+    }
+    while (!m_queue.empty()) {
+        auto report = m_queue.front();
+        SwapOptions options { .key = keyOf(report), .expectedVersion = absentVersion, .value = encodeCrashReport(report), .lease = *lease };
+        auto written = co_await m_store.compareAndSwap(std::move(options));
+        if (!written) {
+            logEvent(LogLevel::Warning, "crash_record_not_written", { { "fingerprint", hexOf(report.fingerprint) }, { "detail", describe(written.error()) }, { "queued", std::int64_t(m_queue.size()) } });
+            co_return false;
+        }
+        // A record that exists already was written by a peer or by an earlier attempt whose answer was lost.
+        m_queue.pop_front();
+    }
+    co_return true;
+}
+
+Awaitable<> CrashRecordWriter::run()
+{
+    while (true) {
+        bool written = co_await writeQueued();
+        co_await sleepFor(written ? Clock::duration(pollInterval) : Clock::duration(retryInterval));
+    }
+}
+
+}
--- /dev/null
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -0,0 +1,73 @@
+#include "quarantine/interruptionlog.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+namespace {
+
+    /// Longer than an outage of the store and the expiry of the target's entry after it.
+    constexpr auto interruptionLifetime = Seconds(30);
+    /// Interruptions by targets that are lost together end within this time: a silent connection is detected by
+    /// probes that are a second apart.
+    constexpr auto incidentWindow = Seconds(1);
+
+    template <typename Predicate>
+    std::size_t countIncidents(const std::vector<Interruption>& interruptions, Predicate counts)
+    {
+        std::vector<const Interruption*> byEnd;
+        for (const auto& interruption : interruptions) {
+            if (counts(interruption))
+                byEnd.push_back(&interruption);
+        }
+        std::sort(byEnd.begin(), byEnd.end(), [](const auto* a, const auto* b) { return a->endedAt < b->endedAt; });
+        std::size_t incidents = 0;
+        const Interruption* last = nullptr;
+        for (const auto* interruption : byEnd) {
+            bool sentAfterLast = last && interruption->sentAt >= last->endedAt;
+            bool endedLater = last && interruption->endedAt > last->endedAt + incidentWindow;
+            if (last && !sentAfterLast && !endedLater)
+                continue;
+            ++incidents;
+            last = interruption;
+        }
+        return incidents;
+    }
+
+}
+
+bool InterruptionLog::add(Interruption interruption)
+{
+    if (find(interruption.target))
+        return false;
+    m_interruptions.push_back(std::move(interruption));
+    return true;
+}
+
+Interruption* InterruptionLog::find(const TargetIncarnation& target)
+{
+    auto found = std::find_if(m_interruptions.begin(), m_interruptions.end(), [&](const Interruption& interruption) { return interruption.target == target; });
+    return found == m_interruptions.end() ? nullptr : &*found;
+}
+
+void InterruptionLog::onAlive(const TargetIncarnation& target, TimePoint provenAt)
+{
+    std::erase_if(m_interruptions, [&](const Interruption& interruption) { return !interruption.confirmed && interruption.target == target && interruption.endedAt < provenAt; });
+}
+
+void InterruptionLog::removeExpired(TimePoint now)
+{
+    std::erase_if(m_interruptions, [&](const Interruption& interruption) { return interruption.endedAt + interruptionLifetime < now; });
+}
+
+std::size_t InterruptionLog::confirmedIncidents() const
+{
+    return countIncidents(m_interruptions, [](const Interruption& interruption) { return interruption.confirmed; });
+}
+
+std::size_t InterruptionLog::possibleIncidents() const
+{
+    return countIncidents(m_interruptions, [](const Interruption& interruption) { return interruption.confirmed || !interruption.abandoned; });
+}
+
+}
--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -77,12 +77,6 @@
     return unexplainedCrashes >= 1 ? Standing::Convicted : Standing::Suspect;
 }
 
-std::size_t Quarantine::crashCount(Fingerprint fingerprint) const
-{
-    auto found = m_records.find(fingerprint);
-    return found == m_records.end() ? 0 : found->second.crashedIncarnations.size();
-}
-
 std::vector<QuarantineEntry> Quarantine::entries(TimePoint now) const
 {
     std::vector<QuarantineEntry> entries;
--- /dev/null
+++ b/src/quarantine/interruptionlog.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace guavaspan {
+
+/// One process of a target.
+struct TargetIncarnation {
+    std::string target;
+    std::int64_t startedAt = 0;
+
+    friend auto operator<=>(const TargetIncarnation&, const TargetIncarnation&) = default;
+};
+
+/// An attempt to run a request at a target that ended without a complete answer.
+struct Interruption {
+    TargetIncarnation target;
+    TimePoint sentAt;
+    TimePoint endedAt;
+    /// The caller left or the deadline passed while the target was silent.
+    bool abandoned = false;
+    /// Observed by this instance, not reported by a peer.
+    bool local = false;
+    /// The target has crashed.
+    bool confirmed = false;
+};
+
+/// Recent interruptions of one request, at most one for each incarnation of a target.
+class InterruptionLog {
+public:
+    /// Returns false if the incarnation has an interruption already.
+    bool add(Interruption);
+
+    Interruption* find(const TargetIncarnation&);
+
+    /// Removes the unconfirmed interruption of an incarnation that has since been seen alive.
+    void onAlive(const TargetIncarnation&, TimePoint provenAt);
+
+    void removeExpired(TimePoint now);
+    bool empty() const { return m_interruptions.empty(); }
+
+    /// Numbers of separate incidents. Interruptions that overlap in time and end together may have one
+    /// cause other than the request, such as the loss of a failure domain, and form one incident.
+    std::size_t confirmedIncidents() const;
+    /// Counts confirmed interruptions and unconfirmed ones that were not abandoned.
+    std::size_t possibleIncidents() const;
+
+private:
+    std::vector<Interruption> m_interruptions;
+};
+
+}
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -70,9 +70,6 @@
     bool pardon(Fingerprint);
 
     Standing standing(Fingerprint, TimePoint now) const;
-
-    /// Number of target incarnations that crashed while the request was running on them.
-    std::size_t crashCount(Fingerprint) const;
     std::vector<QuarantineEntry> entries(TimePoint now) const;
 
 private:
--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <memory>
+#include <set>
 
 using namespace guavaspan;
 
@@ -10,28 +11,28 @@
 /// Two instances that exchange quarantine messages.
 struct GuardFixture {
     TimePoint now { Seconds(100) };
-    bool connected = true;
     CrashGuard localGuard;
     CrashGuard peerGuard;
 
     GuardFixture()
-        : localGuard([this](const QuarantineMessage& message) {
-            if (connected)
-                peerGuard.onPeerMessage(message, now);
-        })
-        , peerGuard([this](const QuarantineMessage& message) {
-            if (connected)
-                localGuard.onPeerMessage(message, now);
-        })
+        : localGuard([this](const CrashGuardMessage& message) { peerGuard.onPeerMessage(message, now); }, [](const CrashReport&) {})
+        , peerGuard([this](const CrashGuardMessage& message) { localGuard.onPeerMessage(message, now); }, [](const CrashReport&) {})
     {
     }
 
     static TargetEntry engine(int number) { return { .id = "engine-" + std::to_string(number), .startedAt = 1 }; }
 
+    void interrupt(Fingerprint request, int number)
+    {
+        localGuard.onUnanswered({ .fingerprint = request, .target = engine(number), .sentAt = now - Milliseconds(20), .lastHeardAt = now - Milliseconds(20) }, now);
+    }
+
+    static bool refuses(const CrashGuard& guard, Fingerprint request, TimePoint now) { return guard.retryDelayIfRefused(request, now).has_value(); }
+
     void crash(int number, const std::vector<Fingerprint>& running)
     {
         for (auto request : running)
-            localGuard.onAnswerInterrupted(request, engine(number), now);
+            interrupt(request, number);
         now += Seconds(3);
         for (auto* guard : { &localGuard, &peerGuard })
             guard->onTargetUnavailable({ .entry = engine(number), .reason = UnavailableReason::EntryRemoved, .at = now });
@@ -45,6 +46,7 @@
     TimePoint now { Seconds(100) };
     bool connected = true;
     bool storeReachable = true;
+    std::set<CrashReport> stored;
     std::vector<std::unique_ptr<CrashGuard>> guards;
 
     FleetFixture()
@@ -57,11 +59,14 @@
 
     void restart(std::size_t instance)
     {
-        guards[instance] = std::make_unique<CrashGuard>([this, instance](const QuarantineMessage& message) {
+        guards[instance] = std::make_unique<CrashGuard>([this, instance](const CrashGuardMessage& message) {
             auto& peer = guards[1 - instance];
             if (connected && peer)
-                peer->onPeerMessage(message, now);
-        });
+                peer->onPeerMessage(message, now); }, [this](const CrashReport& report) {
+            if (storeReachable)
+                stored.insert(report); });
+        for (const auto& report : stored)
+            guards[instance]->onStoredReport(report, now);
     }
 
     static TargetEntry engine(int number) { return { .id = "engine-" + std::to_string(number), .startedAt = 1 }; }
@@ -69,14 +74,17 @@
     /// Sends the request to an engine whose connection breaks after 20 ms.
     void interrupt(std::size_t instance, int number)
     {
+        auto sentAt = now;
         now += Milliseconds(20);
-        guards[instance]->onAnswerInterrupted(request, engine(number), now);
+        guards[instance]->onUnanswered({ .fingerprint = request, .target = engine(number), .sentAt = sentAt, .lastHeardAt = sentAt }, now);
     }
 
     /// Sends the request to an engine that becomes silent; its caller leaves after 2 s.
-    void abandon(std::size_t, int)
+    void abandon(std::size_t instance, int number)
     {
+        auto sentAt = now;
         now += Seconds(2);
+        guards[instance]->onUnanswered({ .fingerprint = request, .target = engine(number), .sentAt = sentAt, .lastHeardAt = sentAt, .abandoned = true }, now);
     }
 
     void removeEntry(int number)
@@ -95,9 +103,11 @@
     void tick(Clock::duration duration)
     {
         now += duration;
+        for (auto& guard : guards)
+            guard->onTick(now);
     }
 
-    bool refuses(std::size_t instance) { return guards[instance]->refuses(request, now); }
+    bool refuses(std::size_t instance) { return guards[instance]->retryDelayIfRefused(request, now).has_value(); }
 };
 
 }
@@ -106,14 +116,14 @@
 {
     GuardFixture f;
     f.crash(1, { 7, 20, 21 });
-    cr_expect(!f.localGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
     f.crash(2, { 7, 22 });
-    cr_expect(!f.localGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
     f.crash(3, { 7, 23 });
-    cr_expect(f.localGuard.refuses(7, f.now));
-    cr_expect(f.peerGuard.refuses(7, f.now), "an instance that never ran the request refuses it too");
+    cr_expect(f.refuses(f.localGuard, 7, f.now));
+    cr_expect(f.refuses(f.peerGuard, 7, f.now), "an instance that never ran the request refuses it too");
     for (Fingerprint concurrentRequest : { 20, 21, 22, 23 })
-        cr_expect(!f.localGuard.refuses(concurrentRequest, f.now), "the request only ran concurrently with the crashing request");
+        cr_expect(!f.refuses(f.localGuard, concurrentRequest, f.now), "the request only ran concurrently with the crashing request");
 }
 
 /// Guards against BUDGET: entries of engines that crashed one after the other are often removed at the same
@@ -189,28 +199,28 @@
         f.crash(engine, { 5 });
         f.peerGuard.onCompleted(5, f.now);
     }
-    cr_expect(!f.localGuard.refuses(5, f.now));
-    cr_expect(!f.peerGuard.refuses(5, f.now));
+    cr_expect(!f.refuses(f.localGuard, 5, f.now));
+    cr_expect(!f.refuses(f.peerGuard, 5, f.now));
 }
 
 Test(CrashGuard, engineThatAnnouncedItsShutdown_addsNoCrash)
 {
     GuardFixture f;
     for (int number : { 1, 2, 3 }) {
-        f.localGuard.onAnswerInterrupted(7, f.engine(number), f.now);
+        f.interrupt(7, number);
         f.localGuard.onTargetUnavailable({ .entry = f.engine(number), .reason = UnavailableReason::Announced, .at = f.now });
     }
-    cr_expect(!f.localGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
 }
 
 Test(CrashGuard, interruptedAnswersOfHealthyEngines_addNoCrash)
 {
     GuardFixture f;
     for (int number : { 1, 2, 3 })
-        f.localGuard.onAnswerInterrupted(7, f.engine(number), f.now);
+        f.interrupt(7, number);
     f.now += Seconds(20);
     f.localGuard.onTargetUnavailable({ .entry = f.engine(1), .reason = UnavailableReason::EntryRemoved, .at = f.now });
-    cr_expect(!f.localGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
 }
 
 Test(CrashGuard, answerInterruptedAfterEntryRemoval_addsNoCrash)
@@ -219,10 +229,10 @@
     for (int number : { 1, 2, 3, 4 }) {
         f.localGuard.onTargetUnavailable({ .entry = f.engine(number), .reason = UnavailableReason::EntryRemoved, .at = f.now });
         f.now += Seconds(2);
-        f.localGuard.onAnswerInterrupted(7, f.engine(number), f.now);
+        f.interrupt(7, number);
     }
     f.now += Seconds(3);
-    cr_expect(!f.localGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
 }
 
 /// A request that many callers send is running on several engines when they crash together.
@@ -230,10 +240,99 @@
 {
     GuardFixture f;
     for (int number : { 1, 2, 3, 4 })
-        f.localGuard.onAnswerInterrupted(7, f.engine(number), f.now);
+        f.interrupt(7, number);
     f.now += Seconds(3);
     for (int number : { 1, 2, 3, 4 })
         f.localGuard.onTargetUnavailable({ .entry = f.engine(number), .reason = UnavailableReason::EntryRemoved, .at = f.now });
-    cr_expect(!f.localGuard.refuses(7, f.now));
-    cr_expect(!f.peerGuard.refuses(7, f.now));
+    cr_expect(!f.refuses(f.localGuard, 7, f.now));
+    cr_expect(!f.refuses(f.peerGuard, 7, f.now));
+}
+
+Test(CrashGuard, interruptedEnginesThatAnswerLaterRequests_areNotSuspected)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        f.interrupt(0, number);
+        f.now += Milliseconds(100);
+    }
+    cr_expect(f.refuses(0));
+    for (int number : { 1, 2, 3 })
+        f.guards[0]->onTargetAnswered(f.engine(number), f.now);
+    cr_expect(!f.refuses(0));
+    f.removeEntry(1);
+    cr_expect(!f.refuses(0));
+}
+
+Test(CrashGuard, suspendedRequestWhoseEnginesStay_isAdmittedAgain)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        f.interrupt(0, number);
+        f.now += Milliseconds(100);
+    }
+    cr_expect(f.refuses(0));
+    f.tick(Seconds(31));
+    cr_expect(!f.refuses(0));
+}
+
+Test(CrashGuard, callersThatLeaveWorkingEngines_addNoCrash)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        f.guards[0]->onUnanswered({ .fingerprint = f.request, .target = f.engine(number), .sentAt = f.now, .lastHeardAt = f.now + Seconds(1), .abandoned = true }, f.now + Milliseconds(1100));
+        f.now += Seconds(3);
+        f.removeEntry(number);
+    }
+    cr_expect(!f.refuses(0));
+}
+
+/// The connection to a silent engine is closed by keep-alive probes, which may take longer than the entry lasts.
+Test(CrashGuard, silentEngineWhoseEntryIsRemovedFirst_countsAsCrash)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        auto sentAt = f.now;
+        f.now += Seconds(3);
+        f.removeEntry(number);
+        f.now += Seconds(1);
+        f.guards[0]->onUnanswered({ .fingerprint = f.request, .target = f.engine(number), .sentAt = sentAt, .lastHeardAt = sentAt }, f.now);
+    }
+    cr_expect(f.refuses(0));
+    cr_expect(f.refuses(1));
+}
+
+Test(CrashGuard, requestsThatAlwaysCrashTogether_areBothRefusedAtTheFourthCrash)
+{
+    GuardFixture f;
+    for (int number : { 1, 2, 3 })
+        f.crash(number, { 7, 8 });
+    cr_expect(!f.refuses(f.localGuard, 8, f.now), "the other request may be the only cause");
+    f.crash(4, { 7, 8 });
+    cr_expect(f.refuses(f.localGuard, 7, f.now));
+    cr_expect(f.refuses(f.localGuard, 8, f.now));
+}
+
+/// Callers of a popular request are interrupted by every crash, whichever request causes it.
+Test(CrashGuard, popularRequestThatWasAnsweredBefore_isNotConvictedByCrashesInSuccession)
+{
+    FleetFixture f;
+    f.guards[1]->onCompleted(f.request, f.now);
+    for (int number : { 1, 2, 3, 4, 5 })
+        f.crash(0, number);
+    cr_expect(!f.refuses(0), "the peer that answered it tells so");
+    cr_expect(!f.refuses(1));
+    for (int number = 6; number <= 20; ++number)
+        f.crash(0, number);
+    cr_expect(f.refuses(0), "it has not been answered since");
+}
+
+Test(CrashGuard, convictedRequestThatIsAnsweredAfterAll_isAdmittedByAllInstances)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 })
+        f.crash(0, number);
+    cr_expect(f.refuses(1));
+    f.guards[0]->onCompleted(f.request, f.now);
+    cr_expect(!f.refuses(0));
+    cr_expect(!f.refuses(1));
 }
--- /dev/null
+++ b/src/quarantine/tests/crashrecordwriter_test.cpp
@@ -0,0 +1,64 @@
+#include "keyvalue/tests/fakekeyvaluestore.h"
+#include "net/tests/runcoroutine.h"
+#include "quarantine/crashrecordwriter.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+struct WriterFixture {
+    asio::io_context context;
+    FakeKeyValueStore store;
+    CrashRecordWriter writer { store, "crashes/" };
+    CrashReport report { .fingerprint = ~0ULL, .target = "engine-1", .incarnation = "1" };
+
+    bool writeQueued() { return runCoroutine(context, writer.writeQueued()); }
+    std::vector<KeyValueEntry> entries() { return *runCoroutine(context, store.list("crashes/")); }
+};
+
+}
+
+Test(CrashRecordWriter, reportQueuedRepeatedly_isWrittenOnce)
+{
+    WriterFixture f;
+    f.writer.add(f.report);
+    f.writer.add(f.report);
+    cr_expect(f.writeQueued());
+    cr_expect(f.store.writes == 1);
+    cr_assert(f.entries().size() == 1);
+    cr_expect(decodeCrashReport(f.entries().front().value) == f.report);
+}
+
+Test(CrashRecordWriter, storeFaults_reportIsWrittenInTheEnd)
+{
+    for (auto fault : { StoreFault::Outage, StoreFault::LoseResponse, StoreFault::RefuseWrite }) {
+        WriterFixture f;
+        f.store.faults = { fault };
+        f.writer.add(f.report);
+        cr_expect(!f.writeQueued());
+        cr_expect(f.writeQueued());
+        cr_expect(f.entries().size() == 1);
+    }
+}
+
+Test(CrashRecordWriter, crashesOfOneRequestAndItsPeersRecords_doNotOverwriteEachOther)
+{
+    WriterFixture f;
+    CrashRecordWriter peer(f.store, "crashes/");
+    auto otherTarget = f.report;
+    otherTarget.target = "engine-2";
+    for (auto* writer : { &f.writer, &peer }) {
+        writer->add(f.report);
+        writer->add(otherTarget);
+        cr_expect(runCoroutine(f.context, writer->writeQueued()));
+    }
+    cr_expect(f.entries().size() == 2);
+}
+
+Test(CrashReport, malformedRecord_isNotDecoded)
+{
+    for (const char* text : { "", "[]", "{}", "[1,2,3]", "[\"xyz\",\"t\",\"1\"]", "[\"7\",\"t\"]" })
+        cr_expect(!decodeCrashReport(text), "%s", text);
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -35,6 +35,9 @@
     AttemptOutcome outcome = AttemptOutcome::Broken;
     HttpResponse response;
     std::string detail;
+    TimePoint sentAt;
+    /// When the target last sent a part of its answer; at least sentAt.
+    TimePoint lastHeardAt;
 };
 
 namespace {
@@ -82,7 +85,7 @@
     TargetConnection connection(m_context.io.get_executor());
     request.callerWatch.setCancelAction([&] { connection.cancel(); });
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = placement.target, .organisation = request.organisation, .timeLeft = timeLeft(request) });
-    Attempt attempt;
+    Attempt attempt { .sentAt = Clock::now(), .lastHeardAt = Clock::now() };
     auto finish = [&](AttemptOutcome outcome, std::string detail) {
         request.callerWatch.setCancelAction(nullptr);
         attempt.outcome = request.callerWatch.gone() ? AttemptOutcome::CallerGone : outcome;
@@ -100,6 +103,7 @@
     auto read = co_await connection.readHeader();
     if (!read)
         co_return finish(read.error().code == ErrorCode::Timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Broken, describe(read.error()));
+    attempt.lastHeardAt = Clock::now();
     auto responseHead = m_context.wireFormat.parseResponseHead(connection.header());
     auto outcome = classify(responseHead, request.caller.requestId);
     if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken)
@@ -119,6 +123,23 @@
     return allowed;
 }
 
+void PlainRelay::reportToCrashGuard(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, TimePoint now)
+{
+    switch (attempt.outcome) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::FailedAnswer:
+        m_context.crashGuard.onTargetAnswered(target, attempt.sentAt);
+        return;
+    case AttemptOutcome::NotRun:
+        return;
+    case AttemptOutcome::Broken:
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::CallerGone:
+        m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken }, now);
+        return;
+    }
+}
+
 Awaitable<RelayResult> PlainRelay::deliverAnswer(RelayRequest& request, Attempt attempt, RelayResult result)
 {
     result.status = attempt.response.result_int();
@@ -145,6 +166,17 @@
     co_return result;
 }
 
+Awaitable<RelayResult> PlainRelay::refuseCrashingRequest(RelayRequest& request, RelayResult result, Clock::duration retryDelay, bool mayHaveRun)
+{
+    result.reason = reasonCrashesTargets;
+    result.status = mayHaveRun ? 502 : 503;
+    if (mayHaveRun)
+        co_await sendFailure(request.exchange, result.status, result.reason);
+    else
+        co_await sendRefusal(request.exchange, result.status, result.reason, retryDelay);
+    co_return result;
+}
+
 Awaitable<RelayResult> PlainRelay::run(RelayRequest& request)
 {
     RelayResult result;
@@ -170,22 +202,27 @@
             result.detail = placement.error().detail;
             break;
         }
+        if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now())) {
+            m_context.placement.release(id);
+            co_return co_await refuseCrashingRequest(request, std::move(result), *retryDelay, mayHaveRun);
+        }
         ++result.sends;
         result.target = placement->target.id;
         auto address = toString(placement->target.endpoint);
-        bool mayRetry = idempotent && possibleRuns + 1 < request.route.maxTargets;
+        bool mayRetry = idempotent && possibleRuns + 1 < request.route.maxTargets && !m_context.crashGuard.isSuspect(request.fingerprint);
         auto attempt = co_await this->attempt(request, *placement, mayRetry);
         m_context.placement.release(id);
         result.detail = attempt.detail;
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.caller.contentHash) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
+        reportToCrashGuard(request, placement->target, attempt, now);
         switch (attempt.outcome) {
         case AttemptOutcome::CallerGone:
             result.reason = "caller_gone";
             co_return result;
         case AttemptOutcome::Answered:
             m_context.dispatcher.outcomes().onSuccess(address, now);
-            m_context.crashGuard.onCompleted(request.caller.contentHash, now);
+            m_context.crashGuard.onCompleted(request.fingerprint, now);
             co_return co_await deliverAnswer(request, std::move(attempt), std::move(result));
         case AttemptOutcome::FailedAnswer:
             mayHaveRun = true;
@@ -201,8 +238,6 @@
             break;
         case AttemptOutcome::Broken:
         case AttemptOutcome::TimedOut:
-            if (attempt.outcome == AttemptOutcome::Broken)
-                m_context.crashGuard.onAnswerInterrupted(request.caller.contentHash, placement->target, now);
             mayHaveRun = true;
             ++possibleRuns;
             m_context.dispatcher.outcomes().onFailure(address, now);
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -33,6 +33,11 @@
     m_state->cancelAction = nullptr;
 }
 
+Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest& request)
+{
+    return fingerprintOf(organisation, std::string(request.target()), request.body());
+}
+
 Awaitable<> sendRefusal(HttpExchange& exchange, unsigned status, const std::string& reason, Clock::duration retryAfter)
 {
     auto reply = problemReply(status, reason, "not_run");
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -13,8 +13,6 @@
     constexpr auto retryAfterNoConfiguration = Milliseconds(500);
     /// Retry-After while keys or the configuration cannot be confirmed as current.
     constexpr auto retryAfterUnconfirmed = Milliseconds(1000);
-    /// Retry-After for a request that crashes targets; operators have to examine it first.
-    constexpr auto retryAfterTargetCrashes = Seconds(60);
     /// Retry-After while this instance stops; another instance can take the request at once.
     constexpr auto retryAfterStopping = Milliseconds(50);
     /// Configurations take effect on all instances within 2 s; an older one may lack a new route or key.
@@ -40,6 +38,7 @@
     const ServiceInfo* service = nullptr;
     std::string organisation;
     int priority = 0;
+    Fingerprint fingerprint = 0;
     /// HTTP status; 0 if the request is admitted.
     unsigned refusalStatus = 0;
     std::string reason;
@@ -90,8 +89,9 @@
         admission.organisation = organisation->name;
         admission.priority = organisation->priority.value_or(admission.priority);
     }
-    if (m_context.crashGuard.refuses(caller.contentHash, Clock::now()))
-        return refuseWith(503, "crashes_targets", retryAfterTargetCrashes);
+    admission.fingerprint = fingerprintOf(admission.organisation, exchange.request());
+    if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(admission.fingerprint, Clock::now()))
+        return refuseWith(503, reasonCrashesTargets, *retryDelay);
     if (exceedsStopLimit(*admission.route, caller)) {
         admission.closesConnection = true;
         return refuseWith(503, "stopping", retryAfterStopping);
@@ -132,6 +132,7 @@
         .caller = caller,
         .organisation = admission.organisation,
         .priority = admission.priority,
+        .fingerprint = admission.fingerprint,
         .arrivedAt = arrivedAt,
         .deadline = arrivedAt + timeLimit,
     };
@@ -147,7 +148,7 @@
     m_context.metrics.recordRequest(route, result.reason, secondsBetween(arrivedAt, now));
     auto milliseconds = [](Clock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     logEvent(LogLevel::Info, "request_ended",
-        { { "request", caller.requestId }, { "fingerprint", hexOf(caller.contentHash) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
+        { { "request", caller.requestId }, { "fingerprint", hexOf(admission.fingerprint) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
 }
 
 Awaitable<> RequestHandler::handle(HttpExchange& exchange)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -39,6 +39,10 @@
     bool headerSent = false;
     bool answered = false;
     bool mayHaveRun = false;
+    /// When the current engine received the request.
+    TimePoint sentAt;
+    /// When the current engine last sent a part of its answer; at least sentAt.
+    TimePoint lastHeardAt;
     TimePoint lastEventAt;
     /// Tokens of events that were written to the caller.
     int deliveredTokens = 0;
@@ -46,6 +50,8 @@
     TargetResponseHead responseHead;
     /// Retry delay suggested by the placement that refused the request.
     Clock::duration retryAfter {};
+    /// Set if the request is refused because it crashes targets.
+    std::optional<Clock::duration> crashRefusalDelay;
 };
 
 std::string StreamRelay::reasonFor(StreamOutcome outcome)
@@ -81,6 +87,8 @@
     session.responseHead = {};
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = timeLeft(request), .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
+    session.sentAt = Clock::now();
+    session.lastHeardAt = session.sentAt;
     auto opened = co_await connection->open(target.endpoint, std::move(message), attemptConnectTimeout);
     if (!opened) {
         session.result.detail = describe(opened.error());
@@ -95,6 +103,7 @@
         co_return false;
     }
     session.responseHead = m_context.wireFormat.parseResponseHead(connection->header());
+    onHeard(session, target);
     session.result.detail = "status " + std::to_string(session.responseHead.status);
     if (session.responseHead.notRun)
         co_return false;
@@ -115,6 +124,17 @@
         outcomes.onFailure(address, Clock::now());
 }
 
+void StreamRelay::onHeard(Session& session, const TargetEntry& target)
+{
+    session.lastHeardAt = Clock::now();
+    m_context.crashGuard.onTargetAnswered(target, session.sentAt);
+}
+
+void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
+{
+    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned }, Clock::now());
+}
+
 /// Finds an engine that starts the request. False if none did; session.responseHead may then hold an engine's error.
 Awaitable<bool> StreamRelay::start(Session& session)
 {
@@ -134,6 +154,9 @@
                 session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
+        session.crashRefusalDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now());
+        if (session.crashRefusalDelay)
+            co_return false;
         m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
         ++session.result.sends;
         session.result.waitTime += placement->waited;
@@ -143,7 +166,7 @@
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, placementRequest.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.caller.contentHash) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
             m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
@@ -151,8 +174,8 @@
         m_context.streams.remove(session.id);
         if (!request.callerWatch.gone())
             recordStartFailure(address, session.responseHead);
-        if (session.mayHaveRun && session.responseHead.status == 0 && !request.callerWatch.gone())
-            m_context.crashGuard.onAnswerInterrupted(request.caller.contentHash, target, Clock::now());
+        if (session.mayHaveRun && session.responseHead.status == 0)
+            reportUnanswered(session, target, request.callerWatch.gone() || Clock::now() >= request.deadline);
         if (request.callerWatch.gone() || !session.responseHead.notRun)
             co_return false;
         m_context.placement.release(session.id);
@@ -225,6 +248,7 @@
             co_return chunk.error().code == ErrorCode::Timeout ? StreamOutcome::DeadlineReached : StreamOutcome::Interrupted;
         if (chunk->empty())
             break;
+        onHeard(session, session.stream->target());
         session.frames.feed(*chunk);
         auto forwarded = co_await forwardFrames(session);
         if (forwarded != StreamOutcome::Complete)
@@ -274,6 +298,12 @@
         result.reason = "caller_gone";
         co_return;
     }
+    if (session.crashRefusalDelay) {
+        result.status = 503;
+        result.reason = reasonCrashesTargets;
+        co_await sendRefusal(request.exchange, result.status, result.reason, *session.crashRefusalDelay);
+        co_return;
+    }
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
@@ -334,10 +364,10 @@
         while (outcome == StreamOutcome::Interrupted && co_await resume(session))
             outcome = co_await relayEvents(session);
         const auto& lastTarget = session.stream->target();
-        if (outcome == StreamOutcome::Interrupted)
-            m_context.crashGuard.onAnswerInterrupted(request.caller.contentHash, lastTarget, Clock::now());
         if (outcome == StreamOutcome::Complete)
-            m_context.crashGuard.onCompleted(request.caller.contentHash, Clock::now());
+            m_context.crashGuard.onCompleted(request.fingerprint, Clock::now());
+        else if (outcome != StreamOutcome::OutOfOrder)
+            reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
         if (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id))
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
         if (request.callerWatch.gone())
--- a/src/relay/plainrelay.h
+++ b/src/relay/plainrelay.h
@@ -19,6 +19,8 @@
     struct Attempt;
 
     Awaitable<Attempt> attempt(RelayRequest&, const Placement&, bool mayRetry);
+    void reportToCrashGuard(const RelayRequest&, const TargetEntry&, const Attempt&, TimePoint now);
+    Awaitable<RelayResult> refuseCrashingRequest(RelayRequest&, RelayResult, Clock::duration retryDelay, bool mayHaveRun);
     Awaitable<RelayResult> deliverAnswer(RelayRequest&, Attempt, RelayResult);
     Awaitable<RelayResult> respondWithError(RelayRequest&, RelayResult, bool mayHaveRun);
     bool takeRetry(const RelayRequest&);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -69,6 +69,8 @@
     CallerRequest caller;
     std::string organisation;
     int priority = 0;
+    /// Hash that equal requests of an organisation share.
+    Fingerprint fingerprint = 0;
     TimePoint arrivedAt;
     /// The earliest of the caller's deadline, the route's timeout and the general time limit.
     TimePoint deadline;
@@ -91,6 +93,12 @@
     Clock::duration longestPause {};
 };
 
+/// Reason of a refusal because the request crashes targets.
+inline constexpr const char* reasonCrashesTargets = "crashes_targets";
+
+/// Hash that equal requests of an organisation share, whichever of its keys they carry.
+Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest&);
+
 /// Answers that the request has not run and after which time to retry it.
 Awaitable<> sendRefusal(HttpExchange&, unsigned status, const std::string& reason, Clock::duration retryAfter);
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -34,6 +34,8 @@
     Awaitable<StreamOutcome> forwardFrames(Session&);
     Awaitable<> finish(Session&, StreamOutcome);
     Awaitable<> respondUnstarted(Session&);
+    void onHeard(Session&, const TargetEntry&);
+    void reportUnanswered(const Session&, const TargetEntry&, bool abandoned);
     void recordStartFailure(const std::string& address, const TargetResponseHead&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string reasonFor(StreamOutcome);
