Read and log the request limits that engines state

The header is read at the boundary, malformed values are reported, and each change is logged and counted as a gauge. No decision changes. Engines of another incarnation and answers of another engine at the address (421) change nothing.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -70,6 +70,7 @@
     Random m_random;
     ActiveConfiguration m_configuration;
     TargetDirectory m_directory;
+    TargetLimits m_targetLimits;
     FleetView m_fleet;
     StoreReplica m_replica;
     StoreFollower m_follower;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -56,7 +56,7 @@
     , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashReport& report) { m_crashRecordWriter.add(report); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -208,6 +208,7 @@
         .peers = static_cast<double>(m_fleet.reachablePeers(Clock::now()).size()),
         .targets = static_cast<double>(m_directory.size()),
         .storeCalls = static_cast<double>(m_follower.storeCalls()),
+        .limitedTargets = static_cast<double>(m_targetLimits.size()),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
         .countedCrashes = static_cast<double>(m_crashGuard.statistics().countedCrashes),
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -1,5 +1,7 @@
 #include "relay/relaycontext.h"
 
+#include "common/log.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -69,4 +71,12 @@
     return std::max(Milliseconds(0), left);
 }
 
+void recordStatedLimit(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
+{
+    if (responseHead.requestLimitUnreadable)
+        logEvent(LogLevel::Warning, "target_limit_unreadable", { { "target", target.id } });
+    else if (!responseHead.fromOtherTarget)
+        context.targetLimits.onAnswer(target, responseHead.requestLimit, Clock::now());
+}
+
 }
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -86,6 +86,7 @@
     set("peers", gauges.peers);
     set("targets", gauges.targets);
     set("store_calls", gauges.storeCalls);
+    set("limited_targets", gauges.limitedTargets);
     set("dropped_log_lines", gauges.droppedLogLines);
     set("interrupted_answers", gauges.interruptedAnswers);
     set("counted_crashes", gauges.countedCrashes);
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -54,6 +54,11 @@
     /// The body has a content encoding that the request did not ask for.
     bool encoded = false;
     std::string requestId;
+    /// Requests per second that the target takes from all instances together, if it states a limit.
+    std::optional<double> requestLimit;
+    bool requestLimitUnreadable = false;
+    /// Another target uses the address now.
+    bool fromOtherTarget = false;
 };
 
 /// Reads callers' requests, builds requests to targets and reads the header of their answers.
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -10,6 +10,7 @@
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
 #include "routing/activeconfiguration.h"
+#include "targets/targetlimits.h"
 #include "usage/usageledger.h"
 
 namespace guavaspan {
@@ -32,6 +33,7 @@
     Random& random;
     /// Time from the stop signal until the host ends the process.
     Milliseconds stopLimit;
+    TargetLimits& targetLimits;
     std::optional<TimePoint> stoppingSince;
     std::size_t inFlight = 0;
 };
@@ -110,4 +112,7 @@
 
 Milliseconds timeLeft(const RelayRequest&);
 
+/// Takes note of the limit that a target's answer states, or of the end of one.
+void recordStatedLimit(RelayContext&, const TargetEntry&, const TargetResponseHead&);
+
 }
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -16,6 +16,7 @@
     double peers = 0;
     double targets = 0;
     double storeCalls = 0;
+    double limitedTargets = 0;
     double droppedLogLines = 0;
     double interruptedAnswers = 0;
     double countedCrashes = 0;
