--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -43,6 +43,7 @@
             checkUsage();
             checkDrainingEngines();
             checkCrashingRequests();
+            checkStatedLimits();
             return std::move(m_violations);
         }
 
@@ -178,6 +179,51 @@
             }
         }
 
+        /// Requests that engines received from instances that had passed on an answer stating the limit and were
+        /// not disturbed, in order of time.
+        std::vector<SoakTime> requestsOfInformedInstances(const StatedLimit& limit) const
+        {
+            std::vector<std::pair<SoakTime, const Attempt*>> runs;
+            for (const auto& attempt : m_record.attempts) {
+                for (const auto* engineRecord : engineRecordsOf(attempt.id)) {
+                    if (engineRecord->engineId == limit.engineId && engineRecord->recordedAt >= limit.startedAt && engineRecord->recordedAt <= limit.endedAt)
+                        runs.emplace_back(engineRecord->recordedAt, &attempt);
+                }
+            }
+            std::sort(runs.begin(), runs.end());
+            std::map<std::pair<std::string, int>, SoakTime> informedAt;
+            std::vector<SoakTime> requests;
+            for (const auto& [recordedAt, attempt] : runs) {
+                std::pair instance(attempt->instance, attempt->incarnation);
+                auto informed = informedAt.find(instance);
+                bool mustKeepLimit = informed != informedAt.end() && recordedAt >= informed->second + limitLearningTime.count() && recordedAt >= limit.startedAt + recoveryAllowance.count();
+                if (mustKeepLimit && isUndisturbed(attempt->instance, attempt->sentAt, recordedAt))
+                    requests.push_back(recordedAt);
+                bool passedOn = attempt->status == 200 && attempt->sealed && attempt->sentAt >= limit.startedAt;
+                if (passedOn && informed == informedAt.end())
+                    informedAt.emplace(instance, attempt->endedAt);
+            }
+            return requests;
+        }
+
+        void checkStatedLimits()
+        {
+            for (const auto& limit : m_record.statedLimits) {
+                auto requests = requestsOfInformedInstances(limit);
+                auto allowed = limitTolerance * limit.requestsPerSecond * static_cast<double>(limitPeriod.count()) / 1000 + limitAllowance;
+                std::size_t first = 0;
+                for (std::size_t last = 0; last < requests.size(); ++last) {
+                    while (requests[last] - requests[first] >= limitPeriod.count())
+                        ++first;
+                    auto count = last - first + 1;
+                    if (static_cast<double>(count) <= allowed)
+                        continue;
+                    m_violations.push_back({ .guarantee = "an engine gets no more requests than the limit that it states", .evidence = fmt::format("{} stated {} a second from {} to {}; {} requests in {} ms until {}, {} allowed", limit.engineId, limit.requestsPerSecond, limit.startedAt, limit.endedAt, count, limitPeriod.count(), requests[last], allowed) });
+                    break;
+                }
+            }
+        }
+
         /// Callers send a request that crashes engines again and again; soon after it has crashed three of them,
         /// undisturbed instances must stop passing it on.
         void checkCrashingRequests()
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -15,6 +15,9 @@
 inline constexpr const char* apiKeyHeader = "X-Key";
 inline constexpr const char* organisationHeader = "X-Tenant";
 
+/// Requests per second that an engine takes from all instances together while its answers state it.
+inline constexpr const char* requestLimitHeader = "Server-Limit";
+
 inline constexpr const char* host = "soak.example";
 inline constexpr const char* streamPath = "/stream/";
 inline constexpr const char* orderPath = "/order/";
@@ -38,6 +41,13 @@
 inline constexpr int crashesUntilKnown = 3;
 /// Executions allowed later than recoveryAllowance after the last of crashesUntilKnown.
 inline constexpr int maxRunsOfKnownCrash = 3;
+/// Period over which the requests to an engine that states a limit are counted.
+inline constexpr auto limitPeriod = Milliseconds(4000);
+/// An engine may get this multiple of its limit, and limitAllowance requests more, in one limitPeriod.
+inline constexpr double limitTolerance = 1.5;
+inline constexpr int limitAllowance = 5;
+/// Time after an instance passed on an answer that states a limit from which it must keep to it.
+inline constexpr auto limitLearningTime = Milliseconds(500);
 /// Added to time limits because other programs on the machine can delay the processes.
 inline constexpr auto schedulingSlack = Milliseconds(300);
 
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -37,6 +37,7 @@
     , m_server(io, {}, [this](HttpExchange& exchange) { return handle(exchange); })
     , m_recordOutput(m_options.recordPath, std::ios::app)
     , m_drainSignal(io, SIGUSR1)
+    , m_limitSignal(io, SIGUSR2)
     , m_startedAt(unixMilliseconds())
 {
 }
@@ -47,6 +48,7 @@
         return false;
     asio::co_spawn(m_io, publishEntryPeriodically(), asio::detached);
     asio::co_spawn(m_io, drainOnSignal(), asio::detached);
+    asio::co_spawn(m_io, toggleLimitOnSignal(), asio::detached);
     return true;
 }
 
@@ -80,6 +82,22 @@
     m_io.stop();
 }
 
+Awaitable<> Engine::toggleLimitOnSignal()
+{
+    while (true) {
+        co_await m_limitSignal.async_wait(asTuple);
+        m_statesLimit = !m_statesLimit;
+    }
+}
+
+/// Headers in which the engine tells its state in every answer to a caller's request.
+std::map<std::string, std::string> Engine::stateHeaders() const
+{
+    if (!m_statesLimit)
+        return {};
+    return { { requestLimitHeader, fmt::format("{:.1f}", m_options.requestLimit) } };
+}
+
 /// Ends the process as a crash would, or leaves all connections open and silent until then.
 Awaitable<> Engine::crash(bool silently)
 {
@@ -98,6 +116,7 @@
     Reply reply { .status = status, .body = "{}", .headers = { { attemptIdHeader, exchange.header(attemptIdHeader) } } };
     if (notExecuted)
         reply.headers[notRunHeader] = "1";
+    reply.headers.merge(stateHeaders());
     co_await exchange.send(std::move(reply));
 }
 
@@ -159,6 +178,7 @@
     }
     bool fails = m_random() % requestsPerFailure == 0;
     Reply reply { .status = fails ? 500U : 200U, .body = attemptId, .headers = { { attemptIdHeader, attemptId }, { sealHeader, m_options.id } } };
+    reply.headers.merge(stateHeaders());
     co_await exchange.send(std::move(reply));
 }
 
@@ -198,6 +218,8 @@
     responseHead.set(http::field::content_type, "text/event-stream");
     responseHead.set(attemptIdHeader, attemptId);
     responseHead.set(sealHeader, m_options.id);
+    for (const auto& [name, value] : stateHeaders())
+        responseHead.set(name, value);
     if (!co_await exchange.beginResponse(std::move(responseHead)))
         co_return;
     for (int eventId = lastEventId + 1; eventId <= generation->totalEvents; ++eventId) {
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -22,6 +22,8 @@
     std::string recordPath;
     /// Answers with event streams instead of plain responses.
     bool generates = true;
+    /// Requests per second that the engine states as its limit after SIGUSR2, until the next SIGUSR2.
+    double requestLimit = 0;
     std::uint64_t seed = 1;
 };
 
@@ -49,6 +51,8 @@
     Awaitable<> publishEntry();
     Awaitable<> drainOnSignal();
     Awaitable<> crash(bool silently);
+    Awaitable<> toggleLimitOnSignal();
+    std::map<std::string, std::string> stateHeaders() const;
     void recordEvent(EngineRecord::Event, const std::string& attemptId, const std::string& organisation);
     std::string reportJson() const;
 
@@ -58,8 +62,10 @@
     HttpServer m_server;
     std::ofstream m_recordOutput;
     asio::signal_set m_drainSignal;
+    asio::signal_set m_limitSignal;
     std::int64_t m_startedAt;
     bool m_draining = false;
+    bool m_statesLimit = false;
     /// Crashed without closing its connections.
     bool m_silent = false;
     std::map<std::string, std::shared_ptr<Generation>> m_generations;
--- a/soak/record.h
+++ b/soak/record.h
@@ -71,6 +71,14 @@
 inline constexpr const char* storeSubject = "store";
 inline constexpr const char* enginesSubject = "engines";
 
+/// Period in which an engine states a limit of requests per second in its answers.
+struct StatedLimit {
+    std::string engineId;
+    double requestsPerSecond = 0;
+    SoakTime startedAt = 0;
+    SoakTime endedAt = 0;
+};
+
 /// Input of the checks.
 struct SoakRecord {
     std::vector<Attempt> attempts;
@@ -83,6 +91,7 @@
     std::map<std::string, std::string> organisationByKey;
     /// For each engine id, the time by which the store lists the engine as draining.
     std::map<std::string, SoakTime> drainingEngines;
+    std::vector<StatedLimit> statedLimits;
     /// For each organisation, the number of requests in its usage records, read after all instances have stopped.
     std::map<std::string, std::int64_t> recordedRequests;
     /// Processes ended only by planned stops, so no usage record was lost.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -67,6 +67,9 @@
     std::string id;
     std::string failureDomain;
     bool generates = true;
+    /// Limit that the engine states when it is told to.
+    double requestLimit = 0;
+    bool statesLimit = false;
     std::unique_ptr<Proxy> link;
     Endpoint advertisedEndpoint;
     /// The process was killed or is draining, and its replacement has not started.
@@ -165,9 +168,11 @@
 bool Soak::startEngine(ManagedEngine& engine)
 {
     engine.id = fmt::format("e{}", ++m_lastEngineNumber);
+    engine.requestLimit = 2 + static_cast<double>(m_random() % 60) / 10;
+    engine.statesLimit = false;
     auto listenEndpoint = allocateEndpoint();
     engine.link->setTarget(listenEndpoint);
-    return m_processes.start(engine.id, { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), engine.generates ? "--generates" : "--plain" });
+    return m_processes.start(engine.id, { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" });
 }
 
 bool Soak::startProcesses()
@@ -258,6 +263,36 @@
     }
 }
 
+/// The engine states its limit for some seconds, or until its process is replaced.
+Awaitable<> Soak::limitEngine(ManagedEngine& engine)
+{
+    ++m_faultCounts["limit stated by an engine"];
+    engine.statesLimit = true;
+    auto id = engine.id;
+    auto requestLimit = engine.requestLimit;
+    auto startedAt = soakNow();
+    m_processes.signal(id, SIGUSR2);
+    co_await sleepFor(randomDuration(7000, 14000));
+    bool replaced = engine.id != id;
+    if (!replaced) {
+        engine.statesLimit = false;
+        m_processes.signal(id, SIGUSR2);
+    }
+    m_record.statedLimits.push_back({ .engineId = id, .requestsPerSecond = requestLimit, .startedAt = startedAt, .endedAt = soakNow() });
+}
+
+/// At most one engine of each service states a limit, so that the service stays usable.
+Awaitable<> Soak::limitEnginesPeriodically()
+{
+    while (m_injectingFaults) {
+        auto& engine = *m_engines[m_random() % m_engines.size()];
+        bool otherLimited = std::any_of(m_engines.begin(), m_engines.end(), [&](const auto& other) { return other->generates == engine.generates && other->statesLimit; });
+        if (!otherLimited && !engine.beingReplaced)
+            asio::co_spawn(m_io, limitEngine(engine), asio::detached);
+        co_await sleepFor(randomDuration(300, 1500));
+    }
+}
+
 Awaitable<> Soak::replaceCrashedEngine(ManagedEngine& engine)
 {
     ++m_faultCounts["engine crashed by a request"];
@@ -486,6 +521,8 @@
     for (int i = 0; m_options.crashingRequests && i < crashingCallers; ++i)
         startCaller({ .name = fmt::format("x{}", i), .seed = m_options.seed * 1000 + 500 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
     asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
+    if (m_options.statedLimits)
+        asio::co_spawn(m_io, limitEnginesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
     asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
     co_await sleepFor(fromSeconds(m_options.faultSeconds));
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -21,6 +21,8 @@
     std::string faults = "all";
     /// Some callers send requests that crash engines.
     bool crashingRequests = false;
+    /// Engines state limits of their requests from time to time.
+    bool statedLimits = false;
     /// Path of the program under test.
     std::string program;
     /// Path of this program, which also runs the store and engine processes.
@@ -58,6 +60,8 @@
     Awaitable<> runScenario();
     Awaitable<> readRecordedUsage();
     Awaitable<> restartEndedInstances();
+    Awaitable<> limitEnginesPeriodically();
+    Awaitable<> limitEngine(ManagedEngine&);
     Awaitable<> replaceCrashedEngines();
     Awaitable<> replaceCrashedEngine(ManagedEngine&);
     Awaitable<> injectFaultsPeriodically();
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -165,3 +165,25 @@
     f.record.engineRecords.pop_back();
     cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the third crash are allowed");
 }
+
+Test(SoakChecks, findViolations_engineGetsMoreThanItsStatedLimit_reportsViolation)
+{
+    ChecksFixture f;
+    f.record.engineRecords.clear();
+    f.record.attempts.clear();
+    f.record.statedLimits.push_back({ .engineId = "e", .requestsPerSecond = 1, .startedAt = 100000, .endedAt = 120000 });
+    auto addRequest = [&](int number, SoakTime sentAt) {
+        auto id = "l" + std::to_string(number);
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = lookupPath, .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 200, .sealed = true, .responseComplete = true });
+        f.record.engineRecords.push_back({ .attemptId = id, .engineId = "e", .organisation = "org", .recordedAt = sentAt + 1 });
+    };
+    addRequest(0, 100100);
+    for (int number = 1; number <= 11; ++number)
+        addRequest(number, 104000 + 100 * number);
+    cr_expect(f.firstViolatedGuarantee().empty(), "1.5 times the limit and five more are allowed");
+    addRequest(12, 106000);
+    cr_expect(f.firstViolatedGuarantee() == "an engine gets no more requests than the limit that it states");
+    f.record.attempts.front().status = 502;
+    f.record.statedLimits.front().startedAt = 104200;
+    cr_expect(f.firstViolatedGuarantee().empty(), "the limit is not in force yet");
+}
