Keep all instances together below the limit that an engine states

Class: a bound for the whole fleet that no instance can see by itself.

Ruled out: each instance keeping the whole limit (eight times as much), and deciding at one instance (a round trip for each plain request).

Change: instances tell each other stated limits in their load reports, and each spends a share of them. Targets whose share is used up are passed over for first sends, retries and destinations of moves; a resumed generation counts but is not refused. If all targets of a service are used up the request is refused at once, with the time until the next one as Retry-After.

Why it works: shares add up to the limit; a limit is shared by so few instances that their first requests stay within the users' allowance, for any number of instances.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -46,11 +46,12 @@
     , m_platform(std::move(platform))
     , m_random(randomFromSystem())
     , m_configuration(m_settings.keyLifetimeAfterRevocation - revocationMargin)
+    , m_targetLimits(m_settings.instance)
     , m_fleet(m_settings.instance, m_settings.capacity)
     , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
-    , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_outputEstimator, m_link)
+    , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_retryBudget({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
     , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashReport& report) { m_crashRecordWriter.add(report); })
@@ -58,7 +59,7 @@
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
     , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
-    , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .operations = m_platform.operations, .observer = m_metrics })
+    , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
     , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity }, unixMilliseconds())
     , m_requestHandler(m_relayContext)
@@ -261,6 +262,7 @@
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
         m_crashGuard.onTick(Clock::now());
+        m_targetLimits.onInstances(m_fleet.peerNames(), Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -4,6 +4,7 @@
 #include "dispatch/outcometracker.h"
 #include "dispatch/outputestimator.h"
 #include "net/nettypes.h"
+#include "targets/targetlimits.h"
 
 #include <optional>
 #include <string>
@@ -40,6 +41,8 @@
     std::map<std::string, OutcomeCount> outcomes;
     /// Output lengths of generations that ended since the last report.
     LengthSumsByRoute lengths;
+    /// Limits that targets recently stated to the instance.
+    StatedLimits limits;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -29,6 +29,8 @@
     /// All registered instances except this one.
     std::vector<InstanceRecord> peers() const;
 
+    std::vector<std::string> peerNames() const;
+
     /// Peers whose last report is recent.
     std::vector<InstanceRecord> reachablePeers(TimePoint now) const;
 
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -67,6 +67,14 @@
     return records;
 }
 
+std::vector<std::string> FleetView::peerNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& peer : peers())
+        names.push_back(peer.name);
+    return names;
+}
+
 std::vector<InstanceRecord> FleetView::reachablePeers(TimePoint now) const
 {
     auto records = peers();
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -33,13 +33,14 @@
     return "here";
 }
 
-PlacementClient::PlacementClient(asio::io_context& io, std::string instance, FleetView& fleet, Dispatcher& dispatcher, TargetDirectory& directory, OutputEstimator& outputEstimator, FleetLink& link)
+PlacementClient::PlacementClient(asio::io_context& io, std::string instance, FleetView& fleet, Dispatcher& dispatcher, TargetDirectory& directory, TargetLimits& targetLimits, OutputEstimator& outputEstimator, FleetLink& link)
     : m_io(io)
     , m_instance(std::move(instance))
     , m_incarnation(unixMilliseconds())
     , m_fleet(fleet)
     , m_dispatcher(dispatcher)
     , m_directory(directory)
+    , m_targetLimits(targetLimits)
     , m_outputEstimator(outputEstimator)
     , m_link(link)
     // Starts above the sequence numbers of the previous incarnation, so that peers accept the new reports.
@@ -194,7 +195,7 @@
     auto changedTargets = ledger.takeChangedTargets();
     if (!complete && changedTargets.empty())
         return;
-    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported() };
+    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()) };
     if (complete) {
         report.loads = ledger.localLoads();
     } else {
@@ -214,6 +215,7 @@
         m_dispatcher.ledger().updatePeerLoads(report.instance, report.loads);
     m_dispatcher.outcomes().onPeerOutcomes(report.outcomes, now);
     m_outputEstimator.onPeerLengthSums(report.lengths);
+    m_targetLimits.onPeerLimits(report.limits, now);
     m_dispatcher.placeWaiting();
 }
 
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -38,7 +38,10 @@
         json lengths = json::array();
         for (const auto& [route, sums] : report.lengths)
             lengths.push_back({ route, sums.generationCount, sums.lengthSum, sums.guessCount, sums.guessSum, sums.guessedLengthSum, sums.guessSquaredSum, sums.guessLengthProductSum });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths });
+        json limits = json::array();
+        for (const auto& [target, limit] : report.limits)
+            limits.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits });
     }
 
     json fieldsOf(const PlacementQuery& query)
@@ -122,6 +125,16 @@
         return sums;
     }
 
+    StatedLimit statedLimitFrom(const json& fields)
+    {
+        StatedLimit limit;
+        limit.targetStartedAt = fields.at(1).get<std::int64_t>();
+        if (!fields.at(2).is_null())
+            limit.requestsPerSecond = fields.at(2).get<double>();
+        limit.age = Milliseconds(fields.at(3).get<std::int64_t>());
+        return limit;
+    }
+
     InstanceLoadReport loadReportFrom(const json& fields)
     {
         InstanceLoadReport report;
@@ -135,6 +148,8 @@
             report.outcomes.emplace(count.at(0).get<std::string>(), OutcomeCount { .requests = count.at(1).get<int>(), .failures = count.at(2).get<int>() });
         for (const auto& sums : fields.at(6))
             report.lengths.emplace(sums.at(0).get<std::string>(), lengthSumsFrom(sums));
+        for (const auto& limit : fields.at(7))
+            report.limits.emplace(limit.at(0).get<std::string>(), statedLimitFrom(limit));
         return report;
     }
 
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -13,7 +13,7 @@
 /// if no owner can be reached.
 class PlacementClient {
 public:
-    PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, OutputEstimator&, FleetLink&);
+    PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, TargetLimits&, OutputEstimator&, FleetLink&);
 
     Awaitable<PlacementOutcome> place(PlacementRequest);
 
@@ -62,6 +62,7 @@
     FleetView& m_fleet;
     Dispatcher& m_dispatcher;
     TargetDirectory& m_directory;
+    TargetLimits& m_targetLimits;
     OutputEstimator& m_outputEstimator;
     FleetLink& m_link;
     std::int64_t m_sequence;
--- a/src/relay/handoverservice.h
+++ b/src/relay/handoverservice.h
@@ -24,6 +24,7 @@
     LiveStreams& streams;
     ActiveConfiguration& configuration;
     TargetDirectory& directory;
+    TargetLimits& targetLimits;
     ITargetOperations& operations;
     IHandoverObserver& observer;
 };
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -111,7 +111,9 @@
     std::optional<std::string> destination;
     while (!destination && Clock::now() < deadline && m_context.streams.find(stream.id()) && move.isAtSource()) {
         auto owner = m_context.placement.ownerOf(move.sourceShutdown.entry.service);
-        MoveQuery query { .requester = m_context.instance, .requesterIncarnation = m_context.placement.incarnation(), .id = stream.id(), .service = move.sourceShutdown.entry.service, .source = move.sourceShutdown.entry.id, .sourceFailureDomain = move.sourceShutdown.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { move.excludedDestinations.begin(), move.excludedDestinations.end() } };
+        auto excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
+        excluded.insert(move.excludedDestinations.begin(), move.excludedDestinations.end());
+        MoveQuery query { .requester = m_context.instance, .requesterIncarnation = m_context.placement.incarnation(), .id = stream.id(), .service = move.sourceShutdown.entry.service, .source = move.sourceShutdown.entry.id, .sourceFailureDomain = move.sourceShutdown.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { excluded.begin(), excluded.end() } };
         // If this instance is the owner, the response may arrive before send() returns.
         send(owner, query);
         bool granted = pending->response && !pending->response->destination.empty();
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -11,6 +11,8 @@
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 4;
+    /// Placements on targets that reached their limits meanwhile, after which the request is refused.
+    constexpr int maxLimitConflicts = 3;
     /// An idempotent request is retried on another target if no answer arrives within this multiple of the route's latency objective.
     constexpr int objectivesUntilRetry = 3;
     /// Minimum time to wait for a usable target, and for an answer before a retry.
@@ -167,9 +169,8 @@
     co_return result;
 }
 
-Awaitable<RelayResult> PlainRelay::refuseCrashingRequest(RelayRequest& request, RelayResult result, Clock::duration retryDelay, bool mayHaveRun)
+Awaitable<RelayResult> PlainRelay::refuse(RelayRequest& request, RelayResult result, Clock::duration retryDelay, bool mayHaveRun)
 {
-    result.reason = reasonCrashesTargets;
     result.status = mayHaveRun ? 502 : 503;
     if (mayHaveRun)
         co_await sendFailure(request.exchange, result.status, result.reason);
@@ -186,8 +187,16 @@
     int possibleRuns = 0;
     m_context.retryBudget.onRequest(request.service.name, Clock::now());
     PlacementRequest placementRequest { .service = request.service.name, .organisation = request.organisation, .rank = request.rank() };
+    std::set<std::string> triedTargets;
+    int limitConflicts = 0;
     while (result.sends < maxSends) {
+        if (auto retryDelay = retryDelayIfAllLimited(m_context, request.service.name)) {
+            result.reason = reasonTargetsLimited;
+            co_return co_await refuse(request, std::move(result), *retryDelay, mayHaveRun);
+        }
         placementRequest.id = m_context.dispatcher.nextId();
+        placementRequest.excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
+        placementRequest.excluded.insert(triedTargets.begin(), triedTargets.end());
         auto placementTimeout = std::max<Clock::duration>(minWait, request.route.latencyObjective);
         placementRequest.latestStart = std::min<TimePoint>(request.deadline, Clock::now() + placementTimeout);
         auto id = placementRequest.id;
@@ -205,7 +214,15 @@
         }
         if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now())) {
             m_context.placement.release(id);
-            co_return co_await refuseCrashingRequest(request, std::move(result), *retryDelay, mayHaveRun);
+            result.reason = reasonCrashesTargets;
+            co_return co_await refuse(request, std::move(result), *retryDelay, mayHaveRun);
+        }
+        // Another request may have taken the last one of the share while this one waited.
+        if (!m_context.targetLimits.tryTake(placement->target, Clock::now())) {
+            m_context.placement.release(id);
+            if (++limitConflicts > maxLimitConflicts)
+                break;
+            continue;
         }
         ++result.sends;
         result.target = placement->target.id;
@@ -246,7 +263,7 @@
                 co_return co_await respondWithError(request, std::move(result), mayHaveRun);
             break;
         }
-        placementRequest.excluded.insert(result.target);
+        triedTargets.insert(result.target);
     }
     co_return co_await respondWithError(request, std::move(result), mayHaveRun);
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -71,6 +71,20 @@
     return std::max(Milliseconds(0), left);
 }
 
+std::optional<Clock::duration> retryDelayIfAllLimited(RelayContext& context, const std::string& service)
+{
+    if (context.targetLimits.size() == 0)
+        return std::nullopt;
+    auto now = Clock::now();
+    auto targets = context.directory.usableTargets(service);
+    auto shortest = Clock::duration::max();
+    for (const auto* target : targets)
+        shortest = std::min(shortest, context.targetLimits.waitTime(target->id, now));
+    if (targets.empty() || shortest == Clock::duration::zero())
+        return std::nullopt;
+    return shortest;
+}
+
 void recordStatedLimit(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
 {
     if (responseHead.requestLimitUnreadable)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -12,6 +12,8 @@
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 3;
+    /// Placements on targets that reached their limits meanwhile, after which the request is refused.
+    constexpr int maxLimitConflicts = 3;
     /// Time that an engine needs from a request to its first event, to process a prompt of some thousand tokens.
     constexpr auto timeToFirstEvent = Milliseconds(450);
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
@@ -50,8 +52,8 @@
     TargetResponseHead responseHead;
     /// Retry delay suggested by the placement that refused the request.
     Clock::duration retryAfter {};
-    /// Set if the request is refused because it crashes targets.
-    std::optional<Clock::duration> crashRefusalDelay;
+    /// Set if the request is refused for another reason than missing capacity.
+    const char* refusalReason = nullptr;
 };
 
 std::string StreamRelay::reasonFor(StreamOutcome outcome)
@@ -143,9 +145,18 @@
     m_context.retryBudget.onRequest(request.service.name, Clock::now());
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
     PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
+    std::set<std::string> triedTargets;
+    int limitConflicts = 0;
     while (session.result.sends < maxSends) {
+        if (auto retryDelay = retryDelayIfAllLimited(m_context, request.service.name)) {
+            session.refusalReason = reasonTargetsLimited;
+            session.retryAfter = *retryDelay;
+            co_return false;
+        }
         session.id = m_context.dispatcher.nextId();
         placementRequest.id = session.id;
+        placementRequest.excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
+        placementRequest.excluded.insert(triedTargets.begin(), triedTargets.end());
         auto id = session.id;
         request.callerWatch.setCancelAction([this, id] { m_context.placement.cancel(id); });
         auto placement = co_await m_context.placement.place(placementRequest);
@@ -155,9 +166,19 @@
                 session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
-        session.crashRefusalDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now());
-        if (session.crashRefusalDelay)
+        if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now())) {
+            session.refusalReason = reasonCrashesTargets;
+            session.retryAfter = *retryDelay;
             co_return false;
+        }
+        // Another request may have taken the last one of the share while this one waited.
+        if (!m_context.targetLimits.tryTake(placement->target, Clock::now())) {
+            m_context.placement.release(session.id);
+            session.id = 0;
+            if (++limitConflicts > maxLimitConflicts)
+                co_return false;
+            continue;
+        }
         m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
         ++session.result.sends;
         session.result.waitTime += placement->waited;
@@ -181,7 +202,7 @@
             co_return false;
         m_context.placement.release(session.id);
         session.id = 0;
-        placementRequest.excluded.insert(target.id);
+        triedTargets.insert(target.id);
         bool allowed = m_context.retryBudget.tryTake(request.service.name, m_context.fleet.instanceCount(), Clock::now());
         m_context.metrics.recordRetry(request.service.name, allowed);
         if (!allowed)
@@ -277,12 +298,14 @@
     };
     session.stream->setTarget(move->destination);
     m_context.placement.setTarget(session.id, move->destination.id);
+    m_context.targetLimits.take(move->destination, Clock::now());
     bool accepted = co_await open(session, move->destination, continuation);
     logMove(move->destination, accepted);
     bool mayTrySource = !accepted && session.responseHead.notRun && move->destination.id != move->source.id && !session.request.callerWatch.gone();
     if (mayTrySource) {
         session.stream->setTarget(move->source);
         m_context.placement.setTarget(session.id, move->source.id);
+        m_context.targetLimits.take(move->source, Clock::now());
         accepted = co_await open(session, move->source, continuation);
         logMove(move->source, accepted);
     }
@@ -299,10 +322,10 @@
         result.reason = "caller_gone";
         co_return;
     }
-    if (session.crashRefusalDelay) {
+    if (session.refusalReason) {
         result.status = 503;
-        result.reason = reasonCrashesTargets;
-        co_await sendRefusal(request.exchange, result.status, result.reason, *session.crashRefusalDelay);
+        result.reason = session.refusalReason;
+        co_await sendRefusal(request.exchange, result.status, result.reason, session.retryAfter);
         co_return;
     }
     if (!session.mayHaveRun) {
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -97,6 +97,8 @@
 
 /// Reason of a refusal because the request crashes targets.
 inline constexpr const char* reasonCrashesTargets = "crashes_targets";
+/// Reason of a refusal because all targets of the service have reached the limits that they state.
+inline constexpr const char* reasonTargetsLimited = "targets_limited";
 
 /// Hash that equal requests of an organisation share, whichever of its keys they carry.
 Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest&);
@@ -112,6 +114,9 @@
 
 Milliseconds timeLeft(const RelayRequest&);
 
+/// The time after which to retry if all usable targets of the service have reached their limits.
+std::optional<Clock::duration> retryDelayIfAllLimited(RelayContext&, const std::string& service);
+
 /// Takes note of the limit that a target's answer states, or of the end of one.
 void recordStatedLimit(RelayContext&, const TargetEntry&, const TargetResponseHead&);
 
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -56,13 +56,14 @@
     FleetView fleet { "self", 1000 };
     Dispatcher dispatcher { io, directory, "north", Random(3) };
     FleetLink link { io, fleet };
+    TargetLimits targetLimits { "self" };
     OutputEstimator outputEstimator;
-    PlacementClient placement { io, "self", fleet, dispatcher, directory, outputEstimator, link };
+    PlacementClient placement { io, "self", fleet, dispatcher, directory, targetLimits, outputEstimator, link };
     MoveServer moveServer { "self", dispatcher, configuration, link };
     LiveStreams streams;
     FakeOperations operations;
     CountingObserver observer;
-    HandoverService handoverService { { .io = io, .instance = "self", .placement = placement, .moveServer = moveServer, .link = link, .streams = streams, .configuration = configuration, .directory = directory, .operations = operations, .observer = observer } };
+    HandoverService handoverService { { .io = io, .instance = "self", .placement = placement, .moveServer = moveServer, .link = link, .streams = streams, .configuration = configuration, .directory = directory, .targetLimits = targetLimits, .operations = operations, .observer = observer } };
     std::shared_ptr<LiveStream> stream;
 
     explicit HandoverFixture(int destinations)
