Cut no request that arrives while a stopping instance writes its use

What callers saw: a request on a connection that was open before the stop got no answer (LOST), some seven seconds after SIGTERM; its engine had run it.

Cause: once no request was in flight, the instance closed its listener, wrote its use and ended; a request that arrived on an open connection meanwhile, up to 50 ms when all goes well and 1 s when the store is slow, was cut. Class: a check that is not repeated after a wait.

Change: what happens after SIGTERM moves out of EntryInstance into drain(), which is tested without a network. After the write it looks again, waits for what came, and writes again. Open connections close after their next answer, so this ends.

The second test of Drain failed before on the extracted code (request cut, use lost) and passes.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -58,7 +58,6 @@
     Awaitable<> tickLoop();
     Awaitable<> handleStopSignals();
     Awaitable<> drainAndStop();
-    Awaitable<> flushUsage();
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
@@ -99,7 +98,6 @@
     asio::signal_set m_stopSignals;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
-    bool m_usageFlushed = false;
 };
 
 }
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/overloaded.h"
+#include "entry/drain.h"
 #include "net/logflusher.h"
 
 #include <csignal>
@@ -13,7 +14,6 @@
     constexpr auto tickInterval = Milliseconds(100);
     /// Time between full load reports, which also serve as heartbeats to the peers.
     constexpr auto reportInterval = Milliseconds(500);
-    constexpr auto drainCheckInterval = Milliseconds(50);
     /// Time until the load balancer stops sending requests: it polls readiness once a second
     /// and removes an instance after two failed polls.
     constexpr auto balancerDetectionTime = Milliseconds(3200);
@@ -23,8 +23,6 @@
     /// Time between writes of usage totals. A killed instance loses the usage since the last write,
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
-    /// Longest time that a stopping instance waits for its last usage write if the store does not respond.
-    constexpr auto finalFlushTimeout = Milliseconds(1000);
 
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
@@ -304,24 +302,13 @@
     m_io.stop();
 }
 
-Awaitable<> EntryInstance::flushUsage()
-{
-    m_usageFlushed = co_await m_usageWriter.flushChanges();
-}
-
 /// Reports "not ready" but keeps accepting connections until the load balancer has stopped sending requests,
 /// so that callers do not find a closed port. Requests in flight are not cancelled.
 Awaitable<> EntryInstance::drainAndStop()
 {
-    co_await sleepFor(balancerDetectionTime);
-    while (m_relayContext.inFlight > 0)
-        co_await sleepFor(drainCheckInterval);
-    m_callerServer.close();
-    asio::co_spawn(m_io, flushUsage(), asio::detached);
-    auto flushDeadline = Clock::now() + finalFlushTimeout;
-    while (!m_usageFlushed && Clock::now() < flushDeadline)
-        co_await sleepFor(drainCheckInterval);
-    if (!m_usageFlushed)
+    DrainOptions options { .inFlightRequests = [this] { return m_relayContext.inFlight; }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeListener = [this] { m_callerServer.close(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .balancerDetectionTime = balancerDetectionTime };
+    bool usageWritten = co_await drain(std::move(options));
+    if (!usageWritten)
         logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
     m_io.stop();
 }
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -165,6 +165,7 @@
     else
         result = co_await relay(exchange, admission, caller, arrivedAt);
     --m_context.inFlight;
+    ++m_context.endedRequests;
     reportResult(exchange, admission, caller, result, arrivedAt);
 }
 
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -36,6 +36,7 @@
     TargetLimits& targetLimits;
     std::optional<TimePoint> stoppingSince;
     std::size_t inFlight = 0;
+    std::uint64_t endedRequests = 0;
 };
 
 /// Detects that a request's caller disconnected and cancels the request's current operation.
