Stop sending to engines that state their shutdown in their answers

It is one more source beside the entry, the report and a peer's notice; the first to arrive counts and a later Ready entry of the same incarnation does not undo it. All sources go through one function, which tells the peers, and runs move as on any other notice. A late answer of an earlier incarnation, or of another engine at the address, changes nothing.

The soak's engines state their shutdown too.

--- a/soak/constants.h
+++ b/soak/constants.h
@@ -15,6 +15,8 @@
 inline constexpr const char* apiKeyHeader = "X-Key";
 inline constexpr const char* organisationHeader = "X-Tenant";
 
+/// "1" in the answers of an engine that drains.
+inline constexpr const char* shutdownHeader = "Server-Leaving";
 /// Requests per second that an engine takes from all instances together while its answers state it.
 inline constexpr const char* requestLimitHeader = "Server-Limit";
 
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -93,9 +93,12 @@
 /// Headers in which the engine tells its state in every answer to a caller's request.
 std::map<std::string, std::string> Engine::stateHeaders() const
 {
-    if (!m_statesLimit)
-        return {};
-    return { { requestLimitHeader, fmt::format("{:.1f}", m_options.requestLimit) } };
+    std::map<std::string, std::string> headers;
+    if (m_draining)
+        headers[shutdownHeader] = "1";
+    if (m_statesLimit)
+        headers[requestLimitHeader] = fmt::format("{:.1f}", m_options.requestLimit);
+    return headers;
 }
 
 /// Ends the process as a crash would, or leaves all connections open and silent until then.
--- a/src/relay/engineshutdownpoller.h
+++ b/src/relay/engineshutdownpoller.h
@@ -28,11 +28,15 @@
     /// Polls the engines that are due.
     void onTick(TimePoint now);
 
+    /// Handles an answer in which the engine states that it is shutting down.
+    void onDrainingAnswer(const TargetEntry&);
+
     /// Handles a peer's notice that an engine shuts down.
     void onPeerNotice(const ShutdownNotice&, TimePoint now);
 
 private:
     Awaitable<> poll(TargetEntry);
+    void announce(const TargetEntry&, const std::string& source, std::optional<Milliseconds> timeToShutdown);
 
     EngineShutdownPollerContext m_context;
     ShutdownPollSchedule m_pollSchedule;
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -33,10 +33,21 @@
     // Another target may use the address now.
     if (!report || !report->draining || report->startedAt != target.startedAt)
         co_return;
-    if (!m_context.directory.isUsable(target.id))
-        co_return;
+    announce(target, "report", report->timeToShutdown);
+}
+
+void EngineShutdownPoller::onDrainingAnswer(const TargetEntry& target)
+{
+    announce(target, "answer", std::nullopt);
+}
+
+void EngineShutdownPoller::announce(const TargetEntry& target, const std::string& source, std::optional<Milliseconds> timeToShutdown)
+{
+    const auto* entry = m_context.directory.find(target.id);
+    if (!entry || entry->startedAt != target.startedAt || entry->state != TargetState::Ready)
+        return;
     auto view = m_context.storeView();
-    logEvent(LogLevel::Info, "target_says_it_leaves", { { "target", target.id }, { "leaves_ms", report->timeToShutdown.value_or(Milliseconds(-1)).count() }, { "store_view_age_ms", std::chrono::duration_cast<Milliseconds>(view.age).count() }, { "store_reachable", view.reachable } });
+    logEvent(LogLevel::Info, "target_says_it_leaves", { { "target", target.id }, { "source", source }, { "leaves_ms", timeToShutdown.value_or(Milliseconds(-1)).count() }, { "store_view_age_ms", std::chrono::duration_cast<Milliseconds>(view.age).count() }, { "store_reachable", view.reachable } });
     m_context.link.sendToAll(ShutdownNotice { .target = target.id, .startedAt = target.startedAt });
     m_context.directory.onDrainingReported(target.id, target.startedAt, Clock::now());
 }
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -107,7 +107,7 @@
         co_return finish(read.error().code == ErrorCode::Timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Broken, describe(read.error()));
     attempt.lastHeardAt = Clock::now();
     auto responseHead = m_context.wireFormat.parseResponseHead(connection.header());
-    recordStatedLimit(m_context, placement.target, responseHead);
+    recordTargetState(m_context, placement.target, responseHead);
     auto outcome = classify(responseHead, request.caller.requestId);
     if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken)
         co_return finish(outcome, "status " + std::to_string(responseHead.status));
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -85,11 +85,15 @@
     return shortest;
 }
 
-void recordStatedLimit(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
+void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
 {
+    if (responseHead.fromOtherTarget)
+        return;
+    if (responseHead.draining)
+        context.onTargetDraining(target);
     if (responseHead.requestLimitUnreadable)
         logEvent(LogLevel::Warning, "target_limit_unreadable", { { "target", target.id } });
-    else if (!responseHead.fromOtherTarget)
+    else
         context.targetLimits.onAnswer(target, responseHead.requestLimit, Clock::now());
 }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -106,7 +106,7 @@
     }
     session.responseHead = m_context.wireFormat.parseResponseHead(connection->header());
     onHeard(session, target);
-    recordStatedLimit(m_context, target, session.responseHead);
+    recordTargetState(m_context, target, session.responseHead);
     session.result.detail = "status " + std::to_string(session.responseHead.status);
     if (session.responseHead.notRun)
         co_return false;
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -54,6 +54,8 @@
     /// The body has a content encoding that the request did not ask for.
     bool encoded = false;
     std::string requestId;
+    /// The target states that it is shutting down.
+    bool draining = false;
     /// Requests per second that the target takes from all instances together, if it states a limit.
     std::optional<double> requestLimit;
     bool requestLimitUnreadable = false;
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -34,6 +34,8 @@
     /// Time from the stop signal until the host ends the process.
     Milliseconds stopLimit;
     TargetLimits& targetLimits;
+    /// Handles a target's statement that it is shutting down.
+    std::function<void(const TargetEntry&)> onTargetDraining;
     std::optional<TimePoint> stoppingSince;
     std::size_t inFlight = 0;
     std::uint64_t endedRequests = 0;
@@ -118,7 +120,7 @@
 /// The time after which to retry if all usable targets of the service have reached their limits.
 std::optional<Clock::duration> retryDelayIfAllLimited(RelayContext&, const std::string& service);
 
-/// Takes note of the limit that a target's answer states, or of the end of one.
-void recordStatedLimit(RelayContext&, const TargetEntry&, const TargetResponseHead&);
+/// Takes note of what a target's answer states about the target: its limit, or that it is shutting down.
+void recordTargetState(RelayContext&, const TargetEntry&, const TargetResponseHead&);
 
 }
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -252,3 +252,18 @@
     f.run(Milliseconds(100));
     cr_expect(f.move().has_value());
 }
+
+/// Guards against DRAIN: an engine that states its shutdown only in its answers went on getting requests.
+Test(EngineShutdownPoller, engineStatesShutdownInAnswer_targetIsNotUsableAndRunIsMoved)
+{
+    PollerFixture f;
+    f.poller.onDrainingAnswer(f.entry(0));
+    cr_expect(!f.directory.isUsable("engine-0"));
+    f.run(Milliseconds(100));
+    cr_expect(f.move().has_value());
+    auto restarted = f.entry(0);
+    restarted.startedAt = 2;
+    f.directory.onEntryWritten(restarted.id, restarted, Clock::now());
+    f.poller.onDrainingAnswer(f.entry(0));
+    cr_expect(f.directory.isUsable("engine-0"), "a late answer of the earlier incarnation changes nothing");
+}
