Send nothing to an engine that asked for a pause when it refused a request

The pause is held beside the engine's limit, so the question that is asked before every send, and when a destination of a move is chosen, covers it. Only this instance keeps it: peers are not told, so one bad answer shuts nobody else out.

A shorter pause does not end a longer one; a restart of the engine ends it.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -77,6 +77,8 @@
     });
     m_directory.setUnavailableListener([this](const TargetUnavailable& event) {
         m_crashGuard.onTargetUnavailable(event);
+        if (event.reason == UnavailableReason::Restarted)
+            m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
     });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -12,6 +12,9 @@
 
     constexpr std::array hopByHopHeaders { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "content-length", "upgrade" };
 
+    /// Longest time for which a target that refused a request gets none.
+    constexpr double maxPauseSeconds = 600;
+
     Reply problemReply(unsigned status, const std::string& reason, const char* outcome)
     {
         auto body = fmt::format(R"({{"type":"about:blank","status":{},"code":"{}","outcome":"{}"}})", status, reason, outcome);
@@ -91,6 +94,10 @@
         return;
     if (responseHead.draining)
         context.onTargetDraining(target);
+    if (responseHead.retryAfterSeconds)
+        context.targetLimits.onPauseRequested(target, fromSeconds(std::min(*responseHead.retryAfterSeconds, maxPauseSeconds)), Clock::now());
+    else if (responseHead.retryAfterUnreadable)
+        logEvent(LogLevel::Warning, "target_retry_after_unreadable", { { "target", target.id } });
     if (responseHead.requestLimitUnreadable)
         logEvent(LogLevel::Warning, "target_limit_unreadable", { { "target", target.id } });
     else
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -61,6 +61,9 @@
     bool requestLimitUnreadable = false;
     /// Another target uses the address now.
     bool fromOtherTarget = false;
+    /// Time for which the target wants no request from this instance, if it refused one with status 503.
+    std::optional<double> retryAfterSeconds;
+    bool retryAfterUnreadable = false;
 };
 
 /// Reads callers' requests, builds requests to targets and reads the header of their answers.
--- a/src/targets/internal/targetlimits.cpp
+++ b/src/targets/internal/targetlimits.cpp
@@ -57,6 +57,7 @@
 
 void TargetLimits::removeExpired(TimePoint now)
 {
+    std::erase_if(m_pausedUntil, [&](const auto& entry) { return entry.second <= now; });
     std::erase_if(m_limits, [&](const auto& entry) {
         auto lifetime = entry.second.requestsPerSecond ? limitLifetime : endedLifetime;
         return entry.second.statedAt + lifetime < now;
@@ -136,8 +137,26 @@
     return &limit;
 }
 
+void TargetLimits::onPauseRequested(const TargetEntry& target, Clock::duration duration, TimePoint now)
+{
+    if (duration <= Clock::duration::zero())
+        return;
+    logEvent(LogLevel::Info, "target_pause_requested", { { "target", target.id }, { "pause_ms", std::chrono::duration_cast<Milliseconds>(duration).count() } });
+    auto& until = m_pausedUntil[target.id];
+    until = std::max(until, now + duration);
+}
+
+void TargetLimits::onTargetGone(const std::string& target)
+{
+    m_limits.erase(target);
+    m_pausedUntil.erase(target);
+}
+
 Clock::duration TargetLimits::waitTime(const std::string& target, TimePoint now)
 {
+    auto paused = m_pausedUntil.find(target);
+    if (paused != m_pausedUntil.end() && paused->second > now)
+        return paused->second - now;
     auto* limit = refilledLimit(target, now);
     if (!limit || limit->tokens >= 1)
         return Clock::duration::zero();
@@ -165,6 +184,10 @@
         if (waitTime(target, now) > Clock::duration::zero())
             exhausted.insert(target);
     }
+    for (const auto& [target, until] : m_pausedUntil) {
+        if (until > now)
+            exhausted.insert(target);
+    }
     return exhausted;
 }
 
--- a/src/targets/targetlimits.h
+++ b/src/targets/targetlimits.h
@@ -23,7 +23,8 @@
 
 using StatedLimits = std::map<std::string, StatedLimit>;
 
-/// Keeps the requests of all instances to a target below the limit that the target states in its answers. Each
+/// Keeps requests to a target within what the target states in its answers: a limit for the requests of all
+/// instances together, and pauses for this instance. Each
 /// instance spends a share of the limit without asking others; the shares of all instances add up to it.
 class TargetLimits {
 public:
@@ -39,6 +40,12 @@
     /// Limits that targets recently stated to this instance, for its peers.
     StatedLimits ownLimits(TimePoint now) const;
 
+    /// The target refused a request and wants no other from this instance for some time.
+    void onPauseRequested(const TargetEntry&, Clock::duration, TimePoint now);
+
+    /// The target has left or restarted, so what it stated does not hold any more.
+    void onTargetGone(const std::string& target);
+
     /// Time until the target may get a request from this instance; zero if it may now.
     Clock::duration waitTime(const std::string& target, TimePoint now);
 
@@ -51,7 +58,7 @@
     /// Targets that may get no request from this instance now.
     std::set<std::string> exhaustedTargets(TimePoint now);
 
-    std::size_t size() const { return m_limits.size(); }
+    std::size_t size() const { return m_limits.size() + m_pausedUntil.size(); }
 
 private:
     struct Limit {
@@ -75,6 +82,8 @@
     std::string m_self;
     std::map<std::string, TimePoint> m_instancesSeenAt;
     std::map<std::string, Limit> m_limits;
+    /// Targets that get no request from this instance until then.
+    std::map<std::string, TimePoint> m_pausedUntil;
 };
 
 }
--- a/src/targets/tests/targetlimits_test.cpp
+++ b/src/targets/tests/targetlimits_test.cpp
@@ -167,3 +167,29 @@
     now += Seconds(1);
     cr_expect(limits.tryTake(target, now));
 }
+
+/// Guards against BUDGET: a target that refused a request for some time got others meanwhile.
+Test(TargetLimits, targetThatRequestsAPause_getsNothingUntilItsEnd)
+{
+    TargetLimits limits("self");
+    TimePoint now { Seconds(100) };
+    limits.onPauseRequested(target, Milliseconds(2500), now);
+    cr_expect(limits.waitTime(target.id, now) == Milliseconds(2500));
+    cr_expect(limits.exhaustedTargets(now) == std::set<std::string> { target.id });
+    limits.onPauseRequested(target, Milliseconds(500), now);
+    cr_expect(!limits.tryTake(target, now + Milliseconds(2400)), "a shorter pause does not end a longer one");
+    cr_expect(limits.tryTake(target, now + Milliseconds(2500)));
+    limits.onPauseRequested(target, Clock::duration::zero(), now);
+    limits.onPauseRequested(target, Milliseconds(-1), now);
+    cr_expect(limits.tryTake(target, now + Milliseconds(2500)));
+}
+
+Test(TargetLimits, pausedTargetThatRestarts_isUsedAtOnce)
+{
+    TargetLimits limits("self");
+    TimePoint now { Seconds(100) };
+    limits.onPauseRequested(target, Seconds(60), now);
+    limits.onTargetGone(target.id);
+    cr_expect(limits.tryTake(target, now));
+    cr_expect(limits.size() == 0);
+}
