--- a/src/quarantine/internal/quarantine.cpp
+++ b/src/quarantine/internal/quarantine.cpp
@@ -6,9 +6,9 @@
 
 namespace guavaspan {
 
-Fingerprint fingerprintOf(const std::string& organisation, const std::string& service, const std::string& body)
+Fingerprint fingerprintOf(const std::string& organisation, const std::string& resource, const std::string& body)
 {
-    return stableHash(body, stableHash(service, stableHash(organisation)));
+    return stableHash(body, stableHash(resource, stableHash(organisation)));
 }
 
 Quarantine::Quarantine(QuarantineOptions options)
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -10,10 +10,11 @@
 
 namespace guavaspan {
 
-/// Hash of a request's organisation, service and body; equal requests share a fingerprint.
+/// Hash that equal requests share.
 using Fingerprint = std::uint64_t;
 
-Fingerprint fingerprintOf(const std::string& organisation, const std::string& service, const std::string& body);
+/// Fingerprint of a request; `resource` is the service or the path that it names.
+Fingerprint fingerprintOf(const std::string& organisation, const std::string& resource, const std::string& body);
 
 struct QuarantineOptions {
     /// Number of crashed target incarnations after which a request can be convicted.
