Ask one gate before each send, for streams and plain requests alike

Cause: on reading the change again, both relays held the same checks (crashing request, limits and pauses, targets tried before, conflicts while waiting), with constants twice, and a refusal for limits advised its raw wait, without the minimum and the jitter that other refusals have, so that refused callers would have come back together.

Change: SendGate holds the checks and is tested alone; the Dispatcher's advice is shared. The crash guard is asked there only, not at admission as well. The names of the instances are read twice a second instead of ten times, and engines that answered again leave the crash guard's index. How a stream's end is judged moves into StreamEnd, unchanged.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -49,6 +49,10 @@
     /// Time after which the caller of a refused request should retry.
     Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
 
+    /// The retry delay to advise for an expected wait: not too short, and with jitter, so that refused callers do
+    /// not return together.
+    Clock::duration jitteredRetryDelay(Clock::duration expectedWait);
+
     /// Chooses the engine to which a generation moves from a draining engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
 
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -188,8 +188,13 @@
     double expectedSeconds = std::chrono::duration<double>(wait).count();
     // Engines that have been saturated for some time are likely to stay saturated for about as long again.
     double saturatedSeconds = std::min(maxSaturationRetrySeconds, std::chrono::duration<double>(m_saturation.saturatedFor(service, now)).count());
+    return jitteredRetryDelay(fromSeconds(std::max(expectedSeconds, saturatedSeconds)));
+}
+
+Clock::duration Dispatcher::jitteredRetryDelay(Clock::duration expectedWait)
+{
     std::uniform_real_distribution<double> jitter(1, 1 + maxRetryJitter);
-    return fromSeconds(std::max({ minRetrySeconds, expectedSeconds, saturatedSeconds }) * jitter(m_random));
+    return fromSeconds(std::max(minRetrySeconds, std::chrono::duration<double>(expectedWait).count()) * jitter(m_random));
 }
 
 std::optional<std::string> Dispatcher::chooseDestination(const TargetEntry& source, const EngineTraits& engine, const WorkEstimate& estimate, const std::set<std::string>& excluded)
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -245,6 +245,7 @@
 Awaitable<> EntryInstance::reportLoop()
 {
     while (true) {
+        m_targetLimits.onInstances(m_fleet.peerNames(), Clock::now());
         m_placementClient.sendLoadReport(true);
         for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
             logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
@@ -262,7 +263,6 @@
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
         m_crashGuard.onTick(Clock::now());
-        m_targetLimits.onInstances(m_fleet.peerNames(), Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -120,8 +120,13 @@
     auto incarnation = incarnationOf(target);
     if (!m_unclearTargets.contains(incarnation))
         return;
-    for (auto& [fingerprint, interruptions] : m_interruptions)
+    bool isUnclear = false;
+    for (auto& [fingerprint, interruptions] : m_interruptions) {
         interruptions.onAlive(incarnation, sentAt);
+        isUnclear = isUnclear || interruptions.find(incarnation);
+    }
+    if (!isUnclear)
+        m_unclearTargets.erase(incarnation);
 }
 
 void CrashGuard::onTargetUnavailable(const TargetUnavailable& event)
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -11,8 +11,6 @@
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 4;
-    /// Placements on targets that reached their limits meanwhile, after which the request is refused.
-    constexpr int maxLimitConflicts = 3;
     /// An idempotent request is retried on another target if no answer arrives within this multiple of the route's latency objective.
     constexpr int objectivesUntilRetry = 3;
     /// Minimum time to wait for a usable target, and for an answer before a retry.
@@ -169,13 +167,14 @@
     co_return result;
 }
 
-Awaitable<RelayResult> PlainRelay::refuse(RelayRequest& request, RelayResult result, Clock::duration retryDelay, bool mayHaveRun)
+Awaitable<RelayResult> PlainRelay::refuse(RelayRequest& request, RelayResult result, SendRefusal refusal, bool mayHaveRun)
 {
+    result.reason = refusal.reason;
     result.status = mayHaveRun ? 502 : 503;
     if (mayHaveRun)
         co_await sendFailure(request.exchange, result.status, result.reason);
     else
-        co_await sendRefusal(request.exchange, result.status, result.reason, retryDelay);
+        co_await sendRefusal(request.exchange, result.status, result.reason, refusal.retryAfter);
     co_return result;
 }
 
@@ -187,16 +186,12 @@
     int possibleRuns = 0;
     m_context.retryBudget.onRequest(request.service.name, Clock::now());
     PlacementRequest placementRequest { .service = request.service.name, .organisation = request.organisation, .rank = request.rank() };
-    std::set<std::string> triedTargets;
-    int limitConflicts = 0;
+    auto gate = makeSendGate(m_context, request);
     while (result.sends < maxSends) {
-        if (auto retryDelay = retryDelayIfAllLimited(m_context, request.service.name)) {
-            result.reason = reasonTargetsLimited;
-            co_return co_await refuse(request, std::move(result), *retryDelay, mayHaveRun);
-        }
+        if (auto refusal = gate.refusal())
+            co_return co_await refuse(request, std::move(result), *refusal, mayHaveRun);
         placementRequest.id = m_context.dispatcher.nextId();
-        placementRequest.excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
-        placementRequest.excluded.insert(triedTargets.begin(), triedTargets.end());
+        placementRequest.excluded = gate.excludedTargets();
         auto placementTimeout = std::max<Clock::duration>(minWait, request.route.latencyObjective);
         placementRequest.latestStart = std::min<TimePoint>(request.deadline, Clock::now() + placementTimeout);
         auto id = placementRequest.id;
@@ -212,16 +207,8 @@
             result.detail = placement.error().detail;
             break;
         }
-        if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now())) {
-            m_context.placement.release(id);
-            result.reason = reasonCrashesTargets;
-            co_return co_await refuse(request, std::move(result), *retryDelay, mayHaveRun);
-        }
-        // Another request may have taken the last one of the share while this one waited.
-        if (!m_context.targetLimits.tryTake(placement->target, Clock::now())) {
+        if (!gate.tryClaim(placement->target)) {
             m_context.placement.release(id);
-            if (++limitConflicts > maxLimitConflicts)
-                break;
             continue;
         }
         ++result.sends;
@@ -263,7 +250,7 @@
                 co_return co_await respondWithError(request, std::move(result), mayHaveRun);
             break;
         }
-        triedTargets.insert(result.target);
+        gate.exclude(result.target);
     }
     co_return co_await respondWithError(request, std::move(result), mayHaveRun);
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -74,18 +74,9 @@
     return std::max(Milliseconds(0), left);
 }
 
-std::optional<Clock::duration> retryDelayIfAllLimited(RelayContext& context, const std::string& service)
+SendGate makeSendGate(RelayContext& context, const RelayRequest& request)
 {
-    if (context.targetLimits.size() == 0)
-        return std::nullopt;
-    auto now = Clock::now();
-    auto targets = context.directory.usableTargets(service);
-    auto shortest = Clock::duration::max();
-    for (const auto* target : targets)
-        shortest = std::min(shortest, context.targetLimits.waitTime(target->id, now));
-    if (targets.empty() || shortest == Clock::duration::zero())
-        return std::nullopt;
-    return shortest;
+    return { { .crashGuard = context.crashGuard, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint };
 }
 
 void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -90,8 +90,6 @@
         admission.priority = organisation->priority.value_or(admission.priority);
     }
     admission.fingerprint = fingerprintOf(admission.organisation, exchange.request());
-    if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(admission.fingerprint, Clock::now()))
-        return refuseWith(503, reasonCrashesTargets, *retryDelay);
     if (exceedsStopLimit(*admission.route, caller)) {
         admission.closesConnection = true;
         return refuseWith(503, "stopping", retryAfterStopping);
--- /dev/null
+++ b/src/relay/internal/streamend.cpp
@@ -0,0 +1,14 @@
+#include "relay/streamend.h"
+
+namespace guavaspan {
+
+bool isComplete(const StreamEnd& end)
+{
+    if (end.hasPartialFrame || end.hasPendingMove)
+        return false;
+    // A body that ends at close looks the same if the engine closes it early.
+    bool isEndAmbiguous = end.endsAtClose && !end.isTargetUsable;
+    return !end.isStopping && !isEndAmbiguous;
+}
+
+}
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "relay/streamend.h"
 
 #include <charconv>
 
@@ -12,8 +13,6 @@
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 3;
-    /// Placements on targets that reached their limits meanwhile, after which the request is refused.
-    constexpr int maxLimitConflicts = 3;
     /// Time that an engine needs from a request to its first event, to process a prompt of some thousand tokens.
     constexpr auto timeToFirstEvent = Milliseconds(450);
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
@@ -53,7 +52,7 @@
     /// Retry delay suggested by the placement that refused the request.
     Clock::duration retryAfter {};
     /// Set if the request is refused for another reason than missing capacity.
-    const char* refusalReason = nullptr;
+    std::optional<SendRefusal> refusal;
 };
 
 std::string StreamRelay::reasonFor(StreamOutcome outcome)
@@ -145,18 +144,14 @@
     m_context.retryBudget.onRequest(request.service.name, Clock::now());
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
     PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
-    std::set<std::string> triedTargets;
-    int limitConflicts = 0;
+    auto gate = makeSendGate(m_context, request);
     while (session.result.sends < maxSends) {
-        if (auto retryDelay = retryDelayIfAllLimited(m_context, request.service.name)) {
-            session.refusalReason = reasonTargetsLimited;
-            session.retryAfter = *retryDelay;
+        session.refusal = gate.refusal();
+        if (session.refusal)
             co_return false;
-        }
         session.id = m_context.dispatcher.nextId();
         placementRequest.id = session.id;
-        placementRequest.excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
-        placementRequest.excluded.insert(triedTargets.begin(), triedTargets.end());
+        placementRequest.excluded = gate.excludedTargets();
         auto id = session.id;
         request.callerWatch.setCancelAction([this, id] { m_context.placement.cancel(id); });
         auto placement = co_await m_context.placement.place(placementRequest);
@@ -166,17 +161,9 @@
                 session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
-        if (auto retryDelay = m_context.crashGuard.retryDelayIfRefused(request.fingerprint, Clock::now())) {
-            session.refusalReason = reasonCrashesTargets;
-            session.retryAfter = *retryDelay;
-            co_return false;
-        }
-        // Another request may have taken the last one of the share while this one waited.
-        if (!m_context.targetLimits.tryTake(placement->target, Clock::now())) {
+        if (!gate.tryClaim(placement->target)) {
             m_context.placement.release(session.id);
             session.id = 0;
-            if (++limitConflicts > maxLimitConflicts)
-                co_return false;
             continue;
         }
         m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
@@ -202,7 +189,7 @@
             co_return false;
         m_context.placement.release(session.id);
         session.id = 0;
-        triedTargets.insert(target.id);
+        gate.exclude(target.id);
         bool allowed = m_context.retryBudget.tryTake(request.service.name, m_context.fleet.instanceCount(), Clock::now());
         m_context.metrics.recordRetry(request.service.name, allowed);
         if (!allowed)
@@ -276,10 +263,8 @@
         if (forwarded != StreamOutcome::Complete)
             co_return forwarded;
     }
-    // A response without chunked encoding or a content length looks complete if an engine that shuts down closes it early.
-    bool isEndAmbiguous = connection->bodyEndsAtClose() && !m_context.directory.isUsable(session.stream->target().id);
-    bool isIncomplete = session.frames.hasPartialFrame() || session.stream->hasPendingMove() || session.stream->isStopping() || isEndAmbiguous;
-    co_return isIncomplete ? StreamOutcome::Interrupted : StreamOutcome::Complete;
+    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .isStopping = session.stream->isStopping(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
+    co_return isComplete(end) ? StreamOutcome::Complete : StreamOutcome::Interrupted;
 }
 
 /// Resumes the generation at the engine that has its copy, or else at the engine that stopped it. False if neither resumes it.
@@ -322,10 +307,10 @@
         result.reason = "caller_gone";
         co_return;
     }
-    if (session.refusalReason) {
+    if (session.refusal) {
         result.status = 503;
-        result.reason = session.refusalReason;
-        co_await sendRefusal(request.exchange, result.status, result.reason, session.retryAfter);
+        result.reason = session.refusal->reason;
+        co_await sendRefusal(request.exchange, result.status, result.reason, session.refusal->retryAfter);
         co_return;
     }
     if (!session.mayHaveRun) {
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -9,6 +9,7 @@
 #include "quarantine/crashguard.h"
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
+#include "relay/sendgate.h"
 #include "routing/activeconfiguration.h"
 #include "targets/targetlimits.h"
 #include "usage/usageledger.h"
@@ -98,11 +99,6 @@
     Clock::duration longestPause {};
 };
 
-/// Reason of a refusal because the request crashes targets.
-inline constexpr const char* reasonCrashesTargets = "crashes_targets";
-/// Reason of a refusal because all targets of the service have reached the limits that they state.
-inline constexpr const char* reasonTargetsLimited = "targets_limited";
-
 /// Hash that equal requests of an organisation share, whichever of its keys they carry.
 Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest&);
 
@@ -117,8 +113,8 @@
 
 Milliseconds timeLeft(const RelayRequest&);
 
-/// The time after which to retry if all usable targets of the service have reached their limits.
-std::optional<Clock::duration> retryDelayIfAllLimited(RelayContext&, const std::string& service);
+/// The gate that the request passes before each send.
+SendGate makeSendGate(RelayContext&, const RelayRequest&);
 
 /// Takes note of what a target's answer states about the target: its limit, or that it is shutting down.
 void recordTargetState(RelayContext&, const TargetEntry&, const TargetResponseHead&);
--- /dev/null
+++ b/src/relay/sendgate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "dispatch/dispatcher.h"
+#include "quarantine/crashguard.h"
+#include "targets/targetlimits.h"
+
+namespace guavaspan {
+
+/// Parts of the instance that SendGate uses.
+struct SendGateContext {
+    CrashGuard& crashGuard;
+    TargetLimits& targetLimits;
+    TargetDirectory& directory;
+    Dispatcher& dispatcher;
+};
+
+/// Why a request must not be sent to any target now, and when to retry it.
+struct SendRefusal {
+    const char* reason = "";
+    Clock::duration retryAfter {};
+};
+
+/// Decides for one request whether and to which targets it may be sent, before each attempt.
+class SendGate {
+public:
+    SendGate(SendGateContext, std::string service, Fingerprint);
+
+    /// Checked before each placement.
+    std::optional<SendRefusal> refusal();
+
+    /// Targets that the request must not be placed on.
+    std::set<std::string> excludedTargets();
+
+    /// Claims one send to a target. False if the request has to be placed again, since what allowed the
+    /// placement changed while it waited.
+    bool tryClaim(const TargetEntry&);
+
+    /// The request was sent to this target, which did not answer it.
+    void exclude(const std::string& target) { m_triedTargets.insert(target); }
+
+private:
+    std::optional<Clock::duration> waitIfAllLimited(TimePoint now);
+
+    SendGateContext m_context;
+    std::string m_service;
+    Fingerprint m_fingerprint;
+    std::set<std::string> m_triedTargets;
+    int m_limitConflicts = 0;
+};
+
+}
--- a/src/targets/targetlimits.h
+++ b/src/targets/targetlimits.h
@@ -58,7 +58,9 @@
     /// Targets that may get no request from this instance now.
     std::set<std::string> exhaustedTargets(TimePoint now);
 
+    /// Number of targets that stated a limit or requested a pause.
     std::size_t size() const { return m_limits.size() + m_pausedUntil.size(); }
+    bool empty() const { return m_limits.empty() && m_pausedUntil.empty(); }
 
 private:
     struct Limit {
