Do not cut a stream that ends whole while its stop is under way

What callers saw: a complete generation at a leaving engine was cut at its end (LOST), and they repeated seconds of work.

Cause: StreamRelay took every stream as cut whose stop had been requested, whatever the engine's answer said. Class: the instance's intention decides instead of what the engine says. An engine that stops a generation closes its stream without the end, as the users' pages say, so an explicit end (chunked or with a length) is a whole answer; only a body that ends with its connection stays ambiguous.

Ruled out: waiting for the answer of the stop before judging; it delays every last event by a round trip.

A pending move still resumes.

--- a/src/relay/internal/streamend.cpp
+++ b/src/relay/internal/streamend.cpp
@@ -7,8 +7,8 @@
     if (end.hasPartialFrame || end.hasPendingMove)
         return false;
     // A body that ends at close looks the same if the engine closes it early.
-    bool isEndAmbiguous = end.endsAtClose && !end.isTargetUsable;
-    return !end.isStopping && !isEndAmbiguous;
+    bool mayBeClosedEarly = end.isStopping || !end.isTargetUsable;
+    return !end.endsAtClose || !mayBeClosedEarly;
 }
 
 }
