Move what a pool knows of one engine out of the pool scheduler

Change: PoolEngine and GrantedGeneration have files of their own; an engine's occupancy, load reports, cost of a placement and choice of what an overflow preempts move there. The pool keeps queue, charges, grants and what needs several engines. No decision changes.

--- a/src/scheduling/internal/poolscheduler.cpp
+++ b/src/scheduling/internal/poolscheduler.cpp
@@ -7,21 +7,12 @@
 
 namespace {
 
-    constexpr int defaultCapacityTokens = 16000;
-    constexpr double defaultStepSeconds = 0.030;
-    constexpr double prefillSecondsPerToken = 0.00002;
-    constexpr double otherDomainCostSeconds = 0.002;
-    constexpr double fullOccupancyCostSeconds = 0.4;
     constexpr double minChargeTokens = 32;
     constexpr int preemptionCandidatePriority = 0;
-    constexpr double minRiskForCandidate = 0.01;
-    constexpr double sufficientCandidateTokens = 3000;
     constexpr int batchPriority = 1;
     constexpr int interactivePriority = 2;
     constexpr int protectedPriority = 9;
-    constexpr auto occupancyHistoryDuration = Seconds(10);
     constexpr double grantRateSmoothing = 0.2;
-    constexpr double saturatedOccupancy = 0.9;
     constexpr auto minRetryAfter = Seconds(1);
 
 }
@@ -67,7 +58,7 @@
     std::erase_if(m_engines, [](const auto& entry) { return !entry.second.inPool && entry.second.running.empty(); });
 }
 
-PoolScheduler::Engine* PoolScheduler::findEngine(const PermitId& id)
+PoolEngine* PoolScheduler::findEngine(const PermitId& id)
 {
     auto found = m_engineNameByPermit.find(id);
     if (found == m_engineNameByPermit.end())
@@ -185,35 +176,13 @@
     addRunning(found->second, std::move(generation));
 }
 
-void PoolScheduler::recordOccupancy(Engine& engine, TimePoint now)
-{
-    double knownTokens = engine.profile.occupancy() - engine.unexplainedTokens;
-    engine.occupancyHistory.emplace_back(now, knownTokens);
-    while (engine.occupancyHistory.front().first + occupancyHistoryDuration < now)
-        engine.occupancyHistory.pop_front();
-}
-
-/// Compares the report with the occupancy that this scheduler had computed at the time of the
-/// measurement. The difference is the memory of generations that other owners placed, less the
-/// memory that shared prefixes save.
 void PoolScheduler::onLoadReport(const std::string& name, const LoadReport& report, TimePoint now)
 {
     auto found = m_engines.find(name);
     if (found == m_engines.end())
         return;
     auto& engine = found->second;
-    engine.report = report;
-    double knownTokensAtMeasurement = 0;
-    for (const auto& [time, tokens] : engine.occupancyHistory) {
-        if (time > report.measuredAt)
-            break;
-        knownTokensAtMeasurement = tokens;
-    }
-    // Requests in the engine's queue hold no memory yet but will take it before any new
-    // request, so the free memory is not available.
-    engine.saturated = report.waiting > 0 && report.tokensUsed > saturatedOccupancy * report.tokensCapacity;
-    if (report.waiting == 0)
-        engine.unexplainedTokens = report.tokensUsed - knownTokensAtMeasurement;
+    engine.onLoadReport(report);
     engine.health.onStepTime(report.stepSeconds, poolMedianStepSeconds(), now);
     rebuildProfile(engine);
 }
@@ -265,7 +234,7 @@
     return footprint;
 }
 
-void PoolScheduler::rebuildProfile(Engine& engine)
+void PoolScheduler::rebuildProfile(PoolEngine& engine)
 {
     engine.profile.clear();
     for (const auto& [id, generation] : engine.running)
@@ -273,7 +242,7 @@
     engine.profile.setOffset(engine.unexplainedTokens + engine.sharedPrefixes.distinctSharedBlocks() * m_options.tokensPerBlock);
 }
 
-void PoolScheduler::addRunning(Engine& engine, GrantedGeneration generation)
+void PoolScheduler::addRunning(PoolEngine& engine, GrantedGeneration generation)
 {
     auto id = generation.request.id;
     m_queue.onStarted(generation.request.organisation);
@@ -286,9 +255,9 @@
 /// Extrapolates progress between reports from the engine's step time. A generation
 /// whose end was not reported has reached the extrapolated length, so the growth is
 /// recorded in the length model and charged.
-void PoolScheduler::extrapolateProgress(Engine& engine, TimePoint now)
+void PoolScheduler::extrapolateProgress(PoolEngine& engine, TimePoint now)
 {
-    double stepSeconds = engine.report && engine.report->stepSeconds > 0 ? engine.report->stepSeconds : defaultStepSeconds;
+    double stepSeconds = engine.stepSeconds();
     double elapsed = secondsBetween(m_lastTick, now);
     for (auto& [id, generation] : engine.running) {
         bool started = generation.producedTokens > 0 || secondsBetween(generation.grantedAt, now) > 2 * stepSeconds;
@@ -302,34 +271,16 @@
     }
 }
 
-/// An engine whose memory overflows preempts the newest generations of the lowest priority. New
-/// generations are small, so it would have to preempt many. One generation that is large enough to
-/// free the memory alone therefore gets a lower priority than the others; a generation that was
-/// already preempted is not chosen again.
-void PoolScheduler::choosePreemptionCandidate(Engine& engine)
+void PoolScheduler::choosePreemptionCandidate(PoolEngine& engine)
 {
     if (!engine.info.honoursPriorities || (engine.preemptionCandidate && engine.running.contains(*engine.preemptionCandidate)))
         return;
     engine.preemptionCandidate.reset();
-    double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
-    if (engine.profile.overflowRisk({}, capacity) < minRiskForCandidate)
-        return;
-    const GrantedGeneration* best = nullptr;
-    auto sizeInTokens = [](const GrantedGeneration& generation) { return generation.request.promptTokens + generation.estimatedTokens; };
-    for (const auto& [id, generation] : engine.running) {
-        bool eligible = generation.request.serviceClass == ServiceClass::Batch && generation.preemptions == 0 && generation.producedTokens > 0;
-        if (!eligible)
-            continue;
-        bool sufficient = sizeInTokens(generation) >= sufficientCandidateTokens;
-        bool bestSufficient = best && sizeInTokens(*best) >= sufficientCandidateTokens;
-        bool better = !best || (sufficient && !bestSufficient) || (sufficient == bestSufficient && sufficient == (sizeInTokens(generation) < sizeInTokens(*best)));
-        if (better)
-            best = &generation;
-    }
-    if (!best)
+    const auto* candidate = engine.findPreemptionCandidate();
+    if (!candidate)
         return;
-    engine.preemptionCandidate = best->request.id;
-    m_actions.emplace_back(SetPriority { .id = best->request.id, .priority = preemptionCandidatePriority });
+    engine.preemptionCandidate = candidate->request.id;
+    m_actions.emplace_back(SetPriority { .id = candidate->request.id, .priority = preemptionCandidatePriority });
 }
 
 void PoolScheduler::updateExpectedTokens()
@@ -361,7 +312,7 @@
     }
     m_lastTick = now;
     for (auto& [name, engine] : m_engines)
-        recordOccupancy(engine, now);
+        engine.recordOccupancy(now);
     updateExpectedTokens();
     for (const auto& waiting : m_queue.takeExpired(now))
         refuse(waiting, ErrorCode::DeadlineExceeded);
@@ -374,37 +325,20 @@
     return m_queue.shareRatio(organisation) < belowShareRatio;
 }
 
-double PoolScheduler::usableCapacityTokens(const Engine& engine, bool belowShare) const
+double PoolScheduler::usableCapacityTokens(const PoolEngine& engine, bool belowShare) const
 {
-    double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
+    double capacity = engine.capacityTokens();
     if (m_queue.activeOrganisationCount() > 1 && !belowShare)
         capacity *= 1 - m_options.reservedMemoryFraction;
     return capacity;
 }
 
-bool PoolScheduler::canAccept(const Engine& engine, const PermitRequest& request, TimePoint now) const
-{
-    if (!engine.inPool || !engine.info.accepting)
-        return false;
-    if (static_cast<int>(engine.running.size()) >= m_options.maxRunningPerEngine)
-        return false;
-    if (engine.saturated || !engine.preemptedIds.empty() || engine.health.condition(now) == EngineCondition::Ejected)
-        return false;
-    const auto& excluded = request.excludedEngines;
-    return std::find(excluded.begin(), excluded.end(), engine.info.name) == excluded.end();
-}
-
-/// Estimated cost of the placement in seconds.
-double PoolScheduler::placementCost(const Engine& engine, const PermitRequest& request, int cachedTokens) const
+bool PoolScheduler::canAccept(const PoolEngine& engine, const PermitRequest& request, TimePoint now) const
 {
-    double capacity = engine.report ? engine.report->tokensCapacity : defaultCapacityTokens;
-    double prefillCost = (request.promptTokens - cachedTokens * engine.prefixIndex.confidence()) * prefillSecondsPerToken;
-    double occupancyCost = fullOccupancyCostSeconds * engine.profile.occupancy() / capacity;
-    double domainCost = engine.info.failureDomain == request.failureDomain ? 0 : otherDomainCostSeconds;
-    return prefillCost + occupancyCost + domainCost;
+    return engine.canAccept(request, static_cast<std::size_t>(m_options.maxRunningPerEngine), now);
 }
 
-std::optional<PoolScheduler::EngineChoice> PoolScheduler::chooseEngine(const PermitRequest& request, TimePoint now, const std::set<const Engine*>& reservedEngines)
+std::optional<PoolScheduler::EngineChoice> PoolScheduler::chooseEngine(const PermitRequest& request, TimePoint now, const std::set<const PoolEngine*>& reservedEngines)
 {
     std::optional<EngineChoice> best;
     double bestCost = 0;
@@ -427,7 +361,7 @@
         if (risk > maxRisk && !engine.running.empty())
             continue;
         int cachedTokens = engine.prefixIndex.leadingBlocks(request.prefixBlocks) * m_options.tokensPerBlock;
-        double cost = probing ? 0 : placementCost(engine, request, cachedTokens);
+        double cost = probing ? 0 : engine.placementCost(request, cachedTokens);
         if (best && cost >= bestCost)
             continue;
         bestCost = cost;
@@ -439,9 +373,9 @@
 
 /// Selects the least occupied engine for a request that has waited long for memory;
 /// smaller requests can still start on the other engines.
-const PoolScheduler::Engine* PoolScheduler::engineToReserve(const PermitRequest& request, TimePoint now, const std::set<const Engine*>& reservedEngines) const
+const PoolEngine* PoolScheduler::engineToReserve(const PermitRequest& request, TimePoint now, const std::set<const PoolEngine*>& reservedEngines) const
 {
-    const Engine* best = nullptr;
+    const PoolEngine* best = nullptr;
     for (const auto& [name, engine] : m_engines) {
         if (!canAccept(engine, request, now) || reservedEngines.contains(&engine))
             continue;
@@ -456,7 +390,7 @@
     bool granted = true;
     while (granted) {
         granted = false;
-        std::set<const Engine*> reservedEngines;
+        std::set<const PoolEngine*> reservedEngines;
         for (const auto& organisation : m_queue.organisationsByShare()) {
             const auto& head = m_queue.front(organisation);
             auto choice = chooseEngine(head.request, now, reservedEngines);
--- a/src/scheduling/poolscheduler.h
+++ b/src/scheduling/poolscheduler.h
@@ -1,11 +1,8 @@
 #pragma once
 
-#include "scheduling/enginehealth.h"
 #include "scheduling/fairqueue.h"
 #include "scheduling/lengthmodel.h"
-#include "scheduling/memoryprofile.h"
-#include "scheduling/prefixindex.h"
-#include "scheduling/sharedprefixes.h"
+#include "scheduling/poolengine.h"
 
 #include <map>
 #include <optional>
@@ -39,21 +36,6 @@
 /// Options of the profile that weighs preemptions more than stalls.
 PoolSchedulerOptions preemptionsFirstOptions();
 
-/// A granted generation with its last reported and estimated progress.
-struct GrantedGeneration {
-    PermitRequest request;
-    int producedTokens = 0;
-    double estimatedTokens = 0;
-    TimePoint grantedAt;
-    TimePoint reportedAt;
-    /// When the permit holder last reported this generation.
-    TimePoint renewedAt;
-    /// The grant that was sent; it is sent again if the permit holder repeats its request.
-    Grant grant;
-    int expectedCachedTokens = 0;
-    int preemptions = 0;
-};
-
 /// Queues the permit requests of one pool and decides when and on which engine each generation starts.
 class PoolScheduler {
 public:
@@ -87,55 +69,35 @@
     const FairQueue& queue() const { return m_queue; }
 
 private:
-    struct Engine {
-        EngineInfo info;
-        MemoryProfile profile;
-        EngineHealth health;
-        PrefixIndex prefixIndex;
-        SharedPrefixes sharedPrefixes;
-        std::optional<LoadReport> report;
-        std::map<PermitId, GrantedGeneration> running;
-        std::deque<std::pair<TimePoint, double>> occupancyHistory;
-        /// Reported memory use that the generations granted by this owner do not account for.
-        double unexplainedTokens = 0;
-        bool saturated = false;
-        /// Preempted generations that have not resumed yet.
-        std::set<PermitId> preemptedIds;
-        /// The generation that an overflow would preempt.
-        std::optional<PermitId> preemptionCandidate;
-        bool inPool = true;
-    };
     struct EngineChoice {
-        Engine* engine = nullptr;
+        PoolEngine* engine = nullptr;
         double risk = 0;
         int cachedTokens = 0;
         GrantReason reason = GrantReason::LeastLoaded;
     };
 
     void scheduleWaiting(TimePoint now);
-    std::optional<EngineChoice> chooseEngine(const PermitRequest&, TimePoint now, const std::set<const Engine*>& reservedEngines);
-    const Engine* engineToReserve(const PermitRequest&, TimePoint now, const std::set<const Engine*>& reservedEngines) const;
+    std::optional<EngineChoice> chooseEngine(const PermitRequest&, TimePoint now, const std::set<const PoolEngine*>& reservedEngines);
+    const PoolEngine* engineToReserve(const PermitRequest&, TimePoint now, const std::set<const PoolEngine*>& reservedEngines) const;
     bool isBelowShare(const std::string& organisation) const;
-    bool canAccept(const Engine&, const PermitRequest&, TimePoint now) const;
-    double placementCost(const Engine&, const PermitRequest&, int cachedTokens) const;
+    bool canAccept(const PoolEngine&, const PermitRequest&, TimePoint now) const;
     void grant(const WaitingPermitRequest&, const EngineChoice&, TimePoint now);
     void refuse(const WaitingPermitRequest&, ErrorCode);
     Footprint footprintOf(const GrantedGeneration&, int sharedBlocks) const;
-    void addRunning(Engine&, GrantedGeneration);
-    void rebuildProfile(Engine&);
-    void extrapolateProgress(Engine&, TimePoint now);
-    void recordOccupancy(Engine&, TimePoint now);
+    void addRunning(PoolEngine&, GrantedGeneration);
+    void rebuildProfile(PoolEngine&);
+    void extrapolateProgress(PoolEngine&, TimePoint now);
     void updateExpectedTokens();
-    void choosePreemptionCandidate(Engine&);
+    void choosePreemptionCandidate(PoolEngine&);
     double poolMedianStepSeconds() const;
-    double usableCapacityTokens(const Engine&, bool belowShare) const;
+    double usableCapacityTokens(const PoolEngine&, bool belowShare) const;
     void chargeGrowth(GrantedGeneration&, int producedTokens);
-    Engine* findEngine(const PermitId&);
+    PoolEngine* findEngine(const PermitId&);
 
     PoolSchedulerOptions m_options;
     LengthModel m_lengthModel;
     FairQueue m_queue;
-    std::map<std::string, Engine> m_engines;
+    std::map<std::string, PoolEngine> m_engines;
     std::unordered_map<PermitId, std::string> m_engineNameByPermit;
     std::vector<SchedulingAction> m_actions;
     double m_grantsPerSecond = 0;
