Split the soak into deployment, fault injector and scenario

Change: Deployment starts the processes and holds the configuration, FaultInjector disturbs and replaces them and records what it did, Soak sends requests and checks. All draw from one generator in the same order, so a seed keeps its faults.

--- a/soak/constants.h
+++ b/soak/constants.h
@@ -20,6 +20,9 @@
 /// Requests per second that an engine takes from all instances together while its answers state it.
 inline constexpr const char* requestLimitHeader = "Server-Limit";
 
+inline constexpr int organisationCount = 3;
+inline constexpr int keysPerOrganisation = 3;
+
 inline constexpr const char* host = "soak.example";
 inline constexpr const char* streamPath = "/stream/";
 inline constexpr const char* orderPath = "/order/";
--- /dev/null
+++ b/soak/faultinjector.cpp
@@ -0,0 +1,284 @@
+#include "soak/faultinjector.h"
+
+#include "soak/constants.h"
+
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+
+namespace guavaspan::soak {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr auto restartDelay = Milliseconds(300);
+    /// Time after which the entry of an ended engine counts as expired: three publish intervals of 500 ms.
+    constexpr auto entryExpiryTime = Milliseconds(1500);
+    /// Longer than an engine process keeps serving while it drains.
+    constexpr auto engineDrainTime = Milliseconds(3800);
+    /// Time within which an engine's draining state reaches the store.
+    constexpr SoakTime drainPublishTime = 300;
+    /// Longest time from a crash to the end of the engine's process, with the time to notice it.
+    constexpr SoakTime maxCrashDuration = 5500;
+
+}
+
+FaultInjector::FaultInjector(asio::io_context& io, const SoakOptions& options, Deployment& deployment, Random& random, SoakRecord& record)
+    : m_io(io)
+    , m_options(options)
+    , m_deployment(deployment)
+    , m_random(random)
+    , m_record(record)
+{
+}
+
+void FaultInjector::start()
+{
+    asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
+    if (m_options.statedLimits)
+        asio::co_spawn(m_io, limitEnginesPeriodically(), asio::detached);
+    asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
+    asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
+}
+
+Milliseconds FaultInjector::randomDuration(int minMilliseconds, int maxMilliseconds)
+{
+    return Milliseconds(minMilliseconds + static_cast<int>(m_random() % static_cast<std::uint64_t>(maxMilliseconds - minMilliseconds)));
+}
+
+void FaultInjector::recordDisturbance(const std::string& subject, SoakTime startedAt, SoakTime endedAt, bool planned)
+{
+    m_record.disturbances.push_back({ .subject = subject, .startedAt = startedAt, .endedAt = endedAt, .planned = planned });
+}
+
+Awaitable<> FaultInjector::restartEndedInstances()
+{
+    while (m_restarting) {
+        for (auto& instance : m_deployment.instances()) {
+            if (m_deployment.processes().isRunning(instance->name))
+                continue;
+            auto endedAt = soakNow();
+            co_await sleepFor(restartDelay);
+            m_deployment.startInstance(*instance);
+            recordDisturbance(instance->name, endedAt, soakNow());
+        }
+        co_await sleepFor(Milliseconds(50));
+    }
+}
+
+/// The engine states its limit for some seconds, or until its process is replaced.
+Awaitable<> FaultInjector::limitEngine(Deployment::ManagedEngine& engine)
+{
+    ++m_faultCounts["limit stated by an engine"];
+    engine.statesLimit = true;
+    auto id = engine.id;
+    auto requestLimit = engine.requestLimit;
+    auto startedAt = soakNow();
+    m_deployment.processes().signal(id, SIGUSR2);
+    co_await sleepFor(randomDuration(7000, 14000));
+    bool replaced = engine.id != id;
+    if (!replaced) {
+        engine.statesLimit = false;
+        m_deployment.processes().signal(id, SIGUSR2);
+    }
+    m_record.statedLimits.push_back({ .engineId = id, .requestsPerSecond = requestLimit, .startedAt = startedAt, .endedAt = soakNow() });
+}
+
+/// At most one engine of each service states a limit, so that the service stays usable.
+Awaitable<> FaultInjector::limitEnginesPeriodically()
+{
+    while (m_injecting) {
+        auto& engine = m_deployment.randomEngine();
+        bool otherLimited = std::any_of(m_deployment.engines().begin(), m_deployment.engines().end(), [&](const auto& other) { return other->generates == engine.generates && other->statesLimit; });
+        if (!otherLimited && !engine.beingReplaced)
+            asio::co_spawn(m_io, limitEngine(engine), asio::detached);
+        co_await sleepFor(randomDuration(300, 1500));
+    }
+}
+
+Awaitable<> FaultInjector::replaceCrashedEngine(Deployment::ManagedEngine& engine)
+{
+    ++m_faultCounts["engine crashed by a request"];
+    engine.beingReplaced = true;
+    co_await sleepFor(entryExpiryTime);
+    recordDisturbance(enginesSubject, soakNow() - entryExpiryTime.count() - maxCrashDuration, soakNow());
+    co_await replaceEngine(engine);
+}
+
+Awaitable<> FaultInjector::replaceCrashedEngines()
+{
+    while (m_restarting) {
+        for (auto& engine : m_deployment.engines()) {
+            if (!engine->beingReplaced && !m_deployment.processes().isRunning(engine->id))
+                asio::co_spawn(m_io, replaceCrashedEngine(*engine), asio::detached);
+        }
+        co_await sleepFor(Milliseconds(50));
+    }
+}
+
+Awaitable<> FaultInjector::stopInstance(Deployment::Instance& instance)
+{
+    auto startedAt = soakNow();
+    auto incarnation = instance.incarnation;
+    m_deployment.processes().signal(instance.name, SIGTERM);
+    while (instance.incarnation == incarnation && soakNow() < startedAt + stopTimeout.count())
+        co_await sleepFor(Milliseconds(20));
+    if (instance.incarnation == incarnation) {
+        m_deployment.processes().signal(instance.name, SIGKILL);
+        recordDisturbance(instance.name, soakNow(), soakNow());
+    }
+    recordDisturbance(instance.name, startedAt, soakNow(), true);
+    instance.stopping = false;
+}
+
+Awaitable<> FaultInjector::pauseProcess(std::string name, std::string subject)
+{
+    auto startedAt = soakNow();
+    m_deployment.processes().signal(name, SIGSTOP);
+    co_await sleepFor(randomDuration(200, 3500));
+    m_deployment.processes().signal(name, SIGCONT);
+    recordDisturbance(subject, startedAt, soakNow());
+}
+
+Awaitable<> FaultInjector::injectLinkFault(Proxy& link, std::string subject)
+{
+    if (link.fault() != LinkFault::None)
+        co_return;
+    auto startedAt = soakNow();
+    link.setFault(static_cast<LinkFault>(1 + m_random() % 4));
+    co_await sleepFor(randomDuration(300, 4000));
+    link.setFault(LinkFault::None);
+    recordDisturbance(subject, startedAt, soakNow());
+}
+
+Awaitable<> FaultInjector::injectStoreFault(std::string fault)
+{
+    auto startedAt = soakNow();
+    co_await m_deployment.postToStore("faults", std::move(fault));
+    co_await sleepFor(randomDuration(300, 5000));
+    co_await m_deployment.postToStore("faults", "{}");
+    recordDisturbance(storeSubject, startedAt, soakNow());
+}
+
+Awaitable<> FaultInjector::replaceEngine(Deployment::ManagedEngine& engine)
+{
+    json removal { { "key", "servers/" + engine.id } };
+    co_await m_deployment.postToStore("remove", removal.dump());
+    m_deployment.startEngine(engine);
+    engine.beingReplaced = false;
+}
+
+Awaitable<> FaultInjector::killEngine(Deployment::ManagedEngine& engine)
+{
+    engine.beingReplaced = true;
+    auto startedAt = soakNow();
+    m_deployment.processes().signal(engine.id, SIGKILL);
+    co_await sleepFor(entryExpiryTime);
+    recordDisturbance(enginesSubject, startedAt, soakNow());
+    co_await replaceEngine(engine);
+}
+
+Awaitable<> FaultInjector::drainEngine(Deployment::ManagedEngine& engine)
+{
+    engine.beingReplaced = true;
+    m_deployment.processes().signal(engine.id, SIGUSR1);
+    m_record.drainingEngines[engine.id] = soakNow() + drainPublishTime;
+    co_await sleepFor(engineDrainTime);
+    recordDisturbance(enginesSubject, soakNow(), soakNow());
+    co_await replaceEngine(engine);
+}
+
+void FaultInjector::startPlannedOperation()
+{
+    auto& instance = m_deployment.randomInstance();
+    auto& engine = m_deployment.randomEngine();
+    switch (m_random() % 4) {
+    case 0:
+        if (instance.stopping)
+            return;
+        instance.stopping = true;
+        ++m_faultCounts["instance stopped"];
+        asio::co_spawn(m_io, stopInstance(instance), asio::detached);
+        return;
+    case 1:
+        ++m_faultCounts["settings reloaded"];
+        m_deployment.processes().signal(instance.name, SIGHUP);
+        return;
+    case 2:
+        if (engine.beingReplaced)
+            return;
+        ++m_faultCounts["engine drained"];
+        asio::co_spawn(m_io, drainEngine(engine), asio::detached);
+        return;
+    default:
+        ++m_faultCounts["configuration changed"];
+        asio::co_spawn(m_io, m_deployment.changeConfiguration(), asio::detached);
+    }
+}
+
+void FaultInjector::injectUnplannedFault()
+{
+    auto& instance = m_deployment.randomInstance();
+    auto& engine = m_deployment.randomEngine();
+    switch (m_random() % 8) {
+    case 0:
+        ++m_faultCounts["instance killed"];
+        recordDisturbance(instance.name, soakNow(), soakNow());
+        m_deployment.processes().signal(instance.name, SIGKILL);
+        return;
+    case 1:
+        ++m_faultCounts["instance paused"];
+        asio::co_spawn(m_io, pauseProcess(instance.name, instance.name), asio::detached);
+        return;
+    case 2:
+        if (engine.beingReplaced)
+            return;
+        ++m_faultCounts["engine killed"];
+        asio::co_spawn(m_io, killEngine(engine), asio::detached);
+        return;
+    case 3:
+        if (engine.beingReplaced)
+            return;
+        ++m_faultCounts["engine paused"];
+        asio::co_spawn(m_io, pauseProcess(engine.id, enginesSubject), asio::detached);
+        return;
+    case 4:
+        ++m_faultCounts["fault on the link to the store"];
+        asio::co_spawn(m_io, injectLinkFault(*instance.storeLink, instance.name), asio::detached);
+        return;
+    case 5:
+        ++m_faultCounts["fault on the link to an engine"];
+        asio::co_spawn(m_io, injectLinkFault(*engine.link, enginesSubject), asio::detached);
+        return;
+    case 6:
+        ++m_faultCounts["store paused"];
+        asio::co_spawn(m_io, pauseProcess("store", storeSubject), asio::detached);
+        return;
+    default:
+        static const std::vector<std::string> faults { R"({"silent":true})", R"({"refusing":true})", R"({"delay_ms":400})", R"({"lose_answers":5})" };
+        ++m_faultCounts["store fault"];
+        asio::co_spawn(m_io, injectStoreFault(faults[m_random() % faults.size()]), asio::detached);
+    }
+}
+
+void FaultInjector::injectFault()
+{
+    if (m_options.faults == "planned" || m_random() % 3 == 0)
+        startPlannedOperation();
+    else
+        injectUnplannedFault();
+}
+
+/// Injects faults in bursts; faults may overlap.
+Awaitable<> FaultInjector::injectFaultsPeriodically()
+{
+    while (m_injecting && m_options.faults != "none") {
+        auto burstSize = 1 + m_random() % 3;
+        for (std::uint64_t i = 0; i < burstSize; ++i)
+            injectFault();
+        co_await sleepFor(randomDuration(200, 1500));
+    }
+}
+
+}
--- /dev/null
+++ b/soak/faultinjector.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "soak/deployment.h"
+
+namespace guavaspan::soak {
+
+/// Injects faults and planned operations into a deployment, replaces processes that ended, and records what
+/// was disturbed when.
+class FaultInjector {
+public:
+    FaultInjector(asio::io_context&, const SoakOptions&, Deployment&, Random&, SoakRecord&);
+
+    void start();
+
+    /// Starts no further fault; those in progress still end.
+    void stopInjecting() { m_injecting = false; }
+
+    /// Leaves ended processes as they are.
+    void stopRestarting() { m_restarting = false; }
+
+    bool injecting() const { return m_injecting; }
+    const std::map<std::string, int>& faultCounts() const { return m_faultCounts; }
+
+private:
+    Awaitable<> restartEndedInstances();
+    Awaitable<> limitEnginesPeriodically();
+    Awaitable<> limitEngine(Deployment::ManagedEngine&);
+    Awaitable<> replaceCrashedEngines();
+    Awaitable<> replaceCrashedEngine(Deployment::ManagedEngine&);
+    Awaitable<> injectFaultsPeriodically();
+    void injectFault();
+    void startPlannedOperation();
+    void injectUnplannedFault();
+    Awaitable<> stopInstance(Deployment::Instance&);
+    Awaitable<> pauseProcess(std::string name, std::string subject);
+    Awaitable<> injectLinkFault(Proxy&, std::string subject);
+    Awaitable<> injectStoreFault(std::string fault);
+    Awaitable<> killEngine(Deployment::ManagedEngine&);
+    Awaitable<> drainEngine(Deployment::ManagedEngine&);
+    Awaitable<> replaceEngine(Deployment::ManagedEngine&);
+    void recordDisturbance(const std::string& subject, SoakTime startedAt, SoakTime endedAt, bool planned = false);
+    Milliseconds randomDuration(int minMilliseconds, int maxMilliseconds);
+
+    asio::io_context& m_io;
+    const SoakOptions& m_options;
+    Deployment& m_deployment;
+    Random& m_random;
+    SoakRecord& m_record;
+    std::map<std::string, int> m_faultCounts;
+    bool m_injecting = true;
+    bool m_restarting = true;
+};
+
+}
--- /dev/null
+++ b/soak/soakoptions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace guavaspan::soak {
+
+struct SoakOptions {
+    std::uint64_t seed = 1;
+    double faultSeconds = 20;
+    int instances = 4;
+    int engines = 4;
+    int callers = 24;
+    /// "all", "planned" or "none".
+    std::string faults = "all";
+    /// Some callers send requests that crash engines.
+    bool crashingRequests = false;
+    /// Engines state limits of their requests from time to time.
+    bool statedLimits = false;
+    /// Path of the program under test.
+    std::string program;
+    /// Path of this program, which also runs the store and engine processes.
+    std::string soakProgram;
+    /// Receives logs, settings and records.
+    std::string folder;
+};
+
+}
