Convict only requests whose crashes no other request explains

Cause: a popular request runs beside the crashing one on each engine that it ends. What protected it, its earlier answers, was forgotten by the restart; the crash guard convicted at the fourth crash whatever explained it, evaluated requests in the order in which their reports came, and an instance that started convicted on three stored crashes. Class: a decision before the evidence is complete.

Ruled out: trials of suspects one at a time, which cost an engine each for the real one; answers kept in the store, a write for every request.

Change: a crash convicts only a request that no other explains, in a strict order (more crashes, then sooner interrupted after its start); at once only with a lead of two crashes, else after a second. Convictions are kept in the store and decide after a restart, not counts. Peers that answered a request object to its conviction. The two maps of evidence become one case a request, and the users' own Quarantine is not asked any more.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -52,7 +52,7 @@
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_retryBudget({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashReport& report) { m_crashRecordWriter.add(report); })
+    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
     , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); } }
@@ -154,8 +154,8 @@
         else
             m_fleet.onUnregistered(key);
     } else if (key.starts_with(schema.crashPrefix)) {
-        if (auto report = value ? decodeCrashReport(*value) : std::nullopt)
-            m_crashGuard.onStoredReport(*report, now);
+        if (auto record = value ? decodeCrashRecord(*value) : std::nullopt)
+            m_crashGuard.onStoredRecord(*record, now);
     }
 }
 
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -37,8 +37,8 @@
 public:
     /// Sends a message to all peers.
     using Broadcaster = std::function<void(const CrashGuardMessage&)>;
-    /// Keeps a report in the shared store. May be called again with the same report.
-    using Recorder = std::function<void(const CrashReport&)>;
+    /// Keeps a record in the shared store. May be called again with the same record.
+    using Recorder = std::function<void(const CrashRecord&)>;
 
     CrashGuard(Broadcaster, Recorder);
 
@@ -52,25 +52,32 @@
     void onCompleted(Fingerprint, TimePoint now);
 
     void onPeerMessage(const CrashGuardMessage&, TimePoint now);
-    void onStoredReport(const CrashReport&, TimePoint now);
+    void onStoredRecord(const CrashRecord&, TimePoint now);
 
-    /// Repeats recent reports, since messages to peers may be lost.
+    /// Decides cases whose evidence has arrived, and repeats recent reports, since messages to peers may be lost.
     void onTick(TimePoint now);
 
     /// The retry delay to advise if the request must not be sent to a target.
     std::optional<Clock::duration> retryDelayIfRefused(Fingerprint, TimePoint now) const;
 
     /// True if a target crashed while it ran the request.
-    bool isSuspect(Fingerprint fingerprint) const { return m_crashes.contains(fingerprint); }
+    bool isSuspect(Fingerprint) const;
 
     const CrashGuardStatistics& statistics() const { return m_statistics; }
 
 private:
-    struct CrashRecord {
+    /// The evidence against one request.
+    struct Case {
+        InterruptionLog interruptions;
+        /// Crashes that count separately.
         std::vector<CrashReport> reports;
         TimePoint lastCrashAt;
         /// This instance observed one of the crashes, so it informs the others.
         bool local = false;
+        std::optional<TimePoint> convictedAt;
+
+        /// Crashes that are counted and those that are likely.
+        std::size_t weight() const;
     };
     /// What became of a target that takes no new requests.
     struct UnavailableTarget {
@@ -82,27 +89,30 @@
     bool crashedBeforeRemoval(const UnansweredAttempt&, const UnavailableTarget&) const;
     void addInterruption(Fingerprint, Interruption, TimePoint now);
     void confirm(Fingerprint, const TargetIncarnation&, TimePoint now);
-    void markConfirmed(const CrashReport&);
     bool countCrash(const CrashReport&, bool local, TimePoint now);
-    void convictIfProven(const CrashReport&, TimePoint now);
-    bool isSuspended(Fingerprint) const;
+    void convict(Fingerprint, TimePoint now);
+    void convictIfEvident(Fingerprint, TimePoint now);
     bool mayConvict(Fingerprint) const;
+    bool isSuspended(Fingerprint) const;
+    bool hasUnexplainedCrash(Fingerprint) const;
+    bool outweighs(Fingerprint, const Case&, Fingerprint other, const Case& otherCase) const;
+    void onInterruptionReport(const InterruptionReport&, TimePoint now);
+    void onConvictionNotice(const ConvictionNotice&, TimePoint now);
+    void onPriorCompletion(Fingerprint, TimePoint now);
     void notifyIfCompletedBefore(Fingerprint, TimePoint now);
     void clear(Fingerprint, TimePoint now);
 
     Broadcaster m_broadcast;
-    Recorder m_recordInStore;
-    Quarantine m_quarantine;
+    Recorder m_record;
     CrashGuardStatistics m_statistics;
-    std::map<Fingerprint, InterruptionLog> m_interruptions;
+    std::map<Fingerprint, Case> m_cases;
     /// Incarnations with interruptions that are neither confirmed nor refuted.
     std::set<TargetIncarnation> m_unclearTargets;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
-    std::map<Fingerprint, CrashRecord> m_crashes;
     CompletedRequests m_completed;
     /// When peers were last told that a request was answered before.
     std::map<Fingerprint, TimePoint> m_notifiedAt;
-    TimePoint m_nextRepetition;
+    TimePoint m_nextDecision;
 };
 
 }
--- a/src/quarantine/crashguardmessages.h
+++ b/src/quarantine/crashguardmessages.h
@@ -27,6 +27,9 @@
     friend bool operator==(const PriorCompletionNotice&, const PriorCompletionNotice&) = default;
 };
 
+/// What the shared store keeps of crashes.
+using CrashRecord = std::variant<CrashReport, ConvictionNotice>;
+
 /// Messages that the crash guards of all instances exchange.
 using CrashGuardMessage = std::variant<InterruptionReport, PriorCompletionNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice>;
 
--- a/src/quarantine/crashrecordwriter.h
+++ b/src/quarantine/crashrecordwriter.h
@@ -2,35 +2,35 @@
 
 #include "keyvalue/ikeyvaluestore.h"
 #include "net/nettypes.h"
-#include "quarantine/quarantine.h"
+#include "quarantine/crashguardmessages.h"
 
 #include <deque>
 #include <set>
 
 namespace guavaspan {
 
-std::string encodeCrashReport(const CrashReport&);
-std::optional<CrashReport> decodeCrashReport(const std::string&);
+std::string encodeCrashRecord(const CrashRecord&);
+std::optional<CrashRecord> decodeCrashRecord(const std::string&);
 
-/// Writes crash reports to the shared store, where instances that start later find them.
+/// Writes crash records to the shared store, where instances that start later find them.
 class CrashRecordWriter {
 public:
     CrashRecordWriter(IKeyValueStore&, std::string keyPrefix);
 
-    /// Queues a report unless it was queued before.
-    void add(const CrashReport&);
+    /// Queues a record unless it was queued before.
+    void add(const CrashRecord&);
 
     Awaitable<> run();
 
-    /// Writes all queued reports; false if one could not be written.
+    /// Writes all queued records; false if one could not be written.
     Awaitable<bool> writeQueued();
 
 private:
-    std::string keyOf(const CrashReport&) const;
+    std::string keyOf(const CrashRecord&) const;
 
     IKeyValueStore& m_store;
     std::string m_keyPrefix;
-    std::deque<CrashReport> m_queue;
+    std::deque<CrashRecord> m_queue;
     std::set<std::string> m_knownKeys;
 };
 
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 namespace guavaspan {
 
@@ -14,27 +15,28 @@
     /// Crashes after which a request is refused. If many callers send the same request, it runs on
     /// several targets at any time, so two crashes may be a coincidence.
     constexpr std::size_t crashesToConvict = 3;
-    /// Crashes after which a request is refused even if another one may have caused them, since
-    /// every further run may cost a target.
-    constexpr std::size_t crashesToConvictRegardless = crashesToConvict + 1;
     /// Crashes after which a request is refused that was answered before. A request that many callers send is
     /// interrupted by most crashes, whatever their cause.
     constexpr std::size_t crashesToConvictCompleted = 10;
     /// Crashes from which a request's reports are kept in the shared store. Most requests that run on a
     /// crashing target never meet a second crash.
     constexpr std::size_t crashesToRecord = 2;
+    /// A request that has this many crashes more than all that ran beside it needs no further evidence.
+    constexpr std::size_t decisiveLead = 2;
+    /// Time in which the reports of all requests that a crash interrupted arrive.
+    constexpr auto evidenceDelay = Seconds(1);
     /// A shorter silence before the end of an attempt says nothing about the target.
     constexpr auto minSilence = Milliseconds(250);
     /// The entry of a crashed target expires after three missed heartbeats; a target whose entry was
     /// removed for another reason is heard until then.
     constexpr auto minSilenceBeforeRemoval = Milliseconds(1500);
     constexpr auto unavailableTargetLifetime = Seconds(60);
-    /// Records of requests that are not convicted.
     constexpr auto suspicionLifetime = std::chrono::minutes(30);
+    constexpr auto convictionLifetime = std::chrono::hours(6);
     /// Time between notices to peers that a request was answered before.
     constexpr auto notificationInterval = Seconds(5);
-    constexpr auto repetitionInterval = Seconds(1);
-    /// Time after a crash in which its reports are repeated.
+    constexpr auto decisionInterval = Seconds(1);
+    /// Time after a crash or a conviction in which it is reported again.
     constexpr auto repetitionDuration = Seconds(10);
     /// Retry delay while it is not known whether targets have crashed: their entries expire in this time.
     constexpr auto retryDelayUnconfirmed = Seconds(5);
@@ -46,6 +48,14 @@
         return { .target = target.id, .startedAt = target.startedAt };
     }
 
+    /// The incarnation that a report names; its start time is 0 if the report comes from another kind of target.
+    TargetIncarnation incarnationOf(const CrashReport& report)
+    {
+        TargetIncarnation incarnation { .target = report.target };
+        std::from_chars(report.incarnation.data(), report.incarnation.data() + report.incarnation.size(), incarnation.startedAt);
+        return incarnation;
+    }
+
     CrashReport reportOf(Fingerprint fingerprint, const TargetIncarnation& target)
     {
         return { .fingerprint = fingerprint, .target = target.target, .incarnation = std::to_string(target.startedAt) };
@@ -58,23 +68,32 @@
 
 }
 
-CrashGuard::CrashGuard(Broadcaster broadcast, Recorder recordInStore)
+std::size_t CrashGuard::Case::weight() const
+{
+    auto possible = interruptions.possibleIncidents();
+    return reports.size() + possible - std::min(possible, interruptions.confirmedIncidents());
+}
+
+CrashGuard::CrashGuard(Broadcaster broadcast, Recorder record)
     : m_broadcast(std::move(broadcast))
-    , m_recordInStore(std::move(recordInStore))
-    , m_quarantine(QuarantineOptions { .crashThreshold = crashesToConvict, .suspicionDuration = suspicionLifetime })
+    , m_record(std::move(record))
 {
 }
 
 void CrashGuard::removeExpired(TimePoint now)
 {
-    for (auto& [fingerprint, interruptions] : m_interruptions)
-        interruptions.removeExpired(now);
-    std::erase_if(m_interruptions, [](const auto& entry) { return entry.second.empty(); });
-    if (m_interruptions.empty())
+    for (auto& [fingerprint, suspect] : m_cases)
+        suspect.interruptions.removeExpired(now);
+    std::erase_if(m_cases, [&](const auto& entry) {
+        const auto& suspect = entry.second;
+        bool convicted = suspect.convictedAt && *suspect.convictedAt + convictionLifetime > now;
+        bool suspicious = !suspect.reports.empty() && suspect.lastCrashAt + suspicionLifetime > now;
+        return suspect.interruptions.empty() && !convicted && !suspicious;
+    });
+    if (m_cases.empty())
         m_unclearTargets.clear();
     std::erase_if(m_unavailableTargets, [&](const auto& entry) { return entry.second.at + unavailableTargetLifetime < now; });
     std::erase_if(m_notifiedAt, [&](const auto& entry) { return entry.second + notificationInterval < now; });
-    std::erase_if(m_crashes, [&](const auto& entry) { return entry.second.lastCrashAt + suspicionLifetime < now; });
 }
 
 /// A target that was silent well before its entry was removed has crashed; one that was heard until then
@@ -107,7 +126,7 @@
 {
     removeExpired(now);
     auto target = interruption.target;
-    if (m_interruptions[fingerprint].add(std::move(interruption)))
+    if (m_cases[fingerprint].interruptions.add(std::move(interruption)))
         m_unclearTargets.insert(target);
     if (isSuspended(fingerprint))
         logEvent(LogLevel::Warning, "request_suspended", { { "fingerprint", hexOf(fingerprint) }, { "target", target.target } });
@@ -121,9 +140,9 @@
     if (!m_unclearTargets.contains(incarnation))
         return;
     bool isUnclear = false;
-    for (auto& [fingerprint, interruptions] : m_interruptions) {
-        interruptions.onAlive(incarnation, sentAt);
-        isUnclear = isUnclear || interruptions.find(incarnation);
+    for (auto& [fingerprint, suspect] : m_cases) {
+        suspect.interruptions.onAlive(incarnation, sentAt);
+        isUnclear = isUnclear || suspect.interruptions.find(incarnation);
     }
     if (!isUnclear)
         m_unclearTargets.erase(incarnation);
@@ -138,10 +157,10 @@
     m_unclearTargets.erase(target);
     // A peer's answer to a broadcast may clear requests, so they are not confirmed while iterating.
     std::vector<Fingerprint> crashed;
-    for (auto& [fingerprint, interruptions] : m_interruptions) {
+    for (auto& [fingerprint, suspect] : m_cases) {
         if (announced)
-            interruptions.onAlive(target, event.at);
-        else if (interruptions.find(target))
+            suspect.interruptions.onAlive(target, event.at);
+        else if (suspect.interruptions.find(target))
             crashed.push_back(fingerprint);
     }
     for (auto fingerprint : crashed)
@@ -151,14 +170,14 @@
 /// Counts the crash of a target for a request, unless an earlier crash may have had the same cause.
 void CrashGuard::confirm(Fingerprint fingerprint, const TargetIncarnation& target, TimePoint now)
 {
-    auto interruptions = m_interruptions.find(fingerprint);
-    auto* interruption = interruptions == m_interruptions.end() ? nullptr : interruptions->second.find(target);
+    auto found = m_cases.find(fingerprint);
+    auto* interruption = found == m_cases.end() ? nullptr : found->second.interruptions.find(target);
     if (!interruption || interruption->confirmed)
         return;
-    auto incidentsBefore = interruptions->second.confirmedIncidents();
+    auto incidentsBefore = found->second.interruptions.confirmedIncidents();
     interruption->confirmed = true;
     auto report = reportOf(fingerprint, target);
-    bool separate = interruptions->second.confirmedIncidents() > incidentsBefore;
+    bool separate = found->second.interruptions.confirmedIncidents() > incidentsBefore;
     if (!separate) {
         ++m_statistics.uncountedCrashes;
         logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("same_incident") } });
@@ -169,52 +188,81 @@
         return;
     if (local)
         m_broadcast(report);
-    convictIfProven(report, now);
+    convictIfEvident(fingerprint, now);
 }
 
-/// A counted crash must not count again as an unconfirmed interruption.
-void CrashGuard::markConfirmed(const CrashReport& report)
+bool CrashGuard::countCrash(const CrashReport& report, bool local, TimePoint now)
 {
-    auto interruptions = m_interruptions.find(report.fingerprint);
-    std::int64_t startedAt = 0;
-    auto [end, error] = std::from_chars(report.incarnation.data(), report.incarnation.data() + report.incarnation.size(), startedAt);
-    if (interruptions == m_interruptions.end() || error != std::errc {})
-        return;
-    if (auto* interruption = interruptions->second.find({ .target = report.target, .startedAt = startedAt }))
+    auto& suspect = m_cases[report.fingerprint];
+    suspect.local = suspect.local || local;
+    // A counted crash must not count again as an unconfirmed interruption.
+    if (auto* interruption = suspect.interruptions.find(incarnationOf(report)))
         interruption->confirmed = true;
+    bool counted = std::find(suspect.reports.begin(), suspect.reports.end(), report) == suspect.reports.end();
+    ++(counted ? m_statistics.countedCrashes : m_statistics.uncountedCrashes);
+    if (!counted)
+        return false;
+    suspect.reports.push_back(report);
+    suspect.lastCrashAt = now;
+    logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("counted") }, { "local", local }, { "crashes", std::int64_t(suspect.reports.size()) } });
+    if (suspect.local && suspect.reports.size() >= crashesToRecord && mayConvict(report.fingerprint)) {
+        for (const auto& recorded : suspect.reports)
+            m_record(recorded);
+    }
+    return true;
 }
 
-bool CrashGuard::countCrash(const CrashReport& report, bool local, TimePoint now)
+/// True if the first request explains crashes that both ran into: it has more of them, or as many and is interrupted
+/// sooner after it starts.
+bool CrashGuard::outweighs(Fingerprint fingerprint, const Case& suspect, Fingerprint other, const Case& otherCase) const
 {
-    markConfirmed(report);
-    bool counted = m_quarantine.onCrash(report, now);
-    auto& record = m_crashes[report.fingerprint];
-    record.local = record.local || local;
-    if (counted) {
-        record.reports.push_back(report);
-        record.lastCrashAt = now;
-    }
-    ++(counted ? m_statistics.countedCrashes : m_statistics.uncountedCrashes);
-    if (counted)
-        logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("counted") }, { "local", local }, { "crashes", std::int64_t(record.reports.size()) } });
-    if (counted && record.local && record.reports.size() >= crashesToRecord && mayConvict(report.fingerprint)) {
-        for (const auto& recorded : record.reports)
-            m_recordInStore(recorded);
-    }
-    return counted;
+    auto rank = [](Fingerprint id, const Case& ranked) { return std::make_tuple(ranked.weight(), -ranked.interruptions.medianRunTime(), id); };
+    return rank(fingerprint, suspect) > rank(other, otherCase);
 }
 
-void CrashGuard::convictIfProven(const CrashReport& report, TimePoint now)
+/// True if a recent crash during which the request ran cannot be explained by another request that ran there.
+bool CrashGuard::hasUnexplainedCrash(Fingerprint fingerprint) const
 {
-    auto crashes = m_crashes.find(report.fingerprint);
-    bool regardless = crashes != m_crashes.end() && crashes->second.reports.size() >= crashesToConvictRegardless;
-    if (!mayConvict(report.fingerprint))
+    const auto& suspect = m_cases.at(fingerprint);
+    const auto& entries = suspect.interruptions.entries();
+    return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) {
+        bool explained = std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
+            const auto& [other, otherCase] = entry;
+            bool ranThere = other != fingerprint && otherCase.interruptions.find(interruption.target);
+            return ranThere && mayConvict(other) && outweighs(other, otherCase, fingerprint, suspect);
+        });
+        return interruption.isEvidence() && !explained;
+    });
+}
+
+/// Convicts at once if no request that ran beside this one comes close; otherwise onTick() decides.
+void CrashGuard::convictIfEvident(Fingerprint fingerprint, TimePoint now)
+{
+    const auto& suspect = m_cases.at(fingerprint);
+    if (suspect.convictedAt || suspect.reports.size() < crashesToConvict || !mayConvict(fingerprint))
+        return;
+    const auto& entries = suspect.interruptions.entries();
+    bool rivalled = std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
+        const Case& rival = entry.second;
+        if (entry.first == fingerprint || rival.weight() + decisiveLead <= suspect.weight())
+            return false;
+        return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) { return rival.interruptions.find(interruption.target) != nullptr; });
+    });
+    if (rivalled || !hasUnexplainedCrash(fingerprint))
         return;
-    bool proven = regardless || m_quarantine.standing(report.fingerprint, now) == Standing::Convicted;
-    if (!proven || !m_quarantine.convict(report.fingerprint, now))
+    convict(fingerprint, now);
+    m_broadcast(ConvictionNotice { .fingerprint = fingerprint });
+}
+
+void CrashGuard::convict(Fingerprint fingerprint, TimePoint now)
+{
+    auto& suspect = m_cases[fingerprint];
+    if (suspect.convictedAt)
         return;
-    logEvent(LogLevel::Warning, "request_convicted", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target } });
-    m_broadcast(ConvictionNotice { .fingerprint = report.fingerprint });
+    suspect.convictedAt = now;
+    logEvent(LogLevel::Warning, "request_convicted", { { "fingerprint", hexOf(fingerprint) }, { "crashes", std::int64_t(suspect.reports.size()) }, { "local", suspect.local } });
+    if (suspect.local)
+        m_record(ConvictionNotice { .fingerprint = fingerprint });
 }
 
 /// True unless the request was answered before and has met few crashes since.
@@ -222,31 +270,26 @@
 {
     if (!m_completed.contains(fingerprint))
         return true;
-    auto crashes = m_crashes.find(fingerprint);
-    return crashes != m_crashes.end() && crashes->second.reports.size() >= crashesToConvictCompleted;
+    auto found = m_cases.find(fingerprint);
+    return found != m_cases.end() && found->second.reports.size() >= crashesToConvictCompleted;
 }
 
-/// Tells peers that are about to suspect a request that it was answered at this instance before.
+/// Tells peers that suspect a request that it was answered at this instance before.
 void CrashGuard::notifyIfCompletedBefore(Fingerprint fingerprint, TimePoint now)
 {
-    auto interruptions = m_interruptions.find(fingerprint);
-    bool suspected = interruptions != m_interruptions.end() && interruptions->second.possibleIncidents() + 1 >= crashesToConvict;
-    if (!suspected || !m_completed.contains(fingerprint) || !m_notifiedAt.emplace(fingerprint, now).second)
-        return;
-    m_broadcast(PriorCompletionNotice { .fingerprint = fingerprint });
+    if (m_completed.contains(fingerprint) && m_notifiedAt.emplace(fingerprint, now).second)
+        m_broadcast(PriorCompletionNotice { .fingerprint = fingerprint });
 }
 
 void CrashGuard::clear(Fingerprint fingerprint, TimePoint now)
 {
     m_completed.add(fingerprint, now);
-    m_interruptions.erase(fingerprint);
-    m_crashes.erase(fingerprint);
-    m_quarantine.pardon(fingerprint);
+    m_cases.erase(fingerprint);
 }
 
 void CrashGuard::onCompleted(Fingerprint fingerprint, TimePoint now)
 {
-    bool wasSuspect = m_interruptions.contains(fingerprint) || m_crashes.contains(fingerprint);
+    bool wasSuspect = m_cases.contains(fingerprint);
     clear(fingerprint, now);
     if (!wasSuspect)
         return;
@@ -254,71 +297,102 @@
     m_broadcast(CompletionReport { .fingerprint = fingerprint });
 }
 
+void CrashGuard::onInterruptionReport(const InterruptionReport& report, TimePoint now)
+{
+    TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
+    if (m_unavailableTargets.contains(target))
+        return;
+    addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo }, now);
+    if (m_cases[report.fingerprint].weight() + 1 >= crashesToConvict)
+        notifyIfCompletedBefore(report.fingerprint, now);
+}
+
+void CrashGuard::onConvictionNotice(const ConvictionNotice& notice, TimePoint now)
+{
+    if (mayConvict(notice.fingerprint))
+        convict(notice.fingerprint, now);
+    else
+        notifyIfCompletedBefore(notice.fingerprint, now);
+}
+
+void CrashGuard::onPriorCompletion(Fingerprint fingerprint, TimePoint now)
+{
+    m_completed.add(fingerprint, now);
+    auto found = m_cases.find(fingerprint);
+    if (found != m_cases.end() && found->second.convictedAt && !mayConvict(fingerprint)) {
+        logEvent(LogLevel::Info, "request_acquitted", { { "fingerprint", hexOf(fingerprint) } });
+        found->second.convictedAt.reset();
+    }
+}
+
 void CrashGuard::onPeerMessage(const CrashGuardMessage& message, TimePoint now)
 {
     std::visit(Overloaded {
-                   [&](const InterruptionReport& report) {
-                       TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
-                       if (!m_unavailableTargets.contains(target))
-                           addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo }, now);
-                       notifyIfCompletedBefore(report.fingerprint, now);
-                   },
+                   [&](const InterruptionReport& report) { onInterruptionReport(report, now); },
                    [&](const CrashReport& report) {
                        if (countCrash(report, false, now))
-                           convictIfProven(report, now);
+                           convictIfEvident(report.fingerprint, now);
                    },
-                   [&](const PriorCompletionNotice& notice) { m_completed.add(notice.fingerprint, now); },
+                   [&](const PriorCompletionNotice& notice) { onPriorCompletion(notice.fingerprint, now); },
                    [&](const CompletionReport& report) { clear(report.fingerprint, now); },
-                   [&](const ConvictionNotice& notice) {
-                       if (mayConvict(notice.fingerprint))
-                           m_quarantine.convict(notice.fingerprint, now);
-                   },
-                   [&](const PardonNotice& notice) {
-                       m_crashes.erase(notice.fingerprint);
-                       m_quarantine.pardon(notice.fingerprint);
-                   },
+                   [&](const ConvictionNotice& notice) { onConvictionNotice(notice, now); },
+                   [&](const PardonNotice& notice) { m_cases.erase(notice.fingerprint); },
                },
         message);
 }
 
-void CrashGuard::onStoredReport(const CrashReport& report, TimePoint now)
+void CrashGuard::onStoredRecord(const CrashRecord& record, TimePoint now)
 {
-    if (countCrash(report, false, now))
-        convictIfProven(report, now);
+    std::visit(Overloaded {
+                   [&](const CrashReport& report) { countCrash(report, false, now); },
+                   [&](const ConvictionNotice& notice) { onConvictionNotice(notice, now); },
+               },
+        record);
 }
 
 void CrashGuard::onTick(TimePoint now)
 {
-    if (now < m_nextRepetition)
+    if (now < m_nextDecision)
         return;
-    m_nextRepetition = now + repetitionInterval;
+    m_nextDecision = now + decisionInterval;
     removeExpired(now);
-    std::vector<CrashReport> repeated;
-    for (const auto& [fingerprint, record] : m_crashes) {
-        bool repeats = record.local && record.reports.size() >= crashesToRecord && record.lastCrashAt + repetitionDuration >= now;
-        if (repeats)
-            repeated.insert(repeated.end(), record.reports.begin(), record.reports.end());
+    std::vector<CrashGuardMessage> repeated;
+    for (const auto& [fingerprint, suspect] : m_cases) {
+        bool decidable = suspect.reports.size() >= crashesToConvict && suspect.lastCrashAt + evidenceDelay <= now;
+        if (decidable && mayConvict(fingerprint) && hasUnexplainedCrash(fingerprint))
+            convict(fingerprint, now);
+        if (suspect.convictedAt && *suspect.convictedAt + repetitionDuration >= now)
+            repeated.emplace_back(ConvictionNotice { .fingerprint = fingerprint });
+        if (suspect.local && suspect.reports.size() >= crashesToRecord && suspect.lastCrashAt + repetitionDuration >= now)
+            repeated.insert(repeated.end(), suspect.reports.begin(), suspect.reports.end());
     }
-    for (const auto& report : repeated)
-        m_broadcast(report);
+    for (const auto& message : repeated)
+        m_broadcast(message);
 }
 
-/// True if the request has reached the threshold with crashes of which some are not yet confirmed.
+/// True if the request has met as many crashes as a conviction needs, of which some are not yet confirmed or
+/// decided.
 bool CrashGuard::isSuspended(Fingerprint fingerprint) const
 {
-    auto interruptions = m_interruptions.find(fingerprint);
-    if (interruptions == m_interruptions.end() || m_completed.contains(fingerprint))
+    auto found = m_cases.find(fingerprint);
+    if (found == m_cases.end() || !mayConvict(fingerprint))
         return false;
-    auto possible = interruptions->second.possibleIncidents();
-    auto unconfirmed = possible - std::min(possible, interruptions->second.confirmedIncidents());
-    auto crashes = m_crashes.find(fingerprint);
-    auto counted = crashes == m_crashes.end() ? 0 : crashes->second.reports.size();
-    return unconfirmed > 0 && counted + unconfirmed >= crashesToConvict;
+    return found->second.weight() >= crashesToConvict && hasUnexplainedCrash(fingerprint);
+}
+
+bool CrashGuard::isSuspect(Fingerprint fingerprint) const
+{
+    auto found = m_cases.find(fingerprint);
+    return found != m_cases.end() && !found->second.reports.empty();
 }
 
 std::optional<Clock::duration> CrashGuard::retryDelayIfRefused(Fingerprint fingerprint, TimePoint now) const
 {
-    if (m_quarantine.standing(fingerprint, now) == Standing::Convicted && mayConvict(fingerprint))
+    auto found = m_cases.find(fingerprint);
+    if (found == m_cases.end())
+        return std::nullopt;
+    const auto& convictedAt = found->second.convictedAt;
+    if (convictedAt && *convictedAt + convictionLifetime > now && mayConvict(fingerprint))
         return retryDelayConvicted;
     if (isSuspended(fingerprint))
         return retryDelayUnconfirmed;
--- a/src/quarantine/internal/crashrecordwriter.cpp
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "common/overloaded.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,17 +20,25 @@
 
 }
 
-std::string encodeCrashReport(const CrashReport& report)
+/// A conviction has the fingerprint only, a crash report also the target and its incarnation.
+std::string encodeCrashRecord(const CrashRecord& record)
 {
-    return json::array({ hexOf(report.fingerprint), report.target, report.incarnation }).dump();
+    return std::visit(Overloaded {
+                          [](const CrashReport& report) { return json::array({ hexOf(report.fingerprint), report.target, report.incarnation }).dump(); },
+                          [](const ConvictionNotice& notice) { return json::array({ hexOf(notice.fingerprint) }).dump(); },
+                      },
+        record);
 }
 
-std::optional<CrashReport> decodeCrashReport(const std::string& text)
+std::optional<CrashRecord> decodeCrashRecord(const std::string& text)
 {
     try {
         auto fields = json::parse(text);
+        Fingerprint fingerprint = std::stoull(fields.at(0).get<std::string>(), nullptr, 16);
+        if (fields.size() == 1)
+            return ConvictionNotice { .fingerprint = fingerprint };
         CrashReport report;
-        report.fingerprint = std::stoull(fields.at(0).get<std::string>(), nullptr, 16);
+        report.fingerprint = fingerprint;
         report.target = fields.at(1).get<std::string>();
         report.incarnation = fields.at(2).get<std::string>();
         return report;
@@ -45,17 +54,21 @@
 {
 }
 
-std::string CrashRecordWriter::keyOf(const CrashReport& report) const
+std::string CrashRecordWriter::keyOf(const CrashRecord& record) const
 {
-    return m_keyPrefix + hexOf(report.fingerprint) + "/" + hexOf(stableHash(report.incarnation, stableHash(report.target)));
+    return std::visit(Overloaded {
+                          [&](const CrashReport& report) { return m_keyPrefix + hexOf(report.fingerprint) + "/" + hexOf(stableHash(report.incarnation, stableHash(report.target))); },
+                          [&](const ConvictionNotice& notice) { return m_keyPrefix + hexOf(notice.fingerprint) + "/convicted"; },
+                      },
+        record);
 }
 
-void CrashRecordWriter::add(const CrashReport& report)
+void CrashRecordWriter::add(const CrashRecord& record)
 {
     if (m_knownKeys.size() >= maxKnownKeys)
         m_knownKeys.clear();
-    if (m_knownKeys.insert(keyOf(report)).second)
-        m_queue.push_back(report);
+    if (m_knownKeys.insert(keyOf(record)).second)
+        m_queue.push_back(record);
 }
 
 Awaitable<bool> CrashRecordWriter::writeQueued()
@@ -68,11 +81,11 @@
         co_return false;
     }
     while (!m_queue.empty()) {
-        auto report = m_queue.front();
-        SwapOptions options { .key = keyOf(report), .expectedVersion = absentVersion, .value = encodeCrashReport(report), .lease = *lease };
+        auto record = m_queue.front();
+        SwapOptions options { .key = keyOf(record), .expectedVersion = absentVersion, .value = encodeCrashRecord(record), .lease = *lease };
         auto written = co_await m_store.compareAndSwap(std::move(options));
         if (!written) {
-            logEvent(LogLevel::Warning, "crash_record_not_written", { { "fingerprint", hexOf(report.fingerprint) }, { "detail", describe(written.error()) }, { "queued", std::int64_t(m_queue.size()) } });
+            logEvent(LogLevel::Warning, "crash_record_not_written", { { "detail", describe(written.error()) }, { "queued", std::int64_t(m_queue.size()) } });
             co_return false;
         }
         // A record that exists already was written by a peer or by an earlier attempt whose answer was lost.
--- a/src/quarantine/internal/interruptionlog.cpp
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -50,6 +50,26 @@
     return found == m_interruptions.end() ? nullptr : &*found;
 }
 
+const Interruption* InterruptionLog::find(const TargetIncarnation& target) const
+{
+    auto found = std::find_if(m_interruptions.begin(), m_interruptions.end(), [&](const Interruption& interruption) { return interruption.target == target; });
+    return found == m_interruptions.end() ? nullptr : &*found;
+}
+
+Clock::duration InterruptionLog::medianRunTime() const
+{
+    std::vector<Clock::duration> runTimes;
+    for (const auto& interruption : m_interruptions) {
+        if (interruption.isEvidence())
+            runTimes.push_back(interruption.endedAt - interruption.sentAt);
+    }
+    if (runTimes.empty())
+        return Clock::duration::max();
+    auto median = runTimes.begin() + static_cast<std::ptrdiff_t>(runTimes.size() / 2);
+    std::nth_element(runTimes.begin(), median, runTimes.end());
+    return *median;
+}
+
 void InterruptionLog::onAlive(const TargetIncarnation& target, TimePoint provenAt)
 {
     std::erase_if(m_interruptions, [&](const Interruption& interruption) { return !interruption.confirmed && interruption.target == target && interruption.endedAt < provenAt; });
@@ -67,7 +87,7 @@
 
 std::size_t InterruptionLog::possibleIncidents() const
 {
-    return countIncidents(m_interruptions, [](const Interruption& interruption) { return interruption.confirmed || !interruption.abandoned; });
+    return countIncidents(m_interruptions, [](const Interruption& interruption) { return interruption.isEvidence(); });
 }
 
 }
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -28,6 +28,9 @@
     bool local = false;
     /// The target has crashed.
     bool confirmed = false;
+
+    /// True if it is evidence of a crash before the crash is confirmed.
+    bool isEvidence() const { return confirmed || !abandoned; }
 };
 
 /// Recent interruptions of one request, at most one for each incarnation of a target.
@@ -37,11 +40,13 @@
     bool add(Interruption);
 
     Interruption* find(const TargetIncarnation&);
+    const Interruption* find(const TargetIncarnation&) const;
 
     /// Removes the unconfirmed interruption of an incarnation that has since been seen alive.
     void onAlive(const TargetIncarnation&, TimePoint provenAt);
 
     void removeExpired(TimePoint now);
+    const std::vector<Interruption>& entries() const { return m_interruptions; }
     bool empty() const { return m_interruptions.empty(); }
 
     /// Numbers of separate incidents. Interruptions that overlap in time and end together may have one
@@ -50,6 +55,10 @@
     /// Counts confirmed interruptions and unconfirmed ones that were not abandoned.
     std::size_t possibleIncidents() const;
 
+    /// Median time from sending to interruption; the maximum if there is none. A request that crashes its target is
+    /// interrupted soon after it starts.
+    Clock::duration medianRunTime() const;
+
 private:
     std::vector<Interruption> m_interruptions;
 };
--- a/src/quarantine/quarantineservice.h
+++ b/src/quarantine/quarantineservice.h
@@ -17,7 +17,7 @@
 struct ConvictionNotice {
     Fingerprint fingerprint = 0;
 
-    friend bool operator==(const ConvictionNotice&, const ConvictionNotice&) = default;
+    friend auto operator<=>(const ConvictionNotice&, const ConvictionNotice&) = default;
 };
 
 /// Asks all instances to admit a request again. A receiver forwards it only if the request was
