Let the engine contract wait for the cancelled generation's last step

Cause: the stand-in publishes the cache events of a step when the step ends; the step of the cancelled generation could end between the two fetches that the test compares, which then differ.

The test now runs another generation to its end before it fetches: the events of the cancelled generation's step are then published. All checks stay.

--- a/src/engines/tests/enginecontract_test.cpp
+++ b/src/engines/tests/enginecontract_test.cpp
@@ -67,6 +67,10 @@
     cr_expect(cancelled.has_value());
     auto resumedAfterCancel = co_await engine.resume(identity, 0);
     cr_expect(!resumedAfterCancel.has_value());
+    // Cache events of the cancelled generation's last step are published when that step ends, before any later token.
+    auto next = co_await engine.start(makeRequest(12));
+    cr_assert(next.has_value());
+    co_await readToEnd(**next, 0, 12);
 
     auto load = co_await engine.fetchLoad();
     cr_assert(load.has_value());
