Log each retry with the figures that allowed it, and the deadline of each send

Every retry that is asked of the budget is now one line with its service, its cause, the decision and the inputs of the decision; the counter of retries is split by cause. Streams and plain requests ask through one RetryGate. `attempt` and `stream_moved` state the deadline that was handed on, and `stream_moved` the service, since sends of resumed generations are not counted by the budget. What is allowed is unchanged.

--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -26,16 +26,16 @@
     window.requests.push_back(now);
 }
 
-bool RetryBudget::tryTake(const std::string& service, int instanceCount, TimePoint now)
+RetryDecision RetryBudget::tryTake(const std::string& service, int instanceCount, TimePoint now)
 {
     auto& window = m_windows[service];
     expire(window, now);
     double allowance = static_cast<double>(m_options.fleetAllowance) / std::max(1, instanceCount);
     double limit = usableShare * (m_options.ratio * static_cast<double>(window.requests.size()) + allowance);
-    if (static_cast<double>(window.retries.size()) + 1 > limit)
-        return false;
-    window.retries.push_back(now);
-    return true;
+    bool allowed = static_cast<double>(window.retries.size()) + 1 <= limit;
+    if (allowed)
+        window.retries.push_back(now);
+    return { .allowed = allowed, .taken = static_cast<int>(window.retries.size()), .limit = limit, .requests = static_cast<int>(window.requests.size()) };
 }
 
 }
--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -17,6 +17,19 @@
     Milliseconds window { 10000 };
 };
 
+/// Whether a retry may be sent, and the figures that decided it.
+struct RetryDecision {
+    bool allowed = false;
+    /// Retries taken within the window, including this one.
+    int taken = 0;
+    /// Retries that this instance may take within the window.
+    double limit = 0;
+    /// Requests that this instance received within the window.
+    int requests = 0;
+
+    friend bool operator==(const RetryDecision&, const RetryDecision&) = default;
+};
+
 /// Spends this instance's share of the fleet's retry budget. The shares of any set of live instances add up to
 /// less than the budget, so instances need no coordination.
 class RetryBudget {
@@ -29,7 +42,7 @@
     void onRequest(const std::string& service, TimePoint now);
 
     /// Takes one retry if this instance's share has one left.
-    bool tryTake(const std::string& service, int instanceCount, TimePoint now);
+    RetryDecision tryTake(const std::string& service, int instanceCount, TimePoint now);
 
 private:
     struct Window {
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -284,7 +284,7 @@
         RetryBudget budget({ .ratio = 0.2, .fleetAllowance = allowance, .window = Milliseconds(10000) });
         for (int i = 0; i < 50; ++i, ++requests)
             budget.onRequest("writer", now);
-        while (budget.tryTake("writer", instances, now))
+        while (budget.tryTake("writer", instances, now).allowed)
             ++spent;
     }
     cr_expect(spent > 0);
@@ -295,9 +295,9 @@
 {
     RetryBudget budget({ .ratio = 0, .fleetAllowance = 2, .window = Milliseconds(1000) });
     TimePoint now { Seconds(100) };
-    cr_expect(budget.tryTake("writer", 1, now));
-    cr_expect(!budget.tryTake("writer", 1, now));
-    cr_expect(budget.tryTake("writer", 1, now + Milliseconds(1001)));
+    cr_expect(budget.tryTake("writer", 1, now).allowed);
+    cr_expect(!budget.tryTake("writer", 1, now).allowed);
+    cr_expect(budget.tryTake("writer", 1, now + Milliseconds(1001)).allowed);
 }
 
 Test(RefusalHistory, returningCaller_firstAttemptTimeIsKept)
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -35,6 +35,8 @@
     AttemptOutcome outcome = AttemptOutcome::Broken;
     HttpResponse response;
     std::string detail;
+    /// Time until the deadline, as stated to the target.
+    Milliseconds timeLeft { 0 };
     TimePoint sentAt;
     /// When the target last sent a part of its answer; at least sentAt.
     TimePoint lastHeardAt;
@@ -84,8 +86,8 @@
 {
     TargetConnection connection(m_context.io.get_executor());
     request.callerWatch.setCancelAction([&] { connection.cancel(); });
-    auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = placement.target, .organisation = request.organisation, .timeLeft = timeLeft(request) });
-    Attempt attempt { .sentAt = Clock::now(), .lastHeardAt = Clock::now() };
+    Attempt attempt { .timeLeft = timeLeft(request), .sentAt = Clock::now(), .lastHeardAt = Clock::now() };
+    auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = placement.target, .organisation = request.organisation, .timeLeft = attempt.timeLeft });
     auto finish = [&](AttemptOutcome outcome, std::string detail) {
         request.callerWatch.setCancelAction(nullptr);
         attempt.outcome = request.callerWatch.gone() ? AttemptOutcome::CallerGone : outcome;
@@ -117,11 +119,9 @@
     co_return finish(outcome, "status " + std::to_string(responseHead.status));
 }
 
-bool PlainRelay::takeRetry(const RelayRequest& request)
+bool PlainRelay::tryTakeRetry(const RelayRequest& request, RetryCause cause)
 {
-    bool allowed = timeLeft(request) >= minTimeForRetry && m_context.retryBudget.tryTake(request.service.name, m_context.fleet.instanceCount(), Clock::now());
-    m_context.metrics.recordRetry(request.service.name, allowed);
-    return allowed;
+    return timeLeft(request) >= minTimeForRetry && m_retryGate.tryTake(request, cause);
 }
 
 void PlainRelay::reportToCrashGuard(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, TimePoint now)
@@ -184,7 +184,7 @@
     bool idempotent = request.route.retrySafety == RetrySafety::Idempotent;
     bool mayHaveRun = false;
     int possibleRuns = 0;
-    m_context.retryBudget.onRequest(request.service.name, Clock::now());
+    m_retryGate.onRequest(request);
     PlacementRequest placementRequest { .service = request.service.name, .organisation = request.organisation, .rank = request.rank() };
     auto gate = makeSendGate(m_context, request);
     while (result.sends < maxSends) {
@@ -218,7 +218,7 @@
         auto attempt = co_await this->attempt(request, *placement, mayRetry);
         m_context.placement.release(id);
         result.detail = attempt.detail;
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "time_left_ms", attempt.timeLeft.count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
         reportToCrashGuard(request, placement->target, attempt, now);
         switch (attempt.outcome) {
@@ -233,12 +233,12 @@
             mayHaveRun = true;
             ++possibleRuns;
             m_context.dispatcher.outcomes().onFailure(address, now);
-            if (!mayRetry || !takeRetry(request))
+            if (!mayRetry || !tryTakeRetry(request, RetryCause::FailedAnswer))
                 co_return co_await deliverAnswer(request, std::move(attempt), std::move(result));
             break;
         case AttemptOutcome::NotRun:
             m_context.dispatcher.outcomes().onFailure(address, now);
-            if (!takeRetry(request))
+            if (!tryTakeRetry(request, RetryCause::NotRun))
                 co_return co_await respondWithError(request, std::move(result), mayHaveRun);
             break;
         case AttemptOutcome::Broken:
@@ -246,7 +246,7 @@
             mayHaveRun = true;
             ++possibleRuns;
             m_context.dispatcher.outcomes().onFailure(address, now);
-            if (!mayRetry || !takeRetry(request))
+            if (!mayRetry || !tryTakeRetry(request, attempt.outcome == AttemptOutcome::TimedOut ? RetryCause::TimedOut : RetryCause::Broken))
                 co_return co_await respondWithError(request, std::move(result), mayHaveRun);
             break;
         }
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -27,7 +27,7 @@
     prometheus::Family<prometheus::Histogram>& firstEvents = family(prometheus::BuildHistogram(), "guavaspan_entry_first_event_seconds", "Time from a request to its first event", registry);
     prometheus::Family<prometheus::Histogram>& pauses = family(prometheus::BuildHistogram(), "guavaspan_entry_pause_seconds", "Time between events of one stream", registry);
     prometheus::Family<prometheus::Histogram>& waits = family(prometheus::BuildHistogram(), "guavaspan_entry_wait_seconds", "Time that requests waited for room", registry);
-    prometheus::Family<prometheus::Counter>& retries = family(prometheus::BuildCounter(), "guavaspan_entry_retries_total", "Repeats by service; denied ones had no budget left", registry);
+    prometheus::Family<prometheus::Counter>& retries = family(prometheus::BuildCounter(), "guavaspan_entry_retries_total", "Repeats by service and cause; denied ones had no budget left", registry);
     prometheus::Family<prometheus::Counter>& resumes = family(prometheus::BuildCounter(), "guavaspan_entry_stream_moves_total", "Streams that went on elsewhere, by result", registry);
     prometheus::Family<prometheus::Counter>& steps = family(prometheus::BuildCounter(), "guavaspan_entry_handover_steps_total", "Calls that move generations, by phase and result", registry);
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
@@ -56,9 +56,9 @@
     m_families->pauses.Add({}, secondsBuckets).Observe(seconds);
 }
 
-void RelayMetrics::recordRetry(const std::string& service, bool allowed)
+void RelayMetrics::recordRetry(const std::string& service, const std::string& cause, bool allowed)
 {
-    m_families->retries.Add({ { "service", service }, { "allowed", allowed ? "yes" : "no" } }).Increment();
+    m_families->retries.Add({ { "service", service }, { "cause", cause }, { "allowed", allowed ? "yes" : "no" } }).Increment();
 }
 
 void RelayMetrics::recordWait(double seconds)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -40,6 +40,8 @@
     bool headerSent = false;
     bool answered = false;
     bool mayHaveRun = false;
+    /// Time until the deadline, as stated to the current engine.
+    Milliseconds timeLeft { 0 };
     /// When the current engine received the request.
     TimePoint sentAt;
     /// When the current engine last sent a part of its answer; at least sentAt.
@@ -86,7 +88,8 @@
     auto* connection = session.connection.get();
     request.callerWatch.setCancelAction([connection] { connection->cancel(); });
     session.responseHead = {};
-    auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = timeLeft(request), .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
+    session.timeLeft = timeLeft(request);
+    auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = session.timeLeft, .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
     session.sentAt = Clock::now();
     session.lastHeardAt = session.sentAt;
@@ -141,7 +144,7 @@
 Awaitable<bool> StreamRelay::start(Session& session)
 {
     auto& request = session.request;
-    m_context.retryBudget.onRequest(request.service.name, Clock::now());
+    m_retryGate.onRequest(request);
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
     PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
     auto gate = makeSendGate(m_context, request);
@@ -175,7 +178,7 @@
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, placementRequest.estimate);
         m_context.streams.add(session.stream);
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "time_left_ms", session.timeLeft.count() }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
             m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
@@ -190,9 +193,7 @@
         m_context.placement.release(session.id);
         session.id = 0;
         gate.exclude(target.id);
-        bool allowed = m_context.retryBudget.tryTake(request.service.name, m_context.fleet.instanceCount(), Clock::now());
-        m_context.metrics.recordRetry(request.service.name, allowed);
-        if (!allowed)
+        if (!m_retryGate.tryTake(request, RetryCause::NotRun))
             co_return false;
     }
     co_return false;
@@ -279,7 +280,7 @@
     continuation.lastEventId = session.stream->lastEventId();
     auto logMove = [&](const TargetEntry& target, bool accepted) {
         m_context.metrics.recordResume(accepted ? "resumed" : "refused");
-        logEvent(LogLevel::Info, "stream_moved", { { "request", session.request.caller.requestId }, { "source", move->source.id }, { "destination", target.id }, { "last_event", continuation.lastEventId }, { "accepted", accepted }, { "detail", session.result.detail }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - interruptedAt).count() } });
+        logEvent(LogLevel::Info, "stream_moved", { { "request", session.request.caller.requestId }, { "source", move->source.id }, { "destination", target.id }, { "service", session.request.service.name }, { "last_event", continuation.lastEventId }, { "time_left_ms", session.timeLeft.count() }, { "accepted", accepted }, { "detail", session.result.detail }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - interruptedAt).count() } });
     };
     session.stream->setTarget(move->destination);
     m_context.placement.setTarget(session.id, move->destination.id);
--- a/src/relay/plainrelay.h
+++ b/src/relay/plainrelay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/relaycontext.h"
+#include "relay/retrygate.h"
 #include "relay/targetconnection.h"
 
 namespace guavaspan {
@@ -10,6 +10,7 @@
 public:
     explicit PlainRelay(RelayContext& context)
         : m_context(context)
+        , m_retryGate(context)
     {
     }
 
@@ -23,9 +24,10 @@
     Awaitable<RelayResult> refuse(RelayRequest&, RelayResult, SendRefusal, bool mayHaveRun);
     Awaitable<RelayResult> deliverAnswer(RelayRequest&, Attempt, RelayResult);
     Awaitable<RelayResult> respondWithError(RelayRequest&, RelayResult, bool mayHaveRun);
-    bool takeRetry(const RelayRequest&);
+    bool tryTakeRetry(const RelayRequest&, RetryCause);
 
     RelayContext& m_context;
+    RetryGate m_retryGate;
 };
 
 }
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -32,7 +32,7 @@
     void recordRequest(const std::string& route, const std::string& result, double seconds);
     void recordFirstEvent(const std::string& route, double seconds);
     void recordPause(double seconds);
-    void recordRetry(const std::string& service, bool allowed);
+    void recordRetry(const std::string& service, const std::string& cause, bool allowed);
     void recordWait(double seconds);
     void recordResume(const std::string& result);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "relay/eventframeparser.h"
-#include "relay/relaycontext.h"
+#include "relay/retrygate.h"
 #include "relay/targetconnection.h"
 
 namespace guavaspan {
@@ -11,6 +11,7 @@
 public:
     explicit StreamRelay(RelayContext& context)
         : m_context(context)
+        , m_retryGate(context)
     {
     }
 
@@ -41,6 +42,7 @@
     static std::string reasonFor(StreamOutcome);
 
     RelayContext& m_context;
+    RetryGate m_retryGate;
 };
 
 }
