Divide the retry budget so that restarts cannot spend it twice

Callers saw nothing of this fault; services got more retries than the fleet is allowed.

Cause: an instance's share was the allowance divided by the number of instances that it knew at that moment. A process that has just started knows only itself, and does not know what its predecessor spent in the same window. Two smaller errors of the same kind: requests of two windows stood behind the retries of one, and a retry counted from its decision, though it reaches a target up to 2 s later.

Fix: FleetCensus counts the instances. A process has a share of the allowance once its own entry has been in a confirmed copy of the registrations for the window and 5 s, while that copy is at most 3 s old, and the share counts all instances seen in the last window and 10 s. So two processes of one instance never spend in the same window, and any two instances that spend in one window count each other, without messages. Retries per request are safe at half of the ratio, whatever the process knows. Times are of the clock that counts suspension. A counter in the store was ruled out: a call for each retry, and none during an outage (decision 0008).

RetryBudget.retriesOfPastWindow_areNotCounted expected a retry to be forgotten 1 ms after the window. That was the fault: it may have reached its target only then. It now checks that the retry still counts at that moment, and is forgotten 2 s later.

--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -4,34 +4,37 @@
 
 namespace {
 
-    /// Share of the budget that may be spent; the rest is a margin for requests that count towards
-    /// a different window than their retries.
-    constexpr double usableShare = 0.7;
+    /// A retry waits up to this long for a target and a connection, so it may reach a target in a later window.
+    constexpr auto maxSendDelay = Milliseconds(2000);
+    /// Requests within the windows of the retries of one window lie in two windows, of which the limit counts one.
+    constexpr double usableRatio = 0.5;
 
 }
 
-void RetryBudget::expire(Window& window, TimePoint now) const
+void RetryBudget::expire(Window& window, BootTime now) const
 {
-    auto oldest = now - m_options.window;
-    while (!window.requests.empty() && window.requests.front() < oldest)
+    auto oldestRequest = now - (m_options.window - maxSendDelay);
+    while (!window.requests.empty() && window.requests.front() < oldestRequest)
         window.requests.pop_front();
-    while (!window.retries.empty() && window.retries.front() < oldest)
+    auto oldestRetry = now - (m_options.window + maxSendDelay);
+    while (!window.retries.empty() && window.retries.front() < oldestRetry)
         window.retries.pop_front();
 }
 
-void RetryBudget::onRequest(const std::string& service, TimePoint now)
+void RetryBudget::onRequest(const std::string& service, BootTime now)
 {
     auto& window = m_windows[service];
     expire(window, now);
     window.requests.push_back(now);
 }
 
-RetryDecision RetryBudget::tryTake(const std::string& service, int instanceCount, TimePoint now)
+RetryDecision RetryBudget::tryTake(const std::string& service, std::optional<int> sharers, BootTime now)
 {
     auto& window = m_windows[service];
     expire(window, now);
-    double allowance = static_cast<double>(m_options.fleetAllowance) / std::max(1, instanceCount);
-    double limit = usableShare * (m_options.ratio * static_cast<double>(window.requests.size()) + allowance);
+    double limit = usableRatio * m_options.ratio * static_cast<double>(window.requests.size());
+    if (sharers)
+        limit += static_cast<double>(m_options.fleetAllowance) / std::max(1, *sharers);
     bool allowed = static_cast<double>(window.retries.size()) + 1 <= limit;
     if (allowed)
         window.retries.push_back(now);
--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace guavaspan {
@@ -30,8 +31,8 @@
     friend bool operator==(const RetryDecision&, const RetryDecision&) = default;
 };
 
-/// Spends this instance's share of the fleet's retry budget. The shares of any set of live instances add up to
-/// less than the budget, so instances need no coordination.
+/// Spends this instance's share of the fleet's retry budget. The shares of all processes add up to no more than the
+/// budget in any window, so instances need no coordination.
 class RetryBudget {
 public:
     explicit RetryBudget(RetryBudgetOptions options)
@@ -39,18 +40,19 @@
     {
     }
 
-    void onRequest(const std::string& service, TimePoint now);
+    void onRequest(const std::string& service, BootTime now);
 
-    /// Takes one retry if this instance's share has one left.
-    RetryDecision tryTake(const std::string& service, int instanceCount, TimePoint now);
+    /// Takes one retry if this instance's share has one left. `sharers` is the number of instances among which the
+    /// allowance is divided; without it only the retries per request are used.
+    RetryDecision tryTake(const std::string& service, std::optional<int> sharers, BootTime now);
 
 private:
     struct Window {
-        std::deque<TimePoint> requests;
-        std::deque<TimePoint> retries;
+        std::deque<BootTime> requests;
+        std::deque<BootTime> retries;
     };
 
-    void expire(Window&, TimePoint now) const;
+    void expire(Window&, BootTime now) const;
 
     RetryBudgetOptions m_options;
     std::map<std::string, Window> m_windows;
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -277,7 +277,7 @@
 {
     const int instances = 6;
     const int allowance = 52;
-    TimePoint now { Seconds(100) };
+    BootTime now { Seconds(100) };
     int spent = 0;
     int requests = 0;
     for (int instance = 0; instance < instances; ++instance) {
@@ -293,11 +293,24 @@
 
 Test(RetryBudget, retriesOfPastWindow_areNotCounted)
 {
-    RetryBudget budget({ .ratio = 0, .fleetAllowance = 2, .window = Milliseconds(1000) });
-    TimePoint now { Seconds(100) };
+    RetryBudget budget({ .ratio = 0, .fleetAllowance = 1, .window = Milliseconds(1000) });
+    BootTime now { Seconds(100) };
     cr_expect(budget.tryTake("writer", 1, now).allowed);
     cr_expect(!budget.tryTake("writer", 1, now).allowed);
-    cr_expect(budget.tryTake("writer", 1, now + Milliseconds(1001)).allowed);
+    cr_expect(!budget.tryTake("writer", 1, now + Milliseconds(1001)).allowed, "the first one may have reached its target only now");
+    cr_expect(budget.tryTake("writer", 1, now + Milliseconds(3001)).allowed);
+}
+
+Test(RetryBudget, instanceWithoutShare_retriesByRequestsOnly)
+{
+    RetryBudget budget({ .ratio = 0.2, .fleetAllowance = 50, .window = Milliseconds(10000) });
+    BootTime now { Seconds(100) };
+    cr_expect(!budget.tryTake("writer", std::nullopt, now).allowed);
+    for (int i = 0; i < 10; ++i)
+        budget.onRequest("writer", now);
+    RetryDecision expected { .allowed = true, .taken = 1, .limit = 1, .requests = 10 };
+    cr_expect(budget.tryTake("writer", std::nullopt, now) == expected);
+    cr_expect(!budget.tryTake("writer", std::nullopt, now).allowed);
 }
 
 Test(RefusalHistory, returningCaller_firstAttemptTimeIsKept)
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/entrysettings.h"
+#include "fleet/fleetcensus.h"
 #include "fleet/peerfeed.h"
 #include "fleet/registration.h"
 #include "fleet/storefollower.h"
@@ -62,6 +63,7 @@
     bool ready() const;
     StoreView storeView() const;
     void updateGauges();
+    void countInstances();
 
     EntrySettings m_settings;
     EntryPlatform m_platform;
@@ -71,6 +73,7 @@
     TargetDirectory m_directory;
     TargetLimits m_targetLimits;
     FleetView m_fleet;
+    FleetCensus m_census;
     StoreReplica m_replica;
     StoreFollower m_follower;
     Dispatcher m_dispatcher;
@@ -98,6 +101,7 @@
     asio::signal_set m_stopSignals;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
+    std::optional<int> m_retrySharers;
 };
 
 }
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -46,6 +46,7 @@
     , m_configuration(m_settings.keyLifetimeAfterRevocation - revocationMargin)
     , m_targetLimits(m_settings.instance)
     , m_fleet(m_settings.instance, m_settings.capacity)
+    , m_census(m_settings.instance, m_settings.retryWindow)
     , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
@@ -55,7 +56,7 @@
     , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); } }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .census = m_census, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); } }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -214,6 +215,7 @@
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
         .countedCrashes = static_cast<double>(m_crashGuard.statistics().countedCrashes),
         .uncountedCrashes = static_cast<double>(m_crashGuard.statistics().uncountedCrashes),
+        .retrySharers = static_cast<double>(m_census.sharers(BootClock::now()).value_or(0)),
     });
 }
 
@@ -241,11 +243,24 @@
         message);
 }
 
+void EntryInstance::countInstances()
+{
+    auto names = m_fleet.peerNames();
+    m_targetLimits.onInstances(names, Clock::now());
+    auto now = BootClock::now();
+    m_census.onView({ .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() }, now);
+    auto sharers = m_census.sharers(now);
+    if (sharers == m_retrySharers)
+        return;
+    m_retrySharers = sharers;
+    logEvent(LogLevel::Info, "retry_share_changed", { { "sharers", std::int64_t(sharers.value_or(0)) }, { "instances_seen", std::int64_t(m_census.instancesSeen()) }, { "registered", m_fleet.isRegistered(m_registration.key()) }, { "view_age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(now)).count() } });
+}
+
 /// Sends full load reports at intervals, which make up for lost messages; changes of load are sent immediately.
 Awaitable<> EntryInstance::reportLoop()
 {
     while (true) {
-        m_targetLimits.onInstances(m_fleet.peerNames(), Clock::now());
+        countInstances();
         m_placementClient.sendLoadReport(true);
         for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
             logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -34,7 +34,10 @@
     /// Peers whose last report is recent.
     std::vector<InstanceRecord> reachablePeers(TimePoint now) const;
 
-    /// Number of registered instances, including this one; they share the fleet's budgets.
+    /// True if the registry has this key.
+    bool isRegistered(const std::string& key) const { return m_registered.count(key) > 0; }
+
+    /// Number of registered instances, including this one.
     int instanceCount() const { return static_cast<int>(peers().size()) + 1; }
 
     /// Peers that read the shared store for the fleet, those in the local failure domain first.
--- /dev/null
+++ b/src/fleet/internal/fleetcensus.cpp
@@ -0,0 +1,45 @@
+#include "fleet/fleetcensus.h"
+
+namespace guavaspan {
+
+namespace {
+
+    /// An older view may lack an instance that already spends its share.
+    constexpr auto maxViewAge = Milliseconds(3000);
+    /// Longest time from a change of the registrations until no instance spends by an older view: its age, the
+    /// interval between views, and the time to read and pass one on.
+    constexpr auto settleTime = Milliseconds(5000);
+
+}
+
+FleetCensus::FleetCensus(std::string self, Milliseconds budgetWindow)
+    : m_self(std::move(self))
+    , m_budgetWindow(budgetWindow)
+{
+}
+
+// A process does not know what an earlier process of its instance spent, and others may not count it yet. It
+// waits until neither can matter within a window of the budget; an instance that left is counted as long.
+void FleetCensus::onView(const RegistrationView& view, BootTime now)
+{
+    // Another instance may have registered, spent a share and left between two views this far apart.
+    bool gap = m_confirmedAt && view.confirmedAt - *m_confirmedAt > m_budgetWindow;
+    m_confirmedAt = view.confirmedAt;
+    if (!view.includesSelf || gap)
+        m_registeredSince.reset();
+    if (view.includesSelf && !m_registeredSince)
+        m_registeredSince = now;
+    m_lastSeen[m_self] = now;
+    for (const auto& instance : view.instances)
+        m_lastSeen[instance] = now;
+    std::erase_if(m_lastSeen, [&](const auto& entry) { return now - entry.second > m_budgetWindow + 2 * settleTime; });
+}
+
+std::optional<int> FleetCensus::sharers(BootTime now) const
+{
+    if (!m_registeredSince || now - *m_confirmedAt > maxViewAge || now - *m_registeredSince < m_budgetWindow + settleTime)
+        return std::nullopt;
+    return instancesSeen();
+}
+
+}
--- a/src/fleet/registration.h
+++ b/src/fleet/registration.h
@@ -10,6 +10,9 @@
 public:
     Registration(IKeyValueStore&, std::string keyPrefix, InstanceRecord, std::int64_t incarnation);
 
+    /// Key of the entry, which no other process of the instance uses.
+    const std::string& key() const { return m_key; }
+
     Awaitable<> run();
     void stop() { m_stopped = true; }
 
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -91,6 +91,7 @@
     set("interrupted_answers", gauges.interruptedAnswers);
     set("counted_crashes", gauges.countedCrashes);
     set("uncounted_crashes", gauges.uncountedCrashes);
+    set("retry_sharers", gauges.retrySharers);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/internal/retrygate.cpp
+++ b/src/relay/internal/retrygate.cpp
@@ -21,15 +21,16 @@
 
 void RetryGate::onRequest(const RelayRequest& request)
 {
-    m_context.retryBudget.onRequest(request.service.name, Clock::now());
+    m_context.retryBudget.onRequest(request.service.name, BootClock::now());
 }
 
 bool RetryGate::tryTake(const RelayRequest& request, RetryCause cause)
 {
-    int instances = m_context.fleet.instanceCount();
-    auto decision = m_context.retryBudget.tryTake(request.service.name, instances, Clock::now());
+    auto now = BootClock::now();
+    auto sharers = m_context.census.sharers(now);
+    auto decision = m_context.retryBudget.tryTake(request.service.name, sharers, now);
     m_context.metrics.recordRetry(request.service.name, std::string(toString(cause)), decision.allowed);
-    logEvent(LogLevel::Info, "retry", { { "request", request.caller.requestId }, { "service", request.service.name }, { "cause", std::string(toString(cause)) }, { "allowed", decision.allowed }, { "taken", std::int64_t(decision.taken) }, { "limit", decision.limit }, { "requests", std::int64_t(decision.requests) }, { "instances", std::int64_t(instances) }, { "time_left_ms", timeLeft(request).count() } });
+    logEvent(LogLevel::Info, "retry", { { "request", request.caller.requestId }, { "service", request.service.name }, { "cause", std::string(toString(cause)) }, { "allowed", decision.allowed }, { "taken", std::int64_t(decision.taken) }, { "limit", decision.limit }, { "requests", std::int64_t(decision.requests) }, { "sharers", std::int64_t(sharers.value_or(0)) }, { "time_left_ms", timeLeft(request).count() } });
     return decision.allowed;
 }
 
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -3,7 +3,7 @@
 #include "dispatch/dispatcher.h"
 #include "dispatch/outputestimator.h"
 #include "dispatch/retrybudget.h"
-#include "fleet/fleetview.h"
+#include "fleet/fleetcensus.h"
 #include "net/httpexchange.h"
 #include "placement/placementclient.h"
 #include "quarantine/crashguard.h"
@@ -29,7 +29,7 @@
     OutputEstimator& outputEstimator;
     UsageLedger& usage;
     CrashGuard& crashGuard;
-    FleetView& fleet;
+    FleetCensus& census;
     RelayMetrics& metrics;
     Random& random;
     /// Time from the stop signal until the host ends the process.
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -21,6 +21,7 @@
     double interruptedAnswers = 0;
     double countedCrashes = 0;
     double uncountedCrashes = 0;
+    double retrySharers = 0;
 };
 
 /// Counters and histograms of the entry service.
