Give an instance that knows no others only a small share of a target's limit

Callers saw nothing of this fault; found while looking for the cause of the retry budget's fault elsewhere. A target that states a limit got more requests than it takes after a restart of all instances.

Cause: a process that has not been told the instances of the fleet divided a stated limit by one and took the whole. It was first told an empty list, before its copy of the store was loaded, and then the real one up to 500 ms later.

Fix: a process that knows no instances expects as many as may share the limit. It is told the instances only once its copy is loaded, and at the latest when it becomes ready, before it gets callers.

Evidence: TargetLimits.allInstancesRestart_sendNoMoreThanTheStatedLimitTogether fails on the code before: 36 requests in 4 s where 35 are allowed (6 instances, limit 5), 132 of 125 (6, limit 20), 48 of 35 (8, limit 5), 152 of 125 (8, limit 20). It passes now.

Open: a process learns a limit only from an answer, so each may send one request before.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -245,6 +245,8 @@
 
 void EntryInstance::countInstances()
 {
+    if (!m_replica.loaded())
+        return;
     auto names = m_fleet.peerNames();
     m_targetLimits.onInstances(names, Clock::now());
     auto now = BootClock::now();
@@ -281,6 +283,7 @@
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
+            countInstances();
             logEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready", { { "configuration", m_configuration.ready() ? m_configuration.table()->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() }, { "stopping", m_relayContext.stoppingSince.has_value() } });
         }
         co_await sleepFor(tickInterval);
--- a/src/targets/internal/targetlimits.cpp
+++ b/src/targets/internal/targetlimits.cpp
@@ -115,8 +115,9 @@
 double TargetLimits::shareOf(const std::string& target, double requestsPerSecond) const
 {
     auto rate = std::max(requestsPerSecond, minRequestsPerSecond);
-    auto instances = std::max<std::size_t>(1, m_instancesSeenAt.size());
-    auto sharers = std::min(instances, maxSharers(requestsPerSecond));
+    auto instances = m_instancesSeenAt.size();
+    // A process that knows no instances yet is not alone; it expects as many as may share the limit.
+    auto sharers = instances == 0 ? maxSharers(requestsPerSecond) : std::min(instances, maxSharers(requestsPerSecond));
     if (sharers < instances) {
         auto ownWeight = rendezvousWeight(m_self, target);
         auto ahead = std::count_if(m_instancesSeenAt.begin(), m_instancesSeenAt.end(), [&](const auto& entry) { return rendezvousWeight(entry.first, target) > ownWeight; });
--- a/src/targets/tests/targetlimits_test.cpp
+++ b/src/targets/tests/targetlimits_test.cpp
@@ -42,6 +42,12 @@
         }
     }
 
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < names.size(); ++i)
+            instances[i] = TargetLimits(names[i]);
+    }
+
     void run(Clock::duration duration)
     {
         auto end = now + duration;
@@ -168,6 +174,25 @@
     cr_expect(limits.tryTake(target, now));
 }
 
+/// Guards against LIMIT: instances that just started, and do not know each other yet, take the whole limit each.
+Test(TargetLimits, allInstancesRestart_sendNoMoreThanTheStatedLimitTogether)
+{
+    for (int count : { 2, 6, 8 }) {
+        for (double requestsPerSecond : { 5.0, 20.0 }) {
+            LimitedFleetFixture f(count);
+            f.limit = requestsPerSecond;
+            f.run(Seconds(10));
+            f.resetCounts();
+            for (int restart = 0; restart < 3; ++restart) {
+                f.restartAll();
+                f.run(Seconds(10));
+            }
+            auto allowed = static_cast<std::size_t>(6 * requestsPerSecond + 5);
+            cr_expect(f.mostInFourSeconds <= allowed, "%d instances, limit %.0f: %zu requests in 4 s, %zu allowed", count, requestsPerSecond, f.mostInFourSeconds, allowed);
+        }
+    }
+}
+
 /// Guards against BUDGET: a target that refused a request for some time got others meanwhile.
 Test(TargetLimits, targetThatRequestsAPause_getsNothingUntilItsEnd)
 {
