--- a/src/dispatch/retrybudget.h
+++ b/src/dispatch/retrybudget.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace guavaspan {
@@ -17,8 +18,21 @@
     Milliseconds window { 10000 };
 };
 
-/// Spends this instance's share of the fleet's retry budget. The shares of any set of live instances add up to
-/// less than the budget, so instances need no coordination.
+/// Whether a retry may be sent, and the figures that decided it.
+struct RetryDecision {
+    bool allowed = false;
+    /// Retries taken within the window, including this one.
+    int taken = 0;
+    /// Retries that this instance may take within the window.
+    double limit = 0;
+    /// Requests that this instance received within the window.
+    int requests = 0;
+
+    friend bool operator==(const RetryDecision&, const RetryDecision&) = default;
+};
+
+/// Spends this instance's share of the fleet's retry budget. The shares of all processes add up to no more than the
+/// budget in any window, so instances need no coordination.
 class RetryBudget {
 public:
     explicit RetryBudget(RetryBudgetOptions options)
@@ -26,18 +40,19 @@
     {
     }
 
-    void onRequest(const std::string& service, TimePoint now);
+    void onRequest(const std::string& service, BootTime now);
 
-    /// Takes one retry if this instance's share has one left.
-    bool tryTake(const std::string& service, int instanceCount, TimePoint now);
+    /// Takes one retry if this instance's share has one left. `sharers` is the number of instances among which the
+    /// allowance is divided; without it only the retries per request are used.
+    RetryDecision tryTake(const std::string& service, std::optional<int> sharers, BootTime now);
 
 private:
     struct Window {
-        std::deque<TimePoint> requests;
-        std::deque<TimePoint> retries;
+        std::deque<BootTime> requests;
+        std::deque<BootTime> retries;
     };
 
-    void expire(Window&, TimePoint now) const;
+    void expire(Window&, BootTime now) const;
 
     RetryBudgetOptions m_options;
     std::map<std::string, Window> m_windows;
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -21,6 +21,7 @@
     double interruptedAnswers = 0;
     double countedCrashes = 0;
     double uncountedCrashes = 0;
+    double retrySharers = 0;
 };
 
 /// Counters and histograms of the entry service.
@@ -32,7 +33,7 @@
     void recordRequest(const std::string& route, const std::string& result, double seconds);
     void recordFirstEvent(const std::string& route, double seconds);
     void recordPause(double seconds);
-    void recordRetry(const std::string& service, bool allowed);
+    void recordRetry(const std::string& service, const std::string& cause, bool allowed);
     void recordWait(double seconds);
     void recordResume(const std::string& result);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
