Check stops and the retry budget in the soak as strictly as its users do

The soak passed on code that lost accepted requests at stops and repeated more than the retry budget allows. Its check of stops excused a request whenever the kill at the stop limit or the restart after it overlapped with it, and it had no check of the budget at all.

Engines now record every arrival, rejected ones too, with the deadline that arrived, and the end of their work. Two checks use these records beside the present ones, which stay as they are:

- A request that an engine received, or that ended over 200 ms after its last byte, without a complete response from SIGTERM to 1 s after the stop limit is lost.
Excused are a response that its engine broke off, a deadline that was reached, an engine still busy in the last sixth of the stop limit on a request of the first 3 s, and unplanned disturbances.
The kill and the restart that belong to a stop excuse nothing.
- Arrivals beyond the first of each request are held against the budget in every sliding window, over all instances.
Requests are executed by no more engines than their route allows, and engines get no more time than is left.

Incomplete responses that are excused are counted by reason, among them those within 200 ms that no engine received: the caller cannot see whether the instance had read these.

Callers can send bodies and read responses slowly, and engines can send large responses or fail many plain requests; nothing uses this yet.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -3,16 +3,20 @@
 #include "relay/eventframeparser.h"
 #include "soak/constants.h"
 
+#include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace guavaspan::soak {
 
 namespace {
 
     constexpr auto streamTimeout = Seconds(12);
-    constexpr auto shortRequestTimeout = Milliseconds(1500);
     constexpr auto connectTimeout = Milliseconds(500);
+    /// Parts in which the body of a slowly sent request is written.
+    constexpr std::size_t bodyParts = 10;
+
     /// Checks that a stream's events belong to the attempt, are consecutive and reach the announced count.
     class StreamVerifier {
     public:
@@ -64,10 +68,19 @@
         }
         auto spec = m_options.nextRequest(m_random);
         co_await sendRequest(spec);
-        co_await sleepFor(m_options.pauseBetweenRequests);
+        auto pause = nextPause();
+        co_await sleepFor(pause);
     }
 }
 
+Milliseconds Caller::nextPause()
+{
+    auto shortest = m_options.pauseBetweenRequests;
+    if (m_options.maxPauseBetweenRequests <= shortest)
+        return shortest;
+    return shortest + Milliseconds(m_random() % static_cast<std::uint64_t>((m_options.maxPauseBetweenRequests - shortest).count()));
+}
+
 Awaitable<bool> Caller::connect()
 {
     m_instanceEndpoint = m_options.chooseEndpoint(m_random);
@@ -82,28 +95,56 @@
 Awaitable<> Caller::sendRequest(const RequestSpec& spec)
 {
     Attempt attempt { .id = fmt::format("{}-{}", m_options.name, ++m_attemptCount), .type = spec.type, .path = spec.path, .apiKey = spec.apiKey, .instance = m_instanceEndpoint.instance, .incarnation = m_instanceEndpoint.incarnation, .sentAt = soakNow() };
-    auto timeout = spec.type == RequestType::Stream ? Clock::duration(streamTimeout) : Clock::duration(shortRequestTimeout);
-    HttpRequest request { spec.type == RequestType::Lookup ? http::verb::get : http::verb::post, spec.path + "x", 11 };
+    auto timeout = spec.type == RequestType::Stream ? Milliseconds(streamTimeout) : spec.timeout;
+    attempt.deadlineMs = timeout.count();
+    auto target = spec.path + (spec.paddingBytes > 0 ? paddingMarker + std::to_string(spec.paddingBytes) : "x");
+    HttpRequest request { spec.type == RequestType::Lookup ? http::verb::get : http::verb::post, target, 11 };
     request.set(http::field::host, host);
     request.set(attemptIdHeader, attempt.id);
     request.set(apiKeyHeader, spec.apiKey);
-    request.set("X-Deadline-Ms", std::to_string(std::chrono::duration_cast<Milliseconds>(timeout).count()));
+    request.set(deadlineHeader, std::to_string(attempt.deadlineMs));
     if (spec.type == RequestType::Stream) {
         request.set("X-Token-Count", fmt::format("500,{}", spec.outputTokenLimit > 0 ? spec.outputTokenLimit : 4 * spec.eventCount));
         request.body() = std::to_string(spec.eventCount);
+    } else {
+        request.body() = std::string(spec.bodyBytes, 'b');
     }
     request.prepare_payload();
     m_connection.expires_after(timeout);
-    auto [error, bytes] = co_await http::async_write(m_connection, request, asTuple);
+    auto error = co_await writeRequest(request, spec.bodyDuration);
+    attempt.lastByteSentAt = soakNow();
     attempt.requestSent = !error;
     m_connected = !error;
     if (!error)
-        co_await readResponse(attempt);
+        co_await readResponse(attempt, spec);
     attempt.endedAt = soakNow();
     m_options.attempts.push_back(std::move(attempt));
 }
 
-Awaitable<> Caller::readResponse(Attempt& attempt)
+Awaitable<boost::system::error_code> Caller::writeRequest(const HttpRequest& request, Milliseconds bodyDuration)
+{
+    if (bodyDuration <= Milliseconds(0)) {
+        auto [error, bytes] = co_await http::async_write(m_connection, request, asTuple);
+        co_return error;
+    }
+    std::ostringstream head;
+    head << request.base();
+    auto text = head.str() + request.body();
+    auto headBytes = text.size() - request.body().size();
+    auto partBytes = std::max<std::size_t>(1, request.body().size() / bodyParts);
+    for (std::size_t sent = 0; sent < text.size();) {
+        auto partEnd = std::min(text.size(), sent == 0 ? headBytes : sent + partBytes);
+        auto [error, bytes] = co_await asio::async_write(m_connection, asio::buffer(text.data() + sent, partEnd - sent), asTuple);
+        if (error)
+            co_return error;
+        sent = partEnd;
+        if (sent < text.size())
+            co_await sleepFor(bodyDuration / bodyParts);
+    }
+    co_return boost::system::error_code {};
+}
+
+Awaitable<> Caller::readResponse(Attempt& attempt, const RequestSpec& spec)
 {
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
@@ -128,13 +169,15 @@
         body += received;
         if (error && error != http::error::need_buffer)
             co_return;
+        if (spec.readPause > Milliseconds(0) && !parser.is_done())
+            co_await sleepFor(spec.readPause);
     }
     attempt.responseComplete = true;
     if (isStream && attempt.contentError.empty())
         attempt.contentError = verifier.errorAtEnd();
-    if (!isStream && attempt.status == 200 && body != attempt.id)
+    if (!isStream && attempt.status == 200 && body != attempt.id + std::string(spec.paddingBytes, paddingCharacter))
         attempt.contentError = "response body of attempt " + body.substr(0, 40);
-    m_connected = message.keep_alive();
+    m_connected = m_options.ignoresClose || message.keep_alive();
 }
 
 }
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -17,6 +17,17 @@
     int eventCount = 0;
     /// Output limit that a stream's header states; 0 for that of its events.
     int outputTokenLimit = 0;
+    /// Size of the body of a plain request.
+    std::size_t bodyBytes = 0;
+    /// Time over which the body is sent.
+    Milliseconds bodyDuration { 0 };
+    /// Number of bytes that a plain response has after the attempt id.
+    std::size_t paddingBytes = 0;
+    /// Pause after each part of the response.
+    Milliseconds readPause { 0 };
+    Milliseconds timeout = defaultTimeout;
+
+    static constexpr auto defaultTimeout = Milliseconds(1500);
 };
 
 /// The endpoint at which an incarnation of an instance accepts callers.
@@ -33,6 +44,10 @@
     std::function<InstanceEndpoint(Random&)> chooseEndpoint;
     std::function<bool()> shouldContinue;
     Milliseconds pauseBetweenRequests { 40 };
+    /// The pause between two requests is random up to this if it is longer.
+    Milliseconds maxPauseBetweenRequests { 0 };
+    /// Sends the next request on the same connection even if the response announced its end.
+    bool ignoresClose = false;
     /// Receives a record of each request.
     std::vector<Attempt>& attempts;
 };
@@ -47,7 +62,9 @@
 private:
     Awaitable<bool> connect();
     Awaitable<> sendRequest(const RequestSpec&);
-    Awaitable<> readResponse(Attempt&);
+    Awaitable<boost::system::error_code> writeRequest(const HttpRequest&, Milliseconds bodyDuration);
+    Awaitable<> readResponse(Attempt&, const RequestSpec&);
+    Milliseconds nextPause();
 
     CallerOptions m_options;
     Random m_random;
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -1,6 +1,8 @@
 #include "soak/checks.h"
 
+#include "soak/budgetcheck.h"
 #include "soak/constants.h"
+#include "soak/stopcheck.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -26,8 +28,10 @@
         explicit RecordChecker(const SoakRecord& record)
             : m_record(record)
         {
-            for (const auto& engineRecord : record.engineRecords)
-                m_recordsByAttempt[engineRecord.attemptId].push_back(&engineRecord);
+            for (const auto& engineRecord : record.engineRecords) {
+                if (engineRecord.isExecution())
+                    m_recordsByAttempt[engineRecord.attemptId].push_back(&engineRecord);
+            }
         }
 
         std::vector<Violation> run()
@@ -44,13 +48,20 @@
             checkDrainingEngines();
             checkCrashingRequests();
             checkStatedLimits();
+            addViolations(findStopViolations(m_record));
+            addViolations(findBudgetViolations(m_record));
             return std::move(m_violations);
         }
 
     private:
+        void addViolations(std::vector<Violation> violations)
+        {
+            std::move(violations.begin(), violations.end(), std::back_inserter(m_violations));
+        }
+
         void reportViolation(const char* guarantee, const Attempt& attempt, const std::string& detail)
         {
-            m_violations.push_back({ .guarantee = guarantee, .evidence = fmt::format("{} {} at {} incarnation {} sent {} ended {} status {}: {}", attempt.id, attempt.path, attempt.instance, attempt.incarnation, attempt.sentAt, attempt.endedAt, attempt.status, detail) });
+            m_violations.push_back(makeViolation(guarantee, attempt, detail));
         }
 
         std::vector<const EngineRecord*> engineRecordsOf(const std::string& attempt) const
@@ -59,13 +70,9 @@
             return found == m_recordsByAttempt.end() ? std::vector<const EngineRecord*> {} : found->second;
         }
 
-        /// True if no disturbance of the subject, including recoveryAllowance after it, overlaps the period.
-        bool isUndisturbed(const std::string& subject, SoakTime from, SoakTime to, bool includePlanned = true) const
+        bool isUndisturbed(const std::string& subject, SoakTime from, SoakTime to, Excuse excuse = Excuse::AnyDisturbance) const
         {
-            return std::none_of(m_record.disturbances.begin(), m_record.disturbances.end(), [&](const Disturbance& disturbance) {
-                bool relevant = disturbance.subject == subject && (includePlanned || !disturbance.planned);
-                return relevant && disturbance.startedAt <= to && disturbance.endedAt + recoveryAllowance.count() >= from;
-            });
+            return soak::isUndisturbed(m_record, subject, from, to, excuse);
         }
 
         bool instanceAndStoreUndisturbed(const Attempt& attempt) const
@@ -254,7 +261,7 @@
             cutOff = cutOff && (!engineRecordsOf(attempt.id).empty() || attempt.endedAt - attempt.sentAt > closeRaceTime);
             if (!cutOff || isUndisturbed(attempt.instance, attempt.sentAt, attempt.endedAt))
                 return;
-            bool onlyPlanned = isUndisturbed(attempt.instance, attempt.sentAt, attempt.endedAt, false) && isUndisturbed(storeSubject, attempt.sentAt, attempt.endedAt, false) && isUndisturbed(enginesSubject, attempt.sentAt, attempt.endedAt, false);
+            bool onlyPlanned = isUndisturbed(attempt.instance, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance) && isUndisturbed(storeSubject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance) && isUndisturbed(enginesSubject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance);
             if (onlyPlanned)
                 reportViolation("a planned stop interrupts no request", attempt, "incomplete response");
         }
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -1,17 +1,9 @@
 #pragma once
 
-#include "soak/record.h"
+#include "soak/violation.h"
 
 namespace guavaspan::soak {
 
-/// A violated guarantee of the entry service and the evidence for it.
-struct Violation {
-    std::string guarantee;
-    std::string evidence;
-
-    friend bool operator==(const Violation&, const Violation&) = default;
-};
-
 /// Checks the guarantees of the entry service against the records of callers and engines.
 std::vector<Violation> findViolations(const SoakRecord&);
 
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -12,6 +12,7 @@
 /// Set by an engine on a refusal: the request was not executed.
 inline constexpr const char* notRunHeader = "X-Not-Executed";
 inline constexpr const char* expectedTargetHeader = "X-Expect-Instance";
+inline constexpr const char* deadlineHeader = "X-Deadline-Ms";
 inline constexpr const char* apiKeyHeader = "X-Key";
 inline constexpr const char* organisationHeader = "X-Tenant";
 
@@ -32,6 +33,10 @@
 /// Contained in addition if the engine becomes silent for some seconds before it ends.
 inline constexpr const char* silentCrashMarker = "silent-crash";
 
+/// Precedes, in a path, the number of bytes that the engine is to add to its response.
+inline constexpr const char* paddingMarker = "padding-";
+inline constexpr char paddingCharacter = 'p';
+
 /// Time after which a configuration change must be in effect on every instance.
 inline constexpr auto maxConfigurationDelay = Milliseconds(2000);
 /// Time after which no request with a revoked key may be executed.
@@ -42,6 +47,27 @@
 inline constexpr auto recoveryAllowance = Milliseconds(3000);
 /// Time from SIGTERM to SIGKILL.
 inline constexpr auto stopTimeout = Milliseconds(8000);
+/// Time after the stop limit up to which an incomplete response counts against the stop.
+inline constexpr auto stopAllowance = Milliseconds(1000);
+/// Time from a request's last byte within which an instance may close the connection without having read it.
+inline constexpr auto closeAllowance = Milliseconds(200);
+/// Requests sent later than this after SIGTERM must be answered even if their engine is busy until the stop limit.
+inline constexpr auto stopRequestPeriod = Milliseconds(3000);
+/// Part of stopTimeout before its end in which an engine may still be at work on an older request.
+inline constexpr auto lastPartOfStop = stopTimeout / 6;
+/// In each retryWindow a service may receive retryRatio of its requests, and retrySlack, as repeats.
+inline constexpr double retryRatio = 0.2;
+inline constexpr int retrySlack = 50;
+inline constexpr auto retryWindow = Milliseconds(10000);
+/// Engines that may execute a request of an idempotent route in one attempt.
+inline constexpr int maxAttemptsOfLookups = 2;
+/// Requests that may be executed by more engines than that.
+inline constexpr int maxExcessiveAttempts = 3;
+/// A deadline that is passed on may exceed that of the caller by this much.
+inline constexpr auto deadlineTolerance = Milliseconds(500);
+/// Excessive deadlines that are allowed, and their allowed share of all late repeats.
+inline constexpr int maxExcessiveDeadlines = 20;
+inline constexpr double maxExcessiveDeadlineShare = 0.2;
 /// Executions after which a request that crashes engines is known to do so.
 inline constexpr int crashesUntilKnown = 3;
 /// Executions allowed later than recoveryAllowance after the last of crashesUntilKnown.
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -71,9 +71,9 @@
     };
     addRoute(streamPath, "streaming", modelService, 1);
     addRoute(orderPath, "unsafe", plainService, 1);
-    addRoute(lookupPath, "safe", plainService, 2);
+    addRoute(lookupPath, "safe", plainService, maxAttemptsOfLookups);
     for (const auto& path : m_addedPaths)
-        addRoute(path, "safe", plainService, 2);
+        addRoute(path, "safe", plainService, maxAttemptsOfLookups);
     json tenants = json::array();
     for (const auto& [organisation, keys] : m_keysByOrganisation)
         tenants.push_back({ { "name", organisation }, { "api_keys", keys } });
@@ -132,6 +132,7 @@
     engine.id = fmt::format("e{}", ++m_lastEngineNumber);
     engine.requestLimit = 2 + static_cast<double>(m_random() % 60) / 10;
     engine.statesLimit = false;
+    engine.failing = false;
     auto listenEndpoint = allocateEndpoint();
     engine.link->setTarget(listenEndpoint);
     return m_processes.start(engine.id, { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" });
@@ -159,7 +160,7 @@
         instance->readinessEndpoint = allocateEndpoint();
         instance->peerPort = allocateEndpoint().port;
         instance->storeLink = std::make_unique<Proxy>(m_io, m_storeEndpoint);
-        json settings { { "node_name", instance->name }, { "zone", instance->failureDomain }, { "ip", m_loopbackAddress }, { "listen", { { "frontend", toString(instance->callerEndpoint) }, { "ready", toString(instance->readinessEndpoint) } } }, { "port_range", { instance->peerPort, instance->peerPort } }, { "limits", { { "cpu_quota", 0.25 }, { "cpu_cores", 1 } } }, { "bounds", { { "grace_s", stopTimeout.count() / 1000 }, { "revoke_ms", maxRevocationDelay.count() }, { "retry_ratio", 0.2 }, { "retry_slack", 50 }, { "retry_window_s", 10 } } }, { "platform", { { "address", toString(instance->storeLink->listen()) }, { "min_ttl_ms", 1000 } } } };
+        json settings { { "node_name", instance->name }, { "zone", instance->failureDomain }, { "ip", m_loopbackAddress }, { "listen", { { "frontend", toString(instance->callerEndpoint) }, { "ready", toString(instance->readinessEndpoint) } } }, { "port_range", { instance->peerPort, instance->peerPort } }, { "limits", { { "cpu_quota", 0.25 }, { "cpu_cores", 1 } } }, { "bounds", { { "grace_s", stopTimeout.count() / 1000 }, { "revoke_ms", maxRevocationDelay.count() }, { "retry_ratio", retryRatio }, { "retry_slack", retrySlack }, { "retry_window_s", retryWindow.count() / 1000 } } }, { "platform", { { "address", toString(instance->storeLink->listen()) }, { "min_ttl_ms", 1000 } } } };
         std::ofstream(m_options.folder + "/" + instance->name + ".json") << settings.dump();
         started = startInstance(*instance) && started;
         m_instances.push_back(std::move(instance));
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -22,8 +22,10 @@
         std::uint16_t peerPort = 0;
         std::unique_ptr<Proxy> storeLink;
         int incarnation = 0;
-        /// A planned stop is in progress.
+        /// A planned stop is in progress, up to the start of the next process.
         bool stopping = false;
+        /// The process has ended, and the next one has not started.
+        bool restarting = false;
     };
 
     /// An engine process and its successors, which share one proxy and failure domain.
@@ -34,6 +36,8 @@
         /// Limit that the engine states when it is told to.
         double requestLimit = 0;
         bool statesLimit = false;
+        /// Fails or refuses many requests.
+        bool failing = false;
         std::unique_ptr<Proxy> link;
         Endpoint advertisedEndpoint;
         /// The process was killed or is draining, and its replacement has not started.
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -27,6 +27,13 @@
     /// One plain request in 20 fails, and one in 40 loses its response after it was executed.
     constexpr std::uint64_t requestsPerFailure = 20;
     constexpr std::uint64_t requestsPerLostResponse = 40;
+    constexpr std::uint64_t minFailurePercentage = 30;
+
+    std::size_t paddingBytes(const std::string& path)
+    {
+        auto marker = path.find(paddingMarker);
+        return marker == std::string::npos ? 0 : std::stoul(path.substr(marker + std::string_view(paddingMarker).size()));
+    }
 
 }
 
@@ -38,6 +45,7 @@
     , m_recordOutput(m_options.recordPath, std::ios::app)
     , m_drainSignal(io, SIGUSR1)
     , m_limitSignal(io, SIGUSR2)
+    , m_failureSignal(io, SIGHUP)
     , m_startedAt(unixMilliseconds())
 {
 }
@@ -49,12 +57,20 @@
     asio::co_spawn(m_io, publishEntryPeriodically(), asio::detached);
     asio::co_spawn(m_io, drainOnSignal(), asio::detached);
     asio::co_spawn(m_io, toggleLimitOnSignal(), asio::detached);
+    asio::co_spawn(m_io, toggleFailuresOnSignal(), asio::detached);
     return true;
 }
 
-void Engine::recordEvent(EngineRecord::Event event, const std::string& attemptId, const std::string& organisation)
+void Engine::recordEvent(EngineRecord::Event event, const HttpExchange& exchange)
+{
+    auto deadline = exchange.header(deadlineHeader);
+    m_recordOutput << encodeEngineRecord({ .event = event, .attemptId = exchange.header(attemptIdHeader), .engineId = m_options.id, .organisation = exchange.header(organisationHeader), .recordedAt = soakNow(), .deadlineMs = deadline.empty() ? EngineRecord::noDeadline : std::stoll(deadline) }) << std::flush;
+}
+
+void Engine::breakOff(HttpExchange& exchange)
 {
-    m_recordOutput << encodeEngineRecord({ .event = event, .attemptId = attemptId, .engineId = m_options.id, .organisation = organisation, .recordedAt = soakNow() }) << std::flush;
+    recordEvent(EngineRecord::Event::BreakOff, exchange);
+    exchange.abort();
 }
 
 Awaitable<> Engine::publishEntry()
@@ -79,6 +95,8 @@
     m_draining = true;
     co_await publishEntry();
     co_await sleepFor(drainTime);
+    for (const auto& [attemptId, exchange] : m_activeExchanges)
+        recordEvent(EngineRecord::Event::BreakOff, *exchange);
     m_io.stop();
 }
 
@@ -90,6 +108,14 @@
     }
 }
 
+Awaitable<> Engine::toggleFailuresOnSignal()
+{
+    while (true) {
+        co_await m_failureSignal.async_wait(asTuple);
+        m_failurePercentage = m_failurePercentage > 0 ? 0 : minFailurePercentage + m_random() % (100 - minFailurePercentage);
+    }
+}
+
 /// Headers in which the engine tells its state in every answer to a caller's request.
 std::map<std::string, std::string> Engine::stateHeaders() const
 {
@@ -159,28 +185,62 @@
         co_await sendEmptyReply(exchange, 421, true);
         co_return;
     }
+    recordEvent(EngineRecord::Event::Arrival, exchange);
     if (path.find(crashMarker) != std::string::npos) {
-        recordEvent(EngineRecord::Event::Run, exchange.header(attemptIdHeader), exchange.header(organisationHeader));
+        recordEvent(EngineRecord::Event::Run, exchange);
         co_await crash(path.find(silentCrashMarker) != std::string::npos);
         co_return;
     }
+    auto attemptId = exchange.header(attemptIdHeader);
+    m_activeExchanges[attemptId] = &exchange;
     if (m_options.generates)
         co_await runStream(exchange);
     else
         co_await runPlainRequest(exchange);
+    recordEvent(EngineRecord::Event::End, exchange);
+    if (m_activeExchanges[attemptId] == &exchange)
+        m_activeExchanges.erase(attemptId);
+}
+
+/// Refuses, fails or breaks off the given percentage of plain requests. Returns whether it did.
+Awaitable<bool> Engine::failRequest(HttpExchange& exchange)
+{
+    if (m_random() % 100 >= m_failurePercentage)
+        co_return false;
+    switch (m_random() % 4) {
+    case 0:
+        breakOff(exchange);
+        break;
+    case 1:
+        recordEvent(EngineRecord::Event::Run, exchange);
+        breakOff(exchange);
+        break;
+    case 2: {
+        recordEvent(EngineRecord::Event::Run, exchange);
+        Reply reply { .status = 500, .body = "{}", .headers = { { attemptIdHeader, exchange.header(attemptIdHeader) }, { sealHeader, m_options.id } } };
+        co_await exchange.send(std::move(reply));
+        break;
+    }
+    default:
+        co_await sendEmptyReply(exchange, 503, true);
+    }
+    co_return true;
 }
 
 Awaitable<> Engine::runPlainRequest(HttpExchange& exchange)
 {
+    if (m_failurePercentage > 0 && co_await failRequest(exchange))
+        co_return;
     auto attemptId = exchange.header(attemptIdHeader);
-    recordEvent(EngineRecord::Event::Run, attemptId, exchange.header(organisationHeader));
+    recordEvent(EngineRecord::Event::Run, exchange);
     co_await sleepFor(Milliseconds(5 + static_cast<int>(m_random() % 20)));
     if (m_random() % requestsPerLostResponse == 0) {
-        exchange.abort();
+        breakOff(exchange);
         co_return;
     }
     bool fails = m_random() % requestsPerFailure == 0;
-    Reply reply { .status = fails ? 500U : 200U, .body = attemptId, .headers = { { attemptIdHeader, attemptId }, { sealHeader, m_options.id } } };
+    auto body = attemptId + std::string(paddingBytes(exchange.path()), paddingCharacter);
+    Reply reply { .status = fails ? 500U : 200U, .body = body, .headers = { { attemptIdHeader, attemptId }, { sealHeader, m_options.id } } };
     reply.headers.merge(stateHeaders());
     co_await exchange.send(std::move(reply));
 }
@@ -207,7 +267,7 @@
     } else {
         generation->totalEvents = std::stoi(exchange.request().body());
     }
-    recordEvent(copySource.empty() ? EngineRecord::Event::Run : EngineRecord::Event::Resume, attemptId, exchange.header(organisationHeader));
+    recordEvent(copySource.empty() ? EngineRecord::Event::Run : EngineRecord::Event::Resume, exchange);
     m_generations[attemptId] = generation;
     co_await sendEvents(exchange, attemptId, lastEventId);
     if (m_generations[attemptId] == generation)
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -52,8 +52,11 @@
     Awaitable<> drainOnSignal();
     Awaitable<> crash(bool silently);
     Awaitable<> toggleLimitOnSignal();
+    Awaitable<> toggleFailuresOnSignal();
+    Awaitable<bool> failRequest(HttpExchange&);
     std::map<std::string, std::string> stateHeaders() const;
-    void recordEvent(EngineRecord::Event, const std::string& attemptId, const std::string& organisation);
+    void recordEvent(EngineRecord::Event, const HttpExchange&);
+    void breakOff(HttpExchange&);
     std::string reportJson() const;
 
     asio::io_context& m_io;
@@ -63,12 +66,16 @@
     std::ofstream m_recordOutput;
     asio::signal_set m_drainSignal;
     asio::signal_set m_limitSignal;
+    asio::signal_set m_failureSignal;
     std::int64_t m_startedAt;
     bool m_draining = false;
     bool m_statesLimit = false;
+    /// Percentage of plain requests that fail.
+    std::uint64_t m_failurePercentage = 0;
     /// Crashed without closing its connections.
     bool m_silent = false;
     std::map<std::string, std::shared_ptr<Generation>> m_generations;
+    std::map<std::string, HttpExchange*> m_activeExchanges;
     /// Generations whose state was copied to this engine, by handle.
     std::map<std::string, Generation> m_copies;
 };
--- a/soak/record.h
+++ b/soak/record.h
@@ -31,7 +31,11 @@
     /// Number of times the instance's process had been started.
     int incarnation = 0;
     SoakTime sentAt = 0;
+    /// Time at which the last byte of the request was written.
+    SoakTime lastByteSentAt = 0;
     SoakTime endedAt = 0;
+    /// Time from sentAt that the caller waits, stated in the request.
+    SoakTime deadlineMs = 0;
     /// The request was written in full.
     bool requestSent = false;
     /// HTTP status; 0 if no response arrived.
@@ -44,19 +48,33 @@
     std::string contentError;
 };
 
-/// An execution of a request as recorded by the engine.
+/// A step in the life of a request at an engine, as recorded by the engine.
 struct EngineRecord {
     enum class Event {
         /// Execution started from the beginning.
         Run,
         /// A generation continued from a copy of its cached state.
         Resume,
+        /// The request was received, whether the engine executes or rejects it.
+        Arrival,
+        /// The engine stopped work on the request.
+        End,
+        /// The engine itself ended the connection before the response was complete.
+        BreakOff,
     };
     Event event = Event::Run;
     std::string attemptId;
     std::string engineId;
     std::string organisation;
     SoakTime recordedAt = 0;
+    /// Deadline that the received request stated; noDeadline if it had none.
+    SoakTime deadlineMs = noDeadline;
+
+    static constexpr SoakTime noDeadline = -1;
+
+    friend bool operator==(const EngineRecord&, const EngineRecord&) = default;
+
+    bool isExecution() const { return event == Event::Run || event == Event::Resume; }
 };
 
 /// Period during which a process or its network links were subject to a fault or a planned stop.
@@ -66,6 +84,14 @@
     SoakTime startedAt = 0;
     SoakTime endedAt = 0;
     bool planned = false;
+    /// The kill at the stop limit or the restart that belongs to a planned stop.
+    bool partOfStop = false;
+};
+
+/// A SIGTERM that the operator sent to an instance.
+struct PlannedStop {
+    std::string instance;
+    SoakTime signalledAt = 0;
 };
 
 inline constexpr const char* storeSubject = "store";
@@ -79,11 +105,20 @@
     SoakTime endedAt = 0;
 };
 
+/// Disturbances that excuse a violated guarantee.
+enum class Excuse {
+    AnyDisturbance,
+    UnplannedDisturbance,
+    /// The kill at the stop limit and the restart after a planned stop excuse nothing.
+    UnplannedDisturbanceOutsideStops,
+};
+
 /// Input of the checks.
 struct SoakRecord {
     std::vector<Attempt> attempts;
     std::vector<EngineRecord> engineRecords;
     std::vector<Disturbance> disturbances;
+    std::vector<PlannedStop> plannedStops;
     /// Times at which the store acknowledged a configuration that adds or removes a path, or revokes a key.
     std::map<std::string, SoakTime> addedPaths;
     std::map<std::string, SoakTime> removedPaths;
@@ -100,6 +135,9 @@
     SoakTime faultsEndedAt = 0;
 };
 
+/// True if no disturbance of the subject, including recoveryAllowance after it, overlaps the period.
+bool isUndisturbed(const SoakRecord&, const std::string& subject, SoakTime from, SoakTime to, Excuse);
+
 std::string encodeEngineRecord(const EngineRecord&);
 /// Reads the records that engines wrote; skips lines truncated by the kill of an engine.
 std::vector<EngineRecord> readEngineRecords(const std::string& path);
--- /dev/null
+++ b/soak/stopcheck.cpp
@@ -0,0 +1,142 @@
+#include "soak/stopcheck.h"
+
+#include "soak/constants.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <functional>
+#include <limits>
+
+namespace guavaspan::soak {
+
+namespace {
+
+    constexpr SoakTime never = std::numeric_limits<SoakTime>::max();
+
+    /// An incomplete response and the stop of the instance during which it ended.
+    struct CutResponse {
+        const Attempt& attempt;
+        const PlannedStop& stop;
+        CutReason reason;
+    };
+
+    class StopChecker {
+    public:
+        explicit StopChecker(const SoakRecord& record)
+            : m_record(record)
+        {
+            for (const auto& engineRecord : record.engineRecords)
+                m_recordsByAttempt[engineRecord.attemptId].push_back(&engineRecord);
+        }
+
+        std::vector<CutResponse> cutResponses() const
+        {
+            std::vector<CutResponse> cuts;
+            for (const auto& attempt : m_record.attempts) {
+                if (!attempt.requestSent || attempt.responseComplete)
+                    continue;
+                if (const auto* stop = stopAround(attempt))
+                    cuts.push_back({ .attempt = attempt, .stop = *stop, .reason = reasonOf(attempt, *stop) });
+            }
+            return cuts;
+        }
+
+    private:
+        /// The last stop of the attempt's instance that was in progress when the connection ended.
+        const PlannedStop* stopAround(const Attempt& attempt) const
+        {
+            const PlannedStop* last = nullptr;
+            for (const auto& stop : m_record.plannedStops) {
+                bool around = stop.instance == attempt.instance && stop.signalledAt <= attempt.endedAt && attempt.endedAt <= stop.signalledAt + (stopTimeout + stopAllowance).count();
+                if (around && (!last || last->signalledAt < stop.signalledAt))
+                    last = &stop;
+            }
+            return last;
+        }
+
+        CutReason reasonOf(const Attempt& attempt, const PlannedStop& stop) const
+        {
+            auto found = m_recordsByAttempt.find(attempt.id);
+            auto records = found == m_recordsByAttempt.end() ? std::vector<const EngineRecord*> {} : found->second;
+            if (records.empty() && attempt.endedAt - attempt.lastByteSentAt <= closeAllowance.count())
+                return CutReason::CloseRace;
+            if (engineBrokeOff(records))
+                return CutReason::EngineBrokeOff;
+            if (attempt.endedAt >= attempt.sentAt + attempt.deadlineMs)
+                return CutReason::DeadlineReached;
+            if (attempt.lastByteSentAt <= stop.signalledAt + stopRequestPeriod.count() && engineBusyUntilStopLimit(records, stop))
+                return CutReason::EngineBusyUntilStopLimit;
+            auto undisturbed = [&](const std::string& subject) { return isUndisturbed(m_record, subject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbanceOutsideStops); };
+            if (!undisturbed(attempt.instance) || !undisturbed(storeSubject) || !undisturbed(enginesSubject))
+                return CutReason::UnplannedDisturbance;
+            return CutReason::Lost;
+        }
+
+        static bool engineBrokeOff(const std::vector<const EngineRecord*>& records)
+        {
+            auto last = std::find_if(records.rbegin(), records.rend(), [](const auto* engineRecord) { return engineRecord->event == EngineRecord::Event::Arrival; });
+            return last != records.rend() && std::any_of(records.begin(), records.end(), [&](const auto* engineRecord) { return engineRecord->event == EngineRecord::Event::BreakOff && engineRecord->engineId == (*last)->engineId; });
+        }
+
+        static bool engineBusyUntilStopLimit(const std::vector<const EngineRecord*>& records, const PlannedStop& stop)
+        {
+            auto stopLimit = stop.signalledAt + stopTimeout.count();
+            return std::any_of(records.begin(), records.end(), [&](const auto* start) {
+                return start->isExecution() && start->recordedAt <= stopLimit && endOf(*start, records) >= stopLimit - lastPartOfStop.count();
+            });
+        }
+
+        static SoakTime endOf(const EngineRecord& start, const std::vector<const EngineRecord*>& records)
+        {
+            for (const auto* engineRecord : records) {
+                bool ends = engineRecord->event == EngineRecord::Event::End || engineRecord->event == EngineRecord::Event::BreakOff;
+                if (ends && engineRecord->engineId == start.engineId && engineRecord->recordedAt >= start.recordedAt)
+                    return engineRecord->recordedAt;
+            }
+            return never;
+        }
+
+        const SoakRecord& m_record;
+        std::map<std::string, std::vector<const EngineRecord*>> m_recordsByAttempt;
+    };
+
+}
+
+const char* toString(CutReason reason)
+{
+    switch (reason) {
+    case CutReason::Lost:
+        return "lost";
+    case CutReason::CloseRace:
+        return "closed before any engine received the request";
+    case CutReason::EngineBrokeOff:
+        return "engine broke off";
+    case CutReason::DeadlineReached:
+        return "deadline reached";
+    case CutReason::EngineBusyUntilStopLimit:
+        return "engine busy until the stop limit";
+    case CutReason::UnplannedDisturbance:
+        return "unplanned disturbance";
+    }
+    return "";
+}
+
+std::map<CutReason, int> countCutResponses(const SoakRecord& record)
+{
+    std::map<CutReason, int> counts;
+    for (const auto& cut : StopChecker(record).cutResponses())
+        ++counts[cut.reason];
+    return counts;
+}
+
+std::vector<Violation> findStopViolations(const SoakRecord& record)
+{
+    std::vector<Violation> violations;
+    for (const auto& cut : StopChecker(record).cutResponses()) {
+        if (cut.reason == CutReason::Lost)
+            violations.push_back(makeViolation("an accepted request is answered before its instance ends", cut.attempt, fmt::format("last byte sent {}, SIGTERM at {}", cut.attempt.lastByteSentAt, cut.stop.signalledAt)));
+    }
+    return violations;
+}
+
+}
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -1,7 +1,12 @@
+#include "soak/budgetcheck.h"
 #include "soak/checks.h"
 #include "soak/constants.h"
+#include "soak/stopcheck.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
 
 using namespace guavaspan::soak;
 
@@ -25,6 +30,59 @@
         auto violations = findViolations(record);
         return violations.empty() ? "" : violations.front().guarantee;
     }
+    bool reports(const std::string& guarantee) const
+    {
+        auto violations = findViolations(record);
+        return std::any_of(violations.begin(), violations.end(), [&](const Violation& violation) { return violation.guarantee == guarantee; });
+    }
+};
+
+/// The order was received and executed 6950 ms after SIGTERM, and its connection closed without a response.
+struct StopFixture : ChecksFixture {
+    static constexpr const char* guarantee = "an accepted request is answered before its instance ends";
+
+    StopFixture()
+    {
+        record.plannedStops.push_back({ .instance = "i", .signalledAt = 99000 });
+        attempt().sentAt = attempt().lastByteSentAt = 106900;
+        attempt().endedAt = 106950;
+        attempt().deadlineMs = 1500;
+        attempt().status = 0;
+        attempt().responseComplete = false;
+        record.engineRecords.clear();
+        addEngineRecord(EngineRecord::Event::Arrival, 106910);
+        addEngineRecord(EngineRecord::Event::Run, 106910);
+    }
+
+    void addEngineRecord(EngineRecord::Event event, SoakTime recordedAt)
+    {
+        record.engineRecords.push_back({ .event = event, .attemptId = "a", .engineId = "e", .organisation = "org", .recordedAt = recordedAt });
+    }
+};
+
+struct ArrivalTimes {
+    SoakTime repeatDelay = 10;
+    SoakTime firstDeadline = 1000;
+    SoakTime repeatDeadline = 990;
+};
+
+/// Lookups that engines received without executing them.
+struct BudgetFixture : ChecksFixture {
+    static constexpr const char* retryGuarantee = "repeated requests keep within the retry budget";
+
+    BudgetFixture()
+    {
+        record.attempts.clear();
+        record.engineRecords.clear();
+    }
+
+    void addLookup(int number, SoakTime sentAt, int arrivals, ArrivalTimes times = {})
+    {
+        auto id = "b" + std::to_string(number);
+        record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = lookupPath, .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 700, .deadlineMs = 1000, .requestSent = true, .status = 503, .responseComplete = true });
+        for (int i = 0; i < arrivals; ++i)
+            record.engineRecords.push_back({ .event = EngineRecord::Event::Arrival, .attemptId = id, .engineId = "e" + std::to_string(i), .organisation = "org", .recordedAt = sentAt + i * times.repeatDelay, .deadlineMs = i == 0 ? times.firstDeadline : times.repeatDeadline });
+    }
 };
 
 }
@@ -187,3 +245,128 @@
     f.record.statedLimits.front().startedAt = 104200;
     cr_expect(f.firstViolatedGuarantee().empty(), "the limit is not in force yet");
 }
+
+/// Guards against LOST: the kill at the stop limit and the restart after a stop must not excuse what the stop cut.
+Test(SoakChecks, findViolations_acceptedRequestCutByStop_reportsViolation)
+{
+    StopFixture f;
+    cr_expect(f.reports(StopFixture::guarantee));
+    f.record.disturbances.push_back({ .subject = "i", .startedAt = 107000, .endedAt = 107000, .partOfStop = true });
+    cr_expect(f.reports(StopFixture::guarantee), "the kill belongs to the stop");
+    f.record.disturbances.push_back({ .subject = storeSubject, .startedAt = 106000, .endedAt = 106100 });
+    cr_expect(!f.reports(StopFixture::guarantee), "an unplanned disturbance excuses the stop");
+    f.record.disturbances.clear();
+    f.record.plannedStops.front().signalledAt = 97949;
+    cr_expect(!f.reports(StopFixture::guarantee), "the stop had ended before");
+    f.record.plannedStops.front().signalledAt = 97950;
+    cr_expect(f.reports(StopFixture::guarantee));
+    f.attempt().responseComplete = true;
+    cr_expect(!f.reports(StopFixture::guarantee));
+}
+
+/// Guards against LOST: a close within closeAllowance is excused only if no engine received the request.
+Test(SoakChecks, findViolations_stopClosesConnectionAroundRequest_reportsViolationIfItWasAccepted)
+{
+    StopFixture f;
+    cr_expect(f.reports(StopFixture::guarantee), "an engine received the request");
+    f.record.engineRecords.clear();
+    f.attempt().endedAt = f.attempt().lastByteSentAt + closeAllowance.count() + 1;
+    cr_expect(f.reports(StopFixture::guarantee), "the connection ended too late");
+    f.attempt().endedAt = f.attempt().lastByteSentAt + closeAllowance.count();
+    cr_expect(!f.reports(StopFixture::guarantee));
+    auto counts = countCutResponses(f.record);
+    cr_expect(counts.size() == 1 && counts[CutReason::CloseRace] == 1);
+}
+
+Test(SoakChecks, findViolations_requestCutByEngineOrDeadlineDuringStop_reportsNone)
+{
+    StopFixture f;
+    f.addEngineRecord(EngineRecord::Event::BreakOff, 106940);
+    cr_expect(!f.reports(StopFixture::guarantee), "the engine broke off");
+    f.record.engineRecords.back().engineId = "e2";
+    cr_expect(f.reports(StopFixture::guarantee), "another engine broke off");
+    f.attempt().deadlineMs = 50;
+    cr_expect(!f.reports(StopFixture::guarantee), "the deadline was reached");
+}
+
+Test(SoakChecks, findViolations_engineBusyAtStopLimit_reportsViolationOnlyForLateRequests)
+{
+    StopFixture f;
+    f.attempt().sentAt = f.attempt().lastByteSentAt = 102000;
+    f.attempt().endedAt = 107000;
+    f.attempt().deadlineMs = 12000;
+    for (auto& record : f.record.engineRecords)
+        record.recordedAt = 102001;
+    cr_expect(!f.reports(StopFixture::guarantee), "the engine was busy until the stop limit");
+    f.addEngineRecord(EngineRecord::Event::End, 105600);
+    cr_expect(f.reports(StopFixture::guarantee), "the engine ended its work before");
+    f.record.engineRecords.pop_back();
+    f.attempt().lastByteSentAt = 102001;
+    cr_expect(f.reports(StopFixture::guarantee), "the request was sent too long after SIGTERM");
+}
+
+/// Guards against BUDGET: repeats of all instances together, rejected ones too, count against one budget.
+Test(SoakChecks, findViolations_moreRepeatsThanBudget_reportsViolation)
+{
+    BudgetFixture f;
+    for (int number = 0; number < 100; ++number)
+        f.addLookup(number, 100000, number < 70 ? 2 : 1);
+    cr_expect(!f.reports(BudgetFixture::retryGuarantee), "a fifth of the requests and 50 more are allowed");
+    f.addLookup(100, 100000, 3);
+    cr_expect(f.reports(BudgetFixture::retryGuarantee));
+    auto use = worstRetryUse(f.record, false);
+    cr_expect(use.repeats == 72 && use.allowed > 70 && use.allowed < 71);
+}
+
+Test(SoakChecks, findViolations_repeatsInDifferentWindows_reportsNone)
+{
+    BudgetFixture f;
+    for (int number = 0; number < 100; ++number)
+        f.addLookup(number, 100000 + (number < 50 ? 0 : retryWindow.count()), 2);
+    cr_expect(!f.reports(BudgetFixture::retryGuarantee));
+}
+
+Test(SoakChecks, findViolations_lookupsExecutedByTooManyEngines_reportsViolation)
+{
+    BudgetFixture f;
+    for (int number = 0; number < 4; ++number) {
+        f.addLookup(number, 100000 + number, 3);
+        for (int run = 0; run < 3; ++run)
+            f.record.engineRecords.push_back({ .attemptId = f.record.attempts.back().id, .engineId = "e" + std::to_string(run), .organisation = "org", .recordedAt = 100010 + run });
+    }
+    cr_expect(f.reports("a request is executed by no more engines than its route allows"));
+    f.record.attempts.pop_back();
+    cr_expect(!f.reports("a request is executed by no more engines than its route allows"), "three requests are allowed");
+}
+
+Test(SoakChecks, findViolations_deadlineBeyondThatOfCaller_reportsViolation)
+{
+    constexpr const char* guarantee = "an engine gets no more time than is left";
+    BudgetFixture f;
+    for (int number = 0; number < 21; ++number)
+        f.addLookup(number, 100000 + number, 2, { .repeatDelay = 600, .repeatDeadline = 901 });
+    cr_expect(f.reports(guarantee), "the repeats end too late");
+    f.record.attempts.pop_back();
+    cr_expect(!f.reports(guarantee), "20 are allowed");
+    for (int number = 30; number < 51; ++number)
+        f.addLookup(number, 100000 + number, 1, { .firstDeadline = 1501 });
+    cr_expect(f.reports(guarantee), "the deadlines exceed that of the caller");
+    for (auto& record : f.record.engineRecords)
+        record.deadlineMs = 400;
+    cr_expect(!f.reports(guarantee));
+    for (auto& record : f.record.engineRecords)
+        record.deadlineMs = EngineRecord::noDeadline;
+    cr_expect(f.reports(guarantee), "requests arrived without a deadline");
+}
+
+Test(SoakChecks, readEngineRecords_encodedRecords_returnsThem)
+{
+    auto path = std::filesystem::temp_directory_path() / ("soakchecks-" + std::to_string(soakNow()));
+    EngineRecord arrival { .event = EngineRecord::Event::Arrival, .attemptId = "a", .engineId = "e", .organisation = "org", .recordedAt = 5, .deadlineMs = 900 };
+    EngineRecord breakOff { .event = EngineRecord::Event::BreakOff, .attemptId = "a", .engineId = "e", .recordedAt = 6 };
+    std::ofstream(path) << encodeEngineRecord(arrival) << encodeEngineRecord(breakOff) << "run a e";
+    auto records = readEngineRecords(path);
+    std::filesystem::remove(path);
+    cr_assert(records.size() == 2);
+    cr_expect(records[0] == arrival && records[1] == breakOff);
+}
