Restart instances in overlapping series in the soak

Users restarted all instances every 3 to 10 s, so that stops overlapped, while callers kept their connections. The soak stopped single instances at random times and all its callers left a connection when its end was announced.

New options, so that recorded seeds keep their meaning:

Instances restart independently of each other, and kills at the stop limit are counted. The report names what was cut around stops by reason, and the worst retry window.

--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -3,6 +3,7 @@
 #include "soak/constants.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
@@ -38,6 +39,14 @@
     asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
     if (m_options.statedLimits)
         asio::co_spawn(m_io, limitEnginesPeriodically(), asio::detached);
+    if (m_options.greyEngines) {
+        for (auto& engine : m_deployment.engines()) {
+            if (!engine->generates)
+                asio::co_spawn(m_io, failRequestsPeriodically(*engine), asio::detached);
+        }
+    }
+    if (m_options.rolling)
+        asio::co_spawn(m_io, stopInstancesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
     asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
 }
@@ -56,17 +65,25 @@
 {
     while (m_restarting) {
         for (auto& instance : m_deployment.instances()) {
-            if (m_deployment.processes().isRunning(instance->name))
+            if (instance->restarting || m_deployment.processes().isRunning(instance->name))
                 continue;
-            auto endedAt = soakNow();
-            co_await sleepFor(restartDelay);
-            m_deployment.startInstance(*instance);
-            recordDisturbance(instance->name, endedAt, soakNow());
+            instance->restarting = true;
+            asio::co_spawn(m_io, restartInstance(*instance), asio::detached);
         }
         co_await sleepFor(Milliseconds(50));
     }
 }
 
+Awaitable<> FaultInjector::restartInstance(Deployment::Instance& instance)
+{
+    auto endedAt = soakNow();
+    auto partOfStop = instance.stopping;
+    co_await sleepFor(restartDelay);
+    m_deployment.startInstance(instance);
+    instance.restarting = false;
+    m_record.disturbances.push_back({ .subject = instance.name, .startedAt = endedAt, .endedAt = soakNow(), .partOfStop = partOfStop });
+}
+
 /// The engine states its limit for some seconds, or until its process is replaced.
 Awaitable<> FaultInjector::limitEngine(Deployment::ManagedEngine& engine)
 {
@@ -85,6 +102,26 @@
     m_record.statedLimits.push_back({ .engineId = id, .requestsPerSecond = requestLimit, .startedAt = startedAt, .endedAt = soakNow() });
 }
 
+/// The engine serves and fails requests in turn. A replacement process starts without failures.
+Awaitable<> FaultInjector::failRequestsPeriodically(Deployment::ManagedEngine& engine)
+{
+    while (m_injecting) {
+        auto period = randomDuration(2000, 7000);
+        co_await sleepFor(period);
+        if (!m_injecting || engine.beingReplaced)
+            continue;
+        ++m_faultCounts["engine that fails requests"];
+        auto id = engine.id;
+        engine.failing = true;
+        m_deployment.processes().signal(id, SIGHUP);
+        period = randomDuration(2000, 7000);
+        co_await sleepFor(period);
+        if (engine.id == id)
+            m_deployment.processes().signal(id, SIGHUP);
+        engine.failing = false;
+    }
+}
+
 /// At most one engine of each service states a limit, so that the service stays usable.
 Awaitable<> FaultInjector::limitEnginesPeriodically()
 {
@@ -122,16 +159,106 @@
     auto startedAt = soakNow();
     auto incarnation = instance.incarnation;
     m_deployment.processes().signal(instance.name, SIGTERM);
+    m_record.plannedStops.push_back({ .instance = instance.name, .signalledAt = startedAt });
     while (instance.incarnation == incarnation && soakNow() < startedAt + stopTimeout.count())
         co_await sleepFor(Milliseconds(20));
-    if (instance.incarnation == incarnation) {
-        m_deployment.processes().signal(instance.name, SIGKILL);
-        recordDisturbance(instance.name, soakNow(), soakNow());
+    if (instance.incarnation == incarnation && m_deployment.processes().signal(instance.name, SIGKILL)) {
+        ++m_faultCounts["instance killed at the stop limit"];
+        m_record.disturbances.push_back({ .subject = instance.name, .startedAt = soakNow(), .endedAt = soakNow(), .partOfStop = true });
     }
+    while (instance.incarnation == incarnation && m_restarting)
+        co_await sleepFor(Milliseconds(20));
     recordDisturbance(instance.name, startedAt, soakNow(), true);
     instance.stopping = false;
 }
 
+/// Starts a planned stop unless one is in progress.
+bool FaultInjector::startStop(Deployment::Instance& instance)
+{
+    if (instance.stopping || instance.restarting || !m_injecting)
+        return false;
+    instance.stopping = true;
+    ++m_faultCounts["instance stopped"];
+    asio::co_spawn(m_io, stopInstance(instance), asio::detached);
+    return true;
+}
+
+Awaitable<> FaultInjector::stopInstancesInTurn(Milliseconds interval)
+{
+    for (auto& instance : m_deployment.instances()) {
+        if (!m_injecting)
+            co_return;
+        startStop(*instance);
+        co_await sleepFor(interval);
+    }
+}
+
+Awaitable<> FaultInjector::stopAgainAfterRestart(Deployment::Instance& instance)
+{
+    constexpr int stops = 3;
+    for (int i = 0; i < stops && startStop(instance); ++i) {
+        while (instance.stopping)
+            co_await sleepFor(Milliseconds(20));
+        auto pause = randomDuration(20, 400);
+        co_await sleepFor(pause);
+    }
+}
+
+Awaitable<> FaultInjector::signalDuringStop(Deployment::Instance& instance, int signalNumber)
+{
+    if (!startStop(instance))
+        co_return;
+    auto incarnation = instance.incarnation;
+    auto delay = randomDuration(10, 3000);
+    co_await sleepFor(delay);
+    if (instance.incarnation != incarnation || instance.restarting)
+        co_return;
+    ++m_faultCounts[signalNumber == SIGHUP ? "settings reloaded during a stop" : "stop signal repeated"];
+    m_deployment.processes().signal(instance.name, signalNumber);
+}
+
+Awaitable<> FaultInjector::silenceStoreDuringStop()
+{
+    startStop(m_deployment.randomInstance());
+    ++m_faultCounts["store silent during a stop"];
+    co_await injectStoreFault(R"({"silent":true})");
+}
+
+/// Restarts all instances in turn or at once, or one several times; the operations may overlap.
+Awaitable<> FaultInjector::stopInstancesPeriodically()
+{
+    constexpr std::array<std::pair<int, int>, 3> intervalRanges { { { 10, 300 }, { 300, 3000 }, { 3000, 9000 } } };
+    while (m_injecting) {
+        auto& instance = m_deployment.randomInstance();
+        const auto& [minInterval, maxInterval] = intervalRanges[m_random() % intervalRanges.size()];
+        auto interval = randomDuration(minInterval, maxInterval);
+        switch (m_random() % 6) {
+        case 0:
+        case 1:
+            ++m_faultCounts["instances stopped in turn"];
+            co_await stopInstancesInTurn(interval);
+            break;
+        case 2:
+            ++m_faultCounts["instances stopped at once"];
+            co_await stopInstancesInTurn(Milliseconds(0));
+            break;
+        case 3:
+            asio::co_spawn(m_io, stopAgainAfterRestart(instance), asio::detached);
+            break;
+        case 4:
+            asio::co_spawn(m_io, signalDuringStop(instance, m_options.repeatedSignals ? SIGTERM : SIGHUP), asio::detached);
+            break;
+        default:
+            if (m_options.silentStore)
+                asio::co_spawn(m_io, silenceStoreDuringStop(), asio::detached);
+            else
+                startStop(instance);
+        }
+        auto pause = randomDuration(200, 3000);
+        co_await sleepFor(pause);
+    }
+}
+
 Awaitable<> FaultInjector::pauseProcess(std::string name, std::string subject)
 {
     auto startedAt = soakNow();
@@ -195,11 +322,7 @@
     auto& engine = m_deployment.randomEngine();
     switch (m_random() % 4) {
     case 0:
-        if (instance.stopping)
-            return;
-        instance.stopping = true;
-        ++m_faultCounts["instance stopped"];
-        asio::co_spawn(m_io, stopInstance(instance), asio::detached);
+        startStop(instance);
         return;
     case 1:
         ++m_faultCounts["settings reloaded"];
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -23,8 +23,10 @@
 
 private:
     Awaitable<> restartEndedInstances();
+    Awaitable<> restartInstance(Deployment::Instance&);
     Awaitable<> limitEnginesPeriodically();
     Awaitable<> limitEngine(Deployment::ManagedEngine&);
+    Awaitable<> failRequestsPeriodically(Deployment::ManagedEngine&);
     Awaitable<> replaceCrashedEngines();
     Awaitable<> replaceCrashedEngine(Deployment::ManagedEngine&);
     Awaitable<> injectFaultsPeriodically();
@@ -32,9 +34,15 @@
     void startPlannedOperation();
     void injectUnplannedFault();
     Awaitable<> stopInstance(Deployment::Instance&);
+    bool startStop(Deployment::Instance&);
+    Awaitable<> stopInstancesPeriodically();
+    Awaitable<> stopInstancesInTurn(Milliseconds interval);
+    Awaitable<> stopAgainAfterRestart(Deployment::Instance&);
+    Awaitable<> signalDuringStop(Deployment::Instance&, int signalNumber);
     Awaitable<> pauseProcess(std::string name, std::string subject);
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
     Awaitable<> injectStoreFault(std::string fault);
+    Awaitable<> silenceStoreDuringStop();
     Awaitable<> killEngine(Deployment::ManagedEngine&);
     Awaitable<> drainEngine(Deployment::ManagedEngine&);
     Awaitable<> replaceEngine(Deployment::ManagedEngine&);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,7 +1,9 @@
 #include "common/log.h"
 #include "net/logflusher.h"
+#include "soak/budgetcheck.h"
 #include "soak/engine.h"
 #include "soak/soak.h"
+#include "soak/stopcheck.h"
 #include "standins/metadataserver.h"
 
 #include <cxxopts.hpp>
@@ -42,7 +44,7 @@
 
 int runSoak(const cxxopts::ParseResult& arguments)
 {
-    SoakOptions options { .seed = arguments["seed"].as<std::uint64_t>(), .faultSeconds = arguments["seconds"].as<double>(), .instances = arguments["instances"].as<int>(), .engines = arguments["engines"].as<int>(), .callers = arguments["callers"].as<int>(), .faults = arguments["faults"].as<std::string>(), .crashingRequests = arguments.count("crashing-requests") > 0, .statedLimits = arguments.count("stated-limits") > 0, .program = arguments["program"].as<std::string>(), .soakProgram = std::filesystem::canonical("/proc/self/exe"), .folder = arguments["folder"].as<std::string>() };
+    SoakOptions options { .seed = arguments["seed"].as<std::uint64_t>(), .faultSeconds = arguments["seconds"].as<double>(), .instances = arguments["instances"].as<int>(), .engines = arguments["engines"].as<int>(), .callers = arguments["callers"].as<int>(), .faults = arguments["faults"].as<std::string>(), .crashingRequests = arguments.count("crashing-requests") > 0, .statedLimits = arguments.count("stated-limits") > 0, .rolling = arguments.count("rolling") > 0, .repeatedSignals = arguments.count("repeated-signals") > 0, .silentStore = arguments.count("silent-store") > 0, .greyEngines = arguments.count("grey-engines") > 0, .lastingStreams = arguments.count("lasting-streams") > 0, .variedCallers = arguments.count("varied-callers") > 0, .program = arguments["program"].as<std::string>(), .soakProgram = std::filesystem::canonical("/proc/self/exe"), .folder = arguments["folder"].as<std::string>() };
     if (!std::filesystem::exists(options.program)) {
         std::cerr << "--program " << options.program << " does not exist\n";
         return usageErrorExitCode;
@@ -59,6 +61,13 @@
     std::cout << fmt::format("seed {}: {} attempts, {} engine records, {:.3f} served after the last fault, {} violations\n", options.seed, soak.record().attempts.size(), soak.record().engineRecords.size(), servedShare, violations.size());
     for (const auto& [name, count] : soak.faultCounts())
         std::cout << "  " << count << " x " << name << "\n";
+    for (const auto& [reason, count] : countCutResponses(soak.record()))
+        std::cout << fmt::format("  {} x response cut around a stop: {}\n", count, toString(reason));
+    for (bool streams : { true, false }) {
+        auto use = worstRetryUse(soak.record(), streams);
+        if (use.repeats > 0)
+            std::cout << fmt::format("  at most {} of {:.0f} allowed repeats of {}, {} of them resumed generations\n", use.repeats, use.allowed, streams ? "streams" : "plain requests", use.resumes);
+    }
     if (violations.empty())
         std::filesystem::remove_all(options.folder);
     else
@@ -71,7 +80,7 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("guavaspan-soak", "Runs the entry service's real processes under faults and checks its guarantees.\nUsage: guavaspan-soak run [options]; it starts the store and engine processes itself.");
-    options.add_options()("verb", "run, store or engine", cxxopts::value<std::string>()->default_value("run"))("seed", "Seed of faults and requests", cxxopts::value<std::uint64_t>()->default_value("1"))("seconds", "Seconds of fault injection; 20 more seconds without faults follow", cxxopts::value<double>()->default_value("20"))("instances", "Number of instances of the entry service", cxxopts::value<int>()->default_value("4"))("engines", "Number of engines; a third of them serve plain requests", cxxopts::value<int>()->default_value("6"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("24"))("faults", "all, planned or none", cxxopts::value<std::string>()->default_value("all"))("crashing-requests", "Some callers send requests that crash engines")("stated-limits", "Engines state limits of their requests from time to time")("limit", "Requests per second that an engine states as its limit", cxxopts::value<double>()->default_value("0"))("program", "Path of the guavaspan program", cxxopts::value<std::string>()->default_value("build/release/src/guavaspan"))("folder", "Folder for logs and records", cxxopts::value<std::string>()->default_value(""))("listen", "Address that a store or an engine listens on", cxxopts::value<std::string>()->default_value(""))("announced", "Address that an engine publishes", cxxopts::value<std::string>()->default_value(""))("store", "Address of the store for an engine", cxxopts::value<std::string>()->default_value(""))("id", "Id of an engine", cxxopts::value<std::string>()->default_value(""))("service", "Service of an engine", cxxopts::value<std::string>()->default_value(""))("zone", "Failure domain of an engine", cxxopts::value<std::string>()->default_value(""))("records", "File for the records of an engine", cxxopts::value<std::string>()->default_value(""))("generates", "The engine answers with event streams")("plain", "The engine answers with plain responses")("help", "Show this help");
+    options.add_options()("verb", "run, store or engine", cxxopts::value<std::string>()->default_value("run"))("seed", "Seed of faults and requests", cxxopts::value<std::uint64_t>()->default_value("1"))("seconds", "Seconds of fault injection; 20 more seconds without faults follow", cxxopts::value<double>()->default_value("20"))("instances", "Number of instances of the entry service", cxxopts::value<int>()->default_value("4"))("engines", "Number of engines; a third of them serve plain requests", cxxopts::value<int>()->default_value("6"))("callers", "Number of concurrent callers", cxxopts::value<int>()->default_value("24"))("faults", "all, planned or none", cxxopts::value<std::string>()->default_value("all"))("crashing-requests", "Some callers send requests that crash engines")("stated-limits", "Engines state limits of their requests from time to time")("rolling", "Instances are restarted in series that overlap")("repeated-signals", "Stopping instances get more stop signals")("silent-store", "The store is silent during some stops")("grey-engines", "Engines of plain requests fail or refuse many of them at times")("lasting-streams", "Some streams last up to ten seconds")("varied-callers", "Some callers are slow, idle, or send on after the end of a connection was announced")("limit", "Requests per second that an engine states as its limit", cxxopts::value<double>()->default_value("0"))("program", "Path of the guavaspan program", cxxopts::value<std::string>()->default_value("build/release/src/guavaspan"))("folder", "Folder for logs and records", cxxopts::value<std::string>()->default_value(""))("listen", "Address that a store or an engine listens on", cxxopts::value<std::string>()->default_value(""))("announced", "Address that an engine publishes", cxxopts::value<std::string>()->default_value(""))("store", "Address of the store for an engine", cxxopts::value<std::string>()->default_value(""))("id", "Id of an engine", cxxopts::value<std::string>()->default_value(""))("service", "Service of an engine", cxxopts::value<std::string>()->default_value(""))("zone", "Failure domain of an engine", cxxopts::value<std::string>()->default_value(""))("records", "File for the records of an engine", cxxopts::value<std::string>()->default_value(""))("generates", "The engine answers with event streams")("plain", "The engine answers with plain responses")("help", "Show this help");
     options.parse_positional("verb");
     try {
         auto arguments = options.parse(argc, argv);
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -19,6 +19,13 @@
     constexpr SoakTime crashingRequestPeriod = 9000;
     constexpr int crashingCallers = 2;
     constexpr auto pauseOfCrashingCallers = Milliseconds(250);
+    constexpr auto maxPauseOfIdleCallers = Milliseconds(12000);
+    constexpr auto pauseOfLoadingCallers = Milliseconds(10);
+    constexpr std::size_t largeResponseBytes = 100000;
+    constexpr auto timeoutOfSlowCallers = Milliseconds(4000);
+    /// Longer than the longest response that a caller may still read.
+    constexpr auto lastResponseTime = Milliseconds(2500);
+    constexpr auto lastStreamTime = Milliseconds(12500);
 
 }
 
@@ -48,9 +55,45 @@
         if (roll > 7 && !m_record.addedPaths.empty())
             spec.path = std::next(m_record.addedPaths.begin(), static_cast<std::ptrdiff_t>(random() % m_record.addedPaths.size()))->first;
     }
+    if (m_options.lastingStreams && spec.type == RequestType::Stream && random() % 4 == 0)
+        spec.eventCount = 200 + static_cast<int>(random() % 600);
+    if (m_options.variedCallers)
+        varyRequest(spec, random);
     return spec;
 }
 
+/// Makes some requests slow to send or their responses large or slow to read.
+void Soak::varyRequest(RequestSpec& spec, Random& random)
+{
+    if (spec.type == RequestType::Lookup && random() % 5 == 0)
+        spec.paddingBytes = largeResponseBytes + random() % largeResponseBytes;
+    if (spec.type == RequestType::Order && random() % 3 == 0)
+        spec.bodyBytes = 1 + random() % 20000;
+    if (spec.type != RequestType::Lookup && random() % 3 == 0)
+        spec.bodyDuration = Milliseconds(random() % 1000);
+    if (random() % 4 == 0)
+        spec.readPause = Milliseconds(1 + random() % 20);
+    spec.timeout = timeoutOfSlowCallers;
+}
+
+void Soak::startVariedCallers()
+{
+    auto start = [this](std::string name, std::uint64_t number, CallerOptions style) {
+        style.name = std::move(name);
+        style.seed = m_options.seed * 1000 + number;
+        style.nextRequest = [this](Random& random) { return nextRequest(random); };
+        style.chooseEndpoint = [this](Random& random) { return m_deployment.chooseEndpoint(random); };
+        style.shouldContinue = [this] { return m_callersActive; };
+        startCaller(std::move(style));
+    };
+    for (int i = 0; i < m_options.callers; ++i) {
+        auto number = static_cast<std::uint64_t>(i);
+        start(fmt::format("i{}", i), 200 + number, { .maxPauseBetweenRequests = maxPauseOfIdleCallers, .attempts = m_record.attempts });
+        if (i % 2 == 0)
+            start(fmt::format("k{}", i), 400 + number, { .pauseBetweenRequests = Milliseconds(0), .ignoresClose = true, .attempts = m_record.attempts });
+    }
+}
+
 /// The next request that crashes engines. Its path, organisation and body stay the same for some time,
 /// while the key and the stated output limit change.
 RequestSpec Soak::nextCrashingRequest(Random& random) const
@@ -85,6 +128,11 @@
         startCaller({ .name = fmt::format("c{}", i), .seed = m_options.seed * 1000 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .attempts = m_record.attempts });
     for (int i = 0; m_options.crashingRequests && i < crashingCallers; ++i)
         startCaller({ .name = fmt::format("x{}", i), .seed = m_options.seed * 1000 + 500 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
+    if (m_options.variedCallers)
+        startVariedCallers();
+    auto nextLookup = [](Random& random) { return RequestSpec { .path = lookupPath, .apiKey = fmt::format("key-{}-{}", random() % organisationCount, keysPerOrganisation - 1) }; };
+    for (int i = 0; m_options.greyEngines && i < m_options.callers / 2; ++i)
+        startCaller({ .name = fmt::format("g{}", i), .seed = m_options.seed * 1000 + 700 + static_cast<std::uint64_t>(i), .nextRequest = nextLookup, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfLoadingCallers, .attempts = m_record.attempts });
     m_faultInjector.start();
     co_await sleepFor(fromSeconds(m_options.faultSeconds));
     m_faultInjector.stopInjecting();
@@ -94,7 +142,8 @@
     m_record.faultsEndedAt = soakNow();
     co_await sleepFor(faultFreeTime);
     m_callersActive = false;
-    co_await sleepFor(Milliseconds(2500));
+    auto lastResponseDelay = m_options.lastingStreams || m_options.variedCallers ? lastStreamTime : lastResponseTime;
+    co_await sleepFor(lastResponseDelay);
     m_faultInjector.stopRestarting();
     co_await readRecordedUsage();
     m_io.stop();
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -23,7 +23,9 @@
     Awaitable<> runScenario();
     Awaitable<> readRecordedUsage();
     RequestSpec nextRequest(Random&) const;
+    static void varyRequest(RequestSpec&, Random&);
     RequestSpec nextCrashingRequest(Random&) const;
+    void startVariedCallers();
     void startCaller(CallerOptions);
 
     SoakOptions m_options;
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -17,6 +17,18 @@
     bool crashingRequests = false;
     /// Engines state limits of their requests from time to time.
     bool statedLimits = false;
+    /// Instances are restarted in series that overlap.
+    bool rolling = false;
+    /// Stopping instances get more stop signals.
+    bool repeatedSignals = false;
+    /// The store is silent during some stops.
+    bool silentStore = false;
+    /// Engines of plain requests fail or refuse many of them for some seconds at a time.
+    bool greyEngines = false;
+    /// Some streams last up to ten seconds.
+    bool lastingStreams = false;
+    /// Some callers send or read slowly, return to idle connections, or send on after "Connection: close".
+    bool variedCallers = false;
     /// Path of the program under test.
     std::string program;
     /// Path of this program, which also runs the store and engine processes.
