Judge a cut response by the stop of the process that took the request

- A caller that reads slowly may see the end of its connection long after the process was killed, when the next process is already being stopped.
Stops now have an incarnation, and the check has no upper limit of time.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -258,7 +258,7 @@
         {
             bool cutOff = attempt.requestSent && !attempt.responseComplete && attempt.status < 300;
             // A request sent while the instance closes a kept-alive connection is lost without being accepted.
-            cutOff = cutOff && (!engineRecordsOf(attempt.id).empty() || attempt.endedAt - attempt.sentAt > closeRaceTime);
+            cutOff = cutOff && (!engineRecordsOf(attempt.id).empty() || attempt.endedAt - attempt.lastByteSentAt > closeRaceTime);
             if (!cutOff || isUndisturbed(attempt.instance, attempt.sentAt, attempt.endedAt))
                 return;
             bool onlyPlanned = isUndisturbed(attempt.instance, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance) && isUndisturbed(storeSubject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance) && isUndisturbed(enginesSubject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbance);
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -47,8 +47,6 @@
 inline constexpr auto recoveryAllowance = Milliseconds(3000);
 /// Time from SIGTERM to SIGKILL.
 inline constexpr auto stopTimeout = Milliseconds(8000);
-/// Time after the stop limit up to which an incomplete response counts against the stop.
-inline constexpr auto stopAllowance = Milliseconds(1000);
 /// Time from a request's last byte within which an instance may close the connection without having read it.
 inline constexpr auto closeAllowance = Milliseconds(200);
 /// Requests sent later than this after SIGTERM must be answered even if their engine is busy until the stop limit.
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -159,7 +159,7 @@
     auto startedAt = soakNow();
     auto incarnation = instance.incarnation;
     m_deployment.processes().signal(instance.name, SIGTERM);
-    m_record.plannedStops.push_back({ .instance = instance.name, .signalledAt = startedAt });
+    m_record.plannedStops.push_back({ .instance = instance.name, .incarnation = incarnation, .signalledAt = startedAt });
     while (instance.incarnation == incarnation && soakNow() < startedAt + stopTimeout.count())
         co_await sleepFor(Milliseconds(20));
     if (instance.incarnation == incarnation && m_deployment.processes().signal(instance.name, SIGKILL)) {
--- a/soak/record.h
+++ b/soak/record.h
@@ -91,6 +91,8 @@
 /// A SIGTERM that the operator sent to an instance.
 struct PlannedStop {
     std::string instance;
+    /// Incarnation that received the signal.
+    int incarnation = 0;
     SoakTime signalledAt = 0;
 };
 
--- a/soak/stopcheck.cpp
+++ b/soak/stopcheck.cpp
@@ -42,16 +42,14 @@
         }
 
     private:
-        /// The last stop of the attempt's instance that was in progress when the connection ended.
+        /// The stop of the process that took the request, if the connection ended after it began. The end may be
+        /// seen long after the stop limit by a caller that reads slowly.
         const PlannedStop* stopAround(const Attempt& attempt) const
         {
-            const PlannedStop* last = nullptr;
-            for (const auto& stop : m_record.plannedStops) {
-                bool around = stop.instance == attempt.instance && stop.signalledAt <= attempt.endedAt && attempt.endedAt <= stop.signalledAt + (stopTimeout + stopAllowance).count();
-                if (around && (!last || last->signalledAt < stop.signalledAt))
-                    last = &stop;
-            }
-            return last;
+            auto found = std::find_if(m_record.plannedStops.begin(), m_record.plannedStops.end(), [&](const PlannedStop& stop) {
+                return stop.instance == attempt.instance && stop.incarnation == attempt.incarnation && stop.signalledAt <= attempt.endedAt;
+            });
+            return found == m_record.plannedStops.end() ? nullptr : &*found;
         }
 
         CutReason reasonOf(const Attempt& attempt, const PlannedStop& stop) const
@@ -64,7 +62,7 @@
                 return CutReason::EngineBrokeOff;
             if (attempt.endedAt >= attempt.sentAt + attempt.deadlineMs)
                 return CutReason::DeadlineReached;
-            if (attempt.lastByteSentAt <= stop.signalledAt + stopRequestPeriod.count() && engineBusyUntilStopLimit(records, stop))
+            if (attempt.lastByteSentAt <= stop.signalledAt + stopRequestPeriod.count() && engineBusyUntilStopLimit(records, stop, attempt.endedAt))
                 return CutReason::EngineBusyUntilStopLimit;
             auto undisturbed = [&](const std::string& subject) { return isUndisturbed(m_record, subject, attempt.sentAt, attempt.endedAt, Excuse::UnplannedDisturbanceOutsideStops); };
             if (!undisturbed(attempt.instance) || !undisturbed(storeSubject) || !undisturbed(enginesSubject))
@@ -78,11 +76,11 @@
             return last != records.rend() && std::any_of(records.begin(), records.end(), [&](const auto* engineRecord) { return engineRecord->event == EngineRecord::Event::BreakOff && engineRecord->engineId == (*last)->engineId; });
         }
 
-        static bool engineBusyUntilStopLimit(const std::vector<const EngineRecord*>& records, const PlannedStop& stop)
+        static bool engineBusyUntilStopLimit(const std::vector<const EngineRecord*>& records, const PlannedStop& stop, SoakTime cutAt)
         {
-            auto stopLimit = stop.signalledAt + stopTimeout.count();
-            return std::any_of(records.begin(), records.end(), [&](const auto* start) {
-                return start->isExecution() && start->recordedAt <= stopLimit && endOf(*start, records) >= stopLimit - lastPartOfStop.count();
+            auto lastPartStart = stop.signalledAt + (stopTimeout - lastPartOfStop).count();
+            return cutAt >= lastPartStart && std::any_of(records.begin(), records.end(), [&](const auto* start) {
+                return start->isExecution() && endOf(*start, records) >= lastPartStart;
             });
         }
 
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -43,7 +43,7 @@
 
     StopFixture()
     {
-        record.plannedStops.push_back({ .instance = "i", .signalledAt = 99000 });
+        record.plannedStops.push_back({ .instance = "i", .incarnation = 1, .signalledAt = 99000 });
         attempt().sentAt = attempt().lastByteSentAt = 106900;
         attempt().endedAt = 106950;
         attempt().deadlineMs = 1500;
@@ -256,9 +256,12 @@
     f.record.disturbances.push_back({ .subject = storeSubject, .startedAt = 106000, .endedAt = 106100 });
     cr_expect(!f.reports(StopFixture::guarantee), "an unplanned disturbance excuses the stop");
     f.record.disturbances.clear();
-    f.record.plannedStops.front().signalledAt = 97949;
-    cr_expect(!f.reports(StopFixture::guarantee), "the stop had ended before");
-    f.record.plannedStops.front().signalledAt = 97950;
+    f.record.plannedStops.front().incarnation = 2;
+    cr_expect(!f.reports(StopFixture::guarantee), "another process was stopped");
+    f.record.plannedStops.front().incarnation = 1;
+    f.record.plannedStops.front().signalledAt = f.attempt().endedAt + 1;
+    cr_expect(!f.reports(StopFixture::guarantee), "the stop began after the response had been cut");
+    f.record.plannedStops.front().signalledAt = f.attempt().endedAt;
     cr_expect(f.reports(StopFixture::guarantee));
     f.attempt().responseComplete = true;
     cr_expect(!f.reports(StopFixture::guarantee));
