Write down cut responses and report the most used retry window by its share

A run's folder now holds every response that was cut after its process was told to stop, with times and the reason, so that a violation can be traced through the logs without a second run.

Violations are the same.

--- a/soak/budgetcheck.cpp
+++ b/soak/budgetcheck.cpp
@@ -1,10 +1,7 @@
 #include "soak/budgetcheck.h"
 
-#include "soak/constants.h"
-
 #include <algorithm>
 #include <fmt/format.h>
-#include <limits>
 #include <set>
 
 namespace guavaspan::soak {
@@ -49,12 +46,12 @@
             std::sort(requests.begin(), requests.end());
             std::sort(repeats.begin(), repeats.end());
             std::sort(resumes.begin(), resumes.end());
-            RetryUse worst { .allowed = std::numeric_limits<double>::max() };
+            RetryUse worst;
             for (auto windowEnd : repeats) {
                 // Requests may have been sent before the window in which they are repeated.
                 auto requestCount = std::max({ countInWindow(requests, windowEnd), countInWindow(requests, windowEnd - retryWindow.count()), countInWindow(requests, windowEnd - retryWindow.count() / 2) });
                 RetryUse use { .endedAt = windowEnd, .repeats = static_cast<int>(countInWindow(repeats, windowEnd)), .resumes = static_cast<int>(countInWindow(resumes, windowEnd)), .allowed = retryRatio * static_cast<double>(requestCount) + retrySlack };
-                if (use.excess() > worst.excess())
+                if (use.shareOfAllowed() > worst.shareOfAllowed())
                     worst = use;
             }
             return worst;
@@ -84,7 +81,7 @@
         {
             for (bool streams : { true, false }) {
                 auto use = worstRetryUse(streams);
-                if (use.excess() > 0)
+                if (use.shareOfAllowed() > 1)
                     m_violations.push_back({ .guarantee = "repeated requests keep within the retry budget", .evidence = fmt::format("{}: {} repeats, {} of them resumed generations, in {} ms until {}; {:.1f} allowed", streams ? "streams" : "plain requests", use.repeats, use.resumes, retryWindow.count(), use.endedAt, use.allowed) });
             }
         }
--- a/soak/budgetcheck.h
+++ b/soak/budgetcheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/constants.h"
 #include "soak/violation.h"
 
 namespace guavaspan::soak {
@@ -10,9 +11,9 @@
     int repeats = 0;
     /// Repeats that continue a generation from a copy of its state.
     int resumes = 0;
-    double allowed = 0;
+    double allowed = retrySlack;
 
-    double excess() const { return repeats - allowed; }
+    double shareOfAllowed() const { return repeats / allowed; }
 };
 
 /// The worst window of streams or of plain requests; each are served by one service.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -9,6 +9,7 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
 
 using namespace guavaspan;
@@ -61,7 +62,13 @@
     std::cout << fmt::format("seed {}: {} attempts, {} engine records, {:.3f} served after the last fault, {} violations\n", options.seed, soak.record().attempts.size(), soak.record().engineRecords.size(), servedShare, violations.size());
     for (const auto& [name, count] : soak.faultCounts())
         std::cout << "  " << count << " x " << name << "\n";
-    for (const auto& [reason, count] : countCutResponses(soak.record()))
+    std::map<CutReason, int> cutCounts;
+    std::ofstream cutOutput(options.folder + "/cut_responses");
+    for (const auto& cut : findCutResponses(soak.record())) {
+        ++cutCounts[cut.reason];
+        cutOutput << describe(cut) << "\n";
+    }
+    for (const auto& [reason, count] : cutCounts)
         std::cout << fmt::format("  {} x response cut around a stop: {}\n", count, toString(reason));
     for (bool streams : { true, false }) {
         auto use = worstRetryUse(soak.record(), streams);
--- a/soak/stopcheck.cpp
+++ b/soak/stopcheck.cpp
@@ -13,13 +13,6 @@
 
     constexpr SoakTime never = std::numeric_limits<SoakTime>::max();
 
-    /// An incomplete response and the stop of the instance during which it ended.
-    struct CutResponse {
-        const Attempt& attempt;
-        const PlannedStop& stop;
-        CutReason reason;
-    };
-
     class StopChecker {
     public:
         explicit StopChecker(const SoakRecord& record)
@@ -119,18 +112,20 @@
     return "";
 }
 
-std::map<CutReason, int> countCutResponses(const SoakRecord& record)
+std::vector<CutResponse> findCutResponses(const SoakRecord& record)
+{
+    return StopChecker(record).cutResponses();
+}
+
+std::string describe(const CutResponse& cut)
 {
-    std::map<CutReason, int> counts;
-    for (const auto& cut : StopChecker(record).cutResponses())
-        ++counts[cut.reason];
-    return counts;
+    return fmt::format("{} {} incarnation {} SIGTERM {} sent {} last byte {} ended {} status {}: {}", cut.attempt.id, cut.attempt.instance, cut.attempt.incarnation, cut.stop.signalledAt, cut.attempt.sentAt, cut.attempt.lastByteSentAt, cut.attempt.endedAt, cut.attempt.status, toString(cut.reason));
 }
 
 std::vector<Violation> findStopViolations(const SoakRecord& record)
 {
     std::vector<Violation> violations;
-    for (const auto& cut : StopChecker(record).cutResponses()) {
+    for (const auto& cut : findCutResponses(record)) {
         if (cut.reason == CutReason::Lost)
             violations.push_back(makeViolation("an accepted request is answered before its instance ends", cut.attempt, fmt::format("last byte sent {}, SIGTERM at {}", cut.attempt.lastByteSentAt, cut.stop.signalledAt)));
     }
--- a/soak/stopcheck.h
+++ b/soak/stopcheck.h
@@ -18,8 +18,18 @@
 
 const char* toString(CutReason);
 
-/// Number of incomplete responses around planned stops, by reason.
-std::map<CutReason, int> countCutResponses(const SoakRecord&);
+/// An incomplete response and the stop of the process that took its request.
+struct CutResponse {
+    const Attempt& attempt;
+    const PlannedStop& stop;
+    CutReason reason;
+};
+
+/// Incomplete responses that ended after the stop of their process had begun.
+std::vector<CutResponse> findCutResponses(const SoakRecord&);
+
+/// Describes a cut response in one line.
+std::string describe(const CutResponse&);
 
 /// Reports requests that a planned stop of their instance left without a complete response.
 std::vector<Violation> findStopViolations(const SoakRecord&);
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -277,8 +277,8 @@
     cr_expect(f.reports(StopFixture::guarantee), "the connection ended too late");
     f.attempt().endedAt = f.attempt().lastByteSentAt + closeAllowance.count();
     cr_expect(!f.reports(StopFixture::guarantee));
-    auto counts = countCutResponses(f.record);
-    cr_expect(counts.size() == 1 && counts[CutReason::CloseRace] == 1);
+    auto cuts = findCutResponses(f.record);
+    cr_expect(cuts.size() == 1 && cuts.front().reason == CutReason::CloseRace);
 }
 
 Test(SoakChecks, findViolations_requestCutByEngineOrDeadlineDuringStop_reportsNone)
