Refuse to run the soak in the folder of an earlier run

Engines append to the records file, so that a run in a folder that was left by an earlier one reported thousands of second executions and requests of other organisations: attempt ids repeat between runs.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -52,6 +52,10 @@
     }
     if (options.folder.empty())
         options.folder = fmt::format("{}/guavaspan-soak-{}-{}", std::filesystem::temp_directory_path().string(), options.seed, soakNow());
+    if (std::filesystem::exists(options.folder)) {
+        std::cerr << "--folder " << options.folder << " exists; records of an earlier run would be read as this run's\n";
+        return usageErrorExitCode;
+    }
     Soak soak(options);
     auto violations = soak.run();
     double servedShare = servedShareAfterFaults(soak.record());
