--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -14,6 +14,7 @@
 
     constexpr auto streamTimeout = Seconds(12);
     constexpr auto connectTimeout = Milliseconds(500);
+    constexpr auto lateResponseTime = Milliseconds(500);
     /// Parts in which the body of a slowly sent request is written.
     constexpr std::size_t bodyParts = 10;
 
@@ -110,7 +111,8 @@
         request.body() = std::string(spec.bodyBytes, 'b');
     }
     request.prepare_payload();
-    m_connection.expires_after(timeout);
+    // Reads a response that is sent when the deadline is reached.
+    m_connection.expires_after(timeout + lateResponseTime);
     auto error = co_await writeRequest(request, spec.bodyDuration);
     attempt.lastByteSentAt = soakNow();
     attempt.requestSent = !error;
@@ -177,7 +179,7 @@
         attempt.contentError = verifier.errorAtEnd();
     if (!isStream && attempt.status == 200 && body != attempt.id + std::string(spec.paddingBytes, paddingCharacter))
         attempt.contentError = "response body of attempt " + body.substr(0, 40);
-    m_connected = m_options.ignoresClose || message.keep_alive();
+    m_connected = !m_options.reconnects && (m_options.ignoresClose || message.keep_alive());
 }
 
 }
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -48,6 +48,8 @@
     Milliseconds maxPauseBetweenRequests { 0 };
     /// Sends the next request on the same connection even if the response announced its end.
     bool ignoresClose = false;
+    /// Sends each request on a new connection.
+    bool reconnects = false;
     /// Receives a record of each request.
     std::vector<Attempt>& attempts;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -19,12 +19,14 @@
     constexpr SoakTime crashingRequestPeriod = 9000;
     constexpr int crashingCallers = 2;
     constexpr auto pauseOfCrashingCallers = Milliseconds(250);
+    constexpr int idleCallersPerCaller = 3;
     constexpr auto maxPauseOfIdleCallers = Milliseconds(12000);
     constexpr auto pauseOfLoadingCallers = Milliseconds(10);
     constexpr std::size_t largeResponseBytes = 100000;
     constexpr auto timeoutOfSlowCallers = Milliseconds(4000);
     /// Longer than the longest response that a caller may still read.
     constexpr auto lastResponseTime = Milliseconds(2500);
+    constexpr auto lastSlowResponseTime = Milliseconds(4500);
     constexpr auto lastStreamTime = Milliseconds(12500);
 
 }
@@ -88,9 +90,12 @@
     };
     for (int i = 0; i < m_options.callers; ++i) {
         auto number = static_cast<std::uint64_t>(i);
-        start(fmt::format("i{}", i), 200 + number, { .maxPauseBetweenRequests = maxPauseOfIdleCallers, .attempts = m_record.attempts });
+        for (int k = 0; k < idleCallersPerCaller; ++k)
+            start(fmt::format("i{}_{}", i, k), 10000 + number * idleCallersPerCaller + static_cast<std::uint64_t>(k), { .maxPauseBetweenRequests = maxPauseOfIdleCallers, .attempts = m_record.attempts });
         if (i % 2 == 0)
             start(fmt::format("k{}", i), 400 + number, { .pauseBetweenRequests = Milliseconds(0), .ignoresClose = true, .attempts = m_record.attempts });
+        else
+            start(fmt::format("n{}", i), 400 + number, { .reconnects = true, .attempts = m_record.attempts });
     }
 }
 
@@ -142,7 +147,9 @@
     m_record.faultsEndedAt = soakNow();
     co_await sleepFor(faultFreeTime);
     m_callersActive = false;
-    auto lastResponseDelay = m_options.lastingStreams || m_options.variedCallers ? lastStreamTime : lastResponseTime;
+    auto lastResponseDelay = m_options.variedCallers ? lastSlowResponseTime : lastResponseTime;
+    if (m_options.lastingStreams)
+        lastResponseDelay = lastStreamTime;
     co_await sleepFor(lastResponseDelay);
     m_faultInjector.stopRestarting();
     co_await readRecordedUsage();
