Wait for the caller's end before a connection is closed after an answer

Callers that had sent more bytes than the server had read lost the end of an answer: the server shut down sending and closed the socket at once. The kernel resets a connection that is closed with unread bytes and discards what it has not sent. Answers are affected that announce the close of the connection, as all answers of a stopping instance do.

The server now reads and discards until the caller closes its end, for at most 2 s and 4 MB. It also lists its connections with their states (idle, reading, handling, closing), so that a stop can wait for all that are busy, and can close idle ones. It waits for the first byte of a further request before it reads the request, so that the two states differ. A connection that is not kept any more but did not announce this stays open for 300 ms for a request on its way.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -3,7 +3,9 @@
 #include "net/httpexchange.h"
 
 #include <functional>
+#include <list>
 #include <memory>
+#include <vector>
 
 namespace guavaspan {
 
@@ -18,6 +20,41 @@
 
 using HttpHandler = std::function<Awaitable<>(HttpExchange&)>;
 
+enum class ConnectionState {
+    /// No byte of the next request has been read.
+    Idle,
+    /// A request is expected on a new connection or has been read in part.
+    Reading,
+    /// A handler runs; its answer may have been sent in part.
+    Handling,
+    /// The last answer was sent; the caller may not have read all of it.
+    Closing,
+};
+
+const char* toString(ConnectionState);
+
+/// Number of open connections by state.
+struct ConnectionCounts {
+    std::size_t idle = 0;
+    std::size_t reading = 0;
+    std::size_t handling = 0;
+    std::size_t closing = 0;
+
+    /// Connections on which closing the socket now could lose a request or an answer.
+    std::size_t busy() const { return reading + handling + closing; }
+
+    friend bool operator==(const ConnectionCounts&, const ConnectionCounts&) = default;
+};
+
+/// Description of an open connection, for logs.
+struct OpenConnection {
+    Endpoint caller;
+    ConnectionState state = ConnectionState::Idle;
+    std::size_t unreadBytes = 0;
+
+    friend bool operator==(const OpenConnection&, const OpenConnection&) = default;
+};
+
 /// Accepts connections and passes each request to a handler.
 class HttpServer {
 public:
@@ -32,15 +69,29 @@
     /// Stops accepting connections; open connections are kept.
     void close();
 
+    /// Closes idle connections, and from now on each connection after its answer.
+    void closeIdleConnections();
+
+    ConnectionCounts connectionCounts() const;
+    std::vector<OpenConnection> openConnections() const;
+
 private:
+    struct Connection;
+    using Connections = std::list<Connection*>;
+
     Awaitable<> acceptLoop();
     Awaitable<> serve(asio::ip::tcp::socket);
-    Awaitable<boost::system::error_code> readRequest(beast::tcp_stream&, beast::flat_buffer&, http::request_parser<http::string_body>&, Clock::duration headerReadTimeout);
+    Awaitable<> serveRequests(Connection&);
+    Awaitable<bool> waitForRequest(Connection&);
+    Awaitable<boost::system::error_code> readRequest(Connection&, http::request_parser<http::string_body>&);
 
     asio::io_context& m_context;
     HttpLimits m_limits;
     HttpHandler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
+    /// Shared with the coroutines that serve them, which the context destroys after this object.
+    std::shared_ptr<Connections> m_connections = std::make_shared<Connections>();
+    bool m_keepsConnections = true;
 };
 
 }
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -2,12 +2,16 @@
 
 #include "common/log.h"
 
+#include <array>
 #include <fmt/format.h>
 
 namespace guavaspan {
 
 namespace {
 
+    /// Time for a request that a caller sends before it learns that connections are no longer kept.
+    constexpr auto finalIdleTimeout = Milliseconds(300);
+
     /// Response status for a request that could not be read; 0 means that no response is sent.
     unsigned statusForReadError(const boost::system::error_code& error)
     {
@@ -31,8 +35,71 @@
         return Reply { .status = status, .contentType = "application/problem+json", .body = body };
     }
 
+    /// Reads what the caller still sends, until it has closed its end. A socket that is closed with unread bytes is
+    /// reset, and the caller may lose the end of an answer that it has not read.
+    Awaitable<> discardUntilEnd(beast::tcp_stream& stream)
+    {
+        constexpr auto maxTime = Milliseconds(2000);
+        constexpr std::size_t maxBytes = 4 << 20;
+        std::array<char, 4096> chunk {};
+        stream.expires_after(maxTime);
+        for (std::size_t discarded = 0; discarded < maxBytes;) {
+            auto [error, count] = co_await stream.async_read_some(asio::buffer(chunk), asTuple);
+            if (error)
+                co_return;
+            discarded += count;
+        }
+    }
+
+}
+
+const char* toString(ConnectionState state)
+{
+    switch (state) {
+    case ConnectionState::Idle:
+        return "idle";
+    case ConnectionState::Reading:
+        return "reading";
+    case ConnectionState::Handling:
+        return "handling";
+    case ConnectionState::Closing:
+        return "closing";
+    }
+    return "idle";
 }
 
+/// Listed in the server's connections while it exists.
+struct HttpServer::Connection {
+    Connection(asio::ip::tcp::socket socket, Endpoint remote, std::shared_ptr<Connections> connections)
+        : stream(std::move(socket))
+        , remote(std::move(remote))
+        , m_connections(std::move(connections))
+        , m_position(m_connections->insert(m_connections->end(), this))
+    {
+    }
+
+    ~Connection() { m_connections->erase(m_position); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    std::size_t unreadBytes() const
+    {
+        boost::system::error_code ignored;
+        return stream.socket().available(ignored);
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    Endpoint remote;
+    ConnectionState state = ConnectionState::Reading;
+    /// Whether an answer was sent that the caller may not have read to its end.
+    bool lingers = false;
+
+private:
+    std::shared_ptr<Connections> m_connections;
+    Connections::iterator m_position;
+};
+
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
     : m_context(context)
     , m_limits(limits)
@@ -82,8 +149,9 @@
 }
 
 /// Uses a separate timer, because the timer of tcp_stream closes the socket, and no error response could be sent.
-Awaitable<boost::system::error_code> HttpServer::readRequest(beast::tcp_stream& stream, beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser, Clock::duration headerReadTimeout)
+Awaitable<boost::system::error_code> HttpServer::readRequest(Connection& connection, http::request_parser<http::string_body>& parser)
 {
+    auto& stream = connection.stream;
     auto expired = std::make_shared<bool>(false);
     asio::steady_timer timer(m_context);
     auto startTimer = [&](Clock::duration duration) {
@@ -96,12 +164,12 @@
         });
     };
     stream.expires_never();
-    startTimer(headerReadTimeout);
-    auto [headerError, headerBytes] = co_await http::async_read_header(stream, buffer, parser, asTuple);
+    startTimer(m_limits.headerTimeout);
+    auto [headerError, headerBytes] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
     auto error = headerError;
     if (!error) {
         startTimer(m_limits.headerTimeout);
-        auto [bodyError, bodyBytes] = co_await http::async_read(stream, buffer, parser, asTuple);
+        auto [bodyError, bodyBytes] = co_await http::async_read(stream, connection.buffer, parser, asTuple);
         error = bodyError;
     }
     if (*expired)
@@ -109,38 +177,104 @@
     co_return error;
 }
 
-Awaitable<> HttpServer::serve(asio::ip::tcp::socket socket)
+/// Waits for the first byte of the next request on a kept connection. False if the connection is to be closed instead.
+Awaitable<bool> HttpServer::waitForRequest(Connection& connection)
+{
+    if (connection.buffer.size() > 0)
+        co_return true;
+    connection.state = ConnectionState::Idle;
+    auto& socket = connection.stream.socket();
+    asio::steady_timer timer(m_context, m_keepsConnections ? m_limits.idleTimeout : finalIdleTimeout);
+    timer.async_wait([&socket](boost::system::error_code error) {
+        if (!error)
+            socket.cancel();
+    });
+    auto [error] = co_await socket.async_wait(asio::socket_base::wait_read, asTuple);
+    co_return !error;
+}
+
+Awaitable<> HttpServer::serveRequests(Connection& connection)
 {
-    boost::system::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto remoteEndpoint = socket.remote_endpoint(ignored);
-    Endpoint remote { .address = remoteEndpoint.address().to_string(), .port = remoteEndpoint.port() };
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
     bool firstRequest = true;
-    while (true) {
+    while (firstRequest || co_await waitForRequest(connection)) {
+        firstRequest = false;
+        connection.state = ConnectionState::Reading;
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_limits.maxBodyBytes);
         parser.header_limit(m_limits.maxHeaderBytes);
-        auto error = co_await readRequest(stream, buffer, parser, firstRequest ? m_limits.headerTimeout : m_limits.idleTimeout);
+        auto error = co_await readRequest(connection, parser);
+        connection.state = ConnectionState::Handling;
         if (error) {
-            auto status = statusForReadError(error);
-            bool requestBegun = firstRequest || parser.got_some() || buffer.size() > 0;
-            // An idle connection is closed without a response.
-            if (status && requestBegun) {
-                HttpExchange exchange(stream, HttpRequest {}, remote, m_limits.writeTimeout);
+            if (auto status = statusForReadError(error)) {
+                HttpExchange exchange(connection.stream, HttpRequest {}, connection.remote, m_limits.writeTimeout);
                 co_await exchange.send(replyForReadError(status, error.message()));
+                connection.lingers = true;
             }
-            break;
+            co_return;
         }
-        firstRequest = false;
-        stream.expires_never();
-        HttpExchange exchange(stream, parser.release(), remote, m_limits.writeTimeout);
+        connection.stream.expires_never();
+        HttpExchange exchange(connection.stream, parser.release(), connection.remote, m_limits.writeTimeout);
         co_await m_handler(exchange);
+        connection.lingers = exchange.responseStarted();
         if (!exchange.responseStarted() || !exchange.keepAlive())
+            co_return;
+    }
+    connection.lingers = false;
+}
+
+Awaitable<> HttpServer::serve(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto remoteEndpoint = socket.remote_endpoint(ignored);
+    Connection connection(std::move(socket), { .address = remoteEndpoint.address().to_string(), .port = remoteEndpoint.port() }, m_connections);
+    co_await serveRequests(connection);
+    connection.state = ConnectionState::Closing;
+    connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (connection.lingers)
+        co_await discardUntilEnd(connection.stream);
+}
+
+void HttpServer::closeIdleConnections()
+{
+    m_keepsConnections = false;
+    boost::system::error_code ignored;
+    for (auto* connection : *m_connections) {
+        // A request that has already arrived is answered.
+        if (connection->state == ConnectionState::Idle && connection->unreadBytes() == 0)
+            connection->stream.socket().cancel(ignored);
+    }
+}
+
+ConnectionCounts HttpServer::connectionCounts() const
+{
+    ConnectionCounts counts;
+    for (const auto* connection : *m_connections) {
+        switch (connection->state) {
+        case ConnectionState::Idle:
+            // A request that has arrived is not yet read.
+            ++(connection->unreadBytes() > 0 ? counts.reading : counts.idle);
             break;
+        case ConnectionState::Reading:
+            ++counts.reading;
+            break;
+        case ConnectionState::Handling:
+            ++counts.handling;
+            break;
+        case ConnectionState::Closing:
+            ++counts.closing;
+            break;
+        }
     }
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    return counts;
+}
+
+std::vector<OpenConnection> HttpServer::openConnections() const
+{
+    std::vector<OpenConnection> connections;
+    for (const auto* connection : *m_connections)
+        connections.push_back({ .caller = connection->remote, .state = connection->state, .unreadBytes = connection->unreadBytes() });
+    return connections;
 }
 
 }
