Do not end the process at once when SIGTERM is repeated

A second stop signal of any kind ended the event loop: requests that had been accepted were cut without an answer. Init systems and operators repeat SIGTERM without that intention, and the host has SIGKILL to end a process at once.

Only a second SIGINT, sent from a terminal, ends the process now; other repeated signals are logged as stop_signal_repeated. The own interface (`serve`) had the same code and follows the same rule.

Whether the users' cases had a second signal is unknown: their record shows no stopped_early, which it would list.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/overloaded.h"
+#include "common/stopsignals.h"
 #include "entry/drain.h"
 #include "net/logflusher.h"
 
@@ -299,7 +300,16 @@
     m_registration.stop();
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) } });
     asio::co_spawn(m_io, drainAndStop(), asio::detached);
-    auto [secondError, secondSignal] = co_await m_stopSignals.async_wait(asTuple);
+    StopSignals signals;
+    signals.endsAtOnce(signal);
+    while (true) {
+        auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
+        if (repeatError)
+            co_return;
+        if (signals.endsAtOnce(repeatedSignal))
+            break;
+        logEvent(LogLevel::Info, "stop_signal_repeated", { { "signal", std::int64_t(repeatedSignal) } });
+    }
     logEvent(LogLevel::Warning, "stopped_early", { { "cut_requests", std::int64_t(m_relayContext.inFlight) } });
     m_io.stop();
 }
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "common/stopsignals.h"
 #include "instance/httpinstancelist.h"
 #include "keyvalue/etcdkeyvaluestore.h"
 #include "net/logflusher.h"
@@ -154,8 +155,17 @@
     auto [error, signal] = co_await m_signals.async_wait(asTuple);
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
     asio::co_spawn(m_io, drainAndStop(), asio::detached);
-    co_await m_signals.async_wait(asTuple);
-    logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("second signal") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
+    StopSignals signals;
+    signals.endsAtOnce(signal);
+    while (true) {
+        auto [repeatError, repeatedSignal] = co_await m_signals.async_wait(asTuple);
+        if (repeatError)
+            co_return;
+        if (signals.endsAtOnce(repeatedSignal))
+            break;
+        logEvent(LogLevel::Info, "stop_signal_repeated", { { "signal", std::int64_t(repeatedSignal) } });
+    }
+    logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("second interrupt") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
     m_io.stop();
 }
 
