Let the own interface wait for connections when it stops

`serve` had the same gap as the entry service: its stop waited for handlers, not for requests that were still being read nor for answers that callers had not read, and kept idle connections open until the process ended. It now closes idle connections when it closes its listener, and waits until no connection is busy, at most for longest_drain_ms if that is set.

Found by reading; not shown by a run of `serve`.

--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -178,9 +178,10 @@
     m_peerNetwork.announceLeaving();
     co_await sleepFor(m_settings.stopping.balancerDetectionTime);
     m_server.close();
+    m_server.closeIdleConnections();
     auto drainLimit = m_settings.stopping.maxDrainTime;
     auto drainStartedAt = Clock::now();
-    while (m_gatewayContext.inFlight > 0) {
+    while (m_server.connectionCounts().busy() > 0) {
         bool timedOut = drainLimit.count() > 0 && Clock::now() - drainStartedAt > drainLimit;
         if (timedOut) {
             logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("longest_drain_ms") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
