Schedule every step of a stop up to the host's kill

Nothing in the log said what the kill had cut.

Cause: the end of the process was known to one check, for streams. Plain requests were admitted until the kill, deadlines handed to engines reached beyond it, drain() had no limit, a request whose body was being read did not count, idle connections stayed open and brought requests, and settings read again moved the limit during the stop.

StopSchedule, made once from the signal, the limit and the load balancer's detection time, now answers on each path: which requests may be admitted (by their estimate while the balancer sends, by their bound afterwards), how long they may last, when idle connections close, when what is left is answered with 502/503/504 or, as a stream under way, cut, and when the process ends. drain() waits for busy connections instead of handlers. A limit that changes during the stop can only shorten it.

Logged: request_cut, connection_cut, since_stop_ms in request_ended, connections by state in stopping; counted: guavaspan_entry_cut_requests_total.

--- a/src/entry/drain.h
+++ b/src/entry/drain.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/nettypes.h"
+#include "relay/stopschedule.h"
 
 #include <functional>
 
@@ -8,18 +9,23 @@
 
 /// What drain() needs to know and do.
 struct DrainOptions {
-    std::function<std::size_t()> inFlightRequests;
+    /// Number of connections with a request that is being read, handled or answered.
+    std::function<std::size_t()> busyConnections;
     /// Number of requests that have ended since the process started.
     std::function<std::uint64_t()> endedRequests;
+    std::function<void()> closeIdleConnections;
     std::function<void()> closeListener;
+    /// Ends the requests that still run with an answer, or cuts their streams.
+    std::function<void()> cutRequests;
     /// Writes use that is not on record; false if that failed.
     std::function<Awaitable<bool>()> writeUsage;
-    /// Time until the load balancer stops sending requests.
-    Clock::duration balancerDetectionTime {};
+    /// Asked before each step, since settings that are read again may change it.
+    std::function<StopSchedule()> schedule;
 };
 
-/// Waits until a stopping instance may end its process: the load balancer has stopped sending requests, requests in
-/// flight have ended, and use is on record or cannot be written in time. False if use is not on record.
+/// Waits until a stopping instance may end its process: the load balancer has stopped sending requests, answers have
+/// been sent and read, and use is on record or cannot be written in time. Ends before the host kills the process.
+/// False if use is not on record.
 Awaitable<bool> drain(DrainOptions);
 
 }
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -8,6 +8,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "quarantine/crashrecordwriter.h"
+#include "relay/activerequests.h"
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
@@ -58,6 +59,8 @@
     Awaitable<> tickLoop();
     Awaitable<> handleStopSignals();
     Awaitable<> drainAndStop();
+    void cutRequests();
+    void logCutConnections();
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -56,7 +56,7 @@
     , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .stopLimit = m_settings.stopLimit, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); } }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .fleet = m_fleet, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -178,7 +178,7 @@
 {
     bool requiresKeys = m_configuration.ready() && m_configuration.table()->requiresKeys();
     bool keysCurrent = !requiresKeys || m_configuration.keysAreCurrent(BootClock::now());
-    return m_configuration.ready() && keysCurrent && !m_relayContext.stoppingSince;
+    return m_configuration.ready() && keysCurrent && !m_relayContext.stop;
 }
 
 StoreView EntryInstance::storeView() const
@@ -267,7 +267,7 @@
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
-            logEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready", { { "configuration", m_configuration.ready() ? m_configuration.table()->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() }, { "stopping", m_relayContext.stoppingSince.has_value() } });
+            logEvent(LogLevel::Info, m_wasReady ? "ready" : "not_ready", { { "configuration", m_configuration.ready() ? m_configuration.table()->version() : 0 }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() }, { "stopping", m_relayContext.stop.has_value() } });
         }
         co_await sleepFor(tickInterval);
     }
@@ -286,8 +286,9 @@
         }
         // Time limits may change while the process runs, but addresses may not.
         m_settings.stopLimit = settings->stopLimit;
-        m_relayContext.stopLimit = settings->stopLimit;
-        logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() } });
+        if (m_relayContext.stop)
+            m_relayContext.stop = m_relayContext.stop->withLimit(settings->stopLimit);
+        logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "stopping", m_relayContext.stop.has_value() } });
     }
 }
 
@@ -296,12 +297,14 @@
     auto [error, signal] = co_await m_stopSignals.async_wait(asTuple);
     if (error)
         co_return;
-    m_relayContext.stoppingSince = Clock::now();
-    m_registration.stop();
-    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) } });
-    asio::co_spawn(m_io, drainAndStop(), asio::detached);
     StopSignals signals;
     signals.endsAtOnce(signal);
+    m_relayContext.stop = StopSchedule({ .signalledAt = Clock::now(), .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime });
+    m_relayContext.activeRequests->limitDeadlines(m_relayContext.stop->requestsEndAt());
+    m_registration.stop();
+    auto connections = m_callerServer.connectionCounts();
+    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
+    asio::co_spawn(m_io, drainAndStop(), asio::detached);
     while (true) {
         auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
         if (repeatError)
@@ -315,14 +318,36 @@
 }
 
 /// Reports "not ready" but keeps accepting connections until the load balancer has stopped sending requests,
-/// so that callers do not find a closed port. Requests in flight are not cancelled.
+/// so that callers do not find a closed port. Requests in flight run until shortly before the host's kill.
 Awaitable<> EntryInstance::drainAndStop()
 {
-    DrainOptions options { .inFlightRequests = [this] { return m_relayContext.inFlight; }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeListener = [this] { m_callerServer.close(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .balancerDetectionTime = balancerDetectionTime };
+    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .schedule = [this] { return *m_relayContext.stop; } };
     bool usageWritten = co_await drain(std::move(options));
     if (!usageWritten)
         logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
+    logCutConnections();
     m_io.stop();
 }
 
+void EntryInstance::cutRequests()
+{
+    auto now = Clock::now();
+    auto sinceStop = std::chrono::duration_cast<Milliseconds>(now - m_relayContext.stop->signalledAt()).count();
+    for (const auto* request : m_relayContext.activeRequests->cutAll(now)) {
+        m_metrics.recordCutRequest(request->route.name);
+        auto age = std::chrono::duration_cast<Milliseconds>(now - request->arrivedAt).count();
+        logEvent(LogLevel::Warning, "request_cut", { { "request", request->caller.requestId }, { "route", request->route.name }, { "answer_started", request->exchange.responseStarted() }, { "age_ms", age }, { "since_stop_ms", sinceStop }, { "caller", toString(request->exchange.remote()) } });
+    }
+}
+
+void EntryInstance::logCutConnections()
+{
+    auto sinceStop = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_relayContext.stop->signalledAt()).count();
+    for (const auto& connection : m_callerServer.openConnections()) {
+        bool cut = connection.state != ConnectionState::Idle || connection.unreadBytes > 0;
+        if (cut)
+            logEvent(LogLevel::Warning, "connection_cut", { { "caller", toString(connection.caller) }, { "state", std::string(toString(connection.state)) }, { "unread_bytes", std::int64_t(connection.unreadBytes) }, { "since_stop_ms", sinceStop } });
+    }
+}
+
 }
--- a/src/entry/tests/drain_test.cpp
+++ b/src/entry/tests/drain_test.cpp
@@ -16,6 +16,11 @@
     bool listening = true;
     bool requestArrivesDuringWrite = false;
     bool storeResponds = true;
+    bool requestsEnd = true;
+    bool idleConnectionsOpen = true;
+    bool requestsCut = false;
+    bool idleConnectionsOpenWhileHandling = true;
+    StopOptions stop { .signalledAt = Clock::now(), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(10) };
     int writes = 0;
     std::uint64_t requestsEnded = 0;
     std::uint64_t requestsOnRecord = 0;
@@ -24,6 +29,8 @@
     {
         ++inFlight;
         co_await sleepFor(requestDuration);
+        while (!requestsEnd && !requestsCut)
+            co_await sleepFor(requestDuration / 10);
         ++requestsEnded;
         --inFlight;
     }
@@ -47,7 +54,7 @@
 
     bool run()
     {
-        DrainOptions options { .inFlightRequests = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeListener = [this] { listening = false; }, .writeUsage = [this] { return writeUsage(); }, .balancerDetectionTime = Milliseconds(10) };
+        DrainOptions options { .busyConnections = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeIdleConnections = [this] { idleConnectionsOpen = false; }, .closeListener = [this] { listening = false; }, .cutRequests = [this] { requestsCut = true; }, .writeUsage = [this] { return writeUsage(); }, .schedule = [this] { return StopSchedule(stop); } };
         bool written = false;
         asio::co_spawn(io, drainThenStop(std::move(options), written), asio::detached);
         io.run_for(Seconds(4));
@@ -55,6 +62,12 @@
     }
 };
 
+Awaitable<> noteStateAfter(DrainFixture& f, Clock::duration delay)
+{
+    co_await sleepFor(delay);
+    f.idleConnectionsOpenWhileHandling = f.idleConnectionsOpen || f.requestsEnded > 0;
+}
+
 }
 
 Test(Drain, requestInFlight_endsBeforeTheListenerCloses)
@@ -82,3 +95,38 @@
     cr_expect(!f.run());
     cr_expect(f.writes > 0);
 }
+
+/// Guards against LOST: an idle connection stayed open while a request ran, and brought another one before the kill.
+Test(Drain, requestInFlight_idleConnectionsCloseBeforeItEnds)
+{
+    DrainFixture f;
+    asio::co_spawn(f.io, f.serveRequest(), asio::detached);
+    asio::co_spawn(f.io, noteStateAfter(f, requestDuration / 2), asio::detached);
+    cr_expect(f.run());
+    cr_expect(f.requestsEnded == 1 && !f.requestsCut);
+    cr_expect_not(f.idleConnectionsOpenWhileHandling);
+}
+
+/// Guards against LOST: drain waited for the last request beyond the host's kill.
+Test(Drain, requestBeyondTheLimit_isCutAnsweredAndOnRecordBeforeTheKill)
+{
+    DrainFixture f;
+    f.requestsEnd = false;
+    f.stop.stopLimit = Milliseconds(1200);
+    asio::co_spawn(f.io, f.serveRequest(), asio::detached);
+    cr_expect(f.run());
+    cr_expect(f.requestsCut && f.requestsEnded == 1 && f.requestsOnRecord == 1);
+    cr_expect(Clock::now() < f.stop.signalledAt + f.stop.stopLimit);
+}
+
+/// Guards against LOST: a store that does not respond held the process beyond the host's kill.
+Test(Drain, storeThatDoesNotRespond_endsBeforeTheKill)
+{
+    DrainFixture f;
+    f.storeResponds = false;
+    f.requestsEnd = false;
+    f.stop.stopLimit = Milliseconds(1200);
+    asio::co_spawn(f.io, f.serveRequest(), asio::detached);
+    cr_expect(!f.run());
+    cr_expect(Clock::now() < f.stop.signalledAt + f.stop.stopLimit);
+}
--- /dev/null
+++ b/src/relay/internal/activerequests.cpp
@@ -0,0 +1,38 @@
+#include "relay/activerequests.h"
+
+#include <algorithm>
+
+namespace guavaspan {
+
+ActiveRequests::Entry::Entry(std::shared_ptr<ActiveRequests> requests, RelayRequest& request)
+    : m_requests(std::move(requests))
+    , m_position(m_requests->m_requests.insert(m_requests->m_requests.end(), &request))
+{
+}
+
+ActiveRequests::Entry::~Entry()
+{
+    m_requests->m_requests.erase(m_position);
+}
+
+void ActiveRequests::limitDeadlines(TimePoint latest)
+{
+    for (auto* request : m_requests)
+        request->deadline = std::min(request->deadline, latest);
+}
+
+std::vector<const RelayRequest*> ActiveRequests::cutAll(TimePoint now)
+{
+    std::vector<const RelayRequest*> requests;
+    for (auto* request : m_requests) {
+        if (request->cut)
+            continue;
+        request->cut = true;
+        request->deadline = std::min(request->deadline, now);
+        request->callerWatch.cancelOperation();
+        requests.push_back(request);
+    }
+    return requests;
+}
+
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -88,6 +88,8 @@
     Attempt attempt { .sentAt = Clock::now(), .lastHeardAt = Clock::now() };
     auto finish = [&](AttemptOutcome outcome, std::string detail) {
         request.callerWatch.setCancelAction(nullptr);
+        if (request.cut && outcome == AttemptOutcome::Broken)
+            outcome = AttemptOutcome::TimedOut;
         attempt.outcome = request.callerWatch.gone() ? AttemptOutcome::CallerGone : outcome;
         attempt.detail = std::move(detail);
         return attempt;
@@ -163,6 +165,8 @@
     }
     result.status = deadlinePassed ? 504 : 502;
     result.reason = deadlinePassed ? "timeout" : "target_broke";
+    if (request.cut)
+        result.reason = "stopping";
     co_await sendFailure(request.exchange, result.status, result.reason);
     co_return result;
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -38,6 +38,12 @@
     m_state->cancelAction = nullptr;
 }
 
+void CallerWatch::cancelOperation()
+{
+    if (m_state->cancelAction)
+        m_state->cancelAction();
+}
+
 Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest& request)
 {
     return fingerprintOf(organisation, std::string(request.target()), request.body());
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -23,6 +23,7 @@
 struct RelayMetrics::Families {
     prometheus::Registry registry;
     prometheus::Family<prometheus::Counter>& requests = family(prometheus::BuildCounter(), "guavaspan_entry_requests_total", "Ended requests by route and result", registry);
+    prometheus::Family<prometheus::Counter>& cutRequests = family(prometheus::BuildCounter(), "guavaspan_entry_cut_requests_total", "Requests that a stop ended before their deadlines, by route", registry);
     prometheus::Family<prometheus::Histogram>& durations = family(prometheus::BuildHistogram(), "guavaspan_entry_request_seconds", "Time from a request to the end of its answer", registry);
     prometheus::Family<prometheus::Histogram>& firstEvents = family(prometheus::BuildHistogram(), "guavaspan_entry_first_event_seconds", "Time from a request to its first event", registry);
     prometheus::Family<prometheus::Histogram>& pauses = family(prometheus::BuildHistogram(), "guavaspan_entry_pause_seconds", "Time between events of one stream", registry);
@@ -46,6 +47,11 @@
     m_families->durations.Add({}, secondsBuckets).Observe(seconds);
 }
 
+void RelayMetrics::recordCutRequest(const std::string& route)
+{
+    m_families->cutRequests.Add({ { "route", route } }).Increment();
+}
+
 void RelayMetrics::recordFirstEvent(const std::string& route, double seconds)
 {
     m_families->firstEvents.Add({ { "route", route } }, secondsBuckets).Observe(seconds);
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "relay/activerequests.h"
 
 #include <algorithm>
 
@@ -17,18 +18,29 @@
     constexpr auto retryAfterStopping = Milliseconds(50);
     /// Configurations take effect on all instances within 2 s; an older one may lack a new route or key.
     constexpr auto maxConfigurationAgeForDenial = Milliseconds(2500);
-    /// Safety margin before the stop limit.
-    constexpr auto stopMargin = Milliseconds(1500);
     /// Time limit for all requests; the only one for a request without a deadline on a route without a timeout.
     constexpr auto maxRequestTime = Seconds(120);
-    /// Time that an engine needs for one token, to estimate which generations can end before the stop limit.
+    /// Time that an engine usually needs for one token, and at most while it is sound.
     constexpr auto timePerToken = Milliseconds(11);
+    constexpr auto maxTimePerToken = Milliseconds(22);
+    /// Time that a generation usually waits for an engine and for its first token.
+    constexpr auto timeToFirstToken = Milliseconds(800);
 
     std::string pathOf(const HttpExchange& exchange)
     {
         return exchange.path();
     }
 
+    Clock::duration timeLimitOf(const Route& route, const CallerRequest& caller)
+    {
+        Clock::duration timeLimit = maxRequestTime;
+        if (caller.timeLeft)
+            timeLimit = std::min<Clock::duration>(timeLimit, *caller.timeLeft);
+        if (route.timeout.count() > 0)
+            timeLimit = std::min<Clock::duration>(timeLimit, route.timeout);
+        return timeLimit;
+    }
+
 }
 
 /// Routing of an admitted request, or the reason for its refusal.
@@ -53,13 +65,16 @@
 {
 }
 
-bool RequestHandler::exceedsStopLimit(const Route& route, const CallerRequest& caller) const
+RequestDuration RequestHandler::durationOf(const Route& route, const CallerRequest& caller) const
 {
-    if (!m_context.stoppingSince || route.retrySafety != RetrySafety::Stream)
-        return false;
-    auto end = *m_context.stoppingSince + m_context.stopLimit - stopMargin;
+    auto timeLimit = timeLimitOf(route, caller);
+    if (route.retrySafety != RetrySafety::Stream)
+        return { .expected = route.latencyObjective, .longest = timeLimit };
     int tokens = m_context.outputEstimator.expectedTokens(route.name, caller.guessedOutputTokens, caller.maxOutputTokens);
-    return Clock::now() + tokens * timePerToken > end;
+    RequestDuration duration { .expected = timeToFirstToken + tokens * timePerToken, .longest = timeLimit };
+    if (caller.maxOutputTokens > 0)
+        duration.longest = std::min<Clock::duration>(timeLimit, route.latencyObjective + caller.maxOutputTokens * maxTimePerToken);
+    return duration;
 }
 
 RequestHandler::Admission RequestHandler::admit(const HttpExchange& exchange, const CallerRequest& caller) const
@@ -90,7 +105,7 @@
         admission.priority = organisation->priority.value_or(admission.priority);
     }
     admission.fingerprint = fingerprintOf(admission.organisation, exchange.request());
-    if (exceedsStopLimit(*admission.route, caller)) {
+    if (m_context.stop && !m_context.stop->mayAdmit(durationOf(*admission.route, caller), Clock::now())) {
         admission.closesConnection = true;
         return refuseWith(503, "stopping", retryAfterStopping);
     }
@@ -116,11 +131,9 @@
 Awaitable<RelayResult> RequestHandler::relay(HttpExchange& exchange, const Admission& admission, const CallerRequest& caller, TimePoint arrivedAt)
 {
     CallerWatch callerWatch(exchange);
-    Clock::duration timeLimit = maxRequestTime;
-    if (caller.timeLeft)
-        timeLimit = std::min<Clock::duration>(timeLimit, *caller.timeLeft);
-    if (admission.route->timeout.count() > 0)
-        timeLimit = std::min<Clock::duration>(timeLimit, admission.route->timeout);
+    auto deadline = arrivedAt + timeLimitOf(*admission.route, caller);
+    if (m_context.stop)
+        deadline = std::min(deadline, m_context.stop->requestsEndAt());
     RelayRequest request {
         .exchange = exchange,
         .callerWatch = callerWatch,
@@ -132,8 +145,9 @@
         .priority = admission.priority,
         .fingerprint = admission.fingerprint,
         .arrivedAt = arrivedAt,
-        .deadline = arrivedAt + timeLimit,
+        .deadline = deadline,
     };
+    ActiveRequests::Entry entry(m_context.activeRequests, request);
     if (admission.route->retrySafety == RetrySafety::Stream)
         co_return co_await m_streamRelay.run(request);
     co_return co_await m_plainRelay.run(request);
@@ -146,7 +160,7 @@
     m_context.metrics.recordRequest(route, result.reason, secondsBetween(arrivedAt, now));
     auto milliseconds = [](Clock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     logEvent(LogLevel::Info, "request_ended",
-        { { "request", caller.requestId }, { "fingerprint", hexOf(admission.fingerprint) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "caller", toString(exchange.remote()) } });
+        { { "request", caller.requestId }, { "fingerprint", hexOf(admission.fingerprint) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "since_stop_ms", m_context.stop ? milliseconds(now - m_context.stop->signalledAt()) : -1 }, { "caller", toString(exchange.remote()) } });
 }
 
 Awaitable<> RequestHandler::handle(HttpExchange& exchange)
@@ -155,7 +169,7 @@
     auto caller = m_context.wireFormat.parseCallerRequest(exchange.request());
     auto admission = admit(exchange, caller);
     ++m_context.inFlight;
-    if (m_context.stoppingSince)
+    if (m_context.stop)
         exchange.closeAfterResponse();
     RelayResult result;
     if (admission.refusalStatus != 0)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -253,8 +253,10 @@
         auto chunk = co_await connection->readSome();
         if (callerWatch.gone())
             co_return StreamOutcome::CallerGone;
-        if (!chunk)
-            co_return chunk.error().code == ErrorCode::Timeout ? StreamOutcome::DeadlineReached : StreamOutcome::Interrupted;
+        if (!chunk) {
+            bool deadlineReached = chunk.error().code == ErrorCode::Timeout || session.request.cut;
+            co_return deadlineReached ? StreamOutcome::DeadlineReached : StreamOutcome::Interrupted;
+        }
         if (chunk->empty())
             break;
         onHeard(session, session.stream->target());
@@ -272,8 +274,9 @@
 {
     auto interruptedAt = Clock::now();
     session.stream->setInterruptHandler(nullptr);
+    session.request.callerWatch.setCancelAction([stream = session.stream] { stream->onStopFailed(); });
     auto move = co_await session.stream->awaitMove(moveTimeout);
-    if (!move || session.request.callerWatch.gone())
+    if (!move || session.request.callerWatch.gone() || session.request.cut)
         co_return false;
     auto continuation = move->continuation;
     continuation.lastEventId = session.stream->lastEventId();
@@ -337,13 +340,15 @@
     bool deadlinePassed = Clock::now() >= request.deadline;
     result.status = deadlinePassed ? 504 : 502;
     result.reason = deadlinePassed ? "timeout" : "target_broke";
+    if (request.cut)
+        result.reason = "stopping";
     co_await sendFailure(request.exchange, result.status, result.reason);
 }
 
 Awaitable<> StreamRelay::finish(Session& session, StreamOutcome outcome)
 {
     auto& exchange = session.request.exchange;
-    session.result.reason = reasonFor(outcome);
+    session.result.reason = session.request.cut && outcome == StreamOutcome::DeadlineReached ? "stopping" : reasonFor(outcome);
     session.result.events = session.stream->eventCount();
     if (outcome == StreamOutcome::Complete && session.headerSent) {
         session.result.status = 200;
@@ -372,6 +377,8 @@
         auto outcome = co_await relayEvents(session);
         while (outcome == StreamOutcome::Interrupted && co_await resume(session))
             outcome = co_await relayEvents(session);
+        if (request.cut && outcome == StreamOutcome::Interrupted)
+            outcome = StreamOutcome::DeadlineReached;
         const auto& lastTarget = session.stream->target();
         if (outcome == StreamOutcome::Complete)
             m_context.crashGuard.onCompleted(request.fingerprint, Clock::now());
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -10,12 +10,15 @@
 #include "relay/livestream.h"
 #include "relay/relaymetrics.h"
 #include "relay/sendgate.h"
+#include "relay/stopschedule.h"
 #include "routing/activeconfiguration.h"
 #include "targets/targetlimits.h"
 #include "usage/usageledger.h"
 
 namespace guavaspan {
 
+class ActiveRequests;
+
 /// Parts and state of the instance that its relays share.
 struct RelayContext {
     asio::io_context& io;
@@ -32,12 +35,13 @@
     FleetView& fleet;
     RelayMetrics& metrics;
     Random& random;
-    /// Time from the stop signal until the host ends the process.
-    Milliseconds stopLimit;
     TargetLimits& targetLimits;
     /// Handles a target's statement that it is shutting down.
     std::function<void(const TargetEntry&)> onTargetDraining;
-    std::optional<TimePoint> stoppingSince;
+    /// Shared with the coroutines that relay them, which the io_context destroys after this object.
+    std::shared_ptr<ActiveRequests> activeRequests;
+    /// Set while the instance stops.
+    std::optional<StopSchedule> stop;
     std::size_t inFlight = 0;
     std::uint64_t endedRequests = 0;
 };
@@ -52,6 +56,9 @@
 
     bool gone() const { return m_state->gone; }
 
+    /// Cancels the request's current operation, as if the caller had disconnected.
+    void cancelOperation();
+
     /// Replaces the action that runs when the caller disconnects.
     void setCancelAction(std::function<void()> cancelAction) { m_state->cancelAction = std::move(cancelAction); }
 
@@ -80,6 +87,8 @@
     TimePoint arrivedAt;
     /// The earliest of the caller's deadline, the route's timeout and the general time limit.
     TimePoint deadline;
+    /// The instance ends before the request does.
+    bool cut = false;
 
     Rank rank() const { return { .priority = priority }; }
 };
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -30,6 +30,7 @@
     ~RelayMetrics() override;
 
     void recordRequest(const std::string& route, const std::string& result, double seconds);
+    void recordCutRequest(const std::string& route);
     void recordFirstEvent(const std::string& route, double seconds);
     void recordPause(double seconds);
     void recordRetry(const std::string& service, bool allowed);
--- a/src/relay/requesthandler.h
+++ b/src/relay/requesthandler.h
@@ -18,7 +18,7 @@
     Admission admit(const HttpExchange&, const CallerRequest&) const;
     Awaitable<RelayResult> relay(HttpExchange&, const Admission&, const CallerRequest&, TimePoint arrivedAt);
     Awaitable<RelayResult> rejectRequest(HttpExchange&, const Admission&);
-    bool exceedsStopLimit(const Route&, const CallerRequest&) const;
+    RequestDuration durationOf(const Route&, const CallerRequest&) const;
     void reportResult(const HttpExchange&, const Admission&, const CallerRequest&, const RelayResult&, TimePoint arrivedAt);
 
     RelayContext& m_context;
--- /dev/null
+++ b/src/relay/stopschedule.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "common/time.h"
+
+namespace guavaspan {
+
+/// When the stop was signalled and what limits it.
+struct StopOptions {
+    TimePoint signalledAt;
+    /// Time from the signal until the host kills the process.
+    Clock::duration stopLimit {};
+    /// Time from the signal until the load balancer stops sending requests.
+    Clock::duration balancerDetectionTime {};
+
+    friend bool operator==(const StopOptions&, const StopOptions&) = default;
+};
+
+/// How long a request may take.
+struct RequestDuration {
+    Clock::duration expected {};
+    Clock::duration longest {};
+
+    friend bool operator==(const RequestDuration&, const RequestDuration&) = default;
+};
+
+/// The steps of an instance's stop, from the signal to the end of its process.
+class StopSchedule {
+public:
+    explicit StopSchedule(StopOptions options)
+        : m_options(options)
+    {
+    }
+
+    TimePoint signalledAt() const { return m_options.signalledAt; }
+
+    /// From here on idle connections are closed, and only requests are admitted that are certain to end in time.
+    TimePoint balancerStopsAt() const;
+
+    /// The latest end of a request. Requests that still run are answered with an error or cut.
+    TimePoint requestsEndAt() const;
+
+    /// The process ends by itself before the host kills it.
+    TimePoint processEndsAt() const;
+
+    bool mayAdmit(const RequestDuration&, TimePoint now) const;
+
+    /// A limit that changes during the stop can only end it sooner: the host may keep to the limit at the signal.
+    StopSchedule withLimit(Clock::duration stopLimit) const;
+
+    friend bool operator==(const StopSchedule&, const StopSchedule&) = default;
+
+private:
+    StopOptions m_options;
+};
+
+}
--- /dev/null
+++ b/src/relay/tests/stopschedule_test.cpp
@@ -0,0 +1,59 @@
+#include "relay/stopschedule.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+constexpr TimePoint signalledAt { Seconds(100) };
+
+/// A stop that the host ends after 8 s.
+struct StopFixture {
+    StopSchedule schedule { { .signalledAt = signalledAt, .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(3200) } };
+
+    bool admits(RequestDuration duration, Clock::duration sinceSignal) const { return schedule.mayAdmit(duration, signalledAt + sinceSignal); }
+};
+
+}
+
+/// Guards against LOST: a plain request taken shortly before the host killed the process was cut.
+Test(StopSchedule, requestThatMayOutlastTheLimit_isRefusedLateInTheStop)
+{
+    StopFixture f;
+    RequestDuration lookup { .expected = Milliseconds(100), .longest = Seconds(1) };
+    cr_expect(f.admits(lookup, Milliseconds(0)));
+    cr_expect(f.admits(lookup, Seconds(6)));
+    cr_expect_not(f.admits(lookup, Seconds(7)));
+    cr_expect_not(f.admits(lookup, Milliseconds(7980)));
+}
+
+/// Guards against LOST: a stream was taken late in a stop by its estimate, although its bound exceeded the limit.
+Test(StopSchedule, streamWhoseBoundExceedsTheLimit_isAdmittedByEstimateOnlyWhileTheBalancerSends)
+{
+    StopFixture f;
+    RequestDuration stream { .expected = Seconds(2), .longest = Seconds(6) };
+    cr_expect(f.admits(stream, Seconds(1)));
+    cr_expect(f.admits(stream, Seconds(3)));
+    cr_expect_not(f.admits(stream, Seconds(4)));
+    cr_expect_not(f.admits({ .expected = Seconds(9), .longest = Seconds(30) }, Seconds(0)));
+}
+
+Test(StopSchedule, anyLimit_stepsFollowEachOtherBeforeTheHostsKill)
+{
+    for (auto limit : { Milliseconds(0), Milliseconds(200), Milliseconds(1000), Milliseconds(8000), Milliseconds(60000) }) {
+        StopSchedule schedule({ .signalledAt = signalledAt, .stopLimit = limit, .balancerDetectionTime = Milliseconds(3200) });
+        cr_expect(signalledAt <= schedule.balancerStopsAt());
+        cr_expect(schedule.balancerStopsAt() <= schedule.requestsEndAt());
+        cr_expect(schedule.requestsEndAt() <= schedule.processEndsAt());
+        cr_expect(schedule.processEndsAt() <= signalledAt + limit);
+    }
+}
+
+/// Guards against LOST: settings read again during the stop moved its end beyond the host's kill.
+Test(StopSchedule, limitChangedDuringTheStop_endsItSoonerButNeverLater)
+{
+    StopFixture f;
+    cr_expect(f.schedule.withLimit(Seconds(20)) == f.schedule);
+    cr_expect(f.schedule.withLimit(Seconds(4)).processEndsAt() < f.schedule.processEndsAt());
+}
