--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "common/hash.h"
 #include "common/log.h"
+#include "common/stopsignals.h"
 #include "instance/httpinstancelist.h"
 #include "keyvalue/etcdkeyvaluestore.h"
 #include "net/logflusher.h"
@@ -154,8 +155,17 @@
     auto [error, signal] = co_await m_signals.async_wait(asTuple);
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
     asio::co_spawn(m_io, drainAndStop(), asio::detached);
-    co_await m_signals.async_wait(asTuple);
-    logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("second signal") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
+    StopSignals signals;
+    signals.endsAtOnce(signal);
+    while (true) {
+        auto [repeatError, repeatedSignal] = co_await m_signals.async_wait(asTuple);
+        if (repeatError)
+            co_return;
+        if (signals.endsAtOnce(repeatedSignal))
+            break;
+        logEvent(LogLevel::Info, "stop_signal_repeated", { { "signal", std::int64_t(repeatedSignal) } });
+    }
+    logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("second interrupt") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
     m_io.stop();
 }
 
@@ -168,9 +178,10 @@
     m_peerNetwork.announceLeaving();
     co_await sleepFor(m_settings.stopping.balancerDetectionTime);
     m_server.close();
+    m_server.closeIdleConnections();
     auto drainLimit = m_settings.stopping.maxDrainTime;
     auto drainStartedAt = Clock::now();
-    while (m_gatewayContext.inFlight > 0) {
+    while (m_server.connectionCounts().busy() > 0) {
         bool timedOut = drainLimit.count() > 0 && Clock::now() - drainStartedAt > drainLimit;
         if (timedOut) {
             logEvent(LogLevel::Warning, "stopped_early", { { "cause", std::string("longest_drain_ms") }, { "cut_requests", std::int64_t(m_gatewayContext.inFlight) } });
