Let an expired timeout of a connection act only on the wait it was started for

A request whose first bytes arrived in the same turn of the event loop as the idle timeout expired was answered with 408 while its body was still on its way: the handler of the expired timer was queued already, could not be cancelled, and ended whatever the connection did next. After the end of the connection it would have used a socket that no longer exists.

CancelTimer makes both certain: a handler whose timer was destroyed or started again does nothing. The second was found by reading.

--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -35,6 +35,43 @@
         return Reply { .status = status, .contentType = "application/problem+json", .body = body };
     }
 
+    /// Cancels a socket's operations after a time, unless it is destroyed or started again before. The handler of a timer that
+    /// has expired may still be queued then, and must not use the socket any more.
+    class CancelTimer {
+    public:
+        CancelTimer(asio::io_context& context, asio::ip::tcp::socket& socket)
+            : m_socket(socket)
+            , m_timer(context)
+        {
+        }
+
+        ~CancelTimer() { *m_active = false; }
+        CancelTimer(const CancelTimer&) = delete;
+        CancelTimer& operator=(const CancelTimer&) = delete;
+
+        void start(Clock::duration duration)
+        {
+            *m_active = false;
+            m_active = std::make_shared<bool>(true);
+            m_timer.expires_after(duration);
+            m_timer.async_wait([this, active = m_active](boost::system::error_code error) {
+                if (error || !*active)
+                    return;
+                m_expired = true;
+                boost::system::error_code ignored;
+                m_socket.cancel(ignored);
+            });
+        }
+
+        bool expired() const { return m_expired; }
+
+    private:
+        asio::ip::tcp::socket& m_socket;
+        asio::steady_timer m_timer;
+        std::shared_ptr<bool> m_active = std::make_shared<bool>(false);
+        bool m_expired = false;
+    };
+
     /// Reads what the caller still sends, until it has closed its end. A socket that is closed with unread bytes is
     /// reset, and the caller may lose the end of an answer that it has not read.
     Awaitable<> discardUntilEnd(beast::tcp_stream& stream)
@@ -152,27 +189,17 @@
 Awaitable<boost::system::error_code> HttpServer::readRequest(Connection& connection, http::request_parser<http::string_body>& parser)
 {
     auto& stream = connection.stream;
-    auto expired = std::make_shared<bool>(false);
-    asio::steady_timer timer(m_context);
-    auto startTimer = [&](Clock::duration duration) {
-        timer.expires_after(duration);
-        timer.async_wait([&stream, expired](boost::system::error_code error) {
-            if (error)
-                return;
-            *expired = true;
-            stream.socket().cancel();
-        });
-    };
+    CancelTimer timer(m_context, stream.socket());
     stream.expires_never();
-    startTimer(m_limits.headerTimeout);
+    timer.start(m_limits.headerTimeout);
     auto [headerError, headerBytes] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
     auto error = headerError;
     if (!error) {
-        startTimer(m_limits.headerTimeout);
+        timer.start(m_limits.headerTimeout);
         auto [bodyError, bodyBytes] = co_await http::async_read(stream, connection.buffer, parser, asTuple);
         error = bodyError;
     }
-    if (*expired)
+    if (timer.expired())
         error = beast::error::timeout;
     co_return error;
 }
@@ -184,11 +211,8 @@
         co_return true;
     connection.state = ConnectionState::Idle;
     auto& socket = connection.stream.socket();
-    asio::steady_timer timer(m_context, m_keepsConnections ? m_limits.idleTimeout : finalIdleTimeout);
-    timer.async_wait([&socket](boost::system::error_code error) {
-        if (!error)
-            socket.cancel();
-    });
+    CancelTimer timer(m_context, socket);
+    timer.start(m_keepsConnections ? m_limits.idleTimeout : finalIdleTimeout);
     auto [error] = co_await socket.async_wait(asio::socket_base::wait_read, asTuple);
     co_return !error;
 }
--- a/src/net/tests/httpserver_test.cpp
+++ b/src/net/tests/httpserver_test.cpp
@@ -1,7 +1,9 @@
 #include "net/httpserver.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <thread>
 
 using namespace guavaspan;
 
@@ -93,6 +95,33 @@
 
 }
 
+/// Guards against 408 for a request that came in time: an idle timeout that had just expired ended its read.
+Test(HttpServer, requestThatArrivesAsTheIdleTimeoutExpires_isAnswered)
+{
+    constexpr auto idleTimeout = Milliseconds(300);
+    asio::io_context context;
+    HttpServer server(context, HttpLimits { .headerTimeout = Seconds(2), .idleTimeout = idleTimeout }, answerAfterHandling);
+    auto endpoint = *server.listen({ .address = "127.0.0.1" });
+    asio::ip::tcp::socket caller(context);
+    caller.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    context.run_for(2 * handlingTime);
+    std::string answer(answerBytes, ' ');
+    asio::read(caller, asio::buffer(answer));
+    asio::write(caller, asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n")));
+    // The server sees the request and the expired timer in the same turn of its event loop.
+    std::this_thread::sleep_for(idleTimeout);
+    context.run_for(handlingTime);
+    asio::write(caller, asio::buffer(std::string("body")));
+    context.run_for(2 * handlingTime);
+    boost::system::error_code error;
+    auto rest = caller.available(error);
+    std::string bytes(rest, ' ');
+    asio::read(caller, asio::buffer(bytes), error);
+    cr_expect(bytes.find("HTTP/1.1 200") != std::string::npos, "%s", bytes.substr(0, 200).c_str());
+    cr_expect(bytes.find("HTTP/1.1 408") == std::string::npos);
+}
+
 /// Guards against LOST: the close after an answer reset the connection if the caller had sent more bytes.
 Test(HttpServer, answerFollowedByUnreadBytes_isReadWholeBySlowCaller)
 {
