--- a/src/dispatch/internal/retrybudget.cpp
+++ b/src/dispatch/internal/retrybudget.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-    /// A retry waits up to this long for a target and a connection, so it may reach a target in a later window.
+    /// Time that a retry may wait for a target and a connection. The budget counts it when it reaches the target.
     constexpr auto maxSendDelay = Milliseconds(2000);
-    /// Requests within the windows of the retries of one window lie in two windows, of which the limit counts one.
+    /// Instances spend at different times, each for its requests until then. So the retries of one window may be
+    /// based on the requests of two windows, while the budget counts those of one.
     constexpr double usableRatio = 0.5;
 
 }
--- a/src/fleet/internal/fleetcensus.cpp
+++ b/src/fleet/internal/fleetcensus.cpp
@@ -18,8 +18,9 @@
 {
 }
 
-// A process does not know what an earlier process of its instance spent, and others may not count it yet. It
-// waits until neither can matter within a window of the budget; an instance that left is counted as long.
+// A new process does not know what the previous process of its instance spent, and other instances may not count
+// it yet. It waits until nothing spent before can lie in the same window. An instance that left may have spent its
+// share within the window, so it still counts.
 void FleetCensus::onView(const RegistrationView& view, BootTime now)
 {
     // Another instance may have registered, spent a share and left between two views this far apart.
