--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -132,7 +132,6 @@
     engine.id = fmt::format("e{}", ++m_lastEngineNumber);
     engine.requestLimit = 2 + static_cast<double>(m_random() % 60) / 10;
     engine.statesLimit = false;
-    engine.failing = false;
     auto listenEndpoint = allocateEndpoint();
     engine.link->setTarget(listenEndpoint);
     return m_processes.start(engine.id, { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" });
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -36,8 +36,6 @@
         /// Limit that the engine states when it is told to.
         double requestLimit = 0;
         bool statesLimit = false;
-        /// Fails or refuses many requests.
-        bool failing = false;
         std::unique_ptr<Proxy> link;
         Endpoint advertisedEndpoint;
         /// The process was killed or is draining, and its replacement has not started.
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -39,12 +39,8 @@
     asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
     if (m_options.statedLimits)
         asio::co_spawn(m_io, limitEnginesPeriodically(), asio::detached);
-    if (m_options.greyEngines) {
-        for (auto& engine : m_deployment.engines()) {
-            if (!engine->generates)
-                asio::co_spawn(m_io, failRequestsPeriodically(*engine), asio::detached);
-        }
-    }
+    if (m_options.greyEngines)
+        asio::co_spawn(m_io, failRequestsPeriodically(), asio::detached);
     if (m_options.rolling)
         asio::co_spawn(m_io, stopInstancesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
@@ -102,23 +98,27 @@
     m_record.statedLimits.push_back({ .engineId = id, .requestsPerSecond = requestLimit, .startedAt = startedAt, .endedAt = soakNow() });
 }
 
-/// The engine serves and fails requests in turn. A replacement process starts without failures.
-Awaitable<> FaultInjector::failRequestsPeriodically(Deployment::ManagedEngine& engine)
+/// All engines of plain requests, or one, fail requests for some seconds. A replacement process starts without failures.
+Awaitable<> FaultInjector::failRequestsPeriodically()
 {
     while (m_injecting) {
-        auto period = randomDuration(2000, 7000);
-        co_await sleepFor(period);
-        if (!m_injecting || engine.beingReplaced)
-            continue;
-        ++m_faultCounts["engine that fails requests"];
-        auto id = engine.id;
-        engine.failing = true;
-        m_deployment.processes().signal(id, SIGHUP);
-        period = randomDuration(2000, 7000);
+        auto& chosenEngine = m_deployment.randomEngine();
+        bool all = m_random() % 2 == 0;
+        std::vector<std::string> failing;
+        for (const auto& engine : m_deployment.engines()) {
+            if (!engine->generates && !engine->beingReplaced && (all || engine.get() == &chosenEngine))
+                failing.push_back(engine->id);
+        }
+        if (!failing.empty())
+            ++m_faultCounts[all ? "all engines that fail requests" : "engine that fails requests"];
+        for (const auto& id : failing)
+            m_deployment.processes().signal(id, SIGHUP);
+        auto period = randomDuration(2000, 8000);
         co_await sleepFor(period);
-        if (engine.id == id)
+        for (const auto& id : failing)
             m_deployment.processes().signal(id, SIGHUP);
-        engine.failing = false;
+        period = randomDuration(200, 3000);
+        co_await sleepFor(period);
     }
 }
 
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -26,7 +26,7 @@
     Awaitable<> restartInstance(Deployment::Instance&);
     Awaitable<> limitEnginesPeriodically();
     Awaitable<> limitEngine(Deployment::ManagedEngine&);
-    Awaitable<> failRequestsPeriodically(Deployment::ManagedEngine&);
+    Awaitable<> failRequestsPeriodically();
     Awaitable<> replaceCrashedEngines();
     Awaitable<> replaceCrashedEngine(Deployment::ManagedEngine&);
     Awaitable<> injectFaultsPeriodically();
