End calls whose response has no end

What was seen: reports, probes, moves, store calls and the peers' feed all go through callHttp. A server that sent a chunk size, a chunk extension or trailer fields without end was read until it stopped; small chunks with long extensions outlasted the timeout.

Cause: the parser limits the header and the body, but nothing limits what it leaves in the buffer while it waits for the end of a line. The timer of tcp_stream is started again for each read and ignored if the read has completed, so bytes that arrive faster than they are parsed are never timed out. An informational response was returned as the response, and its status says nothing about whether the request ran.

Ruled out: endless status lines, header fields, bodies without or with too large a length, and bytes sent one by one ended at the existing limits.

Change: the buffer has a maximum size, the deadline is checked between reads, and the timeout is the total time from connecting to the end of the response. Bytes that are no HTTP message are bad_reply instead of link_broken.

--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -11,6 +11,7 @@
     std::string target = "/";
     std::string body;
     HttpHeaders headers;
+    /// Total time to connect, to send the request and to read the response.
     Clock::duration timeout = Seconds(5);
     std::uint64_t maxResponseBytes = 16 << 20;
 };
--- a/src/net/internal/eventstreamreader.cpp
+++ b/src/net/internal/eventstreamreader.cpp
@@ -74,7 +74,7 @@
     auto connected = co_await connectTo(m_stream, call.endpoint, call.timeout);
     if (!connected)
         co_return connected.error();
-    auto sent = co_await sendRequest(m_stream, call);
+    auto sent = co_await sendRequest(m_stream, call, Clock::now() + call.timeout);
     if (!sent)
         co_return sent.error();
     m_parser.emplace();
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -6,21 +6,31 @@
 
 Awaitable<Result<HttpResponse>> callHttp(HttpCall call)
 {
+    auto deadline = Clock::now() + call.timeout;
     auto executor = co_await asio::this_coro::executor;
     beast::tcp_stream stream(executor);
     auto connected = co_await connectTo(stream, call.endpoint, call.timeout);
     if (!connected)
         co_return connected.error();
-    auto sent = co_await sendRequest(stream, call);
+    auto sent = co_await sendRequest(stream, call, deadline);
     if (!sent)
         co_return sent.error();
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(maxResponseHeaderBytes);
     parser.body_limit(call.maxResponseBytes);
-    auto [error, bytes] = co_await http::async_read(stream, buffer, parser, asTuple);
-    if (error)
-        co_return linkError(error, Step::ReadReply, call.endpoint);
+    while (!parser.is_done()) {
+        // The timer of tcp_stream does not end a read whose bytes have already arrived, so a fast sender outlasts it.
+        if (Clock::now() >= deadline)
+            co_return linkError(beast::error::timeout, Step::ReadReply, call.endpoint);
+        auto [error, bytes] = co_await http::async_read_some(stream, buffer, parser, asTuple);
+        if (error)
+            co_return linkError(error, Step::ReadReply, call.endpoint);
+    }
+    // The response to the request would follow an informational one.
+    if (parser.get().result_int() < 200)
+        co_return Error { .code = ErrorCode::BadReply, .step = Step::ReadReply, .peer = toString(call.endpoint), .detail = "informational response", .outcome = Outcome::Unknown };
     co_return parser.release();
 }
 
--- a/src/net/internal/httpconnect.cpp
+++ b/src/net/internal/httpconnect.cpp
@@ -2,9 +2,14 @@
 
 namespace guavaspan {
 
+bool isMalformedMessage(const boost::system::error_code& error)
+{
+    return error.category() == http::make_error_code(http::error::bad_field).category() && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
 Error linkError(const boost::system::error_code& error, Step step, const Endpoint& endpoint)
 {
-    auto code = error == beast::error::timeout ? ErrorCode::LinkStalled : ErrorCode::LinkBroken;
+    auto code = error == beast::error::timeout ? ErrorCode::LinkStalled : (isMalformedMessage(error) ? ErrorCode::BadReply : ErrorCode::LinkBroken);
     return Error { .code = code, .step = step, .peer = toString(endpoint), .detail = error.message(), .outcome = Outcome::Unknown };
 }
 
@@ -24,7 +29,7 @@
     co_return Result<void> {};
 }
 
-Awaitable<Result<void>> sendRequest(beast::tcp_stream& stream, const HttpCall& call)
+Awaitable<Result<void>> sendRequest(beast::tcp_stream& stream, const HttpCall& call, TimePoint deadline)
 {
     HttpRequest request { http::string_to_verb(call.method), call.target, 11 };
     request.set(http::field::host, toString(call.endpoint));
@@ -34,7 +39,7 @@
         request.set(http::field::content_type, "application/json");
     request.body() = call.body;
     request.prepare_payload();
-    stream.expires_after(call.timeout);
+    stream.expires_at(deadline);
     auto [error, bytes] = co_await http::async_write(stream, request, asTuple);
     if (error)
         co_return linkError(error, Step::SendRequest, call.endpoint);
