Limit an engine's event to a size and the wait for it to its silence limit

What was seen: an engine that sends a line, an event, comments or chunk framing without end held a generation of the own interface for as long as it sent, and its bytes were kept.

Cause: EventStreamReader::next started the silence limit again with each read, so any byte extended the wait, and the splitter kept a partial line and a partial event without limit. The buffer of the parser had none either.

Change: the limit of next() counts from its call, an incomplete event is limited to 1 MiB, and the buffer has the maximum size that calls have. An error body is read within the timeout of the call.

--- a/src/net/eventstreamreader.h
+++ b/src/net/eventstreamreader.h
@@ -18,9 +18,15 @@
 /// Splits a byte stream into server-sent events, independent of chunk boundaries.
 class EventStreamSplitter {
 public:
+    /// Size limit of an event that is not complete.
+    static constexpr std::size_t maxEventBytes = 1 << 20;
+
     void feed(std::string_view bytes);
     std::optional<ServerSentEvent> next();
 
+    /// True if the current event has become too large.
+    bool exceedsLimit() const { return m_partialLine.size() + m_partialEvent.data.size() > maxEventBytes; }
+
 private:
     void processLine(std::string_view line);
 
@@ -35,13 +41,13 @@
 public:
     explicit EventStreamReader(asio::any_io_executor);
 
-    /// Sends the request and reads the response header. If the status is not 200, the
-    /// body is read too and stored in errorBody().
+    /// Sends the request and reads the response header within the call's timeout after connecting. If the status
+    /// is not 200, the body is read too, as far as it arrives in that time, and stored in errorBody().
     Awaitable<Result<unsigned>> open(HttpCall);
     const std::string& errorBody() const { return m_errorBody; }
     std::string header(std::string_view name) const;
 
-    /// Returns the next event, or nothing at the regular end of the body.
+    /// Returns the next event, or nothing at the regular end of the body. Fails if no event is complete within the limit.
     Awaitable<Result<std::optional<ServerSentEvent>>> next(Clock::duration silenceLimit);
 
     /// Returns an event that has already arrived, or nothing; does not wait.
--- a/src/net/internal/eventstreamreader.cpp
+++ b/src/net/internal/eventstreamreader.cpp
@@ -64,6 +64,7 @@
 
 EventStreamReader::EventStreamReader(asio::any_io_executor executor)
     : m_stream(executor)
+    , m_buffer(maxUnparsedBytes)
     , m_chunk(std::make_unique<std::array<char, 4096>>())
 {
 }
@@ -74,10 +75,12 @@
     auto connected = co_await connectTo(m_stream, call.endpoint, call.timeout);
     if (!connected)
         co_return connected.error();
-    auto sent = co_await sendRequest(m_stream, call, Clock::now() + call.timeout);
+    auto deadline = Clock::now() + call.timeout;
+    auto sent = co_await sendRequest(m_stream, call, deadline);
     if (!sent)
         co_return sent.error();
     m_parser.emplace();
+    m_parser->header_limit(maxResponseHeaderBytes);
     m_parser->body_limit(boost::none);
     auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
     if (error)
@@ -87,7 +90,7 @@
         co_return status;
 
     constexpr std::size_t maxErrorBodyBytes = 64 << 10;
-    while (!m_parser->is_done() && m_errorBody.size() < maxErrorBodyBytes) {
+    while (!m_parser->is_done() && m_errorBody.size() < maxErrorBodyBytes && Clock::now() < deadline) {
         auto& body = m_parser->get().body();
         body.data = m_chunk->data();
         body.size = m_chunk->size();
@@ -110,15 +113,21 @@
 
 Awaitable<Result<std::optional<ServerSentEvent>>> EventStreamReader::next(Clock::duration silenceLimit)
 {
+    auto deadline = Clock::now() + silenceLimit;
+    m_stream.expires_at(deadline);
     while (true) {
         if (auto event = m_splitter.next())
             co_return event;
         if (m_parser->is_done())
             co_return std::optional<ServerSentEvent> {};
+        if (m_splitter.exceedsLimit())
+            co_return Error { .code = ErrorCode::BadReply, .step = Step::Relay, .peer = toString(m_endpoint), .detail = "event too large", .outcome = Outcome::Unknown };
+        // Comments and other bytes that complete no event do not extend the wait.
+        if (Clock::now() >= deadline)
+            co_return linkError(beast::error::timeout, Step::Relay, m_endpoint);
         auto& body = m_parser->get().body();
         body.data = m_chunk->data();
         body.size = m_chunk->size();
-        m_stream.expires_after(silenceLimit);
         auto [error, count] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
         if (error && error != http::error::need_buffer)
             co_return linkError(error, Step::Relay, m_endpoint);
