Limit the unparsed bytes of a target's answer

What was seen: a target whose answer had a chunk size, a chunk extension or trailer fields without end was read into memory until the deadline of the request, up to two minutes without one.

Cause: as in callHttp, nothing limits what the parser leaves in the buffer of TargetConnection. The deadline itself holds, since its timer closes the socket.

Change: the buffer has the maximum size that calls have. The size limits move to net/nettypes.h.

The caller got 502 or 504, the target was charged with a failure and an idempotent request was sent to one other target before, too; the tests keep this so.

--- a/src/net/internal/httpconnect.cpp
+++ b/src/net/internal/httpconnect.cpp
@@ -2,11 +2,6 @@
 
 namespace guavaspan {
 
-bool isMalformedMessage(const boost::system::error_code& error)
-{
-    return error.category() == http::make_error_code(http::error::bad_field).category() && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 Error linkError(const boost::system::error_code& error, Step step, const Endpoint& endpoint)
 {
     auto code = error == beast::error::timeout ? ErrorCode::LinkStalled : (isMalformedMessage(error) ? ErrorCode::BadReply : ErrorCode::LinkBroken);
--- a/src/net/internal/nettypes.cpp
+++ b/src/net/internal/nettypes.cpp
@@ -24,6 +24,11 @@
     return Endpoint { .address = std::string(host), .port = port };
 }
 
+bool isMalformedMessage(const boost::system::error_code& error)
+{
+    return error.category() == http::make_error_code(http::error::bad_field).category() && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
 Awaitable<> sleepFor(Clock::duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -29,12 +29,21 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+/// Size limit of the header of a response.
+inline constexpr std::uint32_t maxResponseHeaderBytes = 8 << 10;
+/// Bytes of a response that the parser may leave in the buffer: a header, a chunk header or all trailer fields.
+/// The parser itself limits only the first.
+inline constexpr std::size_t maxUnparsedBytes = 64 << 10;
+
 /// Completion token that returns the error code instead of throwing.
 inline constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 /// Parses "127.0.0.1:80" or "[::1]:80". Host names are rejected: instances address peers by IP address.
 std::optional<Endpoint> parseEndpoint(std::string_view);
 
+/// True if the bytes received are no HTTP message, or exceed a limit; false if the connection broke or timed out.
+bool isMalformedMessage(const boost::system::error_code&);
+
 /// Suspends the calling coroutine.
 Awaitable<> sleepFor(Clock::duration);
 
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -34,6 +34,7 @@
         : socket(executor)
         , deadlineTimer(executor)
     {
+        parser.header_limit(maxResponseHeaderBytes);
         parser.body_limit(boost::none);
         parser.eager(false);
     }
@@ -49,7 +50,7 @@
     asio::steady_timer deadlineTimer;
     bool deadlineReached = false;
     HttpRequest request;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxUnparsedBytes };
     http::response_parser<http::buffer_body> parser;
     std::array<char, chunkBytes> chunk {};
 };
--- /dev/null
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "net/httpserver.h"
+#include "net/tests/endlessserver.h"
+#include "relay/requesthandler.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+
+namespace guavaspan {
+
+inline const std::string sealedHeader = "HTTP/1.1 200 OK\r\nSeal: 1\r\nRequest: r1\r\n";
+
+/// Requests and answers with the fewest headers.
+class PlainWireFormat : public IWireFormat {
+public:
+    CallerRequest parseCallerRequest(const HttpRequest&) const override { return { .requestId = "r1", .maxOutputTokens = 100 }; }
+
+    HttpRequest buildTargetRequest(const HttpRequest& original, const ForwardOptions&) const override
+    {
+        HttpRequest request { original.method(), original.target(), 11 };
+        request.prepare_payload();
+        return request;
+    }
+
+    TargetResponseHead parseResponseHead(const http::response_header<>& header) const override
+    {
+        return { .status = header.result_int(), .sealed = header.count("Seal") > 0, .requestId = std::string(header["Request"]) };
+    }
+};
+
+/// A relay whose two engines answer without end, and a caller.
+struct EndlessEnginesFixture {
+    /// Deadline of every request.
+    static constexpr auto timeLimit = Milliseconds(700);
+
+    explicit EndlessEnginesFixture(const EndlessAnswer& answer)
+        : engines { std::make_unique<EndlessServer>(answer), std::make_unique<EndlessServer>(answer) }
+    {
+        std::vector<Route> routes;
+        routes.push_back({ .name = "idempotent", .host = "host", .pathPrefix = "/idempotent", .retrySafety = RetrySafety::Idempotent, .timeout = timeLimit, .latencyObjective = Milliseconds(50), .maxTargets = 2, .services = { { .service = "plain" } } });
+        routes.push_back({ .name = "once", .host = "host", .pathPrefix = "/once", .timeout = timeLimit, .latencyObjective = Milliseconds(50), .services = { { .service = "plain" } } });
+        routes.push_back({ .name = "stream", .host = "host", .pathPrefix = "/stream", .retrySafety = RetrySafety::Stream, .timeout = timeLimit, .latencyObjective = timeLimit, .services = { { .service = "writer" } } });
+        configuration.adopt({ .version = 1, .routes = routes, .services = { { .name = "plain", .maxConnections = 8 }, { .name = "writer", .engine = EngineTraits { .slots = 4, .memoryTokens = 20000 } } } });
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            for (const char* service : { "plain", "writer" })
+                directory.onEntryWritten(idOf(service, i), TargetEntry { .id = idOf(service, i), .service = service, .endpoint = engines[i]->endpoint(), .failureDomain = "north", .slots = 4, .startedAt = 1 }, Clock::now());
+        }
+    }
+
+    static std::string idOf(const std::string& service, std::size_t number) { return service + "-" + std::to_string(number); }
+
+    /// Returns all bytes that a caller receives until the relay closes the connection.
+    std::string ask(const std::string& path)
+    {
+        std::string received;
+        PeakMemory memory;
+        auto startedAt = Clock::now();
+        asio::co_spawn(io, receiveAll(path, received), asio::detached);
+        io.restart();
+        while (!callerDone && Clock::now() - startedAt < EndlessServer::maxTime)
+            io.run_for(Milliseconds(20));
+        took = Clock::now() - startedAt;
+        memoryGrowth = memory.growth();
+        report = {};
+        for (auto& engine : engines) {
+            auto engineReport = engine->waitUntilClosed();
+            report.connections += engineReport.connections;
+            report.bytesSent += engineReport.bytesSent;
+            report.abandoned += engineReport.abandoned;
+        }
+        return received;
+    }
+
+    Awaitable<> receiveAll(std::string path, std::string& received)
+    {
+        callerDone = false;
+        asio::ip::tcp::socket socket(io);
+        co_await socket.async_connect({ asio::ip::make_address(relayEndpoint.address), relayEndpoint.port }, asTuple);
+        auto request = "GET " + path + " HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(request), asTuple);
+        std::array<char, 4096> chunk {};
+        while (true) {
+            auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), asTuple);
+            received.append(chunk.data(), count);
+            if (error)
+                break;
+        }
+        callerDone = true;
+    }
+
+    /// Share of recent requests to the engines that failed.
+    double failureRate()
+    {
+        double rate = 0;
+        for (const auto& engine : engines)
+            rate = std::max(rate, dispatcher.outcomes().failureRate(toString(engine->endpoint()), Clock::now()));
+        return rate;
+    }
+
+    std::array<std::unique_ptr<EndlessServer>, 2> engines;
+    asio::io_context io;
+    PlainWireFormat wireFormat;
+    TargetDirectory directory;
+    ActiveConfiguration configuration { Seconds(60) };
+    FleetView fleet { "self", 1000 };
+    Dispatcher dispatcher { io, directory, "north", Random(3) };
+    FleetLink link { io, fleet };
+    TargetLimits targetLimits { "self" };
+    OutputEstimator outputEstimator;
+    PlacementClient placement { io, "self", fleet, dispatcher, directory, targetLimits, outputEstimator, link };
+    LiveStreams streams;
+    RetryBudget retryBudget { { .ratio = 1, .fleetAllowance = 100 } };
+    UsageLedger usage;
+    CrashGuard crashGuard { [](const CrashGuardMessage&) {}, [](const CrashRecord&) {} };
+    RelayMetrics metrics;
+    Random random { 5 };
+    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .fleet = fleet, .metrics = metrics, .random = random, .stopLimit = Milliseconds(20000), .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {} };
+    RequestHandler handler { context };
+    HttpServer server { io, {}, [this](HttpExchange& exchange) { return handler.handle(exchange); } };
+    Endpoint relayEndpoint = *server.listen({ .address = "127.0.0.1" });
+    bool callerDone = false;
+    Clock::duration took {};
+    std::uint64_t memoryGrowth = 0;
+    EndlessServerReport report;
+};
+
+inline bool isFailure(const std::string& received)
+{
+    return received.starts_with("HTTP/1.1 502") || received.starts_with("HTTP/1.1 504");
+}
+
+}
