Break off streams whose event has no end

What was seen: an engine that sent a line or an event without end was read into memory until the deadline of the request. The log had "status 200" as the detail of every stream that broke, whatever broke it.

Cause: EventFrameParser kept an incomplete event without limit.

Change: an incomplete event is limited to 1 MiB. A stream that exceeds the limit, or whose bytes are no HTTP body, ends with the reason stream_malformed: the engine is charged with a failure, and the generation is not resumed, since its engine did not stop it. The caller gets 502, or a body without its last chunk if events were delivered. The detail of request_ended says what broke the stream.

--- a/src/explain/internal/requestexplanation.cpp
+++ b/src/explain/internal/requestexplanation.cpp
@@ -179,6 +179,7 @@
                 { "target_broke", fmt::format("{} sent no complete response ({}); whether the request ran is unknown", target, detail) },
                 { "timeout", fmt::format("the deadline passed while {} processed the request ({})", target, detail) },
                 { "caller_gone", "the caller disconnected" },
+                { "stream_malformed", fmt::format("{} sent bytes that are no event stream ({})", target, detail) },
                 { "events_out_of_order", fmt::format("{} sent an event out of order", target) },
             };
             if (reason == "stream_broke")
--- a/src/relay/eventframeparser.h
+++ b/src/relay/eventframeparser.h
@@ -19,9 +19,15 @@
 /// Splits a byte stream into complete events without changing their bytes.
 class EventFrameParser {
 public:
+    /// Size limit of an event that is not complete.
+    static constexpr std::size_t maxFrameBytes = 1 << 20;
+
     void feed(std::string_view bytes);
     std::optional<EventFrame> next();
 
+    /// True if the current event has become too large.
+    bool exceedsLimit() const { return m_partial.size() > maxFrameBytes; }
+
     /// True while the bytes of an incomplete event are buffered.
     bool hasPartialFrame() const { return !m_partial.empty(); }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -68,10 +68,19 @@
         return "timeout";
     case StreamOutcome::OutOfOrder:
         return "events_out_of_order";
+    case StreamOutcome::Malformed:
+        return "stream_malformed";
     }
     return "stream_broke";
 }
 
+StreamRelay::StreamOutcome StreamRelay::outcomeOf(const Error& error)
+{
+    if (error.code == ErrorCode::Timeout)
+        return StreamOutcome::DeadlineReached;
+    return error.code == ErrorCode::BadReply ? StreamOutcome::Malformed : StreamOutcome::Interrupted;
+}
+
 WorkEstimate StreamRelay::estimateOf(const RelayRequest& request) const
 {
     int output = m_context.outputEstimator.expectedTokens(request.route.name, request.caller.guessedOutputTokens, request.caller.maxOutputTokens);
@@ -253,8 +262,10 @@
         auto chunk = co_await connection->readSome();
         if (callerWatch.gone())
             co_return StreamOutcome::CallerGone;
-        if (!chunk)
-            co_return chunk.error().code == ErrorCode::Timeout ? StreamOutcome::DeadlineReached : StreamOutcome::Interrupted;
+        if (!chunk) {
+            session.result.detail = describe(chunk.error());
+            co_return outcomeOf(chunk.error());
+        }
         if (chunk->empty())
             break;
         onHeard(session, session.stream->target());
@@ -262,6 +273,10 @@
         auto forwarded = co_await forwardFrames(session);
         if (forwarded != StreamOutcome::Complete)
             co_return forwarded;
+        if (session.frames.exceedsLimit()) {
+            session.result.detail = "event too large";
+            co_return StreamOutcome::Malformed;
+        }
     }
     StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .isStopping = session.stream->isStopping(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
     co_return isComplete(end) ? StreamOutcome::Complete : StreamOutcome::Interrupted;
@@ -375,9 +390,10 @@
         const auto& lastTarget = session.stream->target();
         if (outcome == StreamOutcome::Complete)
             m_context.crashGuard.onCompleted(request.fingerprint, Clock::now());
-        else if (outcome != StreamOutcome::OutOfOrder)
+        else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
             reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
-        if (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id))
+        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
+        if (failed)
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
         if (request.callerWatch.gone())
             outcome = StreamOutcome::CallerGone;
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -84,7 +84,7 @@
 
 Error TargetConnection::makeError(const boost::system::error_code& error, Step step) const
 {
-    auto code = m_state->deadlineReached ? ErrorCode::Timeout : ErrorCode::LinkBroken;
+    auto code = m_state->deadlineReached ? ErrorCode::Timeout : (isMalformedMessage(error) ? ErrorCode::BadReply : ErrorCode::LinkBroken);
     return { .code = code, .step = step, .peer = toString(m_endpoint), .detail = error.message(), .outcome = Outcome::Unknown };
 }
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -25,6 +25,8 @@
         CallerGone,
         DeadlineReached,
         OutOfOrder,
+        /// The engine sent bytes that are no answer.
+        Malformed,
     };
 
     Awaitable<bool> start(Session&);
@@ -39,6 +41,7 @@
     void recordStartFailure(const std::string& address, const TargetResponseHead&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string reasonFor(StreamOutcome);
+    static StreamOutcome outcomeOf(const Error&);
 
     RelayContext& m_context;
 };
--- a/src/relay/targetconnection.h
+++ b/src/relay/targetconnection.h
@@ -21,6 +21,7 @@
     /// Reads after the deadline fail with ErrorCode::Timeout.
     void setDeadline(TimePoint);
 
+    /// This and other reads fail with ErrorCode::BadReply if the target sends bytes that are no answer, or too many.
     Awaitable<Result<void>> readHeader();
     const http::response_header<>& header() const;
 
--- /dev/null
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -0,0 +1,30 @@
+#include "relay/tests/endlessenginesfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+/// Largest event of a stream.
+constexpr std::uint64_t maxEventBytes = 1 << 20;
+
+}
+
+/// Guards against a stream that takes all memory, or looks complete, because an engine sends without end.
+Test(StreamRelay, answerWithoutEnd_callerGetsFailureWithinDeadline)
+{
+    auto answers = endlessAnswers(sealedHeader);
+    answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
+    answers.push_back({ .name = "event", .start = sealedHeader + "\r\nid: 1\n", .repeated = "data: a\n" });
+    for (const auto& answer : answers) {
+        EndlessEnginesFixture f(answer);
+        auto received = f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(isFailure(received), "%s: the caller received %.40s", name, received.c_str());
+        cr_expect(f.took <= f.timeLimit + endlessTimeMargin, "%s: took %.2f s", name, std::chrono::duration<double>(f.took).count());
+        cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "%s: %d connections, %d not closed", name, f.report.connections, f.report.abandoned);
+        cr_expect(f.memoryGrowth <= maxMemoryGrowth(maxEventBytes), "%s: memory grew by %lu bytes", name, static_cast<unsigned long>(f.memoryGrowth));
+        cr_expect(f.usage.totals().empty(), "%s: the request was charged", name);
+    }
+}
