Don't take bytes that are no answer for a possible crash

What was seen: a target that answered with bytes that are no HTTP message, or with too many, counted as possibly crashed by the request. Three such targets suspend the request, and if their entries go, they convict it. On a stream the target was recorded as unreachable, which stands for a process that has ended.

Cause: a connection that the relay closes because of what it read was not distinguished from one that broke. A target that sends is alive.

Change: the verdict malformed, also for an informational response, which is charged and retried like broken but reported to the crash guard as heard. A target that sends such bytes and then crashes no longer counts as a crash of that request; its other requests do. Unsealed and mismatched answers still have the verdict broken.

--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -27,6 +27,8 @@
     FailedAnswer,
     NotRun,
     Broken,
+    /// The target sent bytes that are no answer, or too many.
+    Malformed,
     TimedOut,
     CallerGone,
 };
@@ -53,6 +55,8 @@
             return "not_run";
         case AttemptOutcome::Broken:
             return "broken";
+        case AttemptOutcome::Malformed:
+            return "malformed";
         case AttemptOutcome::TimedOut:
             return "timed_out";
         case AttemptOutcome::CallerGone:
@@ -67,10 +71,19 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    AttemptOutcome outcomeOf(const Error& error)
+    {
+        if (error.code == ErrorCode::Timeout)
+            return AttemptOutcome::TimedOut;
+        return error.code == ErrorCode::BadReply ? AttemptOutcome::Malformed : AttemptOutcome::Broken;
+    }
+
     AttemptOutcome classify(const TargetResponseHead& responseHead, const std::string& requestId)
     {
         if (responseHead.notRun)
             return AttemptOutcome::NotRun;
+        if (responseHead.status < 200)
+            return AttemptOutcome::Malformed;
         bool mismatched = !requestId.empty() && responseHead.requestId != requestId;
         bool success = responseHead.status >= 200 && responseHead.status < 300;
         if (mismatched || responseHead.encoded || !responseHead.sealed || impliesNotRun(responseHead.status))
@@ -102,16 +115,16 @@
     connection.setDeadline(deadline);
     auto read = co_await connection.readHeader();
     if (!read)
-        co_return finish(read.error().code == ErrorCode::Timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Broken, describe(read.error()));
+        co_return finish(outcomeOf(read.error()), describe(read.error()));
     attempt.lastHeardAt = Clock::now();
     auto responseHead = m_context.wireFormat.parseResponseHead(connection.header());
     recordTargetState(m_context, placement.target, responseHead);
     auto outcome = classify(responseHead, request.caller.requestId);
-    if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken)
+    if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Malformed)
         co_return finish(outcome, "status " + std::to_string(responseHead.status));
     auto body = co_await connection.readAll();
     if (!body)
-        co_return finish(body.error().code == ErrorCode::Timeout ? AttemptOutcome::TimedOut : AttemptOutcome::Broken, describe(body.error()));
+        co_return finish(outcomeOf(body.error()), describe(body.error()));
     attempt.response = withoutHopByHopHeaders(connection.header());
     attempt.response.body() = std::move(*body);
     co_return finish(outcome, "status " + std::to_string(responseHead.status));
@@ -129,6 +142,7 @@
     switch (attempt.outcome) {
     case AttemptOutcome::Answered:
     case AttemptOutcome::FailedAnswer:
+    case AttemptOutcome::Malformed:
         m_context.crashGuard.onTargetAnswered(target, attempt.sentAt);
         return;
     case AttemptOutcome::NotRun:
@@ -242,6 +256,7 @@
                 co_return co_await respondWithError(request, std::move(result), mayHaveRun);
             break;
         case AttemptOutcome::Broken:
+        case AttemptOutcome::Malformed:
         case AttemptOutcome::TimedOut:
             mayHaveRun = true;
             ++possibleRuns;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -40,6 +40,8 @@
     bool headerSent = false;
     bool answered = false;
     bool mayHaveRun = false;
+    /// The current engine sent bytes that are no answer.
+    bool malformed = false;
     /// When the current engine received the request.
     TimePoint sentAt;
     /// When the current engine last sent a part of its answer; at least sentAt.
@@ -95,6 +97,7 @@
     auto* connection = session.connection.get();
     request.callerWatch.setCancelAction([connection] { connection->cancel(); });
     session.responseHead = {};
+    session.malformed = false;
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = timeLeft(request), .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
     session.sentAt = Clock::now();
@@ -109,6 +112,7 @@
     auto read = co_await connection->readHeader();
     if (!read) {
         session.mayHaveRun = true;
+        session.malformed = read.error().code == ErrorCode::BadReply;
         session.result.detail = describe(read.error());
         co_return false;
     }
@@ -126,10 +130,10 @@
     co_return accepted;
 }
 
-void StreamRelay::recordStartFailure(const std::string& address, const TargetResponseHead& responseHead)
+void StreamRelay::recordStartFailure(const std::string& address, const Session& session)
 {
     auto& outcomes = m_context.dispatcher.outcomes();
-    if (responseHead.status == 0)
+    if (session.responseHead.status == 0 && !session.malformed)
         outcomes.onUnreachable(address, Clock::now());
     else
         outcomes.onFailure(address, Clock::now());
@@ -191,8 +195,8 @@
         }
         m_context.streams.remove(session.id);
         if (!request.callerWatch.gone())
-            recordStartFailure(address, session.responseHead);
-        if (session.mayHaveRun && session.responseHead.status == 0)
+            recordStartFailure(address, session);
+        if (session.mayHaveRun && session.responseHead.status == 0 && !session.malformed)
             reportUnanswered(session, target, request.callerWatch.gone() || Clock::now() >= request.deadline);
         if (request.callerWatch.gone() || !session.responseHead.notRun)
             co_return false;
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -38,7 +38,7 @@
     Awaitable<> respondUnstarted(Session&);
     void onHeard(Session&, const TargetEntry&);
     void reportUnanswered(const Session&, const TargetEntry&, bool abandoned);
-    void recordStartFailure(const std::string& address, const TargetResponseHead&);
+    void recordStartFailure(const std::string& address, const Session&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string reasonFor(StreamOutcome);
     static StreamOutcome outcomeOf(const Error&);
--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -89,6 +89,9 @@
         callerDone = true;
     }
 
+    /// Answers that the crash guard takes for possible crashes.
+    std::uint64_t interruptedAnswers() const { return crashGuard.statistics().interruptedAnswers; }
+
     /// Share of recent requests to the engines that failed.
     double failureRate()
     {
@@ -125,6 +128,14 @@
     EndlessServerReport report;
 };
 
+/// Answers that the relay breaks off because of what the engine sends, and not because the deadline passes.
+inline std::vector<EndlessAnswer> malformedAnswers()
+{
+    auto answers = endlessAnswers(sealedHeader);
+    std::erase_if(answers, [](const auto& answer) { return answer.pause.count() > 0 || answer.name.starts_with("body") || answer.name.ends_with("chunks") || answer.name.starts_with("small chunks"); });
+    return answers;
+}
+
 inline bool isFailure(const std::string& received)
 {
     return received.starts_with("HTTP/1.1 502") || received.starts_with("HTTP/1.1 504");
--- a/src/relay/tests/plainrelayendless_test.cpp
+++ b/src/relay/tests/plainrelayendless_test.cpp
@@ -38,3 +38,15 @@
         cr_expect(f.report.abandoned == 0, "%s: %d connections were not closed", name, f.report.abandoned);
     }
 }
+
+/// Guards against a conviction of the request: the engine sends, so the request has not crashed it.
+Test(PlainRelay, answerWithoutEnd_isNoPossibleCrash)
+{
+    for (const auto& answer : malformedAnswers()) {
+        EndlessEnginesFixture f(answer);
+        f.ask("/once");
+        auto name = answer.name.c_str();
+        cr_expect(f.interruptedAnswers() == 0, "%s: %lu possible crashes", name, static_cast<unsigned long>(f.interruptedAnswers()));
+        cr_expect(f.failureRate() > 0, "%s: the engine was not charged with the failure", name);
+    }
+}
--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -28,3 +28,15 @@
         cr_expect(f.usage.totals().empty(), "%s: the request was charged", name);
     }
 }
+
+/// Guards against a conviction of the request: the engine sends, so the request has not crashed it.
+Test(StreamRelay, answerWithoutEnd_isNoPossibleCrash)
+{
+    for (const auto& answer : malformedAnswers()) {
+        EndlessEnginesFixture f(answer);
+        f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(f.interruptedAnswers() == 0, "%s: %lu possible crashes", name, static_cast<unsigned long>(f.interruptedAnswers()));
+        cr_expect(f.failureRate() > 0, "%s: the engine was not charged with the failure", name);
+    }
+}
