Don't count comments and blank lines of a stream as tokens

What was seen: an engine that sent comments or blank lines was charged as output to the caller's organisation, token by token, and they replaced the id of the last event, from which a moved generation is resumed.

Change: a part of the stream with neither data nor an id is forwarded unchanged but is no event.

--- a/src/relay/eventframeparser.h
+++ b/src/relay/eventframeparser.h
@@ -12,6 +12,8 @@
     std::string bytes;
     /// Value of the event's id line; empty if it has none.
     std::string id;
+    /// False for comments, and for the blank lines between events.
+    bool hasData = false;
 
     friend bool operator==(const EventFrame&, const EventFrame&) = default;
 };
@@ -37,6 +39,7 @@
     std::string m_partial;
     std::size_t m_lineStart = 0;
     std::string m_id;
+    bool m_hasData = false;
     std::deque<EventFrame> m_completeFrames;
 };
 
--- a/src/relay/internal/eventframeparser.cpp
+++ b/src/relay/internal/eventframeparser.cpp
@@ -1,10 +1,15 @@
 #include "relay/eventframeparser.h"
 
+#include <utility>
+
 namespace guavaspan {
 
 void EventFrameParser::parseLine(std::string_view line)
 {
     constexpr std::string_view idField = "id:";
+    constexpr std::string_view dataField = "data";
+    if (line.substr(0, line.find(':')) == dataField)
+        m_hasData = true;
     if (!line.starts_with(idField))
         return;
     line.remove_prefix(idField.size());
@@ -28,7 +33,7 @@
             m_lineStart = m_partial.size();
             continue;
         }
-        m_completeFrames.push_back({ .bytes = std::move(m_partial), .id = std::move(m_id) });
+        m_completeFrames.push_back({ .bytes = std::move(m_partial), .id = std::move(m_id), .hasData = std::exchange(m_hasData, false) });
         m_partial.clear();
         m_id.clear();
         m_lineStart = 0;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -227,8 +227,10 @@
         }
         if (eventNumber)
             session.lastEventNumber = eventNumber;
-        session.stream->onEvent(frame->id, tokensPerEvent);
         bytes += frame->bytes;
+        if (!frame->hasData && frame->id.empty())
+            continue;
+        session.stream->onEvent(frame->id, tokensPerEvent);
         newTokens += tokensPerEvent;
     }
     if (bytes.empty())
--- a/src/relay/tests/eventframeparser_test.cpp
+++ b/src/relay/tests/eventframeparser_test.cpp
@@ -31,3 +31,13 @@
     cr_expect(!frames.next().has_value());
     cr_expect(frames.hasPartialFrame());
 }
+/// Guards against comments that count as tokens.
+Test(EventFrameParser, commentOrBlankLine_hasNoData)
+{
+    EventFrameParser frames;
+    frames.feed(": wait\n\n\nid: 1\ndata: a\n\n: wait\n\n");
+    std::string withData;
+    while (auto frame = frames.next())
+        withData += frame->hasData ? "1" : "0";
+    cr_expect_str_eq(withData.c_str(), "0010");
+}
--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -40,3 +40,23 @@
         cr_expect(f.failureRate() > 0, "%s: the engine was not charged with the failure", name);
     }
 }
+
+/// Guards against comments or events without end that look like a complete answer, or count as tokens.
+Test(StreamRelay, eventsWithoutEnd_answerIsBrokenOffAtDeadline)
+{
+    for (const EndlessAnswer& answer : std::vector<EndlessAnswer> {
+             { .name = "events", .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" },
+             { .name = "comments", .start = sealedHeader + "\r\n", .repeated = ": wait\n\n" },
+             { .name = "empty lines", .start = sealedHeader + "\r\n", .repeated = "\n" },
+             { .name = "comments, one at a time", .start = sealedHeader + "\r\n", .repeated = ": wait\n\n", .pause = Milliseconds(5) } }) {
+        EndlessEnginesFixture f(answer);
+        auto received = f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(!received.ends_with("\r\n0\r\n\r\n"), "%s: the answer looks complete", name);
+        cr_expect(f.took <= f.timeLimit + endlessTimeMargin, "%s: took %.2f s", name, std::chrono::duration<double>(f.took).count());
+        cr_expect(f.report.abandoned == 0, "%s: the connection was not closed", name);
+        bool hasData = answer.repeated.starts_with("data");
+        auto tokens = f.usage.totals().empty() ? 0 : f.usage.totals().begin()->second.outputTokens;
+        cr_expect((tokens > 0) == hasData, "%s: %ld tokens were charged", name, static_cast<long>(tokens));
+    }
+}
