Break off streams that send lines without a field

What was seen: an engine whose accepted stream consisted of other bytes with blank lines between them had them forwarded to the caller as events, and the request was charged.

Cause: everything up to a blank line was forwarded, whether it is an event or not.

Change: a part of the stream without any field of an event, and without a comment, ends the stream as stream_malformed and is not forwarded. Blank lines and comments still are.

Also added, and passing before: answers without end leave the event loop responsive (a timer is at most 300 ms late), and a caller that reads nothing holds its engine back instead of filling memory.

--- a/src/relay/eventframeparser.h
+++ b/src/relay/eventframeparser.h
@@ -30,6 +30,9 @@
     /// True if the current event has become too large.
     bool exceedsLimit() const { return m_partial.size() > maxFrameBytes; }
 
+    /// True if bytes up to a blank line were no event and no comment; they are not returned.
+    bool isMalformed() const { return m_malformed; }
+
     /// True while the bytes of an incomplete event are buffered.
     bool hasPartialFrame() const { return !m_partial.empty(); }
 
@@ -40,6 +43,8 @@
     std::size_t m_lineStart = 0;
     std::string m_id;
     bool m_hasData = false;
+    bool m_hasField = false;
+    bool m_malformed = false;
     std::deque<EventFrame> m_completeFrames;
 };
 
--- a/src/relay/internal/eventframeparser.cpp
+++ b/src/relay/internal/eventframeparser.cpp
@@ -1,15 +1,25 @@
 #include "relay/eventframeparser.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace guavaspan {
 
+namespace {
+
+    constexpr std::array<std::string_view, 4> knownFields { "data", "id", "event", "retry" };
+
+}
+
 void EventFrameParser::parseLine(std::string_view line)
 {
     constexpr std::string_view idField = "id:";
     constexpr std::string_view dataField = "data";
-    if (line.substr(0, line.find(':')) == dataField)
-        m_hasData = true;
+    auto field = line.substr(0, line.find(':'));
+    m_hasData = m_hasData || field == dataField;
+    bool isComment = line.starts_with(':');
+    m_hasField = m_hasField || isComment || std::find(knownFields.begin(), knownFields.end(), field) != knownFields.end();
     if (!line.starts_with(idField))
         return;
     line.remove_prefix(idField.size());
@@ -33,6 +43,11 @@
             m_lineStart = m_partial.size();
             continue;
         }
+        bool hasLines = m_lineStart > 0;
+        if (hasLines && !std::exchange(m_hasField, false)) {
+            m_malformed = true;
+            return;
+        }
         m_completeFrames.push_back({ .bytes = std::move(m_partial), .id = std::move(m_id), .hasData = std::exchange(m_hasData, false) });
         m_partial.clear();
         m_id.clear();
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -279,8 +279,8 @@
         auto forwarded = co_await forwardFrames(session);
         if (forwarded != StreamOutcome::Complete)
             co_return forwarded;
-        if (session.frames.exceedsLimit()) {
-            session.result.detail = "event too large";
+        if (session.frames.exceedsLimit() || session.frames.isMalformed()) {
+            session.result.detail = session.frames.isMalformed() ? "event without a field" : "event too large";
             co_return StreamOutcome::Malformed;
         }
     }
--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -57,10 +57,13 @@
         PeakMemory memory;
         auto startedAt = Clock::now();
         asio::co_spawn(io, receiveAll(path, received), asio::detached);
+        asio::co_spawn(io, measureDelay(), asio::detached);
         io.restart();
         while (!callerDone && Clock::now() - startedAt < EndlessServer::maxTime)
             io.run_for(Milliseconds(20));
         took = Clock::now() - startedAt;
+        // The relay learns a moment later that the caller has closed its connection.
+        io.run_for(Milliseconds(100));
         memoryGrowth = memory.growth();
         report = {};
         for (auto& engine : engines) {
@@ -79,8 +82,10 @@
         co_await socket.async_connect({ asio::ip::make_address(relayEndpoint.address), relayEndpoint.port }, asTuple);
         auto request = "GET " + path + " HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n";
         co_await asio::async_write(socket, asio::buffer(request), asTuple);
+        if (!callerReads)
+            co_await sleepFor(timeLimit);
         std::array<char, 4096> chunk {};
-        while (true) {
+        while (callerReads) {
             auto [error, count] = co_await socket.async_read_some(asio::buffer(chunk), asTuple);
             received.append(chunk.data(), count);
             if (error)
@@ -89,6 +94,17 @@
         callerDone = true;
     }
 
+    /// Measures how late the event loop gets to a timer.
+    Awaitable<> measureDelay()
+    {
+        constexpr auto interval = Milliseconds(5);
+        while (!callerDone) {
+            auto dueAt = Clock::now() + interval;
+            co_await sleepFor(interval);
+            longestDelay = std::max<Clock::duration>(longestDelay, Clock::now() - dueAt);
+        }
+    }
+
     /// Answers that the crash guard takes for possible crashes.
     std::uint64_t interruptedAnswers() const { return crashGuard.statistics().interruptedAnswers; }
 
@@ -122,7 +138,10 @@
     RequestHandler handler { context };
     HttpServer server { io, {}, [this](HttpExchange& exchange) { return handler.handle(exchange); } };
     Endpoint relayEndpoint = *server.listen({ .address = "127.0.0.1" });
+    /// Otherwise the caller keeps its connection open until the deadline and reads nothing.
+    bool callerReads = true;
     bool callerDone = false;
+    Clock::duration longestDelay {};
     Clock::duration took {};
     std::uint64_t memoryGrowth = 0;
     EndlessServerReport report;
--- a/src/relay/tests/eventframeparser_test.cpp
+++ b/src/relay/tests/eventframeparser_test.cpp
@@ -41,3 +41,13 @@
         withData += frame->hasData ? "1" : "0";
     cr_expect_str_eq(withData.c_str(), "0010");
 }
+
+/// Guards against bytes that are no event but are forwarded as one.
+Test(EventFrameParser, linesWithoutField_areMalformed)
+{
+    EventFrameParser frames;
+    frames.feed("id: 1\ndata: a\n\njunk\n\nid: 2\ndata: b\n\n");
+    cr_expect(frames.isMalformed());
+    cr_expect(frames.next()->id == "1");
+    cr_expect(!frames.next().has_value());
+}
--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -17,6 +17,7 @@
     auto answers = endlessAnswers(sealedHeader);
     answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
     answers.push_back({ .name = "event", .start = sealedHeader + "\r\nid: 1\n", .repeated = "data: a\n" });
+    answers.push_back({ .name = "lines without a field", .start = sealedHeader + "\r\n", .repeated = "junk\n\n" });
     for (const auto& answer : answers) {
         EndlessEnginesFixture f(answer);
         auto received = f.ask("/stream");
@@ -60,3 +61,28 @@
         cr_expect((tokens > 0) == hasData, "%s: %ld tokens were charged", name, static_cast<long>(tokens));
     }
 }
+
+/// Guards against an engine that takes the event loop from the other requests.
+Test(StreamRelay, answerWithoutEnd_eventLoopStaysResponsive)
+{
+    /// Shortest time that a request waits for anything in the relay.
+    constexpr auto maxDelay = Milliseconds(300);
+    auto answers = endlessAnswers(sealedHeader);
+    answers.push_back({ .name = "events", .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" });
+    answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
+    for (const auto& answer : answers) {
+        EndlessEnginesFixture f(answer);
+        f.ask("/stream");
+        cr_expect(f.longestDelay <= maxDelay, "%s: a timer was %.2f s late", answer.name.c_str(), std::chrono::duration<double>(f.longestDelay).count());
+    }
+}
+
+/// Guards against events that pile up in memory because the caller reads more slowly than the engine sends.
+Test(StreamRelay, callerDoesNotRead_engineIsHeldBack)
+{
+    EndlessEnginesFixture f({ .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" });
+    f.callerReads = false;
+    f.ask("/stream");
+    cr_expect(f.memoryGrowth <= maxMemoryGrowth(maxEventBytes), "memory grew by %lu bytes", static_cast<unsigned long>(f.memoryGrowth));
+    cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "the connection was not closed");
+}
