--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -42,6 +42,8 @@
     bool mayHaveRun = false;
     /// Time until the deadline, as stated to the current engine.
     Milliseconds timeLeft { 0 };
+    /// The current engine sent bytes that are no answer.
+    bool malformed = false;
     /// When the current engine received the request.
     TimePoint sentAt;
     /// When the current engine last sent a part of its answer; at least sentAt.
@@ -70,10 +72,19 @@
         return "timeout";
     case StreamOutcome::OutOfOrder:
         return "events_out_of_order";
+    case StreamOutcome::Malformed:
+        return "stream_malformed";
     }
     return "stream_broke";
 }
 
+StreamRelay::StreamOutcome StreamRelay::outcomeOf(const Error& error)
+{
+    if (error.code == ErrorCode::Timeout)
+        return StreamOutcome::DeadlineReached;
+    return error.code == ErrorCode::BadReply ? StreamOutcome::Malformed : StreamOutcome::Interrupted;
+}
+
 WorkEstimate StreamRelay::estimateOf(const RelayRequest& request) const
 {
     int output = m_context.outputEstimator.expectedTokens(request.route.name, request.caller.guessedOutputTokens, request.caller.maxOutputTokens);
@@ -88,6 +99,7 @@
     auto* connection = session.connection.get();
     request.callerWatch.setCancelAction([connection] { connection->cancel(); });
     session.responseHead = {};
+    session.malformed = false;
     session.timeLeft = timeLeft(request);
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = session.timeLeft, .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
@@ -103,6 +115,7 @@
     auto read = co_await connection->readHeader();
     if (!read) {
         session.mayHaveRun = true;
+        session.malformed = read.error().code == ErrorCode::BadReply;
         session.result.detail = describe(read.error());
         co_return false;
     }
@@ -120,10 +133,10 @@
     co_return accepted;
 }
 
-void StreamRelay::recordStartFailure(const std::string& address, const TargetResponseHead& responseHead)
+void StreamRelay::recordStartFailure(const std::string& address, const Session& session)
 {
     auto& outcomes = m_context.dispatcher.outcomes();
-    if (responseHead.status == 0)
+    if (session.responseHead.status == 0 && !session.malformed)
         outcomes.onUnreachable(address, Clock::now());
     else
         outcomes.onFailure(address, Clock::now());
@@ -185,8 +198,8 @@
         }
         m_context.streams.remove(session.id);
         if (!request.callerWatch.gone())
-            recordStartFailure(address, session.responseHead);
-        if (session.mayHaveRun && session.responseHead.status == 0)
+            recordStartFailure(address, session);
+        if (session.mayHaveRun && session.responseHead.status == 0 && !session.malformed)
             reportUnanswered(session, target, request.callerWatch.gone() || Clock::now() >= request.deadline);
         if (request.callerWatch.gone() || !session.responseHead.notRun)
             co_return false;
@@ -215,8 +228,10 @@
         }
         if (eventNumber)
             session.lastEventNumber = eventNumber;
-        session.stream->onEvent(frame->id, tokensPerEvent);
         bytes += frame->bytes;
+        if (!frame->hasData && frame->id.empty())
+            continue;
+        session.stream->onEvent(frame->id, tokensPerEvent);
         newTokens += tokensPerEvent;
     }
     if (bytes.empty())
@@ -255,8 +270,8 @@
         if (callerWatch.gone())
             co_return StreamOutcome::CallerGone;
         if (!chunk) {
-            bool deadlineReached = chunk.error().code == ErrorCode::Timeout || session.request.cut;
-            co_return deadlineReached ? StreamOutcome::DeadlineReached : StreamOutcome::Interrupted;
+            session.result.detail = describe(chunk.error());
+            co_return session.request.cut ? StreamOutcome::DeadlineReached : outcomeOf(chunk.error());
         }
         if (chunk->empty())
             break;
@@ -265,6 +280,10 @@
         auto forwarded = co_await forwardFrames(session);
         if (forwarded != StreamOutcome::Complete)
             co_return forwarded;
+        if (session.frames.exceedsLimit() || session.frames.isMalformed()) {
+            session.result.detail = session.frames.isMalformed() ? "event without a field" : "event too large";
+            co_return StreamOutcome::Malformed;
+        }
     }
     StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .isStopping = session.stream->isStopping(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
     co_return isComplete(end) ? StreamOutcome::Complete : StreamOutcome::Interrupted;
@@ -383,9 +402,10 @@
         const auto& lastTarget = session.stream->target();
         if (outcome == StreamOutcome::Complete)
             m_context.crashGuard.onCompleted(request.fingerprint, Clock::now());
-        else if (outcome != StreamOutcome::OutOfOrder)
+        else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
             reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
-        if (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id))
+        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
+        if (failed)
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
         if (request.callerWatch.gone())
             outcome = StreamOutcome::CallerGone;
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -34,6 +34,7 @@
         : socket(executor)
         , deadlineTimer(executor)
     {
+        parser.header_limit(maxResponseHeaderBytes);
         parser.body_limit(boost::none);
         parser.eager(false);
     }
@@ -49,7 +50,7 @@
     asio::steady_timer deadlineTimer;
     bool deadlineReached = false;
     HttpRequest request;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxUnparsedBytes };
     http::response_parser<http::buffer_body> parser;
     std::array<char, chunkBytes> chunk {};
 };
@@ -83,7 +84,7 @@
 
 Error TargetConnection::makeError(const boost::system::error_code& error, Step step) const
 {
-    auto code = m_state->deadlineReached ? ErrorCode::Timeout : ErrorCode::LinkBroken;
+    auto code = m_state->deadlineReached ? ErrorCode::Timeout : (isMalformedMessage(error) ? ErrorCode::BadReply : ErrorCode::LinkBroken);
     return { .code = code, .step = step, .peer = toString(m_endpoint), .detail = error.message(), .outcome = Outcome::Unknown };
 }
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -26,6 +26,8 @@
         CallerGone,
         DeadlineReached,
         OutOfOrder,
+        /// The engine sent bytes that are no answer.
+        Malformed,
     };
 
     Awaitable<bool> start(Session&);
@@ -37,9 +39,10 @@
     Awaitable<> respondUnstarted(Session&);
     void onHeard(Session&, const TargetEntry&);
     void reportUnanswered(const Session&, const TargetEntry&, bool abandoned);
-    void recordStartFailure(const std::string& address, const TargetResponseHead&);
+    void recordStartFailure(const std::string& address, const Session&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string reasonFor(StreamOutcome);
+    static StreamOutcome outcomeOf(const Error&);
 
     RelayContext& m_context;
     RetryGate m_retryGate;
--- /dev/null
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -0,0 +1,88 @@
+#include "relay/tests/endlessenginesfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace guavaspan;
+
+namespace {
+
+/// Largest event of a stream.
+constexpr std::uint64_t maxEventBytes = 1 << 20;
+
+}
+
+/// Guards against a stream that takes all memory, or looks complete, because an engine sends without end.
+Test(StreamRelay, answerWithoutEnd_callerGetsFailureWithinDeadline)
+{
+    auto answers = endlessAnswers(sealedHeader);
+    answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
+    answers.push_back({ .name = "event", .start = sealedHeader + "\r\nid: 1\n", .repeated = "data: a\n" });
+    answers.push_back({ .name = "lines without a field", .start = sealedHeader + "\r\n", .repeated = "junk\n\n" });
+    for (const auto& answer : answers) {
+        EndlessEnginesFixture f(answer);
+        auto received = f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(isFailure(received), "%s: the caller received %.40s", name, received.c_str());
+        cr_expect(f.took <= f.timeLimit + endlessTimeMargin, "%s: took %.2f s", name, std::chrono::duration<double>(f.took).count());
+        cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "%s: %d connections, %d not closed", name, f.report.connections, f.report.abandoned);
+        cr_expect(f.memoryGrowth <= maxMemoryGrowth(maxEventBytes), "%s: memory grew by %lu bytes", name, static_cast<unsigned long>(f.memoryGrowth));
+        cr_expect(f.usage.totals().empty(), "%s: the request was charged", name);
+    }
+}
+
+/// Guards against a conviction of the request: the engine sends, so the request has not crashed it.
+Test(StreamRelay, answerWithoutEnd_isNoPossibleCrash)
+{
+    for (const auto& answer : malformedAnswers()) {
+        EndlessEnginesFixture f(answer);
+        f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(f.interruptedAnswers() == 0, "%s: %lu possible crashes", name, static_cast<unsigned long>(f.interruptedAnswers()));
+        cr_expect(f.failureRate() > 0, "%s: the engine was not charged with the failure", name);
+    }
+}
+
+/// Guards against comments or events without end that look like a complete answer, or count as tokens.
+Test(StreamRelay, eventsWithoutEnd_answerIsBrokenOffAtDeadline)
+{
+    for (const EndlessAnswer& answer : std::vector<EndlessAnswer> {
+             { .name = "events", .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" },
+             { .name = "comments", .start = sealedHeader + "\r\n", .repeated = ": wait\n\n" },
+             { .name = "empty lines", .start = sealedHeader + "\r\n", .repeated = "\n" },
+             { .name = "comments, one at a time", .start = sealedHeader + "\r\n", .repeated = ": wait\n\n", .pause = Milliseconds(5) } }) {
+        EndlessEnginesFixture f(answer);
+        auto received = f.ask("/stream");
+        auto name = answer.name.c_str();
+        cr_expect(!received.ends_with("\r\n0\r\n\r\n"), "%s: the answer looks complete", name);
+        cr_expect(f.took <= f.timeLimit + endlessTimeMargin, "%s: took %.2f s", name, std::chrono::duration<double>(f.took).count());
+        cr_expect(f.report.abandoned == 0, "%s: the connection was not closed", name);
+        bool hasData = answer.repeated.starts_with("data");
+        auto tokens = f.usage.totals().empty() ? 0 : f.usage.totals().begin()->second.outputTokens;
+        cr_expect((tokens > 0) == hasData, "%s: %ld tokens were charged", name, static_cast<long>(tokens));
+    }
+}
+
+/// Guards against an engine that takes the event loop from the other requests.
+Test(StreamRelay, answerWithoutEnd_eventLoopStaysResponsive)
+{
+    /// Shortest time that a request waits for anything in the relay.
+    constexpr auto maxDelay = Milliseconds(300);
+    auto answers = endlessAnswers(sealedHeader);
+    answers.push_back({ .name = "events", .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" });
+    answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
+    for (const auto& answer : answers) {
+        EndlessEnginesFixture f(answer);
+        f.ask("/stream");
+        cr_expect(f.longestDelay <= maxDelay, "%s: a timer was %.2f s late", answer.name.c_str(), std::chrono::duration<double>(f.longestDelay).count());
+    }
+}
+
+/// Guards against events that pile up in memory because the caller reads more slowly than the engine sends.
+Test(StreamRelay, callerDoesNotRead_engineIsHeldBack)
+{
+    EndlessEnginesFixture f({ .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" });
+    f.callerReads = false;
+    f.ask("/stream");
+    cr_expect(f.memoryGrowth <= maxMemoryGrowth(maxEventBytes), "memory grew by %lu bytes", static_cast<unsigned long>(f.memoryGrowth));
+    cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "the connection was not closed");
+}
