Test that crashes are remembered while instances restart in turn

The tests of the crash guard restarted all instances once, after the third crash. The new test restarts the instance that saw a crash, after each of three crashes; the request is refused by all instances 2 s after the last restart. It passes without a change of the code.

If all instances restart between any two crashes, no crash is remembered: a request's crashes are written to the store only from the second on (decision 0007).

--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -162,6 +162,24 @@
     cr_expect(f.refuses(1));
 }
 
+Test(CrashGuard, instancesRestartInTurnBetweenCrashes_requestIsRefusedAfterTheThird)
+{
+    for (std::size_t first : { 0, 1 }) {
+        FleetFixture f;
+        for (int number : { 1, 2, 3 }) {
+            cr_expect(!f.refuses(0) && !f.refuses(1));
+            auto instance = (first + static_cast<std::size_t>(number)) % 2;
+            f.crash(instance, number);
+            f.tick(Milliseconds(700));
+            f.restart(instance);
+            f.tick(Milliseconds(700));
+        }
+        f.tick(Seconds(2));
+        cr_expect(f.refuses(0));
+        cr_expect(f.refuses(1));
+    }
+}
+
 /// Guards against BUDGET: a crash report that is lost in the network was never sent again.
 Test(CrashGuard, instanceThatMissedAllReports_refusesRequestSoonAfter)
 {
