--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -134,7 +134,7 @@
     CrashGuard crashGuard { [](const CrashGuardMessage&) {}, [](const CrashRecord&) {} };
     RelayMetrics metrics;
     Random random { 5 };
-    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .fleet = fleet, .metrics = metrics, .random = random, .stopLimit = Milliseconds(20000), .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {} };
+    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .fleet = fleet, .metrics = metrics, .random = random, .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {} };
     RequestHandler handler { context };
     HttpServer server { io, {}, [this](HttpExchange& exchange) { return handler.handle(exchange); } };
     Endpoint relayEndpoint = *server.listen({ .address = "127.0.0.1" });
