Limit the unparsed bytes and the time of a caller's request

What was seen: a caller whose request body had a chunk size, a chunk extension or trailer fields without end was read into memory beyond all limits, and its header timeout did not end the read.

Cause: as in callHttp and TargetConnection, nothing limits what the parser leaves in the buffer. The timer cancels the socket's operations once, which does nothing to a read that has completed already.

Change: the buffer has a maximum size, and the timer is checked between the reads of a body.

--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 
+#include <algorithm>
 #include <array>
 #include <fmt/format.h>
 
@@ -191,13 +192,18 @@
     auto& stream = connection.stream;
     CancelTimer timer(m_context, stream.socket());
     stream.expires_never();
+    // The parser limits header and body, but not a chunk header or trailer fields that have no end.
+    connection.buffer.max_size(std::max<std::size_t>({ maxUnparsedBytes, m_limits.maxHeaderBytes, connection.buffer.size() }));
     timer.start(m_limits.headerTimeout);
     auto [headerError, headerBytes] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
     auto error = headerError;
     if (!error) {
         timer.start(m_limits.headerTimeout);
-        auto [bodyError, bodyBytes] = co_await http::async_read(stream, connection.buffer, parser, asTuple);
-        error = bodyError;
+        // Cancelling does not end a read that has completed, so a caller that sends fast enough outlasts the timer.
+        while (!error && !parser.is_done() && !timer.expired()) {
+            auto [bodyError, bodyBytes] = co_await http::async_read_some(stream, connection.buffer, parser, asTuple);
+            error = bodyError;
+        }
     }
     if (timer.expired())
         error = beast::error::timeout;
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -31,7 +31,7 @@
 
 /// Size limit of the header of a response.
 inline constexpr std::uint32_t maxResponseHeaderBytes = 8 << 10;
-/// Bytes of a response that the parser may leave in the buffer: a header, a chunk header or all trailer fields.
+/// Bytes of a message that the parser may leave in the buffer: a header, a chunk header or all trailer fields.
 /// The parser itself limits only the first.
 inline constexpr std::size_t maxUnparsedBytes = 64 << 10;
 
