Record that crashes are forgotten if all instances restart between them

Seen: CrashGuard.allInstancesRestartBetweenCrashes_requestIsRefusedAfterTheThird fails. A request's crashes are written to the store from the second on only (decision 0007), so a fleet that restarts whole between any two crashes never learns of the third.

--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -180,6 +180,22 @@
     }
 }
 
+/// Guards against BUDGET: a crash was forgotten when all instances restarted before the next one.
+Test(CrashGuard, allInstancesRestartBetweenCrashes_requestIsRefusedAfterTheThird)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        f.crash(0, number);
+        f.tick(Milliseconds(700));
+        for (std::size_t instance : { 0, 1 })
+            f.restart(instance);
+        f.tick(Milliseconds(700));
+    }
+    f.tick(Seconds(2));
+    cr_expect(f.refuses(0));
+    cr_expect(f.refuses(1));
+}
+
 /// Guards against BUDGET: a crash report that is lost in the network was never sent again.
 Test(CrashGuard, instanceThatMissedAllReports_refusesRequestSoonAfter)
 {
