--- a/src/fleet/tests/fleetbudget_test.cpp
+++ b/src/fleet/tests/fleetbudget_test.cpp
@@ -22,7 +22,7 @@
 /// Time from a read of the registry until an instance that follows another one has its result.
 constexpr auto maxViewDelay = Milliseconds(800);
 /// Time that a retry waits for a target and a connection.
-constexpr auto maxSendDelay = Milliseconds(1500);
+constexpr auto maxSendDelay = Milliseconds(2000);
 
 struct Span {
     Milliseconds from { 0 };
--- a/src/relay/tests/stopschedule_test.cpp
+++ b/src/relay/tests/stopschedule_test.cpp
@@ -28,14 +28,14 @@
     cr_expect_not(f.admits(lookup, Milliseconds(7980)));
 }
 
-/// Guards against LOST: a stream was taken late in a stop by its estimate, although its bound exceeded the limit.
-Test(StopSchedule, streamWhoseBoundExceedsTheLimit_isAdmittedByEstimateOnlyWhileTheBalancerSends)
+/// Guards against LOST: a request was taken late in a stop by its estimate, although its bound exceeded the limit.
+Test(StopSchedule, requestWhoseBoundExceedsTheLimit_isAdmittedByEstimateOnlyWhileTheBalancerSends)
 {
     StopFixture f;
-    RequestDuration stream { .expected = Seconds(2), .longest = Seconds(6) };
-    cr_expect(f.admits(stream, Seconds(1)));
-    cr_expect(f.admits(stream, Seconds(3)));
-    cr_expect_not(f.admits(stream, Seconds(4)));
+    RequestDuration request { .expected = Seconds(2), .longest = Seconds(6) };
+    cr_expect(f.admits(request, Seconds(1)));
+    cr_expect(f.admits(request, Seconds(3)));
+    cr_expect_not(f.admits(request, Seconds(4)));
     cr_expect_not(f.admits({ .expected = Seconds(9), .longest = Seconds(30) }, Seconds(0)));
 }
 
