--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "net/nettypes.h"
+#include "quarantine/promptpart.h"
 #include "targets/targettypes.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace guavaspan {
 
@@ -21,6 +24,8 @@
     std::optional<int> guessedOutputTokens;
     /// Hash of the request's content; the caller's retries of a request have the same hash.
     std::uint64_t contentHash = 0;
+    /// Parts of the prompt that other requests share, in order.
+    std::vector<PromptPart> sharedParts;
 };
 
 /// Identifies a stopped generation so that an engine can resume it.
