Refuse requests with a part in their prompts that crashes engines

Cause: the crash guard counts crashes for whole requests. No two of these were alike, so that each met one crash only. The class: a verdict kept under a key that callers can vary.

Change: PromptGuard counts interruptions before the first event for each part that other requests share. Three of them, one after the other, without an answer with the part anywhere in the fleet, convict the part. Peers are asked first; an outage, in which no other answer begins, convicts nothing; a part that another one explains is acquitted. All sends ask the same gate, also those that waited when the part was convicted and generations that move before their first event. Convictions go to all instances and to the store, and end after ten minutes or when an answer begins.

Why it works: a part that crashes engines never has an answer that begins; a sound one has many. The evidence is there when the connection breaks, while an engine's entry takes 2.7 s to expire.

Ruled out: a fingerprint for each prefix in the crash guard, which waits for the entry to expire.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -95,7 +95,7 @@
 
 Awaitable<> Caller::sendRequest(const RequestSpec& spec)
 {
-    Attempt attempt { .id = fmt::format("{}-{}", m_options.name, ++m_attemptCount), .type = spec.type, .path = spec.path, .apiKey = spec.apiKey, .instance = m_instanceEndpoint.instance, .incarnation = m_instanceEndpoint.incarnation, .sentAt = soakNow() };
+    Attempt attempt { .id = fmt::format("{}-{}", m_options.name, ++m_attemptCount), .type = spec.type, .path = spec.path, .apiKey = spec.apiKey, .promptPart = spec.promptPart, .instance = m_instanceEndpoint.instance, .incarnation = m_instanceEndpoint.incarnation, .sentAt = soakNow() };
     auto timeout = spec.type == RequestType::Stream ? Milliseconds(streamTimeout) : spec.timeout;
     attempt.deadlineMs = timeout.count();
     auto target = spec.path + (spec.paddingBytes > 0 ? paddingMarker + std::to_string(spec.paddingBytes) : "x");
@@ -106,6 +106,8 @@
     request.set(deadlineHeader, std::to_string(attempt.deadlineMs));
     if (spec.type == RequestType::Stream) {
         request.set("X-Token-Count", fmt::format("500,{}", spec.outputTokenLimit > 0 ? spec.outputTokenLimit : 4 * spec.eventCount));
+        if (!spec.promptPart.empty())
+            request.set(promptPartsHeader, fmt::format("{}:79,{}:350,{:x}:71", commonPromptPart, spec.promptPart, m_random()));
         request.body() = std::to_string(spec.eventCount);
     } else {
         request.body() = std::string(spec.bodyBytes, 'b');
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -15,6 +15,8 @@
     std::string apiKey;
     /// Number of events of a stream; unused for other types.
     int eventCount = 0;
+    /// Part of a stream's prompt that other requests share; empty for a prompt without parts.
+    std::string promptPart;
     /// Output limit that a stream's header states; 0 for that of its events.
     int outputTokenLimit = 0;
     /// Size of the body of a plain request.
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -52,6 +52,7 @@
             checkUsage();
             checkDrainingEngines();
             checkCrashingRequests();
+            checkCrashingPromptParts();
             checkStatedLimits();
             addViolations(findStopViolations(m_record));
             addViolations(findBudgetViolations(m_record));
@@ -247,15 +248,36 @@
                 for (const auto* engineRecord : engineRecordsOf(attempt.id))
                     runsByPath[attempt.path].emplace_back(engineRecord->recordedAt, &attempt);
             }
-            for (auto& [path, runs] : runsByPath) {
-                if (runs.size() <= static_cast<std::size_t>(crashesUntilKnown))
+            reportLateRuns(runsByPath, crashesUntilKnown, maxRunsOfKnownCrash, "a request that crashed three engines is not executed again");
+        }
+
+        /// Reports requests that crash engines and are executed by undisturbed instances more often than `allowed` once the first
+        /// `known` of them have crashed engines.
+        void reportLateRuns(std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>>& runsByCause, int known, int allowed, const char* guarantee)
+        {
+            for (auto& [cause, runs] : runsByCause) {
+                if (runs.size() <= static_cast<std::size_t>(known))
                     continue;
                 std::sort(runs.begin(), runs.end());
-                auto knownAt = runs[crashesUntilKnown - 1].first + recoveryAllowance.count() + schedulingSlack.count();
+                auto knownAt = runs[static_cast<std::size_t>(known) - 1].first + recoveryAllowance.count() + schedulingSlack.count();
                 auto lateRuns = std::count_if(runs.begin(), runs.end(), [&](const auto& run) { return run.first > knownAt && instanceAndStoreUndisturbed(*run.second); });
-                if (lateRuns > maxRunsOfKnownCrash)
-                    reportViolation("a request that crashed three engines is not executed again", *runs.back().second, fmt::format("executed {} times, {} of them later than {}", runs.size(), lateRuns, knownAt));
+                if (lateRuns > allowed)
+                    reportViolation(guarantee, *runs.back().second, fmt::format("{}: executed {} times, {} of them later than {}", cause, runs.size(), lateRuns, knownAt));
+            }
+        }
+
+        /// Callers send requests with a part in their prompts that crashes engines; soon after five have ended, undisturbed instances must
+        /// stop passing such requests on.
+        void checkCrashingPromptParts()
+        {
+            std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>> runsByPart;
+            for (const auto& attempt : m_record.attempts) {
+                if (!attempt.promptPart.starts_with(crashingPromptPart))
+                    continue;
+                for (const auto* engineRecord : engineRecordsOf(attempt.id))
+                    runsByPart[attempt.promptPart].emplace_back(engineRecord->recordedAt, &attempt);
             }
+            reportLateRuns(runsByPart, crashesUntilPartIsKnown, maxRequestsWithKnownPart, "requests with a part in their prompts under which five engines have ended are not executed");
         }
 
         /// Reports an accepted request with an incomplete response if only planned stops were in progress.
@@ -290,7 +312,7 @@
     int eligible = 0;
     int served = 0;
     for (const auto& attempt : record.attempts) {
-        bool crashesEngines = attempt.path.find(crashMarker) != std::string::npos;
+        bool crashesEngines = attempt.path.find(crashMarker) != std::string::npos || attempt.promptPart.starts_with(crashingPromptPart);
         bool allowed = !crashesEngines && record.organisationByKey.contains(attempt.apiKey) && !record.revokedKeys.contains(attempt.apiKey) && !record.removedPaths.contains(attempt.path);
         if (!allowed || attempt.sentAt < record.faultsEndedAt + recoveryTimeout)
             continue;
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -33,6 +33,14 @@
 /// Contained in addition if the engine becomes silent for some seconds before it ends.
 inline constexpr const char* silentCrashMarker = "silent-crash";
 
+/// Lists the parts of a prompt in order.
+inline constexpr const char* promptPartsHeader = "X-Prompt-Prefix";
+/// Part that the prompts of all streams begin with.
+inline constexpr const char* commonPromptPart = "c0ffee";
+inline constexpr int soundPromptParts = 8;
+/// Start of a part that ends every engine which begins to answer a request with it.
+inline constexpr const char* crashingPromptPart = "bad";
+
 /// Precedes, in a path, the number of bytes that the engine is to add to its response.
 inline constexpr const char* paddingMarker = "padding-";
 inline constexpr char paddingCharacter = 'p';
@@ -70,6 +78,10 @@
 inline constexpr int crashesUntilKnown = 3;
 /// Executions allowed later than recoveryAllowance after the last of crashesUntilKnown.
 inline constexpr int maxRunsOfKnownCrash = 3;
+/// Engines that end under requests with one part in their prompts before the part is known to end them.
+inline constexpr int crashesUntilPartIsKnown = 5;
+/// Requests with the part that may reach engines later than recoveryAllowance after the last of them.
+inline constexpr int maxRequestsWithKnownPart = 3;
 /// Period over which the requests to an engine that states a limit are counted.
 inline constexpr auto limitPeriod = Milliseconds(4000);
 /// An engine may get this multiple of its limit, and limitAllowance requests more, in one limitPeriod.
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -285,6 +285,10 @@
         responseHead.set(name, value);
     if (!co_await exchange.beginResponse(std::move(responseHead)))
         co_return;
+    if (exchange.header(promptPartsHeader).find(fmt::format(",{}", crashingPromptPart)) != std::string::npos) {
+        co_await sleepFor(eventInterval);
+        co_await crash(false);
+    }
     for (int eventId = lastEventId + 1; eventId <= generation->totalEvents; ++eventId) {
         if (eventId > generation->producedEvents)
             co_await sleepFor(eventInterval);
--- a/soak/record.h
+++ b/soak/record.h
@@ -27,6 +27,8 @@
     RequestType type = RequestType::Lookup;
     std::string path;
     std::string apiKey;
+    /// Part of the prompt that other requests share.
+    std::string promptPart;
     std::string instance;
     /// Number of times the instance's process had been started.
     int incarnation = 0;
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -49,6 +49,8 @@
         spec.type = RequestType::Stream;
         spec.path = streamPath;
         spec.eventCount = 5 + static_cast<int>(random() % 150);
+        if (m_options.crashingPrompts)
+            spec.promptPart = fmt::format("50d{:x}", random() % soundPromptParts);
     } else if (roll < 6) {
         spec.type = RequestType::Order;
         spec.path = orderPath;
@@ -99,13 +101,25 @@
     }
 }
 
+/// Increases while faults are injected. Later no further request crashes engines, so that callers must be served again.
+SoakTime Soak::crashingRequestNumber() const
+{
+    auto age = (m_faultInjector.injecting() ? soakNow() : m_faultInjectionEndedAt) - m_callersStartedAt;
+    return age / crashingRequestPeriod;
+}
+
+/// The next request that crashes engines by a part of its prompt, which stays the same for some time.
+RequestSpec Soak::nextCrashingPrompt(Random& random) const
+{
+    auto key = std::next(m_record.organisationByKey.begin(), static_cast<std::ptrdiff_t>(random() % m_record.organisationByKey.size()));
+    return { .type = RequestType::Stream, .path = fmt::format("{}u{}/", streamPath, random() % 1000), .apiKey = key->first, .eventCount = 5 + static_cast<int>(random() % 50), .promptPart = fmt::format("{}{:x}", crashingPromptPart, crashingRequestNumber()) };
+}
+
 /// The next request that crashes engines. Its path, organisation and body stay the same for some time,
 /// while the key and the stated output limit change.
 RequestSpec Soak::nextCrashingRequest(Random& random) const
 {
-    // Once faults have ended, no further request crashes engines, so that callers must be served again.
-    auto age = (m_faultInjector.injecting() ? soakNow() : m_faultInjectionEndedAt) - m_callersStartedAt;
-    auto number = age / crashingRequestPeriod;
+    auto number = crashingRequestNumber();
     RequestSpec spec;
     spec.type = number % 2 == 0 ? RequestType::Stream : RequestType::Lookup;
     spec.path = fmt::format("{}{}{}/", number % 2 == 0 ? streamPath : lookupPath, number % 4 == 2 ? silentCrashMarker : crashMarker, number);
@@ -133,6 +147,8 @@
         startCaller({ .name = fmt::format("c{}", i), .seed = m_options.seed * 1000 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .attempts = m_record.attempts });
     for (int i = 0; m_options.crashingRequests && i < crashingCallers; ++i)
         startCaller({ .name = fmt::format("x{}", i), .seed = m_options.seed * 1000 + 500 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
+    for (int i = 0; m_options.crashingPrompts && i < crashingCallers; ++i)
+        startCaller({ .name = fmt::format("p{}", i), .seed = m_options.seed * 1000 + 600 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingPrompt(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
     if (m_options.variedCallers)
         startVariedCallers();
     auto nextLookup = [](Random& random) { return RequestSpec { .path = lookupPath, .apiKey = fmt::format("key-{}-{}", random() % organisationCount, keysPerOrganisation - 1) }; };
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -25,6 +25,8 @@
     RequestSpec nextRequest(Random&) const;
     static void varyRequest(RequestSpec&, Random&);
     RequestSpec nextCrashingRequest(Random&) const;
+    RequestSpec nextCrashingPrompt(Random&) const;
+    SoakTime crashingRequestNumber() const;
     void startVariedCallers();
     void startCaller(CallerOptions);
 
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -15,6 +15,8 @@
     std::string faults = "all";
     /// Some callers send requests that crash engines.
     bool crashingRequests = false;
+    /// Some callers send requests that crash engines by a part of their prompts; no two are alike.
+    bool crashingPrompts = false;
     /// Engines state limits of their requests from time to time.
     bool statedLimits = false;
     /// Instances are restarted in series that overlap.
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -224,6 +224,22 @@
     cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the third crash are allowed");
 }
 
+Test(SoakChecks, findViolations_crashingPromptPartExecutedAfterFifthCrash_reportsViolation)
+{
+    ChecksFixture f;
+    f.record.engineRecords.clear();
+    f.record.attempts.clear();
+    for (int run = 0; run < 9; ++run) {
+        auto id = "p" + std::to_string(run);
+        SoakTime sentAt = run < 5 ? 100000 + run : 104000 + run;
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Stream, .path = "/stream/u" + id, .apiKey = "key", .promptPart = "bad1", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
+        f.record.engineRecords.push_back({ .attemptId = id, .engineId = "e" + id, .organisation = "org", .recordedAt = sentAt + 1 });
+    }
+    cr_expect(f.firstViolatedGuarantee() == "requests with a part in their prompts under which five engines have ended are not executed");
+    f.record.engineRecords.pop_back();
+    cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the fifth crash are allowed");
+}
+
 Test(SoakChecks, findViolations_engineGetsMoreThanItsStatedLimit_reportsViolation)
 {
     ChecksFixture f;
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -9,6 +9,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "quarantine/crashrecordwriter.h"
+#include "quarantine/promptguard.h"
 #include "relay/activerequests.h"
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
@@ -42,6 +43,21 @@
     std::function<std::optional<EntrySettings>()> reloadSettings;
 };
 
+/// Carries messages of the prompt guard as datagrams.
+class PromptGuardLink : public IPromptGuardTransport {
+public:
+    explicit PromptGuardLink(FleetLink& link)
+        : m_link(link)
+    {
+    }
+
+    void sendToAll(const PromptGuardMessage&) override;
+    void send(const std::string& instance, const PromptGuardMessage&) override;
+
+private:
+    FleetLink& m_link;
+};
+
 /// An instance of the entry service, which relays callers' requests to targets.
 class EntryInstance {
 public:
@@ -53,6 +69,7 @@
 private:
     bool listen();
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
+    void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
     Awaitable<> serveReadiness(HttpExchange&);
     void onFleetMessage(const FleetMessage&);
@@ -87,6 +104,8 @@
     LiveStreams m_liveStreams;
     RetryBudget m_retryBudget;
     CrashGuard m_crashGuard;
+    PromptGuardLink m_promptGuardLink;
+    PromptGuard m_promptGuard;
     CrashRecordWriter m_crashRecordWriter;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -40,6 +40,16 @@
 
 }
 
+void PromptGuardLink::sendToAll(const PromptGuardMessage& message)
+{
+    std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message);
+}
+
+void PromptGuardLink::send(const std::string& instance, const PromptGuardMessage& message)
+{
+    std::visit([&](const auto& concreteMessage) { m_link.send(instance, concreteMessage); }, message);
+}
+
 EntryInstance::EntryInstance(EntrySettings settings, EntryPlatform platform)
     : m_settings(std::move(settings))
     , m_platform(std::move(platform))
@@ -54,10 +64,12 @@
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_retryBudget({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { m_crashRecordWriter.add(record); })
+    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { std::visit([this](const auto& concreteRecord) { m_crashRecordWriter.add(concreteRecord); }, record); })
+    , m_promptGuardLink(m_link)
+    , m_promptGuard(m_settings.instance, m_promptGuardLink, [this](const PromptPartRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .census = m_census, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .census = m_census, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -79,6 +91,7 @@
     });
     m_directory.setUnavailableListener([this](const TargetUnavailable& event) {
         m_crashGuard.onTargetUnavailable(event);
+        m_promptGuard.onTargetUnavailable(event);
         if (event.reason == UnavailableReason::Restarted)
             m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
@@ -157,10 +170,19 @@
             m_fleet.onUnregistered(key);
     } else if (key.starts_with(schema.crashPrefix)) {
         if (auto record = value ? decodeCrashRecord(*value) : std::nullopt)
-            m_crashGuard.onStoredRecord(*record, now);
+            onCrashRecord(*record, now);
     }
 }
 
+void EntryInstance::onCrashRecord(const StoredCrashRecord& record, TimePoint now)
+{
+    std::visit(Overloaded {
+                   [&](const PromptPartRecord& conviction) { m_promptGuard.onStoredRecord(conviction, now); },
+                   [&](const auto& crashRecord) { m_crashGuard.onStoredRecord(crashRecord, now); },
+               },
+        record);
+}
+
 void EntryInstance::onConfiguration(const std::string& document)
 {
     auto configuration = m_platform.storeSchema.decodeConfiguration(document);
@@ -217,6 +239,7 @@
         .countedCrashes = static_cast<double>(m_crashGuard.statistics().countedCrashes),
         .uncountedCrashes = static_cast<double>(m_crashGuard.statistics().uncountedCrashes),
         .retrySharers = static_cast<double>(m_census.sharers(BootClock::now()).value_or(0)),
+        .convictedPromptParts = static_cast<double>(m_promptGuard.convictedParts()),
     });
 }
 
@@ -240,6 +263,10 @@
                    [&](const CompletionReport& report) { m_crashGuard.onPeerMessage(report, Clock::now()); },
                    [&](const ConvictionNotice& notice) { m_crashGuard.onPeerMessage(notice, Clock::now()); },
                    [&](const PardonNotice& notice) { m_crashGuard.onPeerMessage(notice, Clock::now()); },
+                   [&](const PromptInterruptionReport& report) { m_promptGuard.onPeerMessage(report, Clock::now()); },
+                   [&](const PromptPartInquiry& inquiry) { m_promptGuard.onPeerMessage(inquiry, Clock::now()); },
+                   [&](const PromptPartClearance& clearance) { m_promptGuard.onPeerMessage(clearance, Clock::now()); },
+                   [&](const PromptPartConviction& conviction) { m_promptGuard.onPeerMessage(conviction, Clock::now()); },
                },
         message);
 }
@@ -281,6 +308,7 @@
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
         m_crashGuard.onTick(Clock::now());
+        m_promptGuard.onTick(Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -25,6 +25,10 @@
         PardonNotice,
         InterruptionReport,
         PriorCompletionNotice,
+        PromptInterruptionReport,
+        PromptPartInquiry,
+        PromptPartClearance,
+        PromptPartConviction,
     };
 
     json fieldsOf(const InstanceLoadReport& report)
@@ -109,6 +113,26 @@
         return json::array({ report.fingerprint, report.target, report.targetStartedAt, report.sentAgo.count(), report.interruptedAgo.count() });
     }
 
+    json fieldsOf(const PromptInterruptionReport& report)
+    {
+        return json::array({ report.parts, report.target, report.targetStartedAt, report.sentAgo.count() });
+    }
+
+    json fieldsOf(const PromptPartInquiry& inquiry)
+    {
+        return json::array({ inquiry.instance, inquiry.part, inquiry.since.count() });
+    }
+
+    json fieldsOf(const PromptPartClearance& clearance)
+    {
+        return json::array({ clearance.part, clearance.age.count() });
+    }
+
+    json fieldsOf(const PromptPartConviction& conviction)
+    {
+        return json::array({ conviction.instance, conviction.part, conviction.since.count() });
+    }
+
     // Members are assigned individually: if an aggregate initialiser throws, g++ 12 destroys
     // members that are not constructed yet.
 
@@ -246,6 +270,34 @@
         return { .fingerprint = fields.at(0).get<Fingerprint>() };
     }
 
+    PromptInterruptionReport promptInterruptionReportFrom(const json& fields)
+    {
+        PromptInterruptionReport report;
+        report.parts = fields.at(0).get<std::vector<PromptPart>>();
+        report.target = fields.at(1).get<std::string>();
+        report.targetStartedAt = fields.at(2).get<std::int64_t>();
+        report.sentAgo = Milliseconds(fields.at(3).get<std::int64_t>());
+        return report;
+    }
+
+    PromptPartClearance promptPartClearanceFrom(const json& fields)
+    {
+        PromptPartClearance clearance;
+        clearance.part = fields.at(0).get<PromptPart>();
+        clearance.age = Milliseconds(fields.at(1).get<std::int64_t>());
+        return clearance;
+    }
+
+    template <typename PromptPartMessage>
+    PromptPartMessage promptPartMessageFrom(const json& fields)
+    {
+        PromptPartMessage message;
+        message.instance = fields.at(0).get<std::string>();
+        message.part = fields.at(1).get<PromptPart>();
+        message.since = Milliseconds(fields.at(2).get<std::int64_t>());
+        return message;
+    }
+
     ShutdownNotice shutdownNoticeFrom(const json& fields)
     {
         ShutdownNotice notice;
@@ -298,6 +350,14 @@
             return interruptionReportFrom(fields);
         case MessageType::PriorCompletionNotice:
             return fingerprintMessageFrom<PriorCompletionNotice>(fields);
+        case MessageType::PromptInterruptionReport:
+            return promptInterruptionReportFrom(fields);
+        case MessageType::PromptPartInquiry:
+            return promptPartMessageFrom<PromptPartInquiry>(fields);
+        case MessageType::PromptPartClearance:
+            return promptPartClearanceFrom(fields);
+        case MessageType::PromptPartConviction:
+            return promptPartMessageFrom<PromptPartConviction>(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -3,6 +3,7 @@
 #include "fleet/fleettypes.h"
 #include "placement/placementtypes.h"
 #include "quarantine/crashguardmessages.h"
+#include "quarantine/promptguardmessages.h"
 
 #include <optional>
 #include <variant>
@@ -100,7 +101,7 @@
 };
 
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
-using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice>;
+using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -30,6 +30,10 @@
     cr_expect(roundTrips(PardonNotice { .fingerprint = 9 }));
     cr_expect(roundTrips(InterruptionReport { .fingerprint = 7, .target = "t", .targetStartedAt = 1LL << 41, .sentAgo = Milliseconds(30), .interruptedAgo = Milliseconds(2) }));
     cr_expect(roundTrips(PriorCompletionNotice { .fingerprint = 11 }));
+    cr_expect(roundTrips(PromptInterruptionReport { .parts = { 3, ~0ULL }, .target = "t", .targetStartedAt = 1LL << 41, .sentAgo = Milliseconds(30) }));
+    cr_expect(roundTrips(PromptPartInquiry { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
+    cr_expect(roundTrips(PromptPartClearance { .part = ~0ULL, .age = Milliseconds(30) }));
+    cr_expect(roundTrips(PromptPartConviction { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
     cr_expect(roundTrips(ShutdownNotice { .target = "t", .startedAt = 1LL << 41 }));
 }
 
--- a/src/quarantine/crashrecordwriter.h
+++ b/src/quarantine/crashrecordwriter.h
@@ -3,14 +3,18 @@
 #include "keyvalue/ikeyvaluestore.h"
 #include "net/nettypes.h"
 #include "quarantine/crashguardmessages.h"
+#include "quarantine/promptguardmessages.h"
 
 #include <deque>
 #include <set>
 
 namespace guavaspan {
 
-std::string encodeCrashRecord(const CrashRecord&);
-std::optional<CrashRecord> decodeCrashRecord(const std::string&);
+/// What instances keep of crashes in the shared store.
+using StoredCrashRecord = std::variant<CrashReport, ConvictionNotice, PromptPartRecord>;
+
+std::string encodeCrashRecord(const StoredCrashRecord&);
+std::optional<StoredCrashRecord> decodeCrashRecord(const std::string&);
 
 /// Writes crash records to the shared store, where instances that start later find them.
 class CrashRecordWriter {
@@ -18,7 +22,7 @@
     CrashRecordWriter(IKeyValueStore&, std::string keyPrefix);
 
     /// Queues a record unless it was queued before.
-    void add(const CrashRecord&);
+    void add(const StoredCrashRecord&);
 
     Awaitable<> run();
 
@@ -26,11 +30,11 @@
     Awaitable<bool> writeQueued();
 
 private:
-    std::string keyOf(const CrashRecord&) const;
+    std::string keyOf(const StoredCrashRecord&) const;
 
     IKeyValueStore& m_store;
     std::string m_keyPrefix;
-    std::deque<CrashRecord> m_queue;
+    std::deque<StoredCrashRecord> m_queue;
     std::set<std::string> m_knownKeys;
 };
 
--- a/src/quarantine/internal/crashrecordwriter.cpp
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -17,23 +17,28 @@
     /// Records are removed by their lease; the longest one that the platform grants lasts ten minutes.
     constexpr auto recordLifetime = Seconds(600);
     constexpr std::size_t maxKnownKeys = 10000;
+    constexpr const char* promptPartMarker = "prompt-part";
 
 }
 
-/// A conviction has the fingerprint only, a crash report also the target and its incarnation.
-std::string encodeCrashRecord(const CrashRecord& record)
+/// A conviction has the fingerprint only, a crash report also the target and its incarnation. The record of a part of a prompt starts
+/// with a word that is no fingerprint.
+std::string encodeCrashRecord(const StoredCrashRecord& record)
 {
     return std::visit(Overloaded {
                           [](const CrashReport& report) { return json::array({ hexOf(report.fingerprint), report.target, report.incarnation }).dump(); },
                           [](const ConvictionNotice& notice) { return json::array({ hexOf(notice.fingerprint) }).dump(); },
+                          [](const PromptPartRecord& conviction) { return json::array({ promptPartMarker, hexOf(conviction.part) }).dump(); },
                       },
         record);
 }
 
-std::optional<CrashRecord> decodeCrashRecord(const std::string& text)
+std::optional<StoredCrashRecord> decodeCrashRecord(const std::string& text)
 {
     try {
         auto fields = json::parse(text);
+        if (fields.at(0) == promptPartMarker)
+            return PromptPartRecord { .part = std::stoull(fields.at(1).get<std::string>(), nullptr, 16) };
         Fingerprint fingerprint = std::stoull(fields.at(0).get<std::string>(), nullptr, 16);
         if (fields.size() == 1)
             return ConvictionNotice { .fingerprint = fingerprint };
@@ -54,16 +59,17 @@
 {
 }
 
-std::string CrashRecordWriter::keyOf(const CrashRecord& record) const
+std::string CrashRecordWriter::keyOf(const StoredCrashRecord& record) const
 {
     return std::visit(Overloaded {
                           [&](const CrashReport& report) { return m_keyPrefix + hexOf(report.fingerprint) + "/" + hexOf(stableHash(report.incarnation, stableHash(report.target))); },
                           [&](const ConvictionNotice& notice) { return m_keyPrefix + hexOf(notice.fingerprint) + "/convicted"; },
+                          [&](const PromptPartRecord& conviction) { return m_keyPrefix + promptPartMarker + "/" + hexOf(conviction.part); },
                       },
         record);
 }
 
-void CrashRecordWriter::add(const CrashRecord& record)
+void CrashRecordWriter::add(const StoredCrashRecord& record)
 {
     if (m_knownKeys.size() >= maxKnownKeys)
         m_knownKeys.clear();
--- a/src/quarantine/internal/interruptionlog.cpp
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    /// Longer than an outage of the store and the expiry of the target's entry after it.
-    constexpr auto interruptionLifetime = Seconds(30);
     /// Interruptions by targets that are lost together end within this time: a silent connection is detected by
     /// probes that are a second apart.
     constexpr auto incidentWindow = Seconds(1);
@@ -77,7 +75,12 @@
 
 void InterruptionLog::removeExpired(TimePoint now)
 {
-    std::erase_if(m_interruptions, [&](const Interruption& interruption) { return interruption.endedAt + interruptionLifetime < now; });
+    removeEndedBefore(now - m_lifetime);
+}
+
+void InterruptionLog::removeEndedBefore(TimePoint time)
+{
+    std::erase_if(m_interruptions, [&](const Interruption& interruption) { return interruption.endedAt < time; });
 }
 
 std::size_t InterruptionLog::confirmedIncidents() const
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -36,6 +36,14 @@
 /// Recent interruptions of one request, at most one for each incarnation of a target.
 class InterruptionLog {
 public:
+    /// Longer than an outage of the store and the expiry of the target's entry after it.
+    static constexpr Clock::duration defaultLifetime = Seconds(30);
+
+    explicit InterruptionLog(Clock::duration lifetime = defaultLifetime)
+        : m_lifetime(lifetime)
+    {
+    }
+
     /// Returns false if the incarnation has an interruption already.
     bool add(Interruption);
 
@@ -46,6 +54,7 @@
     void onAlive(const TargetIncarnation&, TimePoint provenAt);
 
     void removeExpired(TimePoint now);
+    void removeEndedBefore(TimePoint);
     const std::vector<Interruption>& entries() const { return m_interruptions; }
     bool empty() const { return m_interruptions.empty(); }
 
@@ -60,6 +69,7 @@
     Clock::duration medianRunTime() const;
 
 private:
+    Clock::duration m_lifetime;
     std::vector<Interruption> m_interruptions;
 };
 
--- a/src/quarantine/tests/crashrecordwriter_test.cpp
+++ b/src/quarantine/tests/crashrecordwriter_test.cpp
@@ -28,7 +28,7 @@
     cr_expect(f.writeQueued());
     cr_expect(f.store.writes == 1);
     cr_assert(f.entries().size() == 1);
-    cr_expect(decodeCrashRecord(f.entries().front().value) == CrashRecord(f.report));
+    cr_expect(decodeCrashRecord(f.entries().front().value) == StoredCrashRecord(f.report));
 }
 
 Test(CrashRecordWriter, storeFaults_reportIsWrittenInTheEnd)
@@ -65,7 +65,7 @@
     cr_expect(f.writeQueued());
     auto entries = f.entries();
     cr_assert(entries.size() == 2);
-    cr_expect(decodeCrashRecord(entries.back().value) == CrashRecord(ConvictionNotice { .fingerprint = f.report.fingerprint }));
+    cr_expect(decodeCrashRecord(entries.back().value) == StoredCrashRecord(ConvictionNotice { .fingerprint = f.report.fingerprint }));
 }
 
 Test(CrashRecord, malformedRecord_isNotDecoded)
@@ -73,3 +73,14 @@
     for (const char* text : { "", "[]", "{}", "[1]", "[1,2,3]", "[\"xyz\",\"t\",\"1\"]", "[\"7\",\"t\"]" })
         cr_expect(!decodeCrashRecord(text), "%s", text);
 }
+
+Test(CrashRecordWriter, convictedPart_isReadBackAndNotTakenForARequest)
+{
+    WriterFixture f;
+    PromptPartRecord record { .part = ~0ULL };
+    f.writer.add(record);
+    f.writer.add(ConvictionNotice { .fingerprint = ~0ULL });
+    cr_expect(f.writeQueued());
+    cr_assert(f.entries().size() == 2);
+    cr_expect(decodeCrashRecord(encodeCrashRecord(record)) == StoredCrashRecord(record));
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -139,19 +139,24 @@
     return timeLeft(request) >= minTimeForRetry && m_retryGate.tryTake(request, cause);
 }
 
-void PlainRelay::reportToCrashGuard(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, TimePoint now)
+void PlainRelay::reportToGuards(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, TimePoint now)
 {
     switch (attempt.outcome) {
     case AttemptOutcome::Answered:
     case AttemptOutcome::FailedAnswer:
     case AttemptOutcome::Malformed:
         m_context.crashGuard.onTargetAnswered(target, attempt.sentAt);
+        m_context.promptGuard.onTargetAnswered(target, attempt.sentAt);
+        if (attempt.outcome != AttemptOutcome::Malformed)
+            m_context.promptGuard.onAnswerBegun(request.caller.sharedParts, now);
         return;
     case AttemptOutcome::NotRun:
         return;
     case AttemptOutcome::Broken:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::CallerGone:
+        if (attempt.outcome == AttemptOutcome::Broken)
+            m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt }, now);
         m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken }, now);
         return;
     }
@@ -238,7 +243,7 @@
         result.detail = attempt.detail;
         logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "time_left_ms", attempt.timeLeft.count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
-        reportToCrashGuard(request, placement->target, attempt, now);
+        reportToGuards(request, placement->target, attempt, now);
         switch (attempt.outcome) {
         case AttemptOutcome::CallerGone:
             result.reason = "caller_gone";
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -82,7 +82,7 @@
 
 SendGate makeSendGate(RelayContext& context, const RelayRequest& request)
 {
-    return { { .crashGuard = context.crashGuard, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint };
+    return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts };
 }
 
 void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -98,6 +98,7 @@
     set("counted_crashes", gauges.countedCrashes);
     set("uncounted_crashes", gauges.uncountedCrashes);
     set("retry_sharers", gauges.retrySharers);
+    set("convicted_prompt_parts", gauges.convictedPromptParts);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -8,13 +8,16 @@
 
     /// Placements on targets that reached their limits meanwhile, after which a request is refused.
     constexpr int maxLimitConflicts = 3;
+    /// Retry delay of a request with a part of a prompt that crashes targets.
+    constexpr auto retryDelayPromptPart = Seconds(60);
 
 }
 
-SendGate::SendGate(SendGateContext context, std::string service, Fingerprint fingerprint)
+SendGate::SendGate(SendGateContext context, std::string service, Fingerprint fingerprint, std::vector<PromptPart> promptParts)
     : m_context(context)
     , m_service(std::move(service))
     , m_fingerprint(fingerprint)
+    , m_promptParts(std::move(promptParts))
 {
 }
 
@@ -33,11 +36,21 @@
     return std::nullopt;
 }
 
-std::optional<SendRefusal> SendGate::refusal()
+std::optional<SendRefusal> SendGate::crashRefusal() const
 {
     auto now = Clock::now();
     if (auto delay = m_context.crashGuard.retryDelayIfRefused(m_fingerprint, now))
         return SendRefusal { .reason = "crashes_targets", .retryAfter = *delay };
+    if (m_context.promptGuard.refusedPart(m_promptParts, now))
+        return SendRefusal { .reason = "prompt_part_crashes_targets", .retryAfter = retryDelayPromptPart };
+    return std::nullopt;
+}
+
+std::optional<SendRefusal> SendGate::refusal()
+{
+    if (auto refused = crashRefusal())
+        return refused;
+    auto now = Clock::now();
     if (auto wait = waitIfAllLimited(now))
         return SendRefusal { .reason = "targets_limited", .retryAfter = m_context.dispatcher.jitteredRetryDelay(*wait) };
     return std::nullopt;
@@ -52,10 +65,9 @@
 
 bool SendGate::tryClaim(const TargetEntry& target)
 {
-    auto now = Clock::now();
-    if (m_context.crashGuard.retryDelayIfRefused(m_fingerprint, now))
+    if (crashRefusal())
         return false;
-    if (m_context.targetLimits.tryTake(target, now))
+    if (m_context.targetLimits.tryTake(target, Clock::now()))
         return true;
     ++m_limitConflicts;
     return false;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -146,10 +146,14 @@
 {
     session.lastHeardAt = Clock::now();
     m_context.crashGuard.onTargetAnswered(target, session.sentAt);
+    m_context.promptGuard.onTargetAnswered(target, session.sentAt);
 }
 
 void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
 {
+    bool interrupted = !abandoned && !session.headerSent && !session.stream->isStopping();
+    if (interrupted)
+        m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
     m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned }, Clock::now());
 }
 
@@ -241,6 +245,7 @@
         auto header = withoutHopByHopHeaders(session.connection->header());
         http::response<http::empty_body> head { std::move(header.base()) };
         session.headerSent = true;
+        m_context.promptGuard.onAnswerBegun(session.request.caller.sharedParts, now);
         session.result.firstEventDelay = now - session.request.arrivedAt;
         m_context.metrics.recordFirstEvent(session.request.route.name, secondsBetween(session.request.arrivedAt, now));
         auto started = co_await session.request.exchange.beginResponse(std::move(head));
@@ -298,6 +303,8 @@
     auto move = co_await session.stream->awaitMove(moveTimeout);
     if (!move || session.request.callerWatch.gone() || session.request.cut)
         co_return false;
+    if (!session.headerSent && makeSendGate(m_context, session.request).crashRefusal())
+        co_return false;
     auto continuation = move->continuation;
     continuation.lastEventId = session.stream->lastEventId();
     auto logMove = [&](const TargetEntry& target, bool accepted) {
--- a/src/relay/plainrelay.h
+++ b/src/relay/plainrelay.h
@@ -20,7 +20,7 @@
     struct Attempt;
 
     Awaitable<Attempt> attempt(RelayRequest&, const Placement&, bool mayRetry);
-    void reportToCrashGuard(const RelayRequest&, const TargetEntry&, const Attempt&, TimePoint now);
+    void reportToGuards(const RelayRequest&, const TargetEntry&, const Attempt&, TimePoint now);
     Awaitable<RelayResult> refuse(RelayRequest&, RelayResult, SendRefusal, bool mayHaveRun);
     Awaitable<RelayResult> deliverAnswer(RelayRequest&, Attempt, RelayResult);
     Awaitable<RelayResult> respondWithError(RelayRequest&, RelayResult, bool mayHaveRun);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -32,6 +32,7 @@
     OutputEstimator& outputEstimator;
     UsageLedger& usage;
     CrashGuard& crashGuard;
+    PromptGuard& promptGuard;
     FleetCensus& census;
     RelayMetrics& metrics;
     Random& random;
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -22,6 +22,7 @@
     double countedCrashes = 0;
     double uncountedCrashes = 0;
     double retrySharers = 0;
+    double convictedPromptParts = 0;
 };
 
 /// Counters and histograms of the entry service.
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "quarantine/crashguard.h"
+#include "quarantine/promptguard.h"
 #include "targets/targetlimits.h"
 
 namespace guavaspan {
@@ -9,6 +10,7 @@
 /// Parts of the instance that SendGate uses.
 struct SendGateContext {
     CrashGuard& crashGuard;
+    PromptGuard& promptGuard;
     TargetLimits& targetLimits;
     TargetDirectory& directory;
     Dispatcher& dispatcher;
@@ -23,11 +25,14 @@
 /// Decides for one request whether and to which targets it may be sent, before each attempt.
 class SendGate {
 public:
-    SendGate(SendGateContext, std::string service, Fingerprint);
+    SendGate(SendGateContext, std::string service, Fingerprint, std::vector<PromptPart>);
 
     /// Checked before each placement.
     std::optional<SendRefusal> refusal();
 
+    /// The refusal of a request that crashes targets, whichever takes it.
+    std::optional<SendRefusal> crashRefusal() const;
+
     /// Targets that the request must not be placed on.
     std::set<std::string> excludedTargets();
 
@@ -44,6 +49,7 @@
     SendGateContext m_context;
     std::string m_service;
     Fingerprint m_fingerprint;
+    std::vector<PromptPart> m_promptParts;
     std::set<std::string> m_triedTargets;
     int m_limitConflicts = 0;
 };
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -1,5 +1,7 @@
 #include "relay/sendgate.h"
 
+#include "quarantine/tests/silentpromptguardtransport.h"
+
 #include <criterion/criterion.h>
 
 using namespace guavaspan;
@@ -9,6 +11,7 @@
 /// A request for a service with two targets.
 struct SendGateFixture {
     static constexpr Fingerprint fingerprint = 7;
+    static constexpr PromptPart promptPart = 9;
 
     asio::io_context io;
     TargetDirectory directory;
@@ -16,6 +19,9 @@
     TargetLimits targetLimits { "self" };
     CrashGuard crashGuard { [](const CrashGuardMessage&) {}, [](const CrashRecord&) {} };
 
+    SilentPromptGuardTransport promptGuardTransport;
+    PromptGuard promptGuard { "self", promptGuardTransport, [](const PromptPartRecord&) {} };
+
     SendGateFixture()
     {
         for (const auto& target : { first(), second() })
@@ -26,7 +32,7 @@
     static TargetEntry first() { return { .id = "first", .service = "shop", .startedAt = 1 }; }
     static TargetEntry second() { return { .id = "second", .service = "shop", .startedAt = 1 }; }
 
-    SendGate gate() { return { { .crashGuard = crashGuard, .targetLimits = targetLimits, .directory = directory, .dispatcher = dispatcher }, "shop", fingerprint }; }
+    SendGate gate() { return { { .crashGuard = crashGuard, .promptGuard = promptGuard, .targetLimits = targetLimits, .directory = directory, .dispatcher = dispatcher }, "shop", fingerprint, { promptPart } }; }
 
     void pause(const TargetEntry& target) { targetLimits.onPauseRequested(target, Seconds(5), Clock::now()); }
 
@@ -100,3 +106,15 @@
     cr_assert(refusal.has_value());
     cr_expect(std::string(refusal->reason) == "crashes_targets");
 }
+
+Test(SendGate, promptPartConvictedWhileRequestWaits_requestIsNotSent)
+{
+    SendGateFixture f;
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    f.promptGuard.onPeerMessage(PromptPartConviction { .instance = "peer", .part = SendGateFixture::promptPart }, Clock::now());
+    cr_expect(!gate.tryClaim(f.first()));
+    auto refusal = gate.refusal();
+    cr_assert(refusal.has_value());
+    cr_expect(std::string(refusal->reason) == "prompt_part_crashes_targets");
+}
