Relay requests to peers while an instance reaches no targets

Cause: only targets were candidates for a request. Each failed connection was taken for a fault of one target, and nothing noted that all failed at once, so that every request waited for connect timeouts and spent the retry budget. The class: a fault of the own path that is charged to what lies behind it.

Change: TargetPath judges the path to a service's targets by new connections: several targets fail and none connects in between; after a first failure a few others are probed. While a path is lost, PeerRelay passes requests to the caller port of an instance whose load report says that it reaches the service, one hop only, with the time that is left; the peer alone counts use, retries and limits. Failures seen meanwhile count against no target, at this instance and at its peers, and broken streams are no evidence of crashes.

Why it works: the other instances reach the engines, and the answer, its end and the caller's leaving pass through both connections.

Ruled out: a verdict for all services together.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/outcometracker.h"
 #include "dispatch/refusalhistory.h"
 #include "dispatch/saturationtracker.h"
+#include "dispatch/targetpath.h"
 #include "dispatch/targetselector.h"
 #include "dispatch/waitingqueue.h"
 #include "net/nettypes.h"
@@ -59,6 +60,9 @@
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
+    /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
+    void forgetOutcomes(const std::string& service);
+    TargetPath& targetPath() { return m_targetPath; }
     std::size_t waitingCount() const { return m_queue.size(); }
 
 private:
@@ -90,6 +94,7 @@
     Random m_random;
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
+    TargetPath m_targetPath;
     WaitingQueue m_queue;
     RefusalHistory m_refusals;
     std::unordered_map<WorkId, PlacementRequest> m_requests;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -52,6 +52,12 @@
     return choice;
 }
 
+void Dispatcher::forgetOutcomes(const std::string& service)
+{
+    for (const auto* target : m_directory.usableTargets(service))
+        m_outcomes.forget(toString(target->endpoint));
+}
+
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
 {
     if (forPeer)
--- a/src/dispatch/internal/outcometracker.cpp
+++ b/src/dispatch/internal/outcometracker.cpp
@@ -78,6 +78,12 @@
     return std::exchange(m_unreported, {});
 }
 
+void OutcomeTracker::forget(const std::string& address)
+{
+    m_records.erase(address);
+    m_unreported.erase(address);
+}
+
 double OutcomeTracker::failureRate(const std::string& address, TimePoint now) const
 {
     auto found = m_records.find(address);
--- a/src/dispatch/outcometracker.h
+++ b/src/dispatch/outcometracker.h
@@ -28,6 +28,9 @@
     /// Adds outcomes that peers reported.
     void onPeerOutcomes(const std::map<std::string, OutcomeCount>&, TimePoint now);
 
+    /// Discards the outcomes of an address.
+    void forget(const std::string& address);
+
     /// Returns the outcomes recorded on this instance since the last call, to be reported to peers.
     std::map<std::string, OutcomeCount> takeUnreported();
 
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -14,6 +14,7 @@
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
+#include "relay/targetpathprober.h"
 #include "usage/usagewriter.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -115,6 +116,7 @@
     HandoverService m_handoverService;
     EngineShutdownPoller m_shutdownPoller;
     Registration m_registration;
+    TargetPathProber m_targetPathProber;
     RequestHandler m_requestHandler;
     PeerFeedServer m_peerFeed;
     HttpServer m_callerServer;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -69,11 +69,12 @@
     , m_promptGuard(m_settings.instance, m_promptGuardLink, [this](const PromptPartRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .census = m_census, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
-    , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity }, unixMilliseconds())
+    , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity, .callerEndpoint = m_settings.callers }, unixMilliseconds())
+    , m_targetPathProber(m_io, m_dispatcher, m_directory, Random(m_random()))
     , m_requestHandler(m_relayContext)
     , m_peerFeed(m_replica)
     , m_callerServer(m_io, limitsFor({}), [this](HttpExchange& exchange) { return m_requestHandler.handle(exchange); })
@@ -142,6 +143,7 @@
     asio::co_spawn(m_io, reloadLoop(), asio::detached);
     asio::co_spawn(m_io, m_usageWriter.run(usageFlushInterval), asio::detached);
     asio::co_spawn(m_io, m_crashRecordWriter.run(), asio::detached);
+    asio::co_spawn(m_io, m_targetPathProber.run(), asio::detached);
     m_io.run();
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
     flushLog();
@@ -240,6 +242,7 @@
         .uncountedCrashes = static_cast<double>(m_crashGuard.statistics().uncountedCrashes),
         .retrySharers = static_cast<double>(m_census.sharers(BootClock::now()).value_or(0)),
         .convictedPromptParts = static_cast<double>(m_promptGuard.convictedParts()),
+        .unreachableServices = static_cast<double>(m_dispatcher.targetPath().lostServices().size()),
     });
 }
 
@@ -310,6 +313,7 @@
         m_crashGuard.onTick(Clock::now());
         m_promptGuard.onTick(Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
+        m_placementClient.setRelaysForPeers(ready());
         if (ready() != m_wasReady) {
             m_wasReady = !m_wasReady;
             countInstances();
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -7,6 +7,7 @@
 #include "targets/targetlimits.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
     std::string failureDomain;
     /// CPU quota, in thousandths of a core.
     int cpuMillicores = 0;
+    /// Where the instance serves callers; absent in the records of older versions.
+    std::optional<Endpoint> callerEndpoint;
 
     friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
@@ -43,6 +46,10 @@
     LengthSumsByRoute lengths;
     /// Limits that targets recently stated to the instance.
     StatedLimits limits;
+    /// The instance serves requests that its peers relay to it.
+    bool relaysForPeers = false;
+    /// Services whose targets the instance does not reach.
+    std::set<std::string> unreachableServices;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -34,6 +34,9 @@
     /// Peers whose last report is recent.
     std::vector<InstanceRecord> reachablePeers(TimePoint now) const;
 
+    /// Reachable peers that reach targets of the service and serve requests that are relayed to them.
+    std::vector<InstanceRecord> relayingPeers(const std::string& service, TimePoint now) const;
+
     /// True if the registry has this key.
     bool isRegistered(const std::string& key) const { return m_registered.count(key) > 0; }
 
@@ -58,6 +61,8 @@
     struct LastReport {
         std::int64_t sequence = 0;
         TimePoint receivedAt;
+        bool relaysForPeers = false;
+        std::set<std::string> unreachableServices;
     };
 
     std::string m_self;
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -19,7 +19,7 @@
 
 std::string encodeInstanceRecord(const InstanceRecord& record)
 {
-    return toBytes(json::array({ record.name, toString(record.peerEndpoint), record.failureDomain, record.cpuMillicores }));
+    return toBytes(json::array({ record.name, toString(record.peerEndpoint), record.failureDomain, record.cpuMillicores, record.callerEndpoint ? toString(*record.callerEndpoint) : std::string() }));
 }
 
 std::optional<InstanceRecord> decodeInstanceRecord(const std::string& bytes)
@@ -34,6 +34,8 @@
         record.peerEndpoint = *peerEndpoint;
         record.failureDomain = fields.at(2).get<std::string>();
         record.cpuMillicores = fields.at(3).get<int>();
+        if (fields.size() > 4)
+            record.callerEndpoint = parseEndpoint(fields.at(4).get<std::string>());
         return record;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -37,7 +37,7 @@
     auto& lastReport = m_lastReports[report.instance];
     if (report.sequence <= lastReport.sequence)
         return false;
-    lastReport = { .sequence = report.sequence, .receivedAt = now };
+    lastReport = { .sequence = report.sequence, .receivedAt = now, .relaysForPeers = report.relaysForPeers, .unreachableServices = report.unreachableServices };
     return true;
 }
 
@@ -85,6 +85,16 @@
     return records;
 }
 
+std::vector<InstanceRecord> FleetView::relayingPeers(const std::string& service, TimePoint now) const
+{
+    auto records = reachablePeers(now);
+    std::erase_if(records, [&](const InstanceRecord& record) {
+        const auto& report = m_lastReports.at(record.name);
+        return !record.callerEndpoint || !report.relaysForPeers || report.unreachableServices.contains(service);
+    });
+    return records;
+}
+
 std::size_t FleetView::storeReaderCount() const
 {
     return std::max(minStoreReaders, (static_cast<std::size_t>(instanceCount()) + followersPerReader - 1) / followersPerReader);
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -161,9 +161,27 @@
     cr_expect(countStoreReaders(320, 12) == 4);
 }
 
+Test(FleetView, relayingPeers_notReadyUnreachableOrSilent_areLeftOut)
+{
+    FleetView fleet { "self", 250 };
+    TimePoint now { Seconds(100) };
+    Endpoint callers { .address = "10.0.0.1", .port = 8740 };
+    for (const char* name : { "able", "notReady", "cutOff", "silent" })
+        fleet.onRegistered(name, { .name = name, .callerEndpoint = callers });
+    fleet.onRegistered("older", { .name = "older" });
+    for (const char* name : { "able", "older" })
+        fleet.onReport({ .instance = name, .sequence = 1, .relaysForPeers = true }, now);
+    fleet.onReport({ .instance = "notReady", .sequence = 1 }, now);
+    fleet.onReport({ .instance = "cutOff", .sequence = 1, .relaysForPeers = true, .unreachableServices = { "model" } }, now);
+    auto peers = fleet.relayingPeers("model", now);
+    cr_assert(peers.size() == 1);
+    cr_expect(peers.front().name == "able");
+    cr_expect(fleet.relayingPeers("shop", now).size() == 2);
+}
+
 Test(InstanceRecord, codec_validAndInvalidBytes_roundTripsOrRejects)
 {
-    InstanceRecord record { .name = "n", .peerEndpoint = { .address = "10.0.0.1", .port = 7200 }, .failureDomain = "d", .cpuMillicores = 250 };
+    InstanceRecord record { .name = "n", .peerEndpoint = { .address = "10.0.0.1", .port = 7200 }, .failureDomain = "d", .cpuMillicores = 250, .callerEndpoint = Endpoint { .address = "10.0.0.1", .port = 8740 } };
     cr_expect(decodeInstanceRecord(encodeInstanceRecord(record)) == record);
     cr_expect(!decodeInstanceRecord("not cbor").has_value());
     cr_expect(!decodeInstanceRecord("").has_value());
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -195,7 +195,10 @@
     auto changedTargets = ledger.takeChangedTargets();
     if (!complete && changedTargets.empty())
         return;
-    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()) };
+    const auto& lostServices = m_dispatcher.targetPath().lostServices();
+    for (const auto& service : lostServices)
+        m_dispatcher.forgetOutcomes(service);
+    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()), .relaysForPeers = m_relaysForPeers, .unreachableServices = lostServices };
     if (complete) {
         report.loads = ledger.localLoads();
     } else {
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -45,7 +45,7 @@
         json limits = json::array();
         for (const auto& [target, limit] : report.limits)
             limits.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices });
     }
 
     json fieldsOf(const PlacementQuery& query)
@@ -174,6 +174,11 @@
             report.lengths.emplace(sums.at(0).get<std::string>(), lengthSumsFrom(sums));
         for (const auto& limit : fields.at(7))
             report.limits.emplace(limit.at(0).get<std::string>(), statedLimitFrom(limit));
+        // Reports of older versions end here.
+        if (fields.size() <= 8)
+            return report;
+        report.relaysForPeers = fields.at(8).get<bool>();
+        report.unreachableServices = fields.at(9).get<std::set<std::string>>();
         return report;
     }
 
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -36,6 +36,9 @@
 
     std::int64_t incarnation() const { return m_incarnation; }
 
+    /// Tells peers, with the next load report, whether this instance serves requests that they relay to it.
+    void setRelaysForPeers(bool relaysForPeers) { m_relaysForPeers = relaysForPeers; }
+
     /// Sends peers the loads of all targets if `complete`, otherwise only of those whose load changed.
     void sendLoadReport(bool complete);
 
@@ -66,6 +69,7 @@
     OutputEstimator& m_outputEstimator;
     FleetLink& m_link;
     std::int64_t m_sequence;
+    bool m_relaysForPeers = false;
     std::unordered_map<WorkId, std::shared_ptr<PendingQuery>> m_pendingQueries;
     /// For each request to a model engine, the instance that places it or has placed it.
     std::unordered_map<WorkId, std::string> m_decidingInstances;
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -111,6 +111,7 @@
     };
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
     auto opened = co_await connection.open(placement.target.endpoint, std::move(message), attemptConnectTimeout);
+    recordConnection(m_context, request, placement.target, bool(opened));
     if (!opened)
         co_return finish(AttemptOutcome::NotRun, describe(opened.error()));
     auto deadline = request.deadline;
@@ -155,6 +156,9 @@
     case AttemptOutcome::Broken:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::CallerGone:
+        // Connections of an instance that has lost its path break without a fault of the target.
+        if (m_context.dispatcher.targetPath().isLost(target.service))
+            return;
         if (attempt.outcome == AttemptOutcome::Broken)
             m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt }, now);
         m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken }, now);
@@ -175,6 +179,8 @@
 Awaitable<RelayResult> PlainRelay::respondWithError(RelayRequest& request, RelayResult result, bool mayHaveRun)
 {
     bool deadlinePassed = Clock::now() >= request.deadline;
+    if (!mayHaveRun && m_context.dispatcher.targetPath().isLost(request.service.name))
+        co_return co_await m_peerRelay.run(request);
     if (!mayHaveRun) {
         result.status = 503;
         result.reason = "no_target";
@@ -210,7 +216,7 @@
     m_retryGate.onRequest(request);
     PlacementRequest placementRequest { .service = request.service.name, .organisation = request.organisation, .rank = request.rank() };
     auto gate = makeSendGate(m_context, request);
-    while (result.sends < maxSends) {
+    while (result.sends < maxSends && !m_context.dispatcher.targetPath().isLost(request.service.name)) {
         if (auto refusal = gate.refusal())
             co_return co_await refuse(request, std::move(result), *refusal, mayHaveRun);
         placementRequest.id = m_context.dispatcher.nextId();
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -85,6 +85,15 @@
     return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts };
 }
 
+void recordConnection(RelayContext& context, const RelayRequest& request, const TargetEntry& target, bool connected)
+{
+    auto& path = context.dispatcher.targetPath();
+    if (connected)
+        path.onConnected(target);
+    else if (!request.callerWatch.gone() && Clock::now() < request.deadline)
+        path.onConnectFailed(target);
+}
+
 void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
 {
     if (responseHead.fromOtherTarget)
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -99,6 +99,7 @@
     set("uncounted_crashes", gauges.uncountedCrashes);
     set("retry_sharers", gauges.retrySharers);
     set("convicted_prompt_parts", gauges.convictedPromptParts);
+    set("unreachable_services", gauges.unreachableServices);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -106,6 +106,7 @@
     session.sentAt = Clock::now();
     session.lastHeardAt = session.sentAt;
     auto opened = co_await connection->open(target.endpoint, std::move(message), attemptConnectTimeout);
+    recordConnection(m_context, request, target, bool(opened));
     if (!opened) {
         session.result.detail = describe(opened.error());
         session.responseHead.notRun = true;
@@ -151,6 +152,9 @@
 
 void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
 {
+    // Connections of an instance that has lost its path break without a fault of the target.
+    if (m_context.dispatcher.targetPath().isLost(target.service))
+        return;
     bool interrupted = !abandoned && !session.headerSent && !session.stream->isStopping();
     if (interrupted)
         m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
@@ -165,7 +169,7 @@
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
     PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
     auto gate = makeSendGate(m_context, request);
-    while (session.result.sends < maxSends) {
+    while (session.result.sends < maxSends && !m_context.dispatcher.targetPath().isLost(request.service.name)) {
         session.refusal = gate.refusal();
         if (session.refusal)
             co_return false;
@@ -398,7 +402,10 @@
 {
     Session session { .request = request };
     bool started = co_await start(session);
-    if (!started) {
+    bool mayRelayToPeer = !started && !session.mayHaveRun && !session.refusal && !request.callerWatch.gone();
+    if (mayRelayToPeer && m_context.dispatcher.targetPath().isLost(request.service.name)) {
+        session.result = co_await m_peerRelay.run(request);
+    } else if (!started) {
         co_await respondUnstarted(session);
     } else {
         auto outcome = co_await relayEvents(session);
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -26,6 +26,8 @@
     std::uint64_t contentHash = 0;
     /// Parts of the prompt that other requests share, in order.
     std::vector<PromptPart> sharedParts;
+    /// Another instance, which reaches no target, relayed the request; it must not be relayed to a further one.
+    bool relayedByPeer = false;
 };
 
 /// Identifies a stopped generation so that an engine can resume it.
@@ -82,6 +84,9 @@
     /// and headers that only instances may set.
     virtual HttpRequest buildTargetRequest(const HttpRequest&, const ForwardOptions&) const = 0;
 
+    /// Builds the request to another instance, which handles it as its caller's.
+    virtual HttpRequest buildPeerRequest(const HttpRequest&, Milliseconds timeLeft) const = 0;
+
     virtual TargetResponseHead parseResponseHead(const http::response_header<>&) const = 0;
 };
 
--- a/src/relay/plainrelay.h
+++ b/src/relay/plainrelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/peerrelay.h"
 #include "relay/retrygate.h"
 #include "relay/targetconnection.h"
 
@@ -11,6 +12,7 @@
     explicit PlainRelay(RelayContext& context)
         : m_context(context)
         , m_retryGate(context)
+        , m_peerRelay(context)
     {
     }
 
@@ -28,6 +30,7 @@
 
     RelayContext& m_context;
     RetryGate m_retryGate;
+    PeerRelay m_peerRelay;
 };
 
 }
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -34,6 +34,8 @@
     CrashGuard& crashGuard;
     PromptGuard& promptGuard;
     FleetCensus& census;
+    const FleetView& fleet;
+    std::string failureDomain;
     RelayMetrics& metrics;
     Random& random;
     TargetLimits& targetLimits;
@@ -126,6 +128,9 @@
 /// The gate that the request passes before each send.
 SendGate makeSendGate(RelayContext&, const RelayRequest&);
 
+/// Takes note of whether a connection to a target was established.
+void recordConnection(RelayContext&, const RelayRequest&, const TargetEntry&, bool connected);
+
 /// Takes note of what a target's answer states about the target: its limit, or that it is shutting down.
 void recordTargetState(RelayContext&, const TargetEntry&, const TargetResponseHead&);
 
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -23,6 +23,7 @@
     double uncountedCrashes = 0;
     double retrySharers = 0;
     double convictedPromptParts = 0;
+    double unreachableServices = 0;
 };
 
 /// Counters and histograms of the entry service.
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/eventframeparser.h"
+#include "relay/peerrelay.h"
 #include "relay/retrygate.h"
 #include "relay/targetconnection.h"
 
@@ -12,6 +13,7 @@
     explicit StreamRelay(RelayContext& context)
         : m_context(context)
         , m_retryGate(context)
+        , m_peerRelay(context)
     {
     }
 
@@ -46,6 +48,7 @@
 
     RelayContext& m_context;
     RetryGate m_retryGate;
+    PeerRelay m_peerRelay;
 };
 
 }
--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -25,6 +25,8 @@
         return request;
     }
 
+    HttpRequest buildPeerRequest(const HttpRequest& original, Milliseconds) const override { return original; }
+
     TargetResponseHead parseResponseHead(const http::response_header<>& header) const override
     {
         return { .status = header.result_int(), .sealed = header.count("Seal") > 0, .requestId = std::string(header["Request"]) };
@@ -139,7 +141,7 @@
     PromptGuard promptGuard { "self", promptGuardTransport, [](const PromptPartRecord&) {} };
     RelayMetrics metrics;
     Random random { 5 };
-    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .promptGuard = promptGuard, .census = census, .metrics = metrics, .random = random, .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {}, .activeRequests = std::make_shared<ActiveRequests>() };
+    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .promptGuard = promptGuard, .census = census, .fleet = fleet, .failureDomain = "north", .metrics = metrics, .random = random, .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {}, .activeRequests = std::make_shared<ActiveRequests>() };
     RequestHandler handler { context };
     HttpServer server { io, {}, [this](HttpExchange& exchange) { return handler.handle(exchange); } };
     Endpoint relayEndpoint = *server.listen({ .address = "127.0.0.1" });
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -121,6 +121,16 @@
     return entries;
 }
 
+std::vector<const TargetEntry*> TargetDirectory::usableTargets() const
+{
+    std::vector<const TargetEntry*> entries;
+    for (const auto& [id, target] : m_targets) {
+        if (target.entry.state == TargetState::Ready)
+            entries.push_back(&target.entry);
+    }
+    return entries;
+}
+
 const TargetEntry* TargetDirectory::find(const std::string& id) const
 {
     auto target = m_targets.find(id);
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -56,6 +56,8 @@
 
     /// Targets of a service that take new requests.
     std::vector<const TargetEntry*> usableTargets(const std::string& service) const;
+    /// Targets of all services that take new requests.
+    std::vector<const TargetEntry*> usableTargets() const;
     const TargetEntry* find(const std::string& id) const;
     bool isUsable(const std::string& id) const;
     std::size_t size() const { return m_targets.size(); }
