Keep the rejections of brittle engines within what they survive

Callers would see: engines of a service that state Server-Brittle in their answers fall over one after the other under load.

Cause: nothing read the statement. Each instance sends as it sees fit, and learns the others' load of plain services twice a second only, so that all of them fill the same queue.

Change: BrittleServices keeps what a service states. An instance has at most its share of a plain target's slots at that target, and after a rejection pauses for a time in which all instances together cause half of the rejections that are survived. Pools with an owner keep to their slots already; only the pause is new for them.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -53,6 +53,7 @@
             checkDrainingEngines();
             checkCrashingRequests();
             checkCrashingPromptParts();
+            checkBrittleEngines();
             checkStatedLimits();
             addViolations(findStopViolations(m_record));
             addViolations(findBudgetViolations(m_record));
@@ -280,6 +281,21 @@
             reportLateRuns(runsByPart, crashesUntilPartIsKnown, maxRequestsWithKnownPart, "requests with a part in their prompts under which five engines have ended are not executed");
         }
 
+        void checkBrittleEngines()
+        {
+            int overwhelmed = 0;
+            const EngineRecord* last = nullptr;
+            for (const auto& engineRecord : m_record.engineRecords) {
+                if (engineRecord.event != EngineRecord::Event::Overwhelmed)
+                    continue;
+                ++overwhelmed;
+                last = &engineRecord;
+            }
+            auto allowed = maxOverwhelmedEngines + static_cast<int>(maxOverwhelmedShare * m_record.brittleEngines);
+            if (overwhelmed > allowed)
+                m_violations.push_back({ .guarantee = "brittle engines do not end by rejections", .evidence = fmt::format("{} ended, {} allowed; the last one is {} at {}", overwhelmed, allowed, last->engineId, last->recordedAt) });
+        }
+
         /// Reports an accepted request with an incomplete response if only planned stops were in progress.
         void checkPlannedStop(const Attempt& attempt)
         {
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -21,6 +21,10 @@
 /// Requests per second that an engine takes from all instances together while its answers state it.
 inline constexpr const char* requestLimitHeader = "Server-Limit";
 
+/// Rejections in a second that an engine survives while its answers state it.
+inline constexpr const char* brittleHeader = "Server-Brittle";
+inline constexpr int survivedRejections = 5;
+
 inline constexpr int organisationCount = 3;
 inline constexpr int keysPerOrganisation = 3;
 
@@ -82,6 +86,9 @@
 inline constexpr int crashesUntilPartIsKnown = 5;
 /// Requests with the part that may reach engines later than recoveryAllowance after the last of them.
 inline constexpr int maxRequestsWithKnownPart = 3;
+/// Brittle engines that may end while the service is brittle, and as a share of its engines.
+inline constexpr int maxOverwhelmedEngines = 2;
+inline constexpr double maxOverwhelmedShare = 0.1;
 /// Period over which the requests to an engine that states a limit are counted.
 inline constexpr auto limitPeriod = Milliseconds(4000);
 /// An engine may get this multiple of its limit, and limitAllowance requests more, in one limitPeriod.
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -134,7 +134,10 @@
     engine.statesLimit = false;
     auto listenEndpoint = allocateEndpoint();
     engine.link->setTarget(listenEndpoint);
-    return m_processes.start(engine.id, { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" });
+    std::vector<std::string> command { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" };
+    if (m_options.brittleEngines && !engine.generates)
+        command.push_back("--brittle");
+    return m_processes.start(engine.id, command);
 }
 
 bool Deployment::start()
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -15,6 +15,8 @@
     using nlohmann::json;
 
     constexpr int slots = 16;
+    /// Plain requests that a brittle engine runs or lets wait.
+    constexpr std::size_t roomOfBrittleEngine = 6;
     constexpr auto eventInterval = Milliseconds(12);
     constexpr auto publishInterval = Milliseconds(500);
     /// Longer than maxDrainDelay, within which a draining engine may still receive new requests.
@@ -75,7 +77,7 @@
 
 Awaitable<> Engine::publishEntry()
 {
-    json entry { { "service", m_options.service }, { "address", toString(m_options.advertisedEndpoint) }, { "zone", m_options.failureDomain }, { "version", 1 }, { "slots", slots }, { "state", m_draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", m_startedAt }, { "sequence", 0 } };
+    json entry { { "service", m_options.service }, { "address", toString(m_options.advertisedEndpoint) }, { "zone", m_options.failureDomain }, { "version", 1 }, { "slots", m_options.brittle ? static_cast<int>(roomOfBrittleEngine) : slots }, { "state", m_draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", m_startedAt }, { "sequence", 0 } };
     json put { { "key", "servers/" + m_options.id }, { "value", entry.dump() } };
     HttpCall call { .endpoint = m_options.storeEndpoint, .method = "POST", .target = "/standin/put", .body = put.dump(), .timeout = Seconds(1) };
     co_await callHttp(std::move(call));
@@ -124,6 +126,8 @@
         headers[shutdownHeader] = "1";
     if (m_statesLimit)
         headers[requestLimitHeader] = fmt::format("{:.1f}", m_options.requestLimit);
+    if (m_options.brittle)
+        headers[brittleHeader] = std::to_string(survivedRejections);
     return headers;
 }
 
@@ -227,8 +231,24 @@
     co_return true;
 }
 
+Awaitable<> Engine::reject(HttpExchange& exchange)
+{
+    auto now = Clock::now();
+    std::erase_if(m_rejections, [&](TimePoint rejectedAt) { return rejectedAt + Seconds(1) < now; });
+    m_rejections.push_back(now);
+    if (m_rejections.size() > survivedRejections) {
+        recordEvent(EngineRecord::Event::Overwhelmed, exchange);
+        co_await crash(false);
+    }
+    co_await sendEmptyReply(exchange, 503, true);
+}
+
 Awaitable<> Engine::runPlainRequest(HttpExchange& exchange)
 {
+    if (m_options.brittle && m_activeExchanges.size() > roomOfBrittleEngine) {
+        co_await reject(exchange);
+        co_return;
+    }
     if (m_failurePercentage > 0 && co_await failRequest(exchange))
         co_return;
     auto attemptId = exchange.header(attemptIdHeader);
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -5,6 +5,7 @@
 #include "soak/record.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <deque>
 #include <fstream>
 #include <map>
 
@@ -24,6 +25,8 @@
     bool generates = true;
     /// Requests per second that the engine states as its limit after SIGUSR2, until the next SIGUSR2.
     double requestLimit = 0;
+    /// Rejects plain requests beyond its room, and ends if it rejects too many.
+    bool brittle = false;
     std::uint64_t seed = 1;
 };
 
@@ -54,6 +57,7 @@
     Awaitable<> toggleLimitOnSignal();
     Awaitable<> toggleFailuresOnSignal();
     Awaitable<bool> failRequest(HttpExchange&);
+    Awaitable<> reject(HttpExchange&);
     std::map<std::string, std::string> stateHeaders() const;
     void recordEvent(EngineRecord::Event, const HttpExchange&);
     void breakOff(HttpExchange&);
@@ -72,6 +76,8 @@
     bool m_statesLimit = false;
     /// Percentage of plain requests that fail.
     std::uint64_t m_failurePercentage = 0;
+    /// Times of the rejections in the last second.
+    std::deque<TimePoint> m_rejections;
     /// Crashed without closing its connections.
     bool m_silent = false;
     std::map<std::string, std::shared_ptr<Generation>> m_generations;
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -39,6 +39,8 @@
     asio::co_spawn(m_io, replaceCrashedEngines(), asio::detached);
     if (m_options.statedLimits)
         asio::co_spawn(m_io, limitEnginesPeriodically(), asio::detached);
+    if (m_options.pausingEngines)
+        asio::co_spawn(m_io, pauseEnginesPeriodically(), asio::detached);
     if (m_options.greyEngines)
         asio::co_spawn(m_io, failRequestsPeriodically(), asio::detached);
     if (m_options.rolling)
@@ -259,6 +261,20 @@
     }
 }
 
+/// A sound engine may be silent for a second, so this is no disturbance.
+Awaitable<> FaultInjector::pauseEnginesPeriodically()
+{
+    while (m_injecting) {
+        auto id = m_deployment.randomEngine().id;
+        ++m_faultCounts["engine silent for a second"];
+        m_deployment.processes().signal(id, SIGSTOP);
+        co_await sleepFor(Milliseconds(1000));
+        m_deployment.processes().signal(id, SIGCONT);
+        auto pause = randomDuration(500, 2000);
+        co_await sleepFor(pause);
+    }
+}
+
 Awaitable<> FaultInjector::pauseProcess(std::string name, std::string subject)
 {
     auto startedAt = soakNow();
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -28,6 +28,7 @@
     Awaitable<> limitEngine(Deployment::ManagedEngine&);
     Awaitable<> failRequestsPeriodically();
     Awaitable<> replaceCrashedEngines();
+    Awaitable<> pauseEnginesPeriodically();
     Awaitable<> replaceCrashedEngine(Deployment::ManagedEngine&);
     Awaitable<> injectFaultsPeriodically();
     void injectFault();
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<EngineRecord::Event, const char*>, 5> eventNames { { { EngineRecord::Event::Run, "run" }, { EngineRecord::Event::Resume, "resume" }, { EngineRecord::Event::Arrival, "arrival" }, { EngineRecord::Event::End, "end" }, { EngineRecord::Event::BreakOff, "break_off" } } };
+    constexpr std::array<std::pair<EngineRecord::Event, const char*>, 6> eventNames { { { EngineRecord::Event::Run, "run" }, { EngineRecord::Event::Resume, "resume" }, { EngineRecord::Event::Arrival, "arrival" }, { EngineRecord::Event::End, "end" }, { EngineRecord::Event::BreakOff, "break_off" }, { EngineRecord::Event::Overwhelmed, "overwhelmed" } } };
 
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -63,6 +63,8 @@
         End,
         /// The engine itself ended the connection before the response was complete.
         BreakOff,
+        /// The engine ends because it rejected too many requests; it is brittle.
+        Overwhelmed,
     };
     Event event = Event::Run;
     std::string attemptId;
@@ -131,6 +133,8 @@
     /// For each engine id, the time by which the store lists the engine as draining.
     std::map<std::string, SoakTime> drainingEngines;
     std::vector<StatedLimit> statedLimits;
+    /// Number of engines that are brittle at a time.
+    int brittleEngines = 0;
     /// For each organisation, the number of requests in its usage records, read after all instances have stopped.
     std::map<std::string, std::int64_t> recordedRequests;
     /// Processes ended only by planned stops, so no usage record was lost.
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -152,7 +152,7 @@
     if (m_options.variedCallers)
         startVariedCallers();
     auto nextLookup = [](Random& random) { return RequestSpec { .path = lookupPath, .apiKey = fmt::format("key-{}-{}", random() % organisationCount, keysPerOrganisation - 1) }; };
-    for (int i = 0; m_options.greyEngines && i < m_options.callers / 2; ++i)
+    for (int i = 0; (m_options.greyEngines || m_options.brittleEngines) && i < m_options.callers / 2; ++i)
         startCaller({ .name = fmt::format("g{}", i), .seed = m_options.seed * 1000 + 700 + static_cast<std::uint64_t>(i), .nextRequest = nextLookup, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfLoadingCallers, .attempts = m_record.attempts });
     m_faultInjector.start();
     co_await sleepFor(fromSeconds(m_options.faultSeconds));
@@ -197,6 +197,9 @@
         return { { .guarantee = "all processes start", .evidence = m_options.folder } };
     asio::co_spawn(m_io, runScenario(), asio::detached);
     m_io.run();
+    const auto& engines = m_deployment.engines();
+    if (m_options.brittleEngines)
+        m_record.brittleEngines = static_cast<int>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return !engine->generates; }));
     m_record.engineRecords = readEngineRecords(m_options.folder + "/records");
     return findViolations(m_record);
 }
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -17,6 +17,10 @@
     bool crashingRequests = false;
     /// Some callers send requests that crash engines by a part of their prompts; no two are alike.
     bool crashingPrompts = false;
+    /// Engines of plain requests end if they reject too many, and say so.
+    bool brittleEngines = false;
+    /// Engines fall silent for a second at times, which excuses nothing.
+    bool pausingEngines = false;
     /// Engines state limits of their requests from time to time.
     bool statedLimits = false;
     /// Instances are restarted in series that overlap.
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -240,6 +240,17 @@
     cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the fifth crash are allowed");
 }
 
+Test(SoakChecks, findViolations_moreBrittleEnginesEndThanAllowed_reportsViolation)
+{
+    ChecksFixture f;
+    f.record.brittleEngines = 3;
+    for (int number = 0; number < 2; ++number)
+        f.record.engineRecords.push_back({ .event = EngineRecord::Event::Overwhelmed, .attemptId = "none", .engineId = "e" });
+    cr_expect(f.firstViolatedGuarantee().empty());
+    f.record.engineRecords.push_back({ .event = EngineRecord::Event::Overwhelmed, .attemptId = "none", .engineId = "e" });
+    cr_expect(f.firstViolatedGuarantee() == "brittle engines do not end by rejections");
+}
+
 Test(SoakChecks, findViolations_engineGetsMoreThanItsStatedLimit_reportsViolation)
 {
     ChecksFixture f;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/waitingqueue.h"
 #include "net/nettypes.h"
 #include "placement/placementtypes.h"
+#include "targets/brittleservices.h"
 #include "targets/targetdirectory.h"
 
 #include <unordered_map>
@@ -62,6 +63,7 @@
     OutcomeTracker& outcomes() { return m_outcomes; }
     /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
     void forgetOutcomes(const std::string& service);
+    BrittleServices& brittleServices() { return m_brittleServices; }
     TargetPath& targetPath() { return m_targetPath; }
     std::size_t waitingCount() const { return m_queue.size(); }
 
@@ -82,6 +84,7 @@
     };
 
     std::optional<TargetChoice> chooseTarget(const PlacementRequest&);
+    std::set<std::string> excludedTargets(const PlacementRequest&, const std::vector<const TargetEntry*>& candidates) const;
     void start(const PlacementRequest&, const std::string& target, bool forPeer);
     static void deductEarlierWait(PlacementRequest&, TimePoint firstAttemptAt, TimePoint now);
     Awaitable<PlacementOutcome> placeOrEnqueue(PlacementRequest, bool forPeer);
@@ -95,6 +98,7 @@
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
     TargetPath m_targetPath;
+    BrittleServices m_brittleServices;
     WaitingQueue m_queue;
     RefusalHistory m_refusals;
     std::unordered_map<WorkId, PlacementRequest> m_requests;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -38,11 +38,26 @@
 {
 }
 
+/// Targets that the request excludes and brittle ones that have enough requests of this instance. The owner of a pool knows the
+/// load of all instances, so its engines need no share for each.
+std::set<std::string> Dispatcher::excludedTargets(const PlacementRequest& request, const std::vector<const TargetEntry*>& candidates) const
+{
+    auto excluded = request.excluded;
+    if (request.engine || !m_brittleServices.isBrittle(request.service))
+        return excluded;
+    for (const auto* target : candidates) {
+        if (m_ledger.localLoad(target->id).requests >= *m_brittleServices.requestLimit(*target))
+            excluded.insert(target->id);
+    }
+    return excluded;
+}
+
 std::optional<TargetChoice> Dispatcher::chooseTarget(const PlacementRequest& request)
 {
     auto candidates = m_directory.usableTargets(request.service);
+    auto excluded = excludedTargets(request, candidates);
     auto now = Clock::now();
-    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = request.excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request) }, m_random);
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request) }, m_random);
     if (!choice)
         m_saturation.onSaturated(request.service, now);
     else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -280,6 +280,7 @@
         return;
     auto names = m_fleet.peerNames();
     m_targetLimits.onInstances(names, Clock::now());
+    m_dispatcher.brittleServices().setInstances(names.size() + 1);
     auto now = BootClock::now();
     m_census.onView({ .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() }, now);
     auto sharers = m_census.sharers(now);
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -100,6 +100,15 @@
         return;
     if (responseHead.draining)
         context.onTargetDraining(target);
+    auto& brittleServices = context.dispatcher.brittleServices();
+    if (responseHead.survivedRejectionsUnreadable)
+        logEvent(LogLevel::Warning, "target_brittleness_unreadable", { { "target", target.id } });
+    else
+        brittleServices.onAnswer(target, responseHead.survivedRejections);
+    bool rejected = responseHead.notRun && responseHead.status == 503;
+    auto pause = rejected ? brittleServices.pauseAfterRejection(target.service) : std::nullopt;
+    if (pause)
+        context.targetLimits.onPauseRequested(target, *pause, Clock::now());
     if (responseHead.retryAfterSeconds)
         context.targetLimits.onPauseRequested(target, fromSeconds(std::min(*responseHead.retryAfterSeconds, maxPauseSeconds)), Clock::now());
     else if (responseHead.retryAfterUnreadable)
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -66,6 +66,9 @@
     /// Requests per second that the target takes from all instances together, if it states a limit.
     std::optional<double> requestLimit;
     bool requestLimitUnreadable = false;
+    /// Rejections per second for lack of room that the target survives, if it states that it is brittle.
+    std::optional<double> survivedRejections;
+    bool survivedRejectionsUnreadable = false;
     /// Another target uses the address now.
     bool fromOtherTarget = false;
     /// Time for which the target wants no request from this instance, if it refused one with status 503.
