Keep the first crash of the likeliest request in the store

Cause: crashes were written to the store from the second on only, since most requests that run on a crashing engine never meet a second one. A restart of all instances forgot the first each time.

Change: of the requests that an instance ran on the crashed engine, the first crash of the one that was interrupted soonest after it was sent is written too. A request that crashes engines breaks soon after it starts; the others have run for longer.

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -95,6 +95,7 @@
     bool mayConvict(Fingerprint) const;
     bool isSuspended(Fingerprint) const;
     bool hasUnexplainedCrash(Fingerprint) const;
+    bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
     bool outweighs(Fingerprint, const Case&, Fingerprint other, const Case& otherCase) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
     void onConvictionNotice(const ConvictionNotice&, TimePoint now);
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -19,7 +19,7 @@
     /// interrupted by most crashes, whatever their cause.
     constexpr std::size_t crashesToConvictCompleted = 10;
     /// Crashes from which a request's reports are kept in the shared store. Most requests that run on a
-    /// crashing target never meet a second crash.
+    /// crashing target never meet a second crash, so of the first crash only the likeliest cause is kept.
     constexpr std::size_t crashesToRecord = 2;
     /// A request that has this many crashes more than all that ran beside it needs no further evidence.
     constexpr std::size_t decisiveLead = 2;
@@ -205,13 +205,28 @@
     suspect.reports.push_back(report);
     suspect.lastCrashAt = now;
     logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("counted") }, { "local", local }, { "crashes", std::int64_t(suspect.reports.size()) } });
-    if (suspect.local && suspect.reports.size() >= crashesToRecord && mayConvict(report.fingerprint)) {
+    bool recorded = suspect.reports.size() >= crashesToRecord || startedLastAt(report.fingerprint, incarnationOf(report));
+    if (suspect.local && recorded && mayConvict(report.fingerprint)) {
         for (const auto& recorded : suspect.reports)
             m_record(recorded);
     }
     return true;
 }
 
+/// True if of the requests that this instance ran at the target, this one was interrupted soonest after it was sent.
+bool CrashGuard::startedLastAt(Fingerprint fingerprint, const TargetIncarnation& target) const
+{
+    auto runTimeOf = [&](const Case& suspect) -> std::optional<Clock::duration> {
+        const auto* interruption = suspect.interruptions.find(target);
+        return interruption && interruption->local ? std::optional(interruption->endedAt - interruption->sentAt) : std::nullopt;
+    };
+    auto own = runTimeOf(m_cases.at(fingerprint));
+    return own && std::none_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
+        auto other = runTimeOf(entry.second);
+        return other && *other < *own && mayConvict(entry.first);
+    });
+}
+
 /// True if the first request explains crashes that both ran into: it has more of them, or as many and is interrupted
 /// sooner after it starts.
 bool CrashGuard::outweighs(Fingerprint fingerprint, const Case& suspect, Fingerprint other, const Case& otherCase) const
