--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -43,11 +43,6 @@
     /// Retry delay of a convicted request; operators have to examine it first.
     constexpr auto retryDelayConvicted = Seconds(60);
 
-    TargetIncarnation incarnationOf(const TargetEntry& target)
-    {
-        return { .target = target.id, .startedAt = target.startedAt };
-    }
-
     /// The incarnation that a report names; its start time is 0 if the report comes from another kind of target.
     TargetIncarnation incarnationOf(const CrashReport& report)
     {
--- a/src/quarantine/internal/interruptionlog.cpp
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -34,6 +34,11 @@
 
 }
 
+TargetIncarnation incarnationOf(const TargetEntry& target)
+{
+    return { .target = target.id, .startedAt = target.startedAt };
+}
+
 bool InterruptionLog::add(Interruption interruption)
 {
     if (find(interruption.target))
--- a/src/quarantine/internal/promptguard.cpp
+++ b/src/quarantine/internal/promptguard.cpp
@@ -27,14 +27,10 @@
     constexpr std::size_t maxCases = 1024;
     constexpr std::size_t maxKnownAnswers = 4096;
 
-    TargetIncarnation incarnationOf(const TargetEntry& target)
+    /// Rounded up, so that peers do not take what happened for later than it did.
+    Milliseconds ageOf(TimePoint time, TimePoint now)
     {
-        return { .target = target.id, .startedAt = target.startedAt };
-    }
-
-    Milliseconds elapsed(TimePoint from, TimePoint to)
-    {
-        return std::chrono::ceil<Milliseconds>(to - from);
+        return std::chrono::ceil<Milliseconds>(now - time);
     }
 
 }
@@ -82,9 +78,9 @@
     if (interruption.parts.empty())
         return;
     auto target = incarnationOf(interruption.target);
-    logEvent(LogLevel::Info, "prompt_interrupted", { { "prompt_parts", describe(interruption.parts) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "since_sent_ms", elapsed(interruption.sentAt, now).count() } });
+    logEvent(LogLevel::Info, "prompt_interrupted", { { "prompt_parts", describe(interruption.parts) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "since_sent_ms", ageOf(interruption.sentAt, now).count() } });
     addInterruption(interruption.parts, { .target = target, .sentAt = interruption.sentAt, .endedAt = now, .local = true }, now);
-    m_transport.sendToAll(PromptInterruptionReport { .parts = interruption.parts, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = elapsed(interruption.sentAt, now) });
+    m_transport.sendToAll(PromptInterruptionReport { .parts = interruption.parts, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = ageOf(interruption.sentAt, now) });
 }
 
 void PromptGuard::addInterruption(const std::vector<PromptPart>& parts, const Interruption& interruption, TimePoint now)
@@ -135,7 +131,7 @@
     if (!suspect.convictedAt && suspect.interruptions.empty())
         m_cases.erase(found);
     if (informsPeers)
-        m_transport.sendToAll(PromptPartClearance { .part = part, .age = elapsed(answeredAt, now) });
+        m_transport.sendToAll(PromptPartClearance { .part = part, .age = ageOf(answeredAt, now) });
 }
 
 void PromptGuard::onTargetAnswered(const TargetEntry& target, TimePoint sentAt)
@@ -200,14 +196,14 @@
     auto since = firstInterruption(suspect, now);
     if (!suspect.inquiredAt) {
         suspect.inquiredAt = now;
-        logEvent(LogLevel::Info, "prompt_part_suspected", { { "part", hexOf(part) }, { "interruptions", std::int64_t(suspect.interruptions.entries().size()) }, { "since_ms", elapsed(since, now).count() } });
-        return PromptPartInquiry { .instance = m_instance, .part = part, .since = elapsed(since, now) };
+        logEvent(LogLevel::Info, "prompt_part_suspected", { { "part", hexOf(part) }, { "interruptions", std::int64_t(suspect.interruptions.entries().size()) }, { "since_ms", ageOf(since, now).count() } });
+        return PromptPartInquiry { .instance = m_instance, .part = part, .since = ageOf(since, now) };
     }
     if (*suspect.inquiredAt + inquiryTime > now)
         return std::nullopt;
     convict(part, suspect, since, now);
     m_record(PromptPartRecord { .part = part });
-    return PromptPartConviction { .instance = m_instance, .part = part, .since = elapsed(since, now) };
+    return PromptPartConviction { .instance = m_instance, .part = part, .since = ageOf(since, now) };
 }
 
 void PromptGuard::convict(PromptPart part, Case& suspect, TimePoint evidenceSince, TimePoint now)
@@ -241,7 +237,7 @@
 {
     auto answeredAt = lastAnswer(part);
     if (answeredAt && *answeredAt > now - since)
-        m_transport.send(instance, PromptPartClearance { .part = part, .age = elapsed(*answeredAt, now) });
+        m_transport.send(instance, PromptPartClearance { .part = part, .age = ageOf(*answeredAt, now) });
 }
 
 void PromptGuard::onConviction(const PromptPartConviction& notice, TimePoint now)
@@ -296,7 +292,7 @@
         if (!repeats)
             continue;
         suspect.lastNoticeAt = now;
-        messages.emplace_back(PromptPartConviction { .instance = m_instance, .part = part, .since = elapsed(suspect.evidenceSince, now) });
+        messages.emplace_back(PromptPartConviction { .instance = m_instance, .part = part, .since = ageOf(suspect.evidenceSince, now) });
     }
     for (const auto& message : messages)
         m_transport.sendToAll(message);
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/time.h"
+#include "targets/targettypes.h"
 
 #include <compare>
 #include <cstdint>
@@ -17,6 +18,8 @@
     friend auto operator<=>(const TargetIncarnation&, const TargetIncarnation&) = default;
 };
 
+TargetIncarnation incarnationOf(const TargetEntry&);
+
 /// An attempt to run a request at a target that ended without a complete answer.
 struct Interruption {
     TargetIncarnation target;
--- a/src/quarantine/tests/promptguard_test.cpp
+++ b/src/quarantine/tests/promptguard_test.cpp
@@ -66,6 +66,16 @@
             interrupt(1, engineNumber, { common, rare });
     }
 
+    void crashUntilConvicted()
+    {
+        for (int engineNumber : { 1, 2, 3 }) {
+            crash(engineNumber);
+            pass(Seconds(1));
+            answer(0, { common });
+        }
+        pass(Seconds(1));
+    }
+
     void answer(std::size_t instance, const std::vector<PromptPart>& parts) { guards[instance]->onAnswerBegun(parts, now); }
 
     void pass(Clock::duration duration)
@@ -196,12 +206,7 @@
 Test(PromptGuard, answerBeginsAfterTheConviction_partIsServedEverywhere)
 {
     PromptGuardFixture f;
-    for (int engine : { 1, 2, 3 }) {
-        f.crash(engine);
-        f.pass(Seconds(1));
-        f.answer(0, { common });
-    }
-    f.pass(Seconds(1));
+    f.crashUntilConvicted();
     cr_assert(f.allRefuse(crashing));
     f.answer(1, { common, crashing });
     f.pass(Seconds(2));
@@ -212,12 +217,7 @@
 Test(PromptGuard, instanceStartsAfterTheConviction_learnsItFromTheStore)
 {
     PromptGuardFixture f;
-    for (int engine : { 1, 2, 3 }) {
-        f.crash(engine);
-        f.pass(Seconds(1));
-        f.answer(0, { common });
-    }
-    f.pass(Seconds(1));
+    f.crashUntilConvicted();
     for (std::size_t instance : { 0, 1, 2 })
         f.restart(instance);
     cr_expect(f.allRefuse(crashing));
