--- a/src/quarantine/internal/promptguard.cpp
+++ b/src/quarantine/internal/promptguard.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace guavaspan {
 
@@ -172,7 +173,8 @@
     auto rank = [](PromptPart ranked, const Case& rankedCase) { return std::make_tuple(rankedCase.interruptions.entries().size(), rankedCase.position, -rankedCase.interruptions.medianRunTime(), ranked); };
     const auto& entries = suspect.interruptions.entries();
     return std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
-        const auto& [other, otherCase] = entry;
+        auto other = entry.first;
+        const Case& otherCase = entry.second;
         bool sharesTarget = std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) { return otherCase.interruptions.find(interruption.target) != nullptr; });
         return other != part && !otherCase.convictedAt && sharesTarget && rank(other, otherCase) > rank(part, suspect);
     });
