--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -8,8 +8,8 @@
 #include "net/httpserver.h"
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
+#include "placement/promptguardlink.h"
 #include "quarantine/crashrecordwriter.h"
-#include "quarantine/promptguard.h"
 #include "relay/activerequests.h"
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
@@ -44,21 +44,6 @@
     std::function<std::optional<EntrySettings>()> reloadSettings;
 };
 
-/// Carries messages of the prompt guard as datagrams.
-class PromptGuardLink : public IPromptGuardTransport {
-public:
-    explicit PromptGuardLink(FleetLink& link)
-        : m_link(link)
-    {
-    }
-
-    void sendToAll(const PromptGuardMessage&) override;
-    void send(const std::string& instance, const PromptGuardMessage&) override;
-
-private:
-    FleetLink& m_link;
-};
-
 /// An instance of the entry service, which relays callers' requests to targets.
 class EntryInstance {
 public:
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -40,16 +40,6 @@
 
 }
 
-void PromptGuardLink::sendToAll(const PromptGuardMessage& message)
-{
-    std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message);
-}
-
-void PromptGuardLink::send(const std::string& instance, const PromptGuardMessage& message)
-{
-    std::visit([&](const auto& concreteMessage) { m_link.send(instance, concreteMessage); }, message);
-}
-
 EntryInstance::EntryInstance(EntrySettings settings, EntryPlatform platform)
     : m_settings(std::move(settings))
     , m_platform(std::move(platform))
