Do not count answers without prompts as proof that engines work

Cause: a part is convicted only if other answers begin meanwhile, so that an outage convicts nothing. Answers of plain services, whose requests have no parts, counted as such.

Change: they do not count.

The new test failed before and passes.

--- a/src/quarantine/internal/promptguard.cpp
+++ b/src/quarantine/internal/promptguard.cpp
@@ -103,6 +103,9 @@
 
 void PromptGuard::onAnswerBegun(const std::vector<PromptPart>& parts, TimePoint now)
 {
+    // Requests without parts go to other services, whose answers do not show that these targets work.
+    if (parts.empty())
+        return;
     for (auto& [part, suspect] : m_cases) {
         if (std::find(parts.begin(), parts.end(), part) == parts.end())
             ++suspect.answersWithoutPart;
--- a/src/quarantine/tests/promptguard_test.cpp
+++ b/src/quarantine/tests/promptguard_test.cpp
@@ -183,6 +183,19 @@
     cr_expect(f.noneRefuses(rare));
 }
 
+/// Guards against LOST: in an outage of the engines, answers of services without prompts let the common part be convicted.
+Test(PromptGuard, onlyRequestsWithoutPartsAreAnswered_nothingIsConvicted)
+{
+    PromptGuardFixture f;
+    for (int engine : { 1, 2, 3, 4, 5 }) {
+        f.interrupt(0, engine, { common, rare });
+        f.answer(0, {});
+        f.pass(Seconds(2));
+    }
+    cr_expect(f.noneRefuses(common));
+    cr_expect(f.noneRefuses(rare));
+}
+
 /// Guards against LOST: engines that are lost or drained together interrupted a part at all of them.
 Test(PromptGuard, enginesLostTogetherOrLeavingOrAlive_doNotCountSeparately)
 {
