Log listings of the store that are not applied

A listing or an entry that is older than the replica was dropped without a trace, so the logs could not tell a store that went back from one that is silent.

store_listing_rejected and older_configuration_ignored say what was offered and what is held; three gauges count. No decision changes.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -183,8 +183,12 @@
         return;
     }
     auto version = configuration->version;
-    if (!m_configuration.adopt(std::move(*configuration)))
+    if (!m_configuration.adopt(std::move(*configuration))) {
+        auto inForce = m_configuration.table()->version();
+        if (version < inForce)
+            logEvent(LogLevel::Warning, "older_configuration_ignored", { { "version", version }, { "in_force", inForce }, { "source", std::string(toString(m_follower.source())) } });
         return;
+    }
     m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
     logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "revision", m_replica.revision() } });
 }
@@ -225,6 +229,9 @@
         .peers = static_cast<double>(m_fleet.reachablePeers(Clock::now()).size()),
         .targets = static_cast<double>(m_directory.size()),
         .storeCalls = static_cast<double>(m_follower.storeCalls()),
+        .storeRevision = static_cast<double>(m_replica.revision()),
+        .rejectedStoreListings = static_cast<double>(m_follower.rejectedListings()),
+        .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -67,9 +67,14 @@
     std::string emptyPrefix;
     if (!m_replica.loaded() || relist) {
         auto listing = co_await source.listAll(emptyPrefix);
+        if (!listing)
+            co_return UpdateResult::Failed;
         // A source that lags behind this replica has nothing newer.
-        if (!listing || (m_replica.loaded() && listing->revision < m_replica.revision()))
+        if (m_replica.loaded() && listing->revision < m_replica.revision()) {
+            onListingRejected(*listing);
             co_return UpdateResult::Failed;
+        }
+        m_rejectsListings = false;
         // The source computed the age after this call began, so subtracting it from the time of the call gives a
         // time no later than the one at which the entries were last confirmed to be current.
         m_replica.applyListing(*listing, calledAt - listing->age);
@@ -84,6 +89,15 @@
     co_return UpdateResult::Current;
 }
 
+void StoreFollower::onListingRejected(const StoreListing& listing)
+{
+    ++m_rejectedListings;
+    if (std::exchange(m_rejectsListings, true))
+        return;
+    logEvent(LogLevel::Warning, "store_listing_rejected",
+        { { "offered_revision", listing.revision }, { "revision", m_replica.revision() }, { "offered_age_ms", std::chrono::duration_cast<Milliseconds>(listing.age).count() }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
+}
+
 Awaitable<> StoreFollower::updateFromStore()
 {
     ++m_storeCalls;
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -22,6 +22,8 @@
     if (m_keyFilter && !m_keyFilter(change.key))
         return;
     auto existing = m_entries.find(change.key);
+    if (existing != m_entries.end() && existing->second.revision > change.revision)
+        ++m_olderEntries;
     if (change.value) {
         if (existing != m_entries.end() && existing->second.revision >= change.revision)
             return;
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -49,6 +49,8 @@
     bool reachable() const { return m_reachable; }
     StoreSource source() const { return m_source; }
     std::uint64_t storeCalls() const { return m_storeCalls; }
+    /// Listings that were not applied because the replica was ahead of them.
+    std::uint64_t rejectedListings() const { return m_rejectedListings; }
 
 private:
     enum class UpdateResult {
@@ -60,6 +62,7 @@
     Awaitable<UpdateResult> updateFrom(IWatchableStore&, bool relist);
     Awaitable<> updateFromStore();
     Awaitable<bool> updateFromPeer();
+    void onListingRejected(const StoreListing&);
     bool readsStore() const;
     bool stale() const;
     void setReachable(bool reachable);
@@ -79,6 +82,9 @@
     std::size_t m_nextPeer = 0;
     StoreSource m_source = StoreSource::None;
     std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_rejectedListings = 0;
+    /// The last listing was rejected, so that a series of rejections is logged once.
+    bool m_rejectsListings = false;
 };
 
 }
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -26,6 +26,8 @@
 
     bool loaded() const { return m_loaded; }
     std::int64_t revision() const { return m_revision; }
+    /// Offered entries that were not applied because the replica had a newer one of their key.
+    std::uint64_t olderEntries() const { return m_olderEntries; }
     BootTime confirmedAt() const { return m_confirmedAt; }
     Clock::duration age(BootTime now) const { return now - m_confirmedAt; }
 
@@ -46,6 +48,7 @@
 
     bool m_loaded = false;
     std::int64_t m_revision = 0;
+    std::uint64_t m_olderEntries = 0;
     BootTime m_confirmedAt;
     std::map<std::string, Entry> m_entries;
     std::deque<StoreChange> m_history;
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -92,6 +92,9 @@
     set("peers", gauges.peers);
     set("targets", gauges.targets);
     set("store_calls", gauges.storeCalls);
+    set("store_revision", gauges.storeRevision);
+    set("rejected_store_listings", gauges.rejectedStoreListings);
+    set("older_store_entries", gauges.olderStoreEntries);
     set("limited_targets", gauges.limitedTargets);
     set("dropped_log_lines", gauges.droppedLogLines);
     set("interrupted_answers", gauges.interruptedAnswers);
