--- a/src/standins/internal/metadataserver.cpp
+++ b/src/standins/internal/metadataserver.cpp
@@ -15,6 +15,9 @@
     constexpr std::size_t maxHistoryChanges = 1000;
     constexpr auto watchPollInterval = Milliseconds(5);
     constexpr auto unresponsiveDelay = std::chrono::hours(1);
+    /// Age of the oldest copy that the store can be restored from.
+    constexpr auto maxCopyAge = Seconds(30);
+    constexpr const char* eraHeader = "Store-Era";
 
     Reply jsonReply(const json& body, unsigned status = 200)
     {
@@ -54,8 +57,38 @@
     return m_server.listen(endpoint);
 }
 
+void MetadataServer::rememberReplacedItem(const std::string& key)
+{
+    auto now = Clock::now();
+    auto found = m_items.find(key);
+    m_replacedItems.push_back({ .changedAt = now, .previousRevision = m_revision, .key = key, .item = found == m_items.end() ? std::nullopt : std::optional(found->second) });
+    while (m_replacedItems.front().changedAt + maxCopyAge < now)
+        m_replacedItems.pop_front();
+}
+
+void MetadataServer::restoreFromCopy(Clock::duration age)
+{
+    auto copiedAt = Clock::now() - age;
+    while (!m_replacedItems.empty() && m_replacedItems.back().changedAt > copiedAt) {
+        auto& replaced = m_replacedItems.back();
+        if (replaced.item)
+            m_items[replaced.key] = std::move(*replaced.item);
+        else
+            m_items.erase(replaced.key);
+        m_revision = replaced.previousRevision;
+        m_replacedItems.pop_back();
+    }
+    std::erase_if(m_leases, [&](const auto& lease) { return lease.second.grantedAt > copiedAt; });
+    m_lastLeaseId = m_leases.empty() ? 0 : m_leases.rbegin()->first;
+    while (!m_changes.empty() && m_changes.back().revision > m_revision)
+        m_changes.pop_back();
+    m_compactedRevision = std::min(m_compactedRevision, m_revision);
+    ++m_era;
+}
+
 void MetadataServer::store(const std::string& key, const std::string& value, LeaseId lease)
 {
+    rememberReplacedItem(key);
     ++m_revision;
     auto& item = m_items[key];
     if (item.createdRevision == 0)
@@ -77,8 +110,10 @@
 
 void MetadataServer::remove(const std::string& key)
 {
-    if (m_items.erase(key) == 0)
+    if (!m_items.contains(key))
         return;
+    rememberReplacedItem(key);
+    m_items.erase(key);
     ++m_revision;
     m_changes.push_back({ .key = key, .revision = m_revision, .removed = true });
 }
@@ -161,7 +196,7 @@
     auto afterRevision = queryNumber(exchange, "after");
     auto deadline = Clock::now() + Milliseconds(queryNumber(exchange, "wait_ms"));
     while (true) {
-        if (afterRevision < m_compactedRevision)
+        if (afterRevision < m_compactedRevision || afterRevision > m_revision)
             co_return jsonReply(json::object(), 410);
         auto changes = changesJson(afterRevision, prefix);
         if (!changes.empty())
@@ -203,7 +238,7 @@
 Reply MetadataServer::grantLease(const std::string& body)
 {
     Milliseconds timeToLive(json::parse(body).at("ttl_ms").get<std::int64_t>());
-    m_leases[++m_lastLeaseId] = { .timeToLive = timeToLive, .expiresAt = Clock::now() + timeToLive };
+    m_leases[++m_lastLeaseId] = { .timeToLive = timeToLive, .expiresAt = Clock::now() + timeToLive, .grantedAt = Clock::now() };
     return jsonReply({ { "lease", m_lastLeaseId }, { "ttl_ms", timeToLive.count() } });
 }
 
@@ -225,6 +260,8 @@
         remove(request.at("key"));
     } else if (path == "/standin/compact") {
         compactHistory();
+    } else if (path == "/standin/restore") {
+        restoreFromCopy(Milliseconds(request.at("age_ms").get<std::int64_t>()));
     } else {
         m_faults.silent = request.value("silent", false);
         m_faults.refusing = request.value("refusing", false);
@@ -272,6 +309,7 @@
         exchange.abort();
         co_return;
     }
+    reply.headers[eraHeader] = std::to_string(m_era);
     co_await exchange.send(std::move(reply));
 }
 
--- a/src/standins/metadataserver.h
+++ b/src/standins/metadataserver.h
@@ -4,6 +4,7 @@
 #include "standins/keyvaluemodel.h"
 
 #include <deque>
+#include <optional>
 
 namespace guavaspan::standins {
 
@@ -29,8 +30,12 @@
     void remove(const std::string& key);
     /// Discards the change history, so that watches from an earlier revision fail and clients must list the keys again.
     void compactHistory();
+    /// Continues from a copy that is `age` old and starts a new era: later changes and leases are lost, and their
+    /// numbers are given out again. Without a copy that old, continues from the oldest one.
+    void restoreFromCopy(Clock::duration age);
 
     MetadataFaults& faults() { return m_faults; }
+    std::int64_t era() const { return m_era; }
     std::int64_t revision() const { return m_revision; }
     std::size_t calls() const { return m_calls; }
 
@@ -49,6 +54,14 @@
     struct Lease {
         Milliseconds timeToLive { 0 };
         TimePoint expiresAt;
+        TimePoint grantedAt;
+    };
+    /// What a change replaced, so that the change can be lost.
+    struct ReplacedItem {
+        TimePoint changedAt;
+        std::int64_t previousRevision = 0;
+        std::string key;
+        std::optional<Item> item;
     };
 
     Awaitable<> handle(HttpExchange&);
@@ -63,6 +76,7 @@
     std::string itemJson(const std::string& key, const Item&) const;
     std::string changesJson(std::int64_t revision, const std::string& prefix) const;
     void store(const std::string& key, const std::string& value, LeaseId);
+    void rememberReplacedItem(const std::string& key);
     void expireLeases();
 
     HttpServer m_server;
@@ -70,7 +84,9 @@
     std::map<std::string, Item> m_items;
     std::map<LeaseId, Lease> m_leases;
     std::deque<Change> m_changes;
+    std::deque<ReplacedItem> m_replacedItems;
     std::int64_t m_compactedRevision = 0;
+    std::int64_t m_era = 1;
     std::int64_t m_revision = 1;
     LeaseId m_lastLeaseId = 0;
     std::size_t m_calls = 0;
