Follow a store that has come back from a copy

Cause: revisions of the store were compared without the history that they belong to. After the store came back from a copy, its revisions were lower than the replica's: listings were dropped whole, so the store looked lost, and later each entry that was written again below its old revision was dropped, for good, while the replica counted as current. A watch from a revision that had been given out again skipped what lay below.

The copy also brings back engines that drain or are gone.

Change: a revision is an era and a number, ordered by the era first, in listings, watches, the replica, the peers' feed and load reports. A new era begins with a listing; of its entries, those that are older by their own values (configuration version; start, sequence and state of a target) than what the replica has or removed lately are ignored. Instances of older versions feed no era, so newer ones do not follow them where the store states eras.

--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -77,7 +77,7 @@
 
 Awaitable<> Engine::publishEntry()
 {
-    json entry { { "service", m_options.service }, { "address", toString(m_options.advertisedEndpoint) }, { "zone", m_options.failureDomain }, { "version", 1 }, { "slots", m_options.brittle ? static_cast<int>(roomOfBrittleEngine) : slots }, { "state", m_draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", m_startedAt }, { "sequence", 0 } };
+    json entry { { "service", m_options.service }, { "address", toString(m_options.advertisedEndpoint) }, { "zone", m_options.failureDomain }, { "version", 1 }, { "slots", m_options.brittle ? static_cast<int>(roomOfBrittleEngine) : slots }, { "state", m_draining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", m_startedAt }, { "sequence", ++m_entrySequence } };
     json put { { "key", "servers/" + m_options.id }, { "value", entry.dump() } };
     HttpCall call { .endpoint = m_options.storeEndpoint, .method = "POST", .target = "/standin/put", .body = put.dump(), .timeout = Seconds(1) };
     co_await callHttp(std::move(call));
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -72,6 +72,7 @@
     asio::signal_set m_limitSignal;
     asio::signal_set m_failureSignal;
     std::int64_t m_startedAt;
+    std::int64_t m_entrySequence = 0;
     bool m_draining = false;
     bool m_statesLimit = false;
     /// Percentage of plain requests that fail.
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -31,6 +31,9 @@
     std::string crashPrefix;
     std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
     std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
+
+    /// Compares two values of a key by the order in which they were written; empty if the values do not tell it.
+    std::optional<std::strong_ordering> compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const;
 };
 
 /// Platform services and formats that an entry instance uses.
@@ -54,6 +57,7 @@
 
 private:
     bool listen();
+    void onStoreRestored(const StoreRestored&);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
@@ -110,6 +114,7 @@
     asio::signal_set m_stopSignals;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
+    int m_storeRestorations = 0;
     std::optional<int> m_retrySharers;
 };
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -40,6 +40,25 @@
 
 }
 
+std::optional<std::strong_ordering> StoreSchema::compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const
+{
+    if (key == configurationKey) {
+        auto leftConfiguration = decodeConfiguration(left);
+        auto rightConfiguration = decodeConfiguration(right);
+        if (!leftConfiguration || !rightConfiguration)
+            return std::nullopt;
+        return leftConfiguration->version <=> rightConfiguration->version;
+    }
+    if (!key.starts_with(targetPrefix))
+        return std::nullopt;
+    auto id = key.substr(targetPrefix.size());
+    auto leftTarget = decodeTarget(id, left);
+    auto rightTarget = decodeTarget(id, right);
+    if (!leftTarget || !rightTarget)
+        return std::nullopt;
+    return guavaspan::compareWriteOrder(*leftTarget, *rightTarget);
+}
+
 EntryInstance::EntryInstance(EntrySettings settings, EntryPlatform platform)
     : m_settings(std::move(settings))
     , m_platform(std::move(platform))
@@ -80,6 +99,8 @@
         onStoreEntry(key, value);
         m_peerFeed.onReplicaChanged();
     });
+    m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
+    m_replica.setRestoreListener([this](const StoreRestored& event) { onStoreRestored(event); });
     m_directory.setUnavailableListener([this](const TargetUnavailable& event) {
         m_crashGuard.onTargetUnavailable(event);
         m_promptGuard.onTargetUnavailable(event);
@@ -140,6 +161,13 @@
     return 0;
 }
 
+void EntryInstance::onStoreRestored(const StoreRestored& event)
+{
+    ++m_storeRestorations;
+    m_directory.onStoreRestored(Clock::now());
+    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
+}
+
 void EntryInstance::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
 {
     const auto& schema = m_platform.storeSchema;
@@ -190,7 +218,7 @@
         return;
     }
     m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
-    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "revision", m_replica.revision() } });
+    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number } });
 }
 
 bool EntryInstance::ready() const
@@ -229,7 +257,9 @@
         .peers = static_cast<double>(m_fleet.reachablePeers(Clock::now()).size()),
         .targets = static_cast<double>(m_directory.size()),
         .storeCalls = static_cast<double>(m_follower.storeCalls()),
-        .storeRevision = static_cast<double>(m_replica.revision()),
+        .storeEra = static_cast<double>(m_replica.revision().era),
+        .storeRevision = static_cast<double>(m_replica.revision().number),
+        .storeRestorations = static_cast<double>(m_storeRestorations),
         .rejectedStoreListings = static_cast<double>(m_follower.rejectedListings()),
         .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
@@ -292,6 +322,8 @@
 {
     while (true) {
         countInstances();
+        m_fleet.setStoreStatesEras(m_replica.revision().era > 0);
+        m_placementClient.setStoreEra(m_replica.revision().era);
         m_placementClient.sendLoadReport(true);
         for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
             logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -50,6 +50,8 @@
     bool relaysForPeers = false;
     /// Services whose targets the instance does not reach.
     std::set<std::string> unreachableServices;
+    /// Era of the instance's copy of the store; 0 in the reports of older versions, which know no eras.
+    std::int64_t storeEra = 0;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -43,6 +43,9 @@
     /// Number of registered instances, including this one.
     int instanceCount() const { return static_cast<int>(peers().size()) + 1; }
 
+    /// If the store states eras, peers of older versions, which do not know them, do not count as its readers.
+    void setStoreStatesEras(bool statesEras) { m_storeStatesEras = statesEras; }
+
     /// Peers that read the shared store for the fleet, those in the local failure domain first.
     std::vector<InstanceRecord> storeReaders(const std::string& localFailureDomain, TimePoint now) const;
 
@@ -57,16 +60,19 @@
 
 private:
     std::size_t storeReaderCount() const;
+    std::vector<InstanceRecord> possibleStoreReaders(TimePoint now) const;
 
     struct LastReport {
         std::int64_t sequence = 0;
         TimePoint receivedAt;
         bool relaysForPeers = false;
         std::set<std::string> unreachableServices;
+        bool knowsStoreEra = false;
     };
 
     std::string m_self;
     int m_cpuMillicores = 0;
+    bool m_storeStatesEras = false;
     std::map<std::string, InstanceRecord> m_registered;
     std::map<std::string, LastReport> m_lastReports;
 };
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -37,7 +37,7 @@
     auto& lastReport = m_lastReports[report.instance];
     if (report.sequence <= lastReport.sequence)
         return false;
-    lastReport = { .sequence = report.sequence, .receivedAt = now, .relaysForPeers = report.relaysForPeers, .unreachableServices = report.unreachableServices };
+    lastReport = { .sequence = report.sequence, .receivedAt = now, .relaysForPeers = report.relaysForPeers, .unreachableServices = report.unreachableServices, .knowsStoreEra = report.storeEra > 0 };
     return true;
 }
 
@@ -100,17 +100,25 @@
     return std::max(minStoreReaders, (static_cast<std::size_t>(instanceCount()) + followersPerReader - 1) / followersPerReader);
 }
 
+/// Instances of older versions cannot tell whether their copies are of the store's current era.
+std::vector<InstanceRecord> FleetView::possibleStoreReaders(TimePoint now) const
+{
+    auto readers = reachablePeers(now);
+    std::erase_if(readers, [&](const InstanceRecord& peer) { return m_storeStatesEras && !m_lastReports.at(peer.name).knowsStoreEra; });
+    return readers;
+}
+
 bool FleetView::readsStore(TimePoint now) const
 {
     auto selfWeight = std::pair(m_cpuMillicores, rendezvousWeight(m_self, storeReaderKey));
-    auto reachable = reachablePeers(now);
+    auto reachable = possibleStoreReaders(now);
     auto higherRanked = std::count_if(reachable.begin(), reachable.end(), [&](const InstanceRecord& peer) { return std::pair(peer.cpuMillicores, rendezvousWeight(peer.name, storeReaderKey)) > selfWeight; });
     return static_cast<std::size_t>(higherRanked) < storeReaderCount();
 }
 
 std::vector<InstanceRecord> FleetView::storeReaders(const std::string& localFailureDomain, TimePoint now) const
 {
-    auto readers = reachablePeers(now);
+    auto readers = possibleStoreReaders(now);
     auto weight = [](const InstanceRecord& peer) { return std::pair(peer.cpuMillicores, rendezvousWeight(peer.name, storeReaderKey)); };
     std::sort(readers.begin(), readers.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return weight(left) > weight(right); });
     readers.resize(std::min(readers.size(), storeReaderCount()));
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -46,7 +46,7 @@
         json entries = json::array();
         for (const auto& entry : listing.entries)
             entries.push_back(json::array({ entry.key, entry.version, toBinary(entry.value) }));
-        return toBytes(json::array({ listing.revision, toMilliseconds(listing.age), entries }));
+        return toBytes(json::array({ listing.revision.number, toMilliseconds(listing.age), entries, listing.revision.era }));
     }
 
     std::string encode(const StoreChanges& changes)
@@ -54,12 +54,19 @@
         json list = json::array();
         for (const auto& change : changes.changes)
             list.push_back(json::array({ change.key, change.revision, change.value ? toBinary(*change.value) : json() }));
-        return toBytes(json::array({ changes.revision, toMilliseconds(changes.age), changes.historyLost, list }));
+        return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era }));
+    }
+
+    /// The number is the first field. Peers of older versions know no eras; era 0 makes what they offer older than any stated era.
+    StoreRevision revisionFrom(const json& fields, std::size_t eraIndex)
+    {
+        return { .era = fields.size() > eraIndex ? fields.at(eraIndex).get<std::int64_t>() : 0, .number = fields.at(0) };
     }
 
     StoreListing listingFrom(const json& fields)
     {
-        StoreListing listing { .revision = fields.at(0), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
+        constexpr std::size_t eraIndex = 3;
+        StoreListing listing { .revision = revisionFrom(fields, eraIndex), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
         for (const auto& entry : fields.at(2))
             listing.entries.push_back({ .key = entry.at(0), .value = bytesOf(entry.at(2)), .version = entry.at(1) });
         return listing;
@@ -67,7 +74,8 @@
 
     StoreChanges changesFrom(const json& fields)
     {
-        StoreChanges changes { .revision = fields.at(0), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
+        constexpr std::size_t eraIndex = 4;
+        StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
         for (const auto& changeFields : fields.at(3)) {
             StoreChange change { .key = changeFields.at(0), .revision = changeFields.at(1) };
             if (!changeFields.at(2).is_null())
@@ -109,9 +117,9 @@
     }
 }
 
-Awaitable<Result<StoreChanges>> PeerFeedClient::watch(std::string, std::int64_t after, Milliseconds wait)
+Awaitable<Result<StoreChanges>> PeerFeedClient::watch(std::string, StoreRevision after, Milliseconds wait)
 {
-    auto requestTarget = fmt::format("/fleet/changes?after={}&wait_ms={}", after, wait.count());
+    auto requestTarget = fmt::format("/fleet/changes?after={}&era={}&wait_ms={}", after.number, after.era, wait.count());
     auto body = co_await fetch(requestTarget, wait + watchTimeoutMargin);
     if (!body)
         co_return body.error();
@@ -122,7 +130,7 @@
     }
 }
 
-Awaitable<StoreChanges> PeerFeedServer::waitForChanges(std::int64_t after, Milliseconds wait)
+Awaitable<StoreChanges> PeerFeedServer::waitForChanges(StoreRevision after, Milliseconds wait)
 {
     auto deadline = Clock::now() + std::min(wait, maxWatchWait);
     asio::steady_timer wakeUp(co_await asio::this_coro::executor);
@@ -153,7 +161,10 @@
         reply.status = 200;
         reply.body = encode(m_replica.listing(BootClock::now()));
     } else if (path == "/fleet/changes") {
-        auto after = parseNumber(exchange.query("after"));
+        StoreRevision after { .era = m_replica.revision().era, .number = parseNumber(exchange.query("after")) };
+        // Peers of older versions state no era.
+        if (auto era = exchange.query("era"); !era.empty())
+            after.era = parseNumber(era);
         auto wait = Milliseconds(parseNumber(exchange.query("wait_ms")));
         auto changes = co_await waitForChanges(after, wait);
         reply.status = 200;
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -56,7 +56,7 @@
         return;
     m_reachable = reachable;
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning, reachable ? "store_regained" : "store_lost",
-        { { "revision", m_replica.revision() }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
+        { { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
     if (m_reachabilityListener)
         m_reachabilityListener(reachable);
 }
@@ -83,7 +83,10 @@
     auto changes = co_await source.watch(emptyPrefix, m_replica.revision(), m_options.watchWait);
     if (!changes)
         co_return UpdateResult::Failed;
-    if (changes->historyLost)
+    // A source of an earlier era has nothing newer.
+    if (changes->revision.era < m_replica.revision().era)
+        co_return UpdateResult::Failed;
+    if (changes->historyLost || changes->revision.era > m_replica.revision().era)
         co_return UpdateResult::HistoryLost;
     m_replica.applyChanges(*changes, calledAt - changes->age);
     co_return UpdateResult::Current;
@@ -95,7 +98,7 @@
     if (std::exchange(m_rejectsListings, true))
         return;
     logEvent(LogLevel::Warning, "store_listing_rejected",
-        { { "offered_revision", listing.revision }, { "revision", m_replica.revision() }, { "offered_age_ms", std::chrono::duration_cast<Milliseconds>(listing.age).count() }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
+        { { "offered_era", listing.revision.era }, { "offered_revision", listing.revision.number }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "offered_age_ms", std::chrono::duration_cast<Milliseconds>(listing.age).count() }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
 }
 
 Awaitable<> StoreFollower::updateFromStore()
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -9,6 +9,8 @@
 
     /// Changes kept for followers: a few seconds of changes in a busy fleet.
     constexpr std::size_t maxHistoryLength = 500;
+    /// Age of the oldest copy from which the store is expected to come back.
+    constexpr auto maxCopyAge = Seconds(60);
 
 }
 
@@ -17,7 +19,42 @@
     m_confirmedAt = std::max(m_confirmedAt, asOf);
 }
 
-void StoreReplica::apply(const StoreChange& change)
+/// Numbers of an earlier era cannot be compared with those of this one, so each entry of the new era replaces the one held,
+/// unless the values themselves tell that it is older.
+void StoreReplica::beginEra(StoreRevision revision)
+{
+    if (m_restoreListener)
+        m_restoreListener({ .from = m_revision, .to = revision });
+    for (auto& [key, entry] : m_entries)
+        entry.revision = 0;
+}
+
+/// True if the entry of a copy from which the store came back is older than one that this replica has or had.
+bool StoreReplica::isSupersededInCopy(const StoreChange& copied)
+{
+    if (!m_entryOrder)
+        return false;
+    auto held = m_entries.find(copied.key);
+    if (held != m_entries.end()) {
+        bool older = m_entryOrder(copied.key, *copied.value, held->second.value) == std::strong_ordering::less;
+        if (older)
+            held->second.revision = copied.revision;
+        return older;
+    }
+    auto removed = m_removedEntries.find(copied.key);
+    if (removed == m_removedEntries.end())
+        return false;
+    auto order = m_entryOrder(copied.key, *copied.value, removed->second.value);
+    return order && *order != std::strong_ordering::greater;
+}
+
+void StoreReplica::rememberRemoved(const std::string& key, std::string value, BootTime asOf)
+{
+    std::erase_if(m_removedEntries, [&](const auto& entry) { return entry.second.removedAt + maxCopyAge < asOf; });
+    m_removedEntries.insert_or_assign(key, RemovedEntry { .value = std::move(value), .removedAt = asOf });
+}
+
+void StoreReplica::apply(const StoreChange& change, BootTime asOf)
 {
     if (m_keyFilter && !m_keyFilter(change.key))
         return;
@@ -28,18 +65,25 @@
         if (existing != m_entries.end() && existing->second.revision >= change.revision)
             return;
         m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision });
+        m_removedEntries.erase(change.key);
     } else {
         if (existing == m_entries.end() || existing->second.revision >= change.revision)
             return;
+        rememberRemoved(change.key, std::move(existing->second.value), asOf);
         m_entries.erase(existing);
     }
+    remember(change);
+    if (m_listener)
+        m_listener(change.key, change.value);
+}
+
+void StoreReplica::remember(const StoreChange& change)
+{
     m_history.push_back(change);
     while (m_history.size() > maxHistoryLength) {
         m_historyStart = m_history.front().revision;
         m_history.pop_front();
     }
-    if (m_listener)
-        m_listener(change.key, change.value);
 }
 
 void StoreReplica::applyListing(const StoreListing& listing, BootTime asOf)
@@ -47,37 +91,45 @@
     // An older listing, such as from a peer that lags, would revert changes.
     if (m_loaded && listing.revision < m_revision)
         return;
+    bool restored = m_loaded && listing.revision.era > m_revision.era;
+    if (restored)
+        beginEra(listing.revision);
     std::set<std::string> listedKeys;
     for (const auto& entry : listing.entries)
         listedKeys.insert(entry.key);
     std::vector<std::string> removedKeys;
     for (const auto& [key, entry] : m_entries) {
-        if (listedKeys.count(key) == 0 && entry.revision <= listing.revision)
+        if (listedKeys.count(key) == 0 && entry.revision <= listing.revision.number)
             removedKeys.push_back(key);
     }
     // A listing does not show the individual changes since the previous revision or their order, so followers
     // must list again.
     m_history.clear();
     for (const auto& key : removedKeys)
-        apply({ .key = key, .revision = listing.revision });
-    for (const auto& entry : listing.entries)
-        apply({ .key = entry.key, .value = entry.value, .revision = entry.version });
+        apply({ .key = key, .revision = listing.revision.number }, asOf);
+    for (const auto& entry : listing.entries) {
+        StoreChange change { .key = entry.key, .value = entry.value, .revision = entry.version };
+        if (restored && isSupersededInCopy(change))
+            ++m_olderEntries;
+        else
+            apply(change, asOf);
+    }
     m_history.clear();
     m_revision = listing.revision;
-    m_historyStart = m_revision;
+    m_historyStart = m_revision.number;
     m_loaded = true;
     confirm(asOf);
 }
 
 void StoreReplica::applyChanges(const StoreChanges& changes, BootTime asOf)
 {
-    // Ignores a response that was overtaken by a newer one from another source.
-    if (!m_loaded || changes.historyLost || changes.revision < m_revision)
+    // Ignores a response that was overtaken by a newer one from another source. A new era begins with a listing.
+    if (!m_loaded || changes.historyLost || changes.revision < m_revision || changes.revision.era != m_revision.era)
         return;
-    auto previousRevision = m_revision;
+    auto previousRevision = m_revision.number;
     for (const auto& change : changes.changes) {
         if (change.revision > previousRevision)
-            apply(change);
+            apply(change, asOf);
     }
     m_revision = changes.revision;
     confirm(asOf);
@@ -92,19 +144,15 @@
     return listing;
 }
 
-StoreChanges StoreReplica::changesAfter(std::int64_t revision, BootTime now) const
+StoreChanges StoreReplica::changesAfter(StoreRevision revision, BootTime now) const
 {
     StoreChanges result { .revision = m_revision, .age = age(now) };
-    if (revision < m_historyStart || !m_loaded) {
-        result.historyLost = true;
-        return result;
-    }
     // A follower that is ahead gets no changes, and this older replica cannot confirm that its entries are current.
-    if (revision > m_revision) {
+    if (!m_loaded || revision.era != m_revision.era || revision.number < m_historyStart || revision > m_revision) {
         result.historyLost = true;
         return result;
     }
-    std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(result.changes), [&](const StoreChange& change) { return change.revision > revision; });
+    std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(result.changes), [&](const StoreChange& change) { return change.revision > revision.number; });
     return result;
 }
 
--- a/src/fleet/peerfeed.h
+++ b/src/fleet/peerfeed.h
@@ -16,7 +16,7 @@
     }
 
     Awaitable<Result<StoreListing>> listAll(std::string prefix) override;
-    Awaitable<Result<StoreChanges>> watch(std::string prefix, std::int64_t after, Milliseconds wait) override;
+    Awaitable<Result<StoreChanges>> watch(std::string prefix, StoreRevision after, Milliseconds wait) override;
 
 private:
     Awaitable<Result<std::string>> fetch(std::string requestTarget, Clock::duration timeout);
@@ -38,7 +38,7 @@
     void onReplicaChanged();
 
 private:
-    Awaitable<StoreChanges> waitForChanges(std::int64_t after, Milliseconds wait);
+    Awaitable<StoreChanges> waitForChanges(StoreRevision after, Milliseconds wait);
 
     const StoreReplica& m_replica;
     std::list<asio::steady_timer*> m_waitingTimers;
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -2,14 +2,23 @@
 
 #include "keyvalue/iwatchablestore.h"
 
+#include <compare>
 #include <deque>
 #include <functional>
 #include <map>
 
 namespace guavaspan {
 
+/// Event: the store came back from a copy and lost later changes.
+struct StoreRestored {
+    StoreRevision from;
+    StoreRevision to;
+
+    friend bool operator==(const StoreRestored&, const StoreRestored&) = default;
+};
+
 /// This instance's copy of the shared store's entries, with the time at which it was last
-/// confirmed to be current. It never goes back to an older revision.
+/// confirmed to be current. It never goes back to an older revision, nor to an older entry if the store does so.
 class StoreReplica {
 public:
     /// Called for each changed entry; without a value the entry was removed.
@@ -17,6 +26,14 @@
 
     void setChangeListener(Listener listener) { m_listener = std::move(listener); }
 
+    using RestoreListener = std::function<void(const StoreRestored&)>;
+    /// Called before the entries of a new era are applied.
+    void setRestoreListener(RestoreListener listener) { m_restoreListener = std::move(listener); }
+
+    /// Compares two values of a key by the order in which they were written, if the values tell it.
+    using EntryOrder = std::function<std::optional<std::strong_ordering>(const std::string& key, const std::string& left, const std::string& right)>;
+    void setEntryOrder(EntryOrder order) { m_entryOrder = std::move(order); }
+
     /// Entries whose key the filter rejects are neither stored nor passed on to the listener and to followers.
     void setKeyFilter(std::function<bool(const std::string& key)> keyFilter) { m_keyFilter = std::move(keyFilter); }
 
@@ -25,7 +42,7 @@
     void applyChanges(const StoreChanges&, BootTime asOf);
 
     bool loaded() const { return m_loaded; }
-    std::int64_t revision() const { return m_revision; }
+    StoreRevision revision() const { return m_revision; }
     /// Offered entries that were not applied because the replica had a newer one of their key.
     std::uint64_t olderEntries() const { return m_olderEntries; }
     BootTime confirmedAt() const { return m_confirmedAt; }
@@ -35,26 +52,39 @@
     StoreListing listing(BootTime now) const;
 
     /// Changes after a revision; sets `historyLost` if the follower must list all entries again.
-    StoreChanges changesAfter(std::int64_t revision, BootTime now) const;
+    StoreChanges changesAfter(StoreRevision revision, BootTime now) const;
 
 private:
     struct Entry {
         std::string value;
+        /// Number within the era of the replica.
         std::int64_t revision = 0;
     };
+    struct RemovedEntry {
+        std::string value;
+        BootTime removedAt;
+    };
 
-    void apply(const StoreChange&);
+    void beginEra(StoreRevision);
+    bool isSupersededInCopy(const StoreChange&);
+    void apply(const StoreChange&, BootTime asOf);
+    void remember(const StoreChange&);
+    void rememberRemoved(const std::string& key, std::string value, BootTime asOf);
     void confirm(BootTime);
 
     bool m_loaded = false;
-    std::int64_t m_revision = 0;
+    StoreRevision m_revision;
     std::uint64_t m_olderEntries = 0;
     BootTime m_confirmedAt;
     std::map<std::string, Entry> m_entries;
+    /// Entries that were removed lately, by key; a copy of the store may still have them.
+    std::map<std::string, RemovedEntry> m_removedEntries;
     std::deque<StoreChange> m_history;
     /// Changes up to this revision are no longer in the history.
     std::int64_t m_historyStart = 0;
     Listener m_listener;
+    RestoreListener m_restoreListener;
+    EntryOrder m_entryOrder;
     std::function<bool(const std::string& key)> m_keyFilter;
 };
 
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -17,10 +17,10 @@
     ReplicaFixture()
     {
         replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { notifications.emplace_back(key, value.value_or("removed")); });
-        replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "1", .version = 6 } }, .revision = 6 }, start);
+        replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "1", .version = 6 } }, .revision = { .number = 6 } }, start);
     }
 
-    StoreChanges changes(std::int64_t revision, std::vector<StoreChange> list) { return { .changes = std::move(list), .revision = revision }; }
+    StoreChanges changes(std::int64_t revision, std::vector<StoreChange> list) { return { .changes = std::move(list), .revision = { .number = revision } }; }
 };
 
 InstanceLoadReport reportOf(const std::string& name, std::int64_t sequence)
@@ -35,9 +35,9 @@
     ReplicaFixture f;
     f.replica.setKeyFilter([](const std::string& key) { return key != "c"; });
     f.replica.applyChanges(f.changes(8, { { .key = "c", .value = "1", .revision = 7 }, { .key = "b", .value = "2", .revision = 8 } }), start);
-    cr_expect(f.replica.revision() == 8, "rejected changes still advance the revision");
+    cr_expect(f.replica.revision().number == 8, "rejected changes still advance the revision");
     cr_expect(f.replica.listing(start).entries.size() == 2);
-    cr_expect(f.replica.changesAfter(6, start).changes.size() == 1);
+    cr_expect(f.replica.changesAfter({ .number = 6 }, start).changes.size() == 1);
     cr_expect(f.notifications.back() == Notification("b", "2"));
 }
 
@@ -45,7 +45,7 @@
 {
     ReplicaFixture f;
     cr_expect(f.notifications.size() == 2);
-    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "2", .version = 8 } }, .revision = 8 }, start + Seconds(1));
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 }, { .key = "b", .value = "2", .version = 8 } }, .revision = { .number = 8 } }, start + Seconds(1));
     cr_assert(f.notifications.size() == 3);
     cr_expect(f.notifications[2] == Notification("b", "2"));
 }
@@ -53,7 +53,7 @@
 Test(StoreReplica, applyListing_entryMissingFromNewerListing_isRemoved)
 {
     ReplicaFixture f;
-    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 } }, .revision = 9 }, start);
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 5 } }, .revision = { .number = 9 } }, start);
     cr_expect(f.notifications.back() == Notification("b", "removed"));
 }
 
@@ -63,8 +63,8 @@
     f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "new", .revision = 8 } }), start);
     f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "old", .revision = 7 }, { .key = "a", .revision = 6 } }), start);
     cr_expect(f.notifications.back() == Notification("a", "new"));
-    f.replica.applyListing({ .revision = 7 }, start);
-    cr_expect(f.replica.revision() == 8);
+    f.replica.applyListing({ .revision = { .number = 7 } }, start);
+    cr_expect(f.replica.revision().number == 8);
     cr_expect(f.notifications.back().second == "new", "an older listing is ignored");
 }
 
@@ -72,12 +72,12 @@
 {
     ReplicaFixture f;
     f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "2", .revision = 8 } }), start + Seconds(2));
-    auto missed = f.replica.changesAfter(6, start + Seconds(3));
+    auto missed = f.replica.changesAfter({ .number = 6 }, start + Seconds(3));
     cr_expect(!missed.historyLost);
     cr_assert(missed.changes.size() == 1);
     cr_expect(missed.age == Seconds(1));
-    cr_expect(f.replica.changesAfter(3, start).historyLost, "before the start of this replica's history");
-    cr_expect(f.replica.changesAfter(12, start).historyLost, "the follower is ahead");
+    cr_expect(f.replica.changesAfter({ .number = 3 }, start).historyLost, "before the start of this replica's history");
+    cr_expect(f.replica.changesAfter({ .number = 12 }, start).historyLost, "the follower is ahead");
 }
 
 Test(StoreReplica, applyChanges_olderConfirmation_doesNotDecreaseConfirmedAt)
--- a/src/fleet/tests/storefollower_test.cpp
+++ b/src/fleet/tests/storefollower_test.cpp
@@ -15,16 +15,16 @@
         ++callCount;
         if (!reachable)
             co_return unreachable();
-        co_return StoreListing { .entries = { { .key = "k", .value = value, .version = revision } }, .revision = revision, .age = age };
+        co_return StoreListing { .entries = { { .key = "k", .value = value, .version = revision } }, .revision = { .era = era, .number = revision }, .age = age };
     }
 
-    Awaitable<Result<StoreChanges>> watch(std::string, std::int64_t after, Milliseconds) override
+    Awaitable<Result<StoreChanges>> watch(std::string, StoreRevision after, Milliseconds) override
     {
         ++callCount;
         if (!reachable)
             co_return unreachable();
-        StoreChanges changes { .revision = revision, .age = age };
-        if (after < revision)
+        StoreChanges changes { .revision = { .era = era, .number = revision }, .historyLost = after.era != era, .age = age };
+        if (!changes.historyLost && after.number < revision)
             changes.changes.push_back({ .key = "k", .value = value, .revision = revision });
         co_return changes;
     }
@@ -32,6 +32,7 @@
     bool reachable = true;
     Clock::duration age {};
     std::string value = "old";
+    std::int64_t era = 0;
     std::int64_t revision = 5;
     int callCount = 0;
 
@@ -46,7 +47,7 @@
     {
     }
     Awaitable<Result<StoreListing>> listAll(std::string prefix) override { return m_source.listAll(std::move(prefix)); }
-    Awaitable<Result<StoreChanges>> watch(std::string prefix, std::int64_t after, Milliseconds wait) override { return m_source.watch(std::move(prefix), after, wait); }
+    Awaitable<Result<StoreChanges>> watch(std::string prefix, StoreRevision after, Milliseconds wait) override { return m_source.watch(std::move(prefix), after, wait); }
 
 private:
     FakeSource& m_source;
@@ -116,9 +117,37 @@
 Test(StoreFollower, noSourceReachable_replicaAgesAndKeepsEntries)
 {
     FollowerFixture f;
-    f.replica.applyListing({ .entries = { { .key = "k", .value = "x", .version = 3 } }, .revision = 3 }, BootClock::now());
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "x", .version = 3 } }, .revision = { .number = 3 } }, BootClock::now());
     f.store.reachable = false;
     f.run(Milliseconds(350));
     cr_expect(f.replica.age(BootClock::now()) >= Milliseconds(300));
     cr_expect(f.value == "x", "entries are kept");
 }
+
+/// Guards against CONFIG: the store was taken for unreachable until its revision had passed the one read before.
+Test(StoreFollower, storeRestoredFromCopy_isFollowedAtOnce)
+{
+    FollowerFixture f;
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "lost", .version = 90 } }, .revision = { .era = 1, .number = 100 } }, BootClock::now());
+    f.store.era = 2;
+    f.store.value = "copied";
+    f.run(Milliseconds(1400));
+    cr_expect(f.value == "copied");
+    cr_expect(f.follower.reachable());
+    cr_expect(f.reachabilityChanges.empty());
+    cr_expect(f.follower.rejectedListings() == 0);
+}
+
+/// Guards against CONFIG: a peer of an earlier era confirmed entries that the store no longer has.
+Test(StoreFollower, peerOfEarlierEra_confirmsNothing)
+{
+    FollowerFixture f;
+    f.addPeer("behind");
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "new", .version = 3 } }, .revision = { .era = 2, .number = 3 } }, BootClock::now());
+    f.store.reachable = false;
+    f.peers["behind"].era = 1;
+    f.peers["behind"].revision = 100;
+    f.run(Milliseconds(350));
+    cr_expect(f.value == "new");
+    cr_expect(f.replica.age(BootClock::now()) >= Milliseconds(300));
+}
--- a/src/keyvalue/iwatchablestore.h
+++ b/src/keyvalue/iwatchablestore.h
@@ -5,17 +5,29 @@
 #include "keyvalue/keyvaluetypes.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <compare>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace guavaspan {
 
+/// Position in the store's sequence of changes. The store begins a new era when it comes back from a copy: the changes
+/// since the copy are lost, and their numbers are given out again.
+struct StoreRevision {
+    std::int64_t era = 0;
+    /// Only meaningful within the era.
+    std::int64_t number = 0;
+
+    friend auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
+};
+
 /// All entries with a key prefix.
 struct StoreListing {
     std::vector<KeyValueEntry> entries;
-    /// All changes up to this revision are included; later ones may be missing.
-    std::int64_t revision = 0;
+    /// All changes up to this revision are included; later ones may be missing. The versions of the entries are numbers
+    /// of its era.
+    StoreRevision revision;
     /// Time since the entries were last known to be up to date at the source.
     Clock::duration age {};
 };
@@ -24,6 +36,7 @@
 struct StoreChange {
     std::string key;
     std::optional<std::string> value;
+    /// Number within the era of the changes that contain this one.
     std::int64_t revision = 0;
 
     friend bool operator==(const StoreChange&, const StoreChange&) = default;
@@ -33,7 +46,7 @@
 struct StoreChanges {
     std::vector<StoreChange> changes;
     /// Revision to pass to the next watch.
-    std::int64_t revision = 0;
+    StoreRevision revision;
     /// The source no longer has the changes after the given revision; list all entries again.
     bool historyLost = false;
     Clock::duration age {};
@@ -46,8 +59,9 @@
 
     virtual boost::asio::awaitable<Result<StoreListing>> listAll(std::string prefix) = 0;
 
-    /// Returns the changes after a revision; if there are none yet, waits for one up to maxWait.
-    virtual boost::asio::awaitable<Result<StoreChanges>> watch(std::string prefix, std::int64_t afterRevision, Milliseconds maxWait) = 0;
+    /// Returns the changes after a revision; if there are none yet, waits for one up to maxWait. The history is lost if
+    /// the source is in another era.
+    virtual boost::asio::awaitable<Result<StoreChanges>> watch(std::string prefix, StoreRevision after, Milliseconds maxWait) = 0;
 };
 
 }
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -45,7 +45,7 @@
         json limits = json::array();
         for (const auto& [target, limit] : report.limits)
             limits.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices, report.storeEra });
     }
 
     json fieldsOf(const PlacementQuery& query)
@@ -179,6 +179,8 @@
             return report;
         report.relaysForPeers = fields.at(8).get<bool>();
         report.unreachableServices = fields.at(9).get<std::set<std::string>>();
+        if (fields.size() > 10)
+            report.storeEra = fields.at(10).get<std::int64_t>();
         return report;
     }
 
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -92,7 +92,9 @@
     set("peers", gauges.peers);
     set("targets", gauges.targets);
     set("store_calls", gauges.storeCalls);
+    set("store_era", gauges.storeEra);
     set("store_revision", gauges.storeRevision);
+    set("store_restorations", gauges.storeRestorations);
     set("rejected_store_listings", gauges.rejectedStoreListings);
     set("older_store_entries", gauges.olderStoreEntries);
     set("limited_targets", gauges.limitedTargets);
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -16,7 +16,9 @@
     double peers = 0;
     double targets = 0;
     double storeCalls = 0;
+    double storeEra = 0;
     double storeRevision = 0;
+    double storeRestorations = 0;
     double rejectedStoreListings = 0;
     double olderStoreEntries = 0;
     double limitedTargets = 0;
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -1,5 +1,7 @@
 #include "targets/targetdirectory.h"
 
+#include <tuple>
+
 namespace guavaspan {
 
 namespace {
@@ -10,6 +12,11 @@
 
 }
 
+std::strong_ordering compareWriteOrder(const TargetEntry& left, const TargetEntry& right)
+{
+    return std::tie(left.startedAt, left.sequence, left.state) <=> std::tie(right.startedAt, right.sequence, right.state);
+}
+
 std::string_view toString(UnavailableReason reason)
 {
     switch (reason) {
@@ -102,6 +109,12 @@
     m_storeReachable = true;
 }
 
+void TargetDirectory::onStoreRestored(TimePoint now)
+{
+    m_storeReachable = true;
+    m_storeRegainedAt = now;
+}
+
 void TargetDirectory::onTick(TimePoint now)
 {
     for (auto target = m_targets.begin(); target != m_targets.end();) {
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -51,6 +51,10 @@
     void onStoreLost(TimePoint now);
     void onStoreRegained(TimePoint now);
 
+    /// The store came back from a copy. Entries that the copy lacks stay in use until their targets have had time to
+    /// write them again.
+    void onStoreRestored(TimePoint now);
+
     /// Removes expired entries that were not written again before their deadline.
     void onTick(TimePoint now);
 
--- a/src/targets/targettypes.h
+++ b/src/targets/targettypes.h
@@ -3,10 +3,12 @@
 #include "common/time.h"
 #include "net/endpoint.h"
 
+#include <compare>
 #include <string>
 
 namespace guavaspan {
 
+/// In the order in which an incarnation passes through them.
 enum class TargetState {
     Ready,
     /// Finishes its running requests and takes no new ones.
@@ -24,8 +26,13 @@
     /// Start of this incarnation in Unix milliseconds; a different value means that the target restarted.
     std::int64_t startedAt = 0;
     Milliseconds warmUpRemaining { 0 };
+    /// Number of the entry among those of its incarnation.
+    std::int64_t sequence = 0;
 
     friend bool operator==(const TargetEntry&, const TargetEntry&) = default;
 };
 
+/// Compares two entries of one target by the order in which it wrote them.
+std::strong_ordering compareWriteOrder(const TargetEntry&, const TargetEntry&);
+
 }
