Write records again that a restored store has lost

What callers would see: an instance that its peers do not know, shares of budgets that do not add up, use that is not billed, and crashing requests that instances take for sound after a restart.

Cause: registrations, usage totals and crash records were taken for stored once the store had acknowledged them. A store that comes back from a copy loses the last of them, and the numbers of leases too: an instance then renews the lease of another client for good.

Change: on a new era each instance registers again with a new lease and writes its usage totals and the crash records of the last 60 s. The random delay spreads the calls of all instances over half of the store's writes.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -58,6 +58,8 @@
 private:
     bool listen();
     void onStoreRestored(const StoreRestored&);
+    /// Writes again what the store may have lost of this instance.
+    Awaitable<> writeRecordsAgain(Milliseconds delay);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -25,6 +25,11 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
+    /// Calls to the store that an instance needs to write its records again, and the rate of those of all instances
+    /// together, which leaves half of the store's writes to others.
+    constexpr int callsToWriteRecordsAgain = 4;
+    constexpr int maxRewriteCallsPerSecond = 200;
+
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -165,7 +170,18 @@
 {
     ++m_storeRestorations;
     m_directory.onStoreRestored(Clock::now());
-    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
+    auto maxDelay = Milliseconds(1000) * m_fleet.instanceCount() * callsToWriteRecordsAgain / maxRewriteCallsPerSecond;
+    auto delay = Milliseconds(std::uniform_int_distribution<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(maxDelay).count())(m_random));
+    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() }, { "rewrite_delay_ms", delay.count() } });
+    asio::co_spawn(m_io, writeRecordsAgain(delay), asio::detached);
+}
+
+Awaitable<> EntryInstance::writeRecordsAgain(Milliseconds delay)
+{
+    co_await sleepFor(delay);
+    m_crashRecordWriter.writeAgain();
+    co_await m_registration.registerAgain();
+    co_await m_usageWriter.writeAgain();
 }
 
 void EntryInstance::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
--- a/src/fleet/internal/registration.cpp
+++ b/src/fleet/internal/registration.cpp
@@ -25,11 +25,26 @@
 }
 
 Awaitable<bool> Registration::registerInstance()
+{
+    if (m_registering)
+        co_return false;
+    m_registering = true;
+    auto renewals = m_renewals;
+    auto lease = co_await writeEntry();
+    m_registering = false;
+    // The lease may be of the store's earlier era, in which case its number may belong to another one by now.
+    if (!lease || m_renewals != renewals)
+        co_return false;
+    m_lease = *lease;
+    co_return true;
+}
+
+Awaitable<std::optional<LeaseId>> Registration::writeEntry()
 {
     auto lease = co_await m_store.grantLease(leaseTtl);
     if (!lease) {
         logEvent(LogLevel::Warning, "registration_failed", { { "detail", describe(lease.error()) } });
-        co_return false;
+        co_return std::nullopt;
     }
     SwapOptions options { .key = m_key, .value = encodeInstanceRecord(m_record), .lease = *lease };
     auto written = co_await m_store.compareAndSwap(options);
@@ -41,11 +56,21 @@
     }
     if (!written || !written->swapped) {
         logEvent(LogLevel::Warning, "registration_failed", { { "detail", written ? std::string("another writer changed the entry") : describe(written.error()) } });
-        co_return false;
+        co_return std::nullopt;
     }
-    m_lease = *lease;
     logEvent(LogLevel::Info, "registered", { { "key", m_key }, { "version", written->version } });
-    co_return true;
+    co_return *lease;
+}
+
+Awaitable<> Registration::registerAgain()
+{
+    ++m_renewals;
+    m_lease = noLease;
+    while (!m_stopped && m_lease == noLease) {
+        bool registered = co_await registerInstance();
+        if (!registered)
+            co_await sleepFor(retryInterval);
+    }
 }
 
 Awaitable<> Registration::run()
@@ -53,8 +78,9 @@
     while (!m_stopped) {
         bool leaseHeld = m_lease != noLease;
         if (leaseHeld) {
-            auto renewed = co_await m_store.keepLeaseAlive(m_lease);
-            if (!renewed && renewed.error().code == ErrorCode::NotFound)
+            auto lease = m_lease;
+            auto renewed = co_await m_store.keepLeaseAlive(lease);
+            if (!renewed && renewed.error().code == ErrorCode::NotFound && m_lease == lease)
                 m_lease = noLease;
             leaseHeld = m_lease != noLease;
         }
--- a/src/fleet/registration.h
+++ b/src/fleet/registration.h
@@ -14,15 +14,22 @@
     const std::string& key() const { return m_key; }
 
     Awaitable<> run();
+    /// Writes the entry again with a new lease, because the store may have lost both.
+    Awaitable<> registerAgain();
     void stop() { m_stopped = true; }
 
 private:
     Awaitable<bool> registerInstance();
+    Awaitable<std::optional<LeaseId>> writeEntry();
 
     IKeyValueStore& m_store;
     std::string m_key;
     InstanceRecord m_record;
     LeaseId m_lease = noLease;
+    /// Both loops register; the lease held must be the one of the last write.
+    bool m_registering = false;
+    /// Number of calls of registerAgain(); a registration that one of them overlaps may be lost.
+    int m_renewals = 0;
     bool m_stopped = false;
 };
 
--- a/src/quarantine/crashrecordwriter.h
+++ b/src/quarantine/crashrecordwriter.h
@@ -24,6 +24,9 @@
     /// Queues a record unless it was queued before.
     void add(const StoredCrashRecord&);
 
+    /// Queues the latest records again, because the store may have lost them.
+    void writeAgain();
+
     Awaitable<> run();
 
     /// Writes all queued records; false if one could not be written.
@@ -34,7 +37,13 @@
 
     IKeyValueStore& m_store;
     std::string m_keyPrefix;
+    struct AddedRecord {
+        StoredCrashRecord record;
+        TimePoint addedAt;
+    };
+
     std::deque<StoredCrashRecord> m_queue;
+    std::deque<AddedRecord> m_latestRecords;
     std::set<std::string> m_knownKeys;
 };
 
--- a/src/quarantine/internal/crashrecordwriter.cpp
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -17,6 +17,9 @@
     /// Records are removed by their lease; the longest one that the platform grants lasts ten minutes.
     constexpr auto recordLifetime = Seconds(600);
     constexpr std::size_t maxKnownKeys = 10000;
+    /// Records that the store may have lost when it comes back from a copy: age of the oldest copy, and their number.
+    constexpr auto maxCopyAge = Seconds(60);
+    constexpr std::size_t maxLatestRecords = 500;
     constexpr const char* promptPartMarker = "prompt-part";
 
 }
@@ -73,8 +76,20 @@
 {
     if (m_knownKeys.size() >= maxKnownKeys)
         m_knownKeys.clear();
-    if (m_knownKeys.insert(keyOf(record)).second)
-        m_queue.push_back(record);
+    if (!m_knownKeys.insert(keyOf(record)).second)
+        return;
+    m_queue.push_back(record);
+    m_latestRecords.push_back({ .record = record, .addedAt = Clock::now() });
+    if (m_latestRecords.size() > maxLatestRecords)
+        m_latestRecords.pop_front();
+}
+
+void CrashRecordWriter::writeAgain()
+{
+    auto now = Clock::now();
+    std::erase_if(m_latestRecords, [&](const AddedRecord& added) { return added.addedAt + maxCopyAge < now; });
+    for (const auto& added : m_latestRecords)
+        m_queue.push_back(added.record);
 }
 
 Awaitable<bool> CrashRecordWriter::writeQueued()
--- a/src/quarantine/tests/crashrecordwriter_test.cpp
+++ b/src/quarantine/tests/crashrecordwriter_test.cpp
@@ -68,6 +68,19 @@
     cr_expect(decodeCrashRecord(entries.back().value) == StoredCrashRecord(ConvictionNotice { .fingerprint = f.report.fingerprint }));
 }
 
+/// Guards against BUDGET: crashes that the store had acknowledged and lost were unknown to instances that start later.
+Test(CrashRecordWriter, storeRestoredFromCopy_latestRecordsAreWrittenAgain)
+{
+    WriterFixture f;
+    auto copy = f.store.model;
+    f.writer.add(f.report);
+    cr_expect(f.writeQueued());
+    f.store.model = copy;
+    f.writer.writeAgain();
+    cr_expect(f.writeQueued());
+    cr_expect(f.entries().size() == 1);
+}
+
 Test(CrashRecord, malformedRecord_isNotDecoded)
 {
     for (const char* text : { "", "[]", "{}", "[1]", "[1,2,3]", "[\"xyz\",\"t\",\"1\"]", "[\"7\",\"t\"]" })
--- a/src/usage/internal/usagewriter.cpp
+++ b/src/usage/internal/usagewriter.cpp
@@ -32,6 +32,21 @@
     co_return !m_hasUnwrittenChanges;
 }
 
+Awaitable<> UsageWriter::writeAgain()
+{
+    constexpr int maxWrites = 10;
+    constexpr auto retryInterval = Milliseconds(700);
+    if (m_ledger.totals().empty())
+        co_return;
+    m_hasUnwrittenChanges = true;
+    for (int write = 0; write < maxWrites; ++write) {
+        bool written = co_await flushChanges();
+        if (written)
+            co_return;
+        co_await sleepFor(retryInterval);
+    }
+}
+
 /// Only this incarnation writes the record, so a version conflict comes from an
 /// earlier swap whose answer was lost; the current version is then read back.
 Awaitable<bool> UsageWriter::flush()
--- a/src/usage/tests/usage_test.cpp
+++ b/src/usage/tests/usage_test.cpp
@@ -61,3 +61,30 @@
     cr_expect(runCoroutine(context, writer.flushChanges()), "retried with the next flush");
     cr_expect(runCoroutine(context, readUsage(store, "u/"))->at("a").outputTokens == 5);
 }
+
+namespace {
+
+Awaitable<bool> writeAgain(UsageWriter& writer)
+{
+    co_await writer.writeAgain();
+    co_return true;
+}
+
+}
+
+/// Guards against lost use: totals that the store had acknowledged were written again only after the next request.
+Test(UsageWriter, storeRestoredFromCopy_acknowledgedTotalsAreWrittenAgain)
+{
+    asio::io_context context;
+    FakeKeyValueStore store;
+    UsageLedger ledger;
+    UsageWriter writer(store, ledger, usageKey("u/", "entry-1", "incarnation-1"));
+    ledger.charge("a", { .outputTokens = 5 });
+    cr_expect(runCoroutine(context, writer.flushChanges()));
+    auto copy = store.model;
+    ledger.charge("a", { .outputTokens = 7 });
+    cr_expect(runCoroutine(context, writer.flushChanges()));
+    store.model = copy;
+    runCoroutine(context, writeAgain(writer));
+    cr_expect(runCoroutine(context, readUsage(store, "u/"))->at("a").outputTokens == 12);
+}
--- a/src/usage/usagewriter.h
+++ b/src/usage/usagewriter.h
@@ -20,6 +20,9 @@
     /// Writes the totals if they changed since the last successful write; false if that failed.
     Awaitable<bool> flushChanges();
 
+    /// Writes the totals again, because the store may have lost the last write.
+    Awaitable<> writeAgain();
+
     /// Writes the totals unconditionally; false if the write was not confirmed.
     Awaitable<bool> flush();
 
