--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -91,10 +91,30 @@
 Awaitable<> Deployment::publishConfiguration()
 {
     ++m_configurationVersion;
+    co_await publishConfigurationAgain();
+}
+
+Awaitable<> Deployment::publishConfigurationAgain()
+{
     json put { { "key", "op/config" }, { "value", configurationJson() } };
     co_await postToStore("put", put.dump());
 }
 
+Awaitable<> Deployment::removeEngineEntry(const std::string& id)
+{
+    m_removedEngines.push_back(id);
+    json removal { { "key", "servers/" + id } };
+    co_await postToStore("remove", removal.dump());
+}
+
+Awaitable<> Deployment::removeEngineEntriesAgain()
+{
+    for (const auto& id : std::vector(m_removedEngines)) {
+        json removal { { "key", "servers/" + id } };
+        co_await postToStore("remove", removal.dump());
+    }
+}
+
 /// Adds or removes a path, or revokes a key. The change is recorded with the time of the store's
 /// acknowledgement, from which its time limit counts.
 Awaitable<> Deployment::changeConfiguration()
@@ -124,7 +144,8 @@
 {
     ++instance.incarnation;
     auto settings = m_options.folder + "/" + instance.name + ".json";
-    return m_processes.start(instance.name, { m_options.program, "entry", "--settings", settings });
+    const auto& program = instance.incarnation == 1 && !m_options.previousProgram.empty() ? m_options.previousProgram : m_options.program;
+    return m_processes.start(instance.name, { program, "entry", "--settings", settings });
 }
 
 bool Deployment::startEngine(ManagedEngine& engine)
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -53,6 +53,11 @@
     Awaitable<> postToStore(std::string path, std::string body);
     Awaitable<> publishConfiguration();
     Awaitable<> changeConfiguration();
+    /// Writes the configuration to a store that may have lost it.
+    Awaitable<> publishConfigurationAgain();
+    Awaitable<> removeEngineEntry(const std::string& id);
+    /// Removes entries that a store may have brought back.
+    Awaitable<> removeEngineEntriesAgain();
 
     InstanceEndpoint chooseEndpoint(Random&) const;
     Instance& randomInstance();
@@ -77,6 +82,7 @@
     Endpoint m_storeEndpoint;
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<std::unique_ptr<ManagedEngine>> m_engines;
+    std::vector<std::string> m_removedEngines;
     std::int64_t m_configurationVersion = 1;
     int m_lastPathNumber = 0;
     int m_lastEngineNumber = 0;
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -43,6 +43,8 @@
         asio::co_spawn(m_io, pauseEnginesPeriodically(), asio::detached);
     if (m_options.greyEngines)
         asio::co_spawn(m_io, failRequestsPeriodically(), asio::detached);
+    if (m_options.restoredStore)
+        asio::co_spawn(m_io, restoreStorePeriodically(), asio::detached);
     if (m_options.rolling)
         asio::co_spawn(m_io, stopInstancesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
@@ -304,10 +306,40 @@
     recordDisturbance(storeSubject, startedAt, soakNow());
 }
 
+/// The store is away for a moment and loses its last seconds. The operator writes again soon, engines do so by themselves, and
+/// entries of engines that have ended expire again.
+Awaitable<> FaultInjector::restoreStore()
+{
+    ++m_faultCounts["store restored from a copy"];
+    auto startedAt = soakNow();
+    std::string absence = m_random() % 2 == 0 ? R"({"silent":true})" : R"({"refusing":true})";
+    co_await m_deployment.postToStore("faults", std::move(absence));
+    auto absenceDuration = randomDuration(50, 1500);
+    co_await sleepFor(absenceDuration);
+    auto restoration = json { { "age_ms", randomDuration(300, 5000).count() } }.dump();
+    co_await m_deployment.postToStore("restore", std::move(restoration));
+    co_await m_deployment.postToStore("faults", "{}");
+    auto operatorDelay = randomDuration(0, 1000);
+    co_await sleepFor(operatorDelay);
+    co_await m_deployment.publishConfigurationAgain();
+    co_await sleepFor(entryExpiryTime);
+    co_await m_deployment.removeEngineEntriesAgain();
+    recordDisturbance(storeSubject, startedAt, soakNow());
+}
+
+Awaitable<> FaultInjector::restoreStorePeriodically()
+{
+    while (m_injecting) {
+        co_await restoreStore();
+        auto pause = randomDuration(500, 8000);
+        co_await sleepFor(pause);
+    }
+}
+
 Awaitable<> FaultInjector::replaceEngine(Deployment::ManagedEngine& engine)
 {
-    json removal { { "key", "servers/" + engine.id } };
-    co_await m_deployment.postToStore("remove", removal.dump());
+    auto id = engine.id;
+    co_await m_deployment.removeEngineEntry(id);
     m_deployment.startEngine(engine);
     engine.beingReplaced = false;
 }
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -42,6 +42,8 @@
     Awaitable<> signalDuringStop(Deployment::Instance&, int signalNumber);
     Awaitable<> pauseProcess(std::string name, std::string subject);
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
+    Awaitable<> restoreStore();
+    Awaitable<> restoreStorePeriodically();
     Awaitable<> injectStoreFault(std::string fault);
     Awaitable<> silenceStoreDuringStop();
     Awaitable<> killEngine(Deployment::ManagedEngine&);
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -29,6 +29,8 @@
     bool repeatedSignals = false;
     /// The store is silent during some stops.
     bool silentStore = false;
+    /// The store comes back from copies that are some seconds old.
+    bool restoredStore = false;
     /// Engines of plain requests fail or refuse many of them for some seconds at a time.
     bool greyEngines = false;
     /// Some streams last up to ten seconds.
@@ -37,6 +39,8 @@
     bool variedCallers = false;
     /// Path of the program under test.
     std::string program;
+    /// Path of an earlier build of the program, which instances run until their first restart; empty for none.
+    std::string previousProgram;
     /// Path of this program, which also runs the store and engine processes.
     std::string soakProgram;
     /// Receives logs, settings and records.
