Let peers keep the usage of instances that have stopped

Cause: an instance writes its totals when it stops. If the store does not answer, or loses the record later, the owner is gone. Same class as the restored store: what was acknowledged is taken for stored for good.

Change: a stopping instance hands its totals to two peers, which write them if the store lacks them 2 s later or comes back from a copy within 60 s. Copies of a record are merged by their maximum, so nothing counts twice. Instances of older versions answer 404, and the next peer is asked.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -15,6 +15,7 @@
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
 #include "relay/targetpathprober.h"
+#include "usage/usagecustodian.h"
 #include "usage/usagewriter.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -69,6 +70,9 @@
     Awaitable<> tickLoop();
     Awaitable<> handleStopSignals();
     Awaitable<> drainAndStop();
+    /// Writes the usage totals to the store and hands them to peers; false if neither worked.
+    Awaitable<bool> recordLastUsage();
+    Awaitable<> servePeer(HttpExchange&);
     void cutRequests();
     void logCutConnections();
     Awaitable<> reloadLoop();
@@ -101,6 +105,7 @@
     CrashRecordWriter m_crashRecordWriter;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
+    UsageCustodian m_usageCustodian;
     RelayMetrics m_metrics;
     RelayContext m_relayContext;
     MoveServer m_moveServer;
@@ -117,6 +122,8 @@
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
     int m_storeRestorations = 0;
+    /// Records that peers hand over from now on would end with this process.
+    bool m_takesUsageRecords = true;
     std::optional<int> m_retrySharers;
 };
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -5,6 +5,9 @@
 #include "common/stopsignals.h"
 #include "entry/drain.h"
 #include "net/logflusher.h"
+#include "usage/usagehandover.h"
+
+#include <algorithm>
 
 #include <csignal>
 
@@ -30,6 +33,10 @@
     constexpr int callsToWriteRecordsAgain = 4;
     constexpr int maxRewriteCallsPerSecond = 200;
 
+    /// Time that an instance waits for the store's answer to its last write once peers have its usage.
+    constexpr auto lastWriteTimeout = Milliseconds(400);
+    constexpr auto lastWriteCheckInterval = Milliseconds(10);
+
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -38,6 +45,11 @@
         return { .maxBodyBytes = limits.maxBodyBytes, .maxHeaderBytes = limits.maxHeaderBytes, .headerTimeout = limits.headerTimeout, .writeTimeout = callerWriteTimeout, .idleTimeout = limits.idleTimeout };
     }
 
+    Awaitable<> storeResult(Awaitable<bool> operation, std::shared_ptr<std::optional<bool>> result)
+    {
+        *result = co_await std::move(operation);
+    }
+
     StoreFollower::PeerStoreFactory peerStoreFactory()
     {
         return [](const InstanceRecord& peer) { return std::make_unique<PeerFeedClient>(peer.peerEndpoint); };
@@ -83,6 +95,7 @@
     , m_promptGuard(m_settings.instance, m_promptGuardLink, [this](const PromptPartRecord& record) { m_crashRecordWriter.add(record); })
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
+    , m_usageCustodian(m_platform.keyValue)
     , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
@@ -93,7 +106,7 @@
     , m_peerFeed(m_replica)
     , m_callerServer(m_io, limitsFor({}), [this](HttpExchange& exchange) { return m_requestHandler.handle(exchange); })
     , m_readinessServer(m_io, {}, [this](HttpExchange& exchange) { return serveReadiness(exchange); })
-    , m_peerServer(m_io, {}, [this](HttpExchange& exchange) { return m_peerFeed.handle(exchange); })
+    , m_peerServer(m_io, {}, [this](HttpExchange& exchange) { return servePeer(exchange); })
     , m_stopSignals(m_io, SIGTERM, SIGINT)
     , m_reloadSignals(m_io, SIGHUP)
 {
@@ -158,6 +171,7 @@
     asio::co_spawn(m_io, handleStopSignals(), asio::detached);
     asio::co_spawn(m_io, reloadLoop(), asio::detached);
     asio::co_spawn(m_io, m_usageWriter.run(usageFlushInterval), asio::detached);
+    asio::co_spawn(m_io, m_usageCustodian.run(), asio::detached);
     asio::co_spawn(m_io, m_crashRecordWriter.run(), asio::detached);
     asio::co_spawn(m_io, m_targetPathProber.run(), asio::detached);
     m_io.run();
@@ -180,6 +194,7 @@
 {
     co_await sleepFor(delay);
     m_crashRecordWriter.writeAgain();
+    m_usageCustodian.checkAgain(Clock::now());
     co_await m_registration.registerAgain();
     co_await m_usageWriter.writeAgain();
 }
@@ -417,7 +432,7 @@
 /// so that callers do not find a closed port. Requests in flight run until shortly before the host's kill.
 Awaitable<> EntryInstance::drainAndStop()
 {
-    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .schedule = [this] { return *m_relayContext.stop; } };
+    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return recordLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
     bool usageWritten = co_await drain(std::move(options));
     if (!usageWritten)
         logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
@@ -425,6 +440,43 @@
     m_io.stop();
 }
 
+/// Peers keep the totals as well, because a store that does not respond now, or comes back from a copy later, has no other
+/// source for them. Both run at the same time so that neither uses up the time of the other.
+Awaitable<bool> EntryInstance::recordLastUsage()
+{
+    m_takesUsageRecords = false;
+    auto records = m_usageCustodian.records();
+    if (!m_usage.totals().empty())
+        records.push_back(m_usageWriter.record());
+    if (records.empty())
+        co_return true;
+    std::vector<Endpoint> peers;
+    for (const auto& peer : m_fleet.reachablePeers(Clock::now()))
+        peers.push_back(peer.peerEndpoint);
+    std::shuffle(peers.begin(), peers.end(), m_random);
+    auto writing = std::make_shared<std::optional<bool>>();
+    asio::co_spawn(m_io, storeResult(m_usageWriter.flushChanges(), writing), asio::detached);
+    int accepted = co_await handOverUsage(std::move(records), std::move(peers));
+    auto deadline = Clock::now() + lastWriteTimeout;
+    while (!writing->has_value() && Clock::now() < deadline)
+        co_await sleepFor(lastWriteCheckInterval);
+    co_return accepted > 0 || writing->value_or(false);
+}
+
+Awaitable<> EntryInstance::servePeer(HttpExchange& exchange)
+{
+    if (exchange.path() != usageHandoverPath) {
+        co_await m_peerFeed.handle(exchange);
+        co_return;
+    }
+    if (m_takesUsageRecords) {
+        co_await receiveUsage(exchange, m_usageCustodian);
+        co_return;
+    }
+    Reply refusal { .status = 503 };
+    co_await exchange.send(std::move(refusal));
+}
+
 void EntryInstance::cutRequests()
 {
     auto now = Clock::now();
--- a/src/usage/usageledger.h
+++ b/src/usage/usageledger.h
@@ -17,6 +17,14 @@
 
 using UsageByOrganisation = std::map<std::string, Usage>;
 
+/// Usage totals of one incarnation of an instance, with their key in the store.
+struct UsageRecord {
+    std::string key;
+    UsageByOrganisation totals;
+
+    friend bool operator==(const UsageRecord&, const UsageRecord&) = default;
+};
+
 /// Usage counters of one incarnation of one instance. They only grow, so merging
 /// copies of a record by their maximum never counts usage twice.
 class UsageLedger {
--- a/src/usage/usagewriter.h
+++ b/src/usage/usagewriter.h
@@ -20,6 +20,9 @@
     /// Writes the totals if they changed since the last successful write; false if that failed.
     Awaitable<bool> flushChanges();
 
+    /// The totals as they are to be written.
+    UsageRecord record() const { return { .key = m_key, .totals = m_ledger.totals() }; }
+
     /// Writes the totals again, because the store may have lost the last write.
     Awaitable<> writeAgain();
 
