Keep instances registered until a restored store has their entries again

What callers would see: instances without peers after the store came back from a copy, so that each decides alone, and usage that no peer takes.

Cause: entries that are missing in the copy counted as removed at once.

Change: registrations that a copy lacks are kept for 2.5 s, as entries of targets are for 2 s.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -184,6 +184,7 @@
 {
     ++m_storeRestorations;
     m_directory.onStoreRestored(Clock::now());
+    m_fleet.onStoreRestored(Clock::now());
     auto maxDelay = Milliseconds(1000) * m_fleet.instanceCount() * callsToWriteRecordsAgain / maxRewriteCallsPerSecond;
     auto delay = Milliseconds(std::uniform_int_distribution<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(maxDelay).count())(m_random));
     logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() }, { "rewrite_delay_ms", delay.count() } });
@@ -218,7 +219,7 @@
         if (record)
             m_fleet.onRegistered(key, std::move(*record));
         else
-            m_fleet.onUnregistered(key);
+            m_fleet.onUnregistered(key, now);
     } else if (key.starts_with(schema.crashPrefix)) {
         if (auto record = value ? decodeCrashRecord(*value) : std::nullopt)
             onCrashRecord(*record, now);
@@ -368,6 +369,7 @@
 {
     while (true) {
         m_directory.onTick(Clock::now());
+        m_fleet.onTick(Clock::now());
         m_placementServer.onTick(Clock::now());
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -18,7 +18,14 @@
     }
 
     void onRegistered(const std::string& key, InstanceRecord);
-    void onUnregistered(const std::string& key);
+    void onUnregistered(const std::string& key, TimePoint now);
+
+    /// The store came back from a copy. Instances that the copy lacks stay registered until they have had time to
+    /// register again.
+    void onStoreRestored(TimePoint now) { m_storeRestoredAt = now; }
+
+    /// Removes instances that did not register again in time.
+    void onTick(TimePoint now);
 
     /// Returns true if the report is newer than the last one of its instance.
     bool onReport(const InstanceLoadReport&, TimePoint now);
@@ -73,7 +80,10 @@
     std::string m_self;
     int m_cpuMillicores = 0;
     bool m_storeStatesEras = false;
+    std::optional<TimePoint> m_storeRestoredAt;
     std::map<std::string, InstanceRecord> m_registered;
+    /// Keys that the store lost, by the time until which their instances may register again.
+    std::map<std::string, TimePoint> m_lostKeys;
     std::map<std::string, LastReport> m_lastReports;
 };
 
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -16,6 +16,8 @@
     constexpr std::size_t minStoreReaders = 2;
     /// Followers that one reader serves; each sends it about one request per second.
     constexpr std::size_t followersPerReader = 100;
+    /// Instances write again within about two seconds what a restored store has lost of theirs.
+    constexpr auto reregistrationTime = Milliseconds(2500);
     constexpr const char* storeReaderKey = "store-reader";
 
 }
@@ -23,11 +25,25 @@
 void FleetView::onRegistered(const std::string& key, InstanceRecord record)
 {
     m_registered.insert_or_assign(key, std::move(record));
+    m_lostKeys.erase(key);
 }
 
-void FleetView::onUnregistered(const std::string& key)
+void FleetView::onUnregistered(const std::string& key, TimePoint now)
 {
-    m_registered.erase(key);
+    if (m_storeRestoredAt && now < *m_storeRestoredAt + reregistrationTime)
+        m_lostKeys.insert_or_assign(key, *m_storeRestoredAt + reregistrationTime);
+    else
+        m_registered.erase(key);
+}
+
+void FleetView::onTick(TimePoint now)
+{
+    std::erase_if(m_lostKeys, [&](const auto& lost) {
+        bool due = lost.second <= now;
+        if (due)
+            m_registered.erase(lost.first);
+        return due;
+    });
 }
 
 bool FleetView::onReport(const InstanceLoadReport& report, TimePoint now)
--- a/src/fleet/tests/restoredstore_test.cpp
+++ b/src/fleet/tests/restoredstore_test.cpp
@@ -158,3 +158,23 @@
     cr_assert(readers.size() == 1);
     cr_expect(readers.front().name == "new");
 }
+
+/// Guards against instances without peers: all that had registered since the copy were forgotten until they registered again.
+Test(FleetView, registrationsLostByRestoredStore_areKeptUntilWrittenAgain)
+{
+    FleetView fleet("self", 100);
+    TimePoint now { Seconds(10) };
+    for (const char* name : { "alive", "dead" })
+        fleet.onRegistered(name, { .name = name });
+    fleet.onStoreRestored(now);
+    fleet.onUnregistered("alive", now);
+    fleet.onUnregistered("dead", now);
+    cr_expect(fleet.peerNames().size() == 2);
+    fleet.onRegistered("alive", { .name = "alive" });
+    now += Seconds(3);
+    fleet.onTick(now);
+    cr_assert(fleet.peerNames().size() == 1);
+    cr_expect(fleet.peerNames().front() == "alive");
+    fleet.onUnregistered("alive", now);
+    cr_expect(fleet.peerNames().empty(), "a removal later on counts at once");
+}
