Take a configuration that the store has lost from peers

Cause: entry-2 restarted while the store, back from a copy, still had version 2; its peers had version 7 in force. An instance knows nothing but the store when it starts, and a store's answer counted as confirmation.

Change: an instance that starts asks two registered peers for a newer configuration before it serves. Load reports state the version in force; an instance that is behind a peer for a second takes the peer's, and until it has it the store confirms no keys.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -58,6 +58,10 @@
 
 private:
     bool listen();
+    /// Replaces the configuration of the listing if a peer has a newer one.
+    Awaitable<> addNewerConfiguration(StoreListing&);
+    void onPeerVersion(const InstanceLoadReport&);
+    Awaitable<> takeConfigurationOf(InstanceRecord peer);
     void onStoreRestored(const StoreRestored&);
     /// Writes again what the store may have lost of this instance.
     Awaitable<> writeRecordsAgain(Milliseconds delay);
@@ -122,6 +126,8 @@
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
     int m_storeRestorations = 0;
+    /// Since when a peer has had a newer configuration in force than this instance.
+    std::optional<TimePoint> m_behindPeerSince;
     /// Records that peers hand over from now on would end with this process.
     bool m_takesUsageRecords = true;
     std::optional<int> m_retrySharers;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -37,6 +37,12 @@
     constexpr auto lastWriteTimeout = Milliseconds(400);
     constexpr auto lastWriteCheckInterval = Milliseconds(10);
 
+    /// Longer than a configuration takes from one instance to all others by way of the store.
+    constexpr auto configurationSpreadTime = Milliseconds(1000);
+    /// Peers that a new instance asks for a newer configuration than the store has, and the time for each answer.
+    constexpr std::size_t peersAskedAtStart = 2;
+    constexpr auto startQueryTimeout = Milliseconds(200);
+
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -118,6 +124,7 @@
         m_peerFeed.onReplicaChanged();
     });
     m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
+    m_follower.setFirstListingHook([this](StoreListing& listing) { return addNewerConfiguration(listing); });
     m_replica.setRestoreListener([this](const StoreRestored& event) { onStoreRestored(event); });
     m_directory.setUnavailableListener([this](const TargetUnavailable& event) {
         m_crashGuard.onTargetUnavailable(event);
@@ -180,6 +187,67 @@
     return 0;
 }
 
+/// A store that came back from a copy may have an older configuration until the operator writes again; instances that ran
+/// before know the newer one, and the keys that it revokes.
+Awaitable<> EntryInstance::addNewerConfiguration(StoreListing& listing)
+{
+    const auto& schema = m_platform.storeSchema;
+    auto configuration = std::find_if(listing.entries.begin(), listing.entries.end(), [&](const KeyValueEntry& entry) { return entry.key == schema.configurationKey; });
+    if (listing.revision.era == 0 || configuration == listing.entries.end())
+        co_return;
+    std::vector<InstanceRecord> peers;
+    for (const auto& entry : listing.entries) {
+        auto record = entry.key.starts_with(schema.instancePrefix) ? decodeInstanceRecord(entry.value) : std::nullopt;
+        if (record && record->name != m_settings.instance)
+            peers.push_back(std::move(*record));
+    }
+    std::shuffle(peers.begin(), peers.end(), m_random);
+    peers.resize(std::min(peers.size(), peersAskedAtStart));
+    for (const auto& peer : peers) {
+        PeerFeedClient client(peer.peerEndpoint, startQueryTimeout);
+        auto offered = co_await client.listAll(schema.configurationKey);
+        if (!offered)
+            continue;
+        for (const auto& entry : offered->entries) {
+            if (entry.key != schema.configurationKey || schema.compareWriteOrder(entry.key, entry.value, configuration->value) != std::strong_ordering::greater)
+                continue;
+            logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer.name }, { "era", listing.revision.era }, { "revision", listing.revision.number } });
+            configuration->value = entry.value;
+        }
+    }
+}
+
+void EntryInstance::onPeerVersion(const InstanceLoadReport& report)
+{
+    if (report.configurationVersion <= m_configuration.version()) {
+        if (!m_configuration.knowsNewerVersion())
+            m_behindPeerSince.reset();
+        return;
+    }
+    m_configuration.onVersionKnown(report.configurationVersion);
+    auto now = Clock::now();
+    if (!m_behindPeerSince)
+        m_behindPeerSince = now;
+    const auto* peer = m_fleet.find(report.instance);
+    if (!peer || now < *m_behindPeerSince + configurationSpreadTime)
+        return;
+    m_behindPeerSince = now;
+    logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", report.instance }, { "version", report.configurationVersion }, { "in_force", m_configuration.version() } });
+    asio::co_spawn(m_io, takeConfigurationOf(*peer), asio::detached);
+}
+
+Awaitable<> EntryInstance::takeConfigurationOf(InstanceRecord peer)
+{
+    PeerFeedClient client(peer.peerEndpoint);
+    auto offered = co_await client.listAll(m_platform.storeSchema.configurationKey);
+    if (!offered)
+        co_return;
+    for (const auto& entry : offered->entries) {
+        if (entry.key == m_platform.storeSchema.configurationKey)
+            m_replica.adoptNewer(entry.key, entry.value);
+    }
+}
+
 void EntryInstance::onStoreRestored(const StoreRestored& event)
 {
     ++m_storeRestorations;
@@ -311,6 +379,7 @@
                    [&](const InstanceLoadReport& report) {
                        m_placementClient.onLoadReport(report, Clock::now());
                        m_placementServer.onLoadReport(report);
+                       onPeerVersion(report);
                    },
                    [&](const PlacementQuery& query) { m_placementServer.onQuery(query); },
                    [&](const PlacementResponse& response) { m_placementClient.onResponse(response); },
@@ -355,7 +424,7 @@
     while (true) {
         countInstances();
         m_fleet.setStoreStatesEras(m_replica.revision().era > 0);
-        m_placementClient.setStoreEra(m_replica.revision().era);
+        m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
         m_placementClient.sendLoadReport(true);
         for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
             logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -52,6 +52,8 @@
     std::set<std::string> unreachableServices;
     /// Era of the instance's copy of the store; 0 in the reports of older versions, which know no eras.
     std::int64_t storeEra = 0;
+    /// Version of the configuration in force at the instance; 0 for none, and in the reports of older versions.
+    std::int64_t configurationVersion = 0;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -13,7 +13,6 @@
 
     using nlohmann::json;
 
-    constexpr auto listTimeout = Milliseconds(1500);
     /// Added to the wait of a watch to get the timeout of its HTTP call.
     constexpr auto watchTimeoutMargin = Milliseconds(600);
     constexpr Milliseconds maxWatchWait { 5000 };
@@ -105,9 +104,11 @@
     co_return std::move(response->body());
 }
 
-Awaitable<Result<StoreListing>> PeerFeedClient::listAll(std::string)
+Awaitable<Result<StoreListing>> PeerFeedClient::listAll(std::string prefix)
 {
-    auto body = co_await fetch("/fleet/entries", listTimeout);
+    // Peers of older versions ignore the prefix.
+    std::string requestTarget = prefix.empty() ? "/fleet/entries" : "/fleet/entries?prefix=" + prefix;
+    auto body = co_await fetch(std::move(requestTarget), m_listTimeout);
     if (!body)
         co_return body.error();
     try {
@@ -159,7 +160,10 @@
         reply.status = 503;
     } else if (path == "/fleet/entries") {
         reply.status = 200;
-        reply.body = encode(m_replica.listing(BootClock::now()));
+        auto listing = m_replica.listing(BootClock::now());
+        auto prefix = exchange.query("prefix");
+        std::erase_if(listing.entries, [&](const KeyValueEntry& entry) { return !entry.key.starts_with(prefix); });
+        reply.body = encode(listing);
     } else if (path == "/fleet/changes") {
         StoreRevision after { .era = m_replica.revision().era, .number = parseNumber(exchange.query("after")) };
         // Peers of older versions state no era.
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -75,6 +75,8 @@
             co_return UpdateResult::Failed;
         }
         m_rejectsListings = false;
+        if (!m_replica.loaded() && m_firstListingHook)
+            co_await m_firstListingHook(*listing);
         // The source computed the age after this call began, so subtracting it from the time of the call gives a
         // time no later than the one at which the entries were last confirmed to be current.
         m_replica.applyListing(*listing, calledAt - listing->age);
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -135,6 +135,17 @@
     confirm(asOf);
 }
 
+bool StoreReplica::adoptNewer(const std::string& key, const std::string& value)
+{
+    auto held = m_entries.find(key);
+    if (held == m_entries.end() || !m_entryOrder || m_entryOrder(key, value, held->second.value) != std::strong_ordering::greater)
+        return false;
+    held->second.value = value;
+    if (m_listener)
+        m_listener(key, value);
+    return true;
+}
+
 StoreListing StoreReplica::listing(BootTime now) const
 {
     StoreListing listing { .revision = m_revision, .age = age(now) };
--- a/src/fleet/peerfeed.h
+++ b/src/fleet/peerfeed.h
@@ -10,8 +10,11 @@
 /// Reads a peer's copy of the store over HTTP with CBOR bodies.
 class PeerFeedClient : public IWatchableStore {
 public:
-    explicit PeerFeedClient(Endpoint peer)
+    static constexpr Milliseconds defaultListTimeout { 1500 };
+
+    explicit PeerFeedClient(Endpoint peer, Milliseconds listTimeout = defaultListTimeout)
         : m_peer(std::move(peer))
+        , m_listTimeout(listTimeout)
     {
     }
 
@@ -22,6 +25,7 @@
     Awaitable<Result<std::string>> fetch(std::string requestTarget, Clock::duration timeout);
 
     Endpoint m_peer;
+    Milliseconds m_listTimeout;
 };
 
 /// Serves this instance's copy of the store to the peers that follow it.
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -39,6 +39,10 @@
 
     StoreFollower(IWatchableStore&, StoreReplica&, const FleetView&, StoreFollowerOptions, PeerStoreFactory);
 
+    /// Called with the first listing of the store before it is applied, to add what the store has lost.
+    using FirstListingHook = std::function<Awaitable<>(StoreListing&)>;
+    void setFirstListingHook(FirstListingHook hook) { m_firstListingHook = std::move(hook); }
+
     void setReachabilityListener(ReachabilityListener listener) { m_reachabilityListener = std::move(listener); }
 
     /// Both loops run concurrently, so that a store that does not respond does not delay updates from a peer.
@@ -73,6 +77,7 @@
     StoreFollowerOptions m_options;
     PeerStoreFactory m_makePeerStore;
     ReachabilityListener m_reachabilityListener;
+    FirstListingHook m_firstListingHook;
     bool m_reachable = true;
     bool m_relistStore = false;
     bool m_relistPeer = false;
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -41,6 +41,9 @@
     void applyListing(const StoreListing&, BootTime asOf);
     void applyChanges(const StoreChanges&, BootTime asOf);
 
+    /// Takes a value that was written after the one held, and that the store has lost. Returns false if it is not newer.
+    bool adoptNewer(const std::string& key, const std::string& value);
+
     bool loaded() const { return m_loaded; }
     StoreRevision revision() const { return m_revision; }
     /// Offered entries that were not applied because the replica had a newer one of their key.
--- a/src/fleet/tests/restoredstore_test.cpp
+++ b/src/fleet/tests/restoredstore_test.cpp
@@ -141,6 +141,20 @@
     cr_expect(!f.replica.changesAfter({ .era = 2, .number = 110 }, start).historyLost);
 }
 
+/// Guards against CONFIG: an instance that was cut off before the restore never learned what the store had lost.
+Test(RestoredReplica, valueOfPeer_isTakenOnlyIfNewer)
+{
+    RestoredReplicaFixture f;
+    f.restore({ { .key = "numbered/a", .value = "8", .version = 70 }, { .key = "plain", .value = "copied", .version = 71 } });
+    cr_expect(!f.replica.adoptNewer("numbered/a", "7"));
+    cr_expect(!f.replica.adoptNewer("plain", "other"), "its order is unknown");
+    cr_expect(!f.replica.adoptNewer("numbered/b", "1"));
+    cr_expect(f.replica.adoptNewer("numbered/a", "9"));
+    cr_expect(f.valueOf("numbered/a") == "9");
+    f.change("numbered/a", "10", 81);
+    cr_expect(f.valueOf("numbered/a") == "10");
+}
+
 /// Guards against CONFIG: an instance that follows a peer of an older version misses that the store was restored.
 Test(FleetView, peersOfOlderVersions_doNotCountAsReadersOfAStoreThatStatesEras)
 {
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -198,7 +198,7 @@
     const auto& lostServices = m_dispatcher.targetPath().lostServices();
     for (const auto& service : lostServices)
         m_dispatcher.forgetOutcomes(service);
-    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()), .relaysForPeers = m_relaysForPeers, .unreachableServices = lostServices, .storeEra = m_storeEra };
+    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()), .relaysForPeers = m_relaysForPeers, .unreachableServices = lostServices, .storeEra = m_storeEra, .configurationVersion = m_configurationVersion };
     if (complete) {
         report.loads = ledger.localLoads();
     } else {
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -45,7 +45,7 @@
         json limits = json::array();
         for (const auto& [target, limit] : report.limits)
             limits.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices, report.storeEra });
+        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion });
     }
 
     json fieldsOf(const PlacementQuery& query)
@@ -179,8 +179,10 @@
             return report;
         report.relaysForPeers = fields.at(8).get<bool>();
         report.unreachableServices = fields.at(9).get<std::set<std::string>>();
-        if (fields.size() > 10)
-            report.storeEra = fields.at(10).get<std::int64_t>();
+        if (fields.size() <= 10)
+            return report;
+        report.storeEra = fields.at(10).get<std::int64_t>();
+        report.configurationVersion = fields.at(11).get<std::int64_t>();
         return report;
     }
 
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -36,8 +36,13 @@
 
     std::int64_t incarnation() const { return m_incarnation; }
 
-    /// Tells peers, with the next load report, of which era this instance's copy of the store is.
-    void setStoreEra(std::int64_t era) { m_storeEra = era; }
+    /// Tells peers, with the next load report, of which era this instance's copy of the store is, and which configuration
+    /// is in force.
+    void setStoreState(std::int64_t era, std::int64_t configurationVersion)
+    {
+        m_storeEra = era;
+        m_configurationVersion = configurationVersion;
+    }
     /// Tells peers, with the next load report, whether this instance serves requests that they relay to it.
     void setRelaysForPeers(bool relaysForPeers) { m_relaysForPeers = relaysForPeers; }
 
@@ -73,6 +78,7 @@
     std::int64_t m_sequence;
     bool m_relaysForPeers = false;
     std::int64_t m_storeEra = 0;
+    std::int64_t m_configurationVersion = 0;
     std::unordered_map<WorkId, std::shared_ptr<PendingQuery>> m_pendingQueries;
     /// For each request to a model engine, the instance that places it or has placed it.
     std::unordered_map<WorkId, std::string> m_decidingInstances;
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -1,6 +1,7 @@
 #include "placement/placementmessages.h"
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 using namespace guavaspan;
 
@@ -17,7 +18,7 @@
 
 Test(FleetMessage, everyMessageType_encodedAndDecoded_isUnchanged)
 {
-    cr_expect(roundTrips(InstanceLoadReport { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .lastAcceptedGrants = { { "o", 9 } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5, .guessCount = 1, .guessSum = 4, .guessedLengthSum = 5, .guessSquaredSum = 16, .guessLengthProductSum = 20 } } }, .limits = { { "t", { .targetStartedAt = 1LL << 41, .requestsPerSecond = 4.1, .age = Milliseconds(7) } }, { "u", { .targetStartedAt = 2 } } }, .relaysForPeers = true, .unreachableServices = { "s" }, .storeEra = 4 }));
+    cr_expect(roundTrips(InstanceLoadReport { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .lastAcceptedGrants = { { "o", 9 } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5, .guessCount = 1, .guessSum = 4, .guessedLengthSum = 5, .guessSquaredSum = 16, .guessLengthProductSum = 20 } } }, .limits = { { "t", { .targetStartedAt = 1LL << 41, .requestsPerSecond = 4.1, .age = Milliseconds(7) } }, { "u", { .targetStartedAt = 2 } } }, .relaysForPeers = true, .unreachableServices = { "s" }, .storeEra = 4, .configurationVersion = 17 }));
     cr_expect(roundTrips(PlacementQuery { .requester = "n", .requesterIncarnation = 5, .id = ~0ULL, .service = "s", .organisation = "c", .rank = { .priority = 2, .late = true }, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .contentHash = 99, .maxWait = Milliseconds(90) }));
     cr_expect(roundTrips(PlacementResponse { .owner = "o", .id = 3, .status = PlacementStatus::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .late = true, .retryAfter = Milliseconds(70) }));
     cr_expect(roundTrips(PlacementRelease { .requester = "n", .requesterIncarnation = 5, .id = 6 }));
@@ -48,3 +49,22 @@
         decodeFleetMessage(corrupted);
     }
 }
+
+/// Guards against lost reports during an upgrade: those of older versions have fewer fields.
+Test(FleetMessage, loadReportOfOlderVersions_missingFieldsHaveDefaults)
+{
+    InstanceLoadReport report { .instance = "n", .sequence = 3, .relaysForPeers = true, .storeEra = 4, .configurationVersion = 17 };
+    constexpr std::size_t fieldsWithoutRelaying = 8;
+    constexpr std::size_t fieldsWithoutEra = 10;
+    for (auto fieldCount : { fieldsWithoutRelaying, fieldsWithoutEra }) {
+        auto message = nlohmann::json::from_cbor(encodeFleetMessage(report));
+        auto& fields = message.at(1);
+        while (fields.size() > fieldCount)
+            fields.erase(fields.size() - 1);
+        std::string bytes;
+        nlohmann::json::to_cbor(message, bytes);
+        auto decoded = decodeFleetMessage(bytes);
+        cr_assert(decoded && std::holds_alternative<InstanceLoadReport>(*decoded));
+        cr_expect(std::get<InstanceLoadReport>(*decoded) == InstanceLoadReport({ .instance = "n", .sequence = 3, .relaysForPeers = fieldCount == fieldsWithoutEra }));
+    }
+}
--- a/src/routing/internal/activeconfiguration.cpp
+++ b/src/routing/internal/activeconfiguration.cpp
@@ -10,4 +10,11 @@
     return true;
 }
 
+/// The store may have lost the newer version, which may revoke keys.
+void ActiveConfiguration::confirm(BootTime at)
+{
+    if (!knowsNewerVersion())
+        m_confirmedAt = std::max(m_confirmedAt, at);
+}
+
 }
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -89,3 +89,21 @@
     configuration.confirm(confirmedAt - Seconds(3));
     cr_expect(configuration.keysAreCurrent(confirmedAt + Seconds(4)), "an older confirmation does not replace a newer one");
 }
+
+/// Guards against CONFIG: a store that had lost a version confirmed the one before, with the keys that the lost one revokes.
+Test(ActiveConfiguration, peerHasNewerVersion_keysAreNotConfirmed)
+{
+    constexpr auto maxUnconfirmedTime = Seconds(4);
+    BootTime now { Seconds(100) };
+    ActiveConfiguration configuration(maxUnconfirmedTime);
+    configuration.adopt({ .version = 7 });
+    configuration.confirm(now);
+    configuration.onVersionKnown(8);
+    cr_expect(configuration.knowsNewerVersion());
+    now += maxUnconfirmedTime + Seconds(1);
+    configuration.confirm(now);
+    cr_expect(!configuration.keysAreCurrent(now));
+    configuration.adopt({ .version = 8 });
+    configuration.confirm(now);
+    cr_expect(configuration.keysAreCurrent(now));
+}
