--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -60,6 +60,8 @@
     bool listen();
     /// Replaces the configuration of the listing if a peer has a newer one.
     Awaitable<> addNewerConfiguration(StoreListing&);
+    /// The peer's configuration document, if the peer can be asked and has one.
+    Awaitable<std::optional<std::string>> fetchConfigurationOf(InstanceRecord peer, Milliseconds timeout);
     void onPeerVersion(const InstanceLoadReport&);
     Awaitable<> takeConfigurationOf(InstanceRecord peer);
     void onStoreRestored(const StoreRestored&);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -204,17 +204,27 @@
     std::shuffle(peers.begin(), peers.end(), m_random);
     peers.resize(std::min(peers.size(), peersAskedAtStart));
     for (const auto& peer : peers) {
-        PeerFeedClient client(peer.peerEndpoint, startQueryTimeout);
-        auto offered = co_await client.listAll(schema.configurationKey);
-        if (!offered)
+        auto offered = co_await fetchConfigurationOf(peer, startQueryTimeout);
+        if (!offered || schema.compareWriteOrder(configuration->key, *offered, configuration->value) != std::strong_ordering::greater)
             continue;
-        for (const auto& entry : offered->entries) {
-            if (entry.key != schema.configurationKey || schema.compareWriteOrder(entry.key, entry.value, configuration->value) != std::strong_ordering::greater)
-                continue;
-            logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer.name }, { "era", listing.revision.era }, { "revision", listing.revision.number } });
-            configuration->value = entry.value;
-        }
+        logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer.name }, { "era", listing.revision.era }, { "revision", listing.revision.number } });
+        configuration->value = std::move(*offered);
+    }
+}
+
+Awaitable<std::optional<std::string>> EntryInstance::fetchConfigurationOf(InstanceRecord peer, Milliseconds timeout)
+{
+    PeerFeedClient client(peer.peerEndpoint, timeout);
+    auto offered = co_await client.listAll(m_platform.storeSchema.configurationKey);
+    if (!offered) {
+        logEvent(LogLevel::Info, "peer_configuration_not_read", { { "peer", peer.name }, { "detail", describe(offered.error()) } });
+        co_return std::nullopt;
     }
+    for (auto& entry : offered->entries) {
+        if (entry.key == m_platform.storeSchema.configurationKey)
+            co_return std::move(entry.value);
+    }
+    co_return std::nullopt;
 }
 
 void EntryInstance::onPeerVersion(const InstanceLoadReport& report)
@@ -238,14 +248,9 @@
 
 Awaitable<> EntryInstance::takeConfigurationOf(InstanceRecord peer)
 {
-    PeerFeedClient client(peer.peerEndpoint);
-    auto offered = co_await client.listAll(m_platform.storeSchema.configurationKey);
-    if (!offered)
-        co_return;
-    for (const auto& entry : offered->entries) {
-        if (entry.key == m_platform.storeSchema.configurationKey)
-            m_replica.adoptNewer(entry.key, entry.value);
-    }
+    auto offered = co_await fetchConfigurationOf(std::move(peer), PeerFeedClient::defaultListTimeout);
+    if (offered)
+        m_replica.adoptNewer(m_platform.storeSchema.configurationKey, *offered);
 }
 
 void EntryInstance::onStoreRestored(const StoreRestored& event)
--- a/src/fleet/registration.h
+++ b/src/fleet/registration.h
@@ -26,7 +26,7 @@
     std::string m_key;
     InstanceRecord m_record;
     LeaseId m_lease = noLease;
-    /// Both loops register; the lease held must be the one of the last write.
+    /// An entry is being written. The lease held must be the one of the last write, so writes do not overlap.
     bool m_registering = false;
     /// Number of calls of registerAgain(); a registration that one of them overlaps may be lost.
     int m_renewals = 0;
--- a/src/usage/internal/usagehandover.cpp
+++ b/src/usage/internal/usagehandover.cpp
@@ -33,13 +33,14 @@
 
 Awaitable<> receiveUsage(HttpExchange& exchange, UsageCustodian& custodian)
 {
-    auto records = decodeUsageRecords(exchange.request().body());
-    Reply reply { .status = records ? 200U : 400U };
-    if (!records)
-        logEvent(LogLevel::Warning, "usage_records_unreadable", { { "peer", toString(exchange.remote()) }, { "bytes", std::int64_t(exchange.request().body().size()) } });
-    else
+    Reply reply;
+    if (auto records = decodeUsageRecords(exchange.request().body())) {
         for (const auto& record : *records)
             custodian.accept(record, Clock::now());
+    } else {
+        reply.status = 400;
+        logEvent(LogLevel::Warning, "usage_records_unreadable", { { "peer", toString(exchange.remote()) }, { "bytes", std::int64_t(exchange.request().body().size()) } });
+    }
     co_await exchange.send(std::move(reply));
 }
 
