Keep the age of usage records that custodians hand on

What operators would see at scale: during a rolling restart each stopping instance hands all records it holds to two peers, which check each in the store and keep it for another minute. Copies of a record double with each stop of a holder, up to all records at all instances.

Cause: the age of a record was not passed on, both copies of a held record were replaced by two, and what the store was known to have was forgotten. Ruled out: that 2,000 records at most bound it, since the reads of the store grow with the copies.

Change: a handed record carries its age and whether the store had it.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -521,10 +521,8 @@
 Awaitable<bool> EntryInstance::recordLastUsage()
 {
     m_takesUsageRecords = false;
-    auto records = m_usageCustodian.records();
-    if (!m_usage.totals().empty())
-        records.push_back(m_usageWriter.record());
-    if (records.empty())
+    UsageHandover handover { .own = m_usageWriter.record(), .held = m_usageCustodian.heldUsage(Clock::now()) };
+    if (handover.own.totals.empty() && handover.held.empty())
         co_return true;
     std::vector<Endpoint> peers;
     for (const auto& peer : m_fleet.reachablePeers(Clock::now()))
@@ -532,7 +530,7 @@
     std::shuffle(peers.begin(), peers.end(), m_random);
     auto writing = std::make_shared<std::optional<bool>>();
     asio::co_spawn(m_io, storeResult(m_usageWriter.flushChanges(), writing), asio::detached);
-    int accepted = co_await handOverUsage(std::move(records), std::move(peers));
+    int accepted = co_await handOverUsage(std::move(handover), std::move(peers));
     auto deadline = Clock::now() + lastWriteTimeout;
     while (!writing->has_value() && Clock::now() < deadline)
         co_await sleepFor(lastWriteCheckInterval);
--- a/src/usage/internal/usagecustodian.cpp
+++ b/src/usage/internal/usagecustodian.cpp
@@ -21,26 +21,28 @@
 
 }
 
-std::string encodeUsageRecords(const std::vector<UsageRecord>& records)
+std::string encodeHandedUsage(const std::vector<HandedUsage>& usage)
 {
     json list = json::array();
-    for (const auto& record : records)
-        list.push_back(json::array({ record.key, encodeUsage(record.totals) }));
+    for (const auto& handed : usage)
+        list.push_back(json::array({ handed.record.key, encodeUsage(handed.record.totals), handed.age.count(), handed.inStore }));
     std::string bytes;
     json::to_cbor(list, bytes);
     return bytes;
 }
 
-std::optional<std::vector<UsageRecord>> decodeUsageRecords(const std::string& bytes)
+std::optional<std::vector<HandedUsage>> decodeHandedUsage(const std::string& bytes)
 {
     try {
-        std::vector<UsageRecord> records;
+        std::vector<HandedUsage> usage;
         auto list = json::from_cbor(bytes);
         if (!list.is_array())
             return std::nullopt;
-        for (const auto& fields : list)
-            records.push_back({ .key = fields.at(0).get<std::string>(), .totals = decodeUsage(fields.at(1).get<std::string>()) });
-        return records;
+        for (const auto& fields : list) {
+            UsageRecord record { .key = fields.at(0).get<std::string>(), .totals = decodeUsage(fields.at(1).get<std::string>()) };
+            usage.push_back({ .record = std::move(record), .age = Milliseconds(fields.at(2).get<std::int64_t>()), .inStore = fields.at(3).get<bool>() });
+        }
+        return usage;
     } catch (const json::exception&) {
         return std::nullopt;
     }
@@ -51,29 +53,40 @@
 {
 }
 
-void UsageCustodian::accept(const UsageRecord& record, TimePoint now)
+/// A record keeps its age from custodian to custodian, so that it ends even if instances stop one after the other.
+void UsageCustodian::accept(const HandedUsage& handed, TimePoint now)
 {
     dropOldRecords(now);
-    auto& held = m_records[record.key];
-    held = { .totals = mergeRecordCopies(held.totals, record.totals), .acceptedAt = now, .checkAt = now + firstCheckDelay };
+    auto [position, added] = m_records.try_emplace(handed.record.key);
+    auto& held = position->second;
+    auto merged = mergeRecordCopies(held.totals, handed.record.totals);
+    bool inStore = added ? handed.inStore : held.inStore && merged == held.totals;
+    held = { .totals = std::move(merged), .handedOverAt = std::max<TimePoint>(held.handedOverAt, now - handed.age), .checkAt = now + firstCheckDelay, .inStore = inStore };
+}
+
+bool UsageCustodian::mayBeLost(const HeldRecord& held, TimePoint now) const
+{
+    return !held.inStore || held.handedOverAt + maxCopyAge >= now;
 }
 
 void UsageCustodian::dropOldRecords(TimePoint now)
 {
-    std::erase_if(m_records, [&](const auto& entry) { return entry.second.inStore && entry.second.acceptedAt + maxCopyAge < now; });
+    std::erase_if(m_records, [&](const auto& entry) { return !mayBeLost(entry.second, now); });
     if (m_records.size() < maxRecords)
         return;
-    auto oldest = std::min_element(m_records.begin(), m_records.end(), [](const auto& left, const auto& right) { return left.second.acceptedAt < right.second.acceptedAt; });
+    auto oldest = std::min_element(m_records.begin(), m_records.end(), [](const auto& left, const auto& right) { return left.second.handedOverAt < right.second.handedOverAt; });
     logEvent(LogLevel::Warning, "usage_record_dropped", { { "key", oldest->first }, { "in_store", oldest->second.inStore }, { "records", std::int64_t(m_records.size()) } });
     m_records.erase(oldest);
 }
 
-std::vector<UsageRecord> UsageCustodian::records() const
+std::vector<HandedUsage> UsageCustodian::heldUsage(TimePoint now) const
 {
-    std::vector<UsageRecord> records;
-    for (const auto& [key, held] : m_records)
-        records.push_back({ .key = key, .totals = held.totals });
-    return records;
+    std::vector<HandedUsage> usage;
+    for (const auto& [key, held] : m_records) {
+        if (mayBeLost(held, now))
+            usage.push_back({ .record = { .key = key, .totals = held.totals }, .age = std::chrono::ceil<Milliseconds>(now - held.handedOverAt), .inStore = held.inStore });
+    }
+    return usage;
 }
 
 void UsageCustodian::checkAgain(TimePoint now)
--- a/src/usage/tests/usagecustodian_test.cpp
+++ b/src/usage/tests/usagecustodian_test.cpp
@@ -22,6 +22,8 @@
     TimePoint now { Seconds(1000) };
     UsageRecord record { .key = "u/entry-1/1", .totals = { { "a", { .promptTokens = 3, .outputTokens = 9, .requests = 2 } } } };
 
+    void accept(const UsageRecord& accepted) { custodian.accept({ .record = accepted }, now); }
+
     void checkAfter(Milliseconds time)
     {
         now += time;
@@ -37,7 +39,7 @@
 Test(UsageCustodian, recordMissingInStore_isWritten)
 {
     CustodianFixture f;
-    f.custodian.accept(f.record, f.now);
+    f.accept(f.record);
     f.checkAfter(Milliseconds(100));
     cr_expect_eq(f.store.writes, 0, "the instance that stops may still write it");
     f.store.faults = { StoreFault::Outage };
@@ -53,7 +55,7 @@
     UsageWriter writer(f.store, ledger, f.record.key);
     ledger.charge("a", f.record.totals.at("a"));
     cr_expect(runCoroutine(f.context, writer.flush()));
-    f.custodian.accept(f.record, f.now);
+    f.accept(f.record);
     f.checkAfter(Seconds(3));
     f.checkAfter(Seconds(3));
     cr_expect_eq(f.store.writes, 1);
@@ -67,9 +69,9 @@
     UsageCustodian other(f.store);
     auto older = f.record;
     older.totals["a"] = { .promptTokens = 1, .outputTokens = 4, .requests = 1 };
-    f.custodian.accept(f.record, f.now);
-    f.custodian.accept(older, f.now);
-    other.accept(older, f.now);
+    f.accept(f.record);
+    f.accept(older);
+    other.accept({ .record = older }, f.now);
     f.checkAfter(Seconds(3));
     runCoroutine(f.context, checkRecords(other, f.now));
     cr_expect(f.recorded() == f.record.totals);
@@ -80,7 +82,7 @@
 {
     CustodianFixture f;
     auto copy = f.store.model;
-    f.custodian.accept(f.record, f.now);
+    f.accept(f.record);
     f.checkAfter(Seconds(3));
     f.store.model = copy;
     f.custodian.checkAgain(f.now);
@@ -91,19 +93,52 @@
 Test(UsageCustodian, recordLongInStore_isDropped)
 {
     CustodianFixture f;
-    f.custodian.accept(f.record, f.now);
+    f.accept(f.record);
     f.checkAfter(Seconds(3));
-    cr_expect_eq(f.custodian.records().size(), 1);
+    cr_expect_eq(f.custodian.heldUsage(f.now).size(), 1);
     f.now += Seconds(90);
     f.custodian.checkAgain(f.now);
-    cr_expect(f.custodian.records().empty());
+    cr_expect(f.custodian.heldUsage(f.now).empty());
+}
+
+/// Guards against copies of records that multiply: custodians that stop one after the other hand them on, each for a minute more.
+Test(UsageCustodian, recordHandedOn_keepsItsAgeAndNeedsNoCheck)
+{
+    CustodianFixture f;
+    f.accept(f.record);
+    f.checkAfter(Seconds(3));
+    f.now += Seconds(37);
+    auto handedOn = f.custodian.heldUsage(f.now);
+    cr_assert_eq(handedOn.size(), 1);
+    cr_expect(handedOn.front() == HandedUsage({ .record = f.record, .age = Seconds(40), .inStore = true }));
+    UsageCustodian next(f.store);
+    next.accept(handedOn.front(), f.now);
+    auto reads = f.store.reads;
+    f.now += Seconds(10);
+    runCoroutine(f.context, checkRecords(next, f.now));
+    cr_expect_eq(f.store.reads, reads, "the store had the record");
+    cr_expect_eq(next.heldUsage(f.now).size(), 1);
+    f.now += Seconds(15);
+    cr_expect(next.heldUsage(f.now).empty());
+}
+
+Test(UsageCustodian, copyWithMoreUsage_isCheckedAgain)
+{
+    CustodianFixture f;
+    f.accept(f.record);
+    f.checkAfter(Seconds(3));
+    auto later = f.record;
+    later.totals["a"].requests += 1;
+    f.accept(later);
+    f.checkAfter(Seconds(3));
+    cr_expect(f.recorded() == later.totals);
 }
 
-Test(UsageRecords, codec_validAndMalformedBytes_roundTripsOrRejects)
+Test(HandedUsage, codec_validAndMalformedBytes_roundTripsOrRejects)
 {
     CustodianFixture f;
-    std::vector<UsageRecord> records { f.record, { .key = "u/2" } };
-    cr_expect(decodeUsageRecords(encodeUsageRecords(records)) == records);
+    std::vector<HandedUsage> usage { { .record = f.record, .age = Milliseconds(7), .inStore = true }, { .record = { .key = "u/2" } } };
+    cr_expect(decodeHandedUsage(encodeHandedUsage(usage)) == usage);
     for (const char* bytes : { "", "x", "\x81\x01", "\xa0\x00" })
-        cr_expect(!decodeUsageRecords(bytes).has_value());
+        cr_expect(!decodeHandedUsage(bytes).has_value());
 }
--- a/src/usage/usagecustodian.h
+++ b/src/usage/usagecustodian.h
@@ -11,19 +11,30 @@
 
 namespace guavaspan {
 
-std::string encodeUsageRecords(const std::vector<UsageRecord>&);
+/// A usage record on its way to a custodian.
+struct HandedUsage {
+    UsageRecord record;
+    /// Time since the instance that the record is of handed it over.
+    Milliseconds age { 0 };
+    /// The store had the record; it is kept in case the store comes back from a copy without it.
+    bool inStore = false;
+
+    friend bool operator==(const HandedUsage&, const HandedUsage&) = default;
+};
+
+std::string encodeHandedUsage(const std::vector<HandedUsage>&);
 /// Empty if the bytes are malformed.
-std::optional<std::vector<UsageRecord>> decodeUsageRecords(const std::string&);
+std::optional<std::vector<HandedUsage>> decodeHandedUsage(const std::string&);
 
 /// Keeps the last usage records of instances that stop, and writes those that the store lacks.
 class UsageCustodian {
 public:
     explicit UsageCustodian(IKeyValueStore&);
 
-    void accept(const UsageRecord&, TimePoint now);
+    void accept(const HandedUsage&, TimePoint now);
 
     /// Records that the store lacks, or may still lose. Another custodian takes them when this instance stops.
-    std::vector<UsageRecord> records() const;
+    std::vector<HandedUsage> heldUsage(TimePoint now) const;
 
     /// The store may have lost records.
     void checkAgain(TimePoint now);
@@ -36,13 +47,14 @@
 private:
     struct HeldRecord {
         UsageByOrganisation totals;
-        TimePoint acceptedAt;
+        TimePoint handedOverAt;
         TimePoint checkAt;
         bool inStore = false;
     };
 
     Awaitable<bool> write(std::string key, UsageByOrganisation totals);
     void dropOldRecords(TimePoint now);
+    bool mayBeLost(const HeldRecord&, TimePoint now) const;
 
     IKeyValueStore& m_store;
     std::map<std::string, HeldRecord> m_records;
