Keep lost registrations for as long as all instances need to register again

What callers would see in a large fleet after the store came back from a copy: peers that are forgotten and come back for up to 30 s, while owners of pools and shares of budgets change with each of them.

Cause: each instance chose its delay within a time that grows with the fleet (32 s at 1,600), but its peers kept its registration for 2.5 s. Two constants for one thing. Ruled out: registering without delay, which would be 4,800 writes at once against 400 a second.

Change: both sides use rewriteSpread(). A registration that is older than any copy is only renewed, so in a fleet that has run for a minute nothing is written; three writes of each otherwise. Usage follows, one write of each. The age of the oldest copy is one constant instead of three.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -65,8 +65,8 @@
     void onPeerVersion(const InstanceLoadReport&);
     Awaitable<> takeConfigurationOf(InstanceRecord peer);
     void onStoreRestored(const StoreRestored&);
-    /// Writes again what the store may have lost of this instance.
-    Awaitable<> writeRecordsAgain(Milliseconds delay);
+    /// Writes again what the store may have lost of this instance. The position, from 0 to 1, is its place among all instances.
+    Awaitable<> writeRecordsAgain(double position);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -4,6 +4,7 @@
 #include "common/overloaded.h"
 #include "common/stopsignals.h"
 #include "entry/drain.h"
+#include "fleet/storerewrite.h"
 #include "net/logflusher.h"
 #include "usage/usagehandover.h"
 
@@ -28,10 +29,7 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
-    /// Calls to the store that an instance needs to write its records again, and the rate of those of all instances
-    /// together, which leaves half of the store's writes to others.
-    constexpr int callsToWriteRecordsAgain = 4;
-    constexpr int maxRewriteCallsPerSecond = 200;
+    constexpr int callsToWriteUsageAgain = 1;
 
     /// Time that an instance waits for the store's answer to its last write once peers have its usage.
     constexpr auto lastWriteTimeout = Milliseconds(400);
@@ -258,18 +256,19 @@
     ++m_storeRestorations;
     m_directory.onStoreRestored(Clock::now());
     m_fleet.onStoreRestored(Clock::now());
-    auto maxDelay = Milliseconds(1000) * m_fleet.instanceCount() * callsToWriteRecordsAgain / maxRewriteCallsPerSecond;
-    auto delay = Milliseconds(std::uniform_int_distribution<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(maxDelay).count())(m_random));
-    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() }, { "rewrite_delay_ms", delay.count() } });
-    asio::co_spawn(m_io, writeRecordsAgain(delay), asio::detached);
+    auto position = std::uniform_real_distribution<double>(0, 1)(m_random);
+    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() }, { "rewrite_position", position } });
+    asio::co_spawn(m_io, writeRecordsAgain(position), asio::detached);
 }
 
-Awaitable<> EntryInstance::writeRecordsAgain(Milliseconds delay)
+/// Registrations come first, as peers divide budgets by them.
+Awaitable<> EntryInstance::writeRecordsAgain(double position)
 {
-    co_await sleepFor(delay);
+    auto delayFor = [&](int calls) { return std::chrono::duration_cast<Milliseconds>(position * rewriteSpread(m_fleet.instanceCount(), calls)); };
+    co_await m_registration.registerAgain({ .delay = delayFor(callsToRegisterAgain) });
+    co_await sleepFor(delayFor(callsToWriteUsageAgain));
     m_crashRecordWriter.writeAgain();
     m_usageCustodian.checkAgain(Clock::now());
-    co_await m_registration.registerAgain();
     co_await m_usageWriter.writeAgain();
 }
 
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -22,7 +22,7 @@
 
     /// The store came back from a copy. Instances that the copy lacks stay registered until they have had time to
     /// register again.
-    void onStoreRestored(TimePoint now) { m_storeRestoredAt = now; }
+    void onStoreRestored(TimePoint now);
 
     /// Removes instances that did not register again in time.
     void onTick(TimePoint now);
@@ -80,10 +80,11 @@
     std::string m_self;
     int m_cpuMillicores = 0;
     bool m_storeStatesEras = false;
-    std::optional<TimePoint> m_storeRestoredAt;
+    /// Until when instances may register again.
+    TimePoint m_lostKeysKeptUntil;
     std::map<std::string, InstanceRecord> m_registered;
-    /// Keys that the store lost, by the time until which their instances may register again.
-    std::map<std::string, TimePoint> m_lostKeys;
+    /// Keys that a restored store lacks.
+    std::set<std::string> m_lostKeys;
     std::map<std::string, LastReport> m_lastReports;
 };
 
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleetview.h"
 
 #include "common/hash.h"
+#include "fleet/storerewrite.h"
 
 #include <algorithm>
 
@@ -16,8 +17,8 @@
     constexpr std::size_t minStoreReaders = 2;
     /// Followers that one reader serves; each sends it about one request per second.
     constexpr std::size_t followersPerReader = 100;
-    /// Instances write again within about two seconds what a restored store has lost of theirs.
-    constexpr auto reregistrationTime = Milliseconds(2500);
+    /// Time to notice that the store was restored, to register, and for others to read it.
+    constexpr auto registrationTime = Milliseconds(2500);
     constexpr const char* storeReaderKey = "store-reader";
 
 }
@@ -30,20 +31,24 @@
 
 void FleetView::onUnregistered(const std::string& key, TimePoint now)
 {
-    if (m_storeRestoredAt && now < *m_storeRestoredAt + reregistrationTime)
-        m_lostKeys.insert_or_assign(key, *m_storeRestoredAt + reregistrationTime);
+    if (now < m_lostKeysKeptUntil)
+        m_lostKeys.insert(key);
     else
         m_registered.erase(key);
 }
 
+void FleetView::onStoreRestored(TimePoint now)
+{
+    m_lostKeysKeptUntil = now + rewriteSpread(instanceCount(), callsToRegisterAgain) + registrationTime;
+}
+
 void FleetView::onTick(TimePoint now)
 {
-    std::erase_if(m_lostKeys, [&](const auto& lost) {
-        bool due = lost.second <= now;
-        if (due)
-            m_registered.erase(lost.first);
-        return due;
-    });
+    if (m_lostKeys.empty() || now < m_lostKeysKeptUntil)
+        return;
+    for (const auto& key : m_lostKeys)
+        m_registered.erase(key);
+    m_lostKeys.clear();
 }
 
 bool FleetView::onReport(const InstanceLoadReport& report, TimePoint now)
--- a/src/fleet/internal/registration.cpp
+++ b/src/fleet/internal/registration.cpp
@@ -36,6 +36,7 @@
     if (!lease || m_renewals != renewals)
         co_return false;
     m_lease = *lease;
+    m_registeredAt = Clock::now();
     co_return true;
 }
 
@@ -62,8 +63,16 @@
     co_return *lease;
 }
 
-Awaitable<> Registration::registerAgain()
+/// The lease of an earlier registration is in the copy, but may be about to expire there, or have expired.
+Awaitable<> Registration::registerAgain(RegisterAgainOptions options)
 {
+    if (m_lease != noLease && m_registeredAt + options.oldestCopy < Clock::now()) {
+        co_await renewLease();
+        if (m_lease != noLease)
+            co_return;
+    }
+    // Until then the lease held keeps run() from registering before the delay has passed.
+    co_await sleepFor(options.delay);
     ++m_renewals;
     m_lease = noLease;
     while (!m_stopped && m_lease == noLease) {
@@ -73,15 +82,20 @@
     }
 }
 
+Awaitable<> Registration::renewLease()
+{
+    auto lease = m_lease;
+    auto renewed = co_await m_store.keepLeaseAlive(lease);
+    if (!renewed && renewed.error().code == ErrorCode::NotFound && m_lease == lease)
+        m_lease = noLease;
+}
+
 Awaitable<> Registration::run()
 {
     while (!m_stopped) {
         bool leaseHeld = m_lease != noLease;
         if (leaseHeld) {
-            auto lease = m_lease;
-            auto renewed = co_await m_store.keepLeaseAlive(lease);
-            if (!renewed && renewed.error().code == ErrorCode::NotFound && m_lease == lease)
-                m_lease = noLease;
+            co_await renewLease();
             leaseHeld = m_lease != noLease;
         }
         if (!leaseHeld)
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -9,8 +9,6 @@
 
     /// Changes kept for followers: a few seconds of changes in a busy fleet.
     constexpr std::size_t maxHistoryLength = 500;
-    /// Age of the oldest copy from which the store is expected to come back.
-    constexpr auto maxCopyAge = Seconds(60);
 
 }
 
@@ -50,7 +48,7 @@
 
 void StoreReplica::rememberRemoved(const std::string& key, std::string value, BootTime asOf)
 {
-    std::erase_if(m_removedEntries, [&](const auto& entry) { return entry.second.removedAt + maxCopyAge < asOf; });
+    std::erase_if(m_removedEntries, [&](const auto& entry) { return entry.second.removedAt + maxStoreCopyAge < asOf; });
     m_removedEntries.insert_or_assign(key, RemovedEntry { .value = std::move(value), .removedAt = asOf });
 }
 
--- a/src/fleet/registration.h
+++ b/src/fleet/registration.h
@@ -5,6 +5,15 @@
 
 namespace guavaspan {
 
+struct RegisterAgainOptions {
+    /// Time to wait before the first write.
+    Milliseconds delay { 0 };
+    /// An entry that is older than this, and its lease, are in every copy from which the store may have come back.
+    Clock::duration oldestCopy = maxStoreCopyAge;
+
+    friend bool operator==(const RegisterAgainOptions&, const RegisterAgainOptions&) = default;
+};
+
 /// Keeps this instance's entry in the shared store alive with a lease until it is stopped.
 class Registration {
 public:
@@ -14,11 +23,12 @@
     const std::string& key() const { return m_key; }
 
     Awaitable<> run();
-    /// Writes the entry again with a new lease, because the store may have lost both.
-    Awaitable<> registerAgain();
+    /// Renews the lease, or writes the entry again with a new one if a store that came back from a copy may have lost both.
+    Awaitable<> registerAgain(RegisterAgainOptions);
     void stop() { m_stopped = true; }
 
 private:
+    Awaitable<> renewLease();
     Awaitable<bool> registerInstance();
     Awaitable<std::optional<LeaseId>> writeEntry();
 
@@ -26,6 +36,7 @@
     std::string m_key;
     InstanceRecord m_record;
     LeaseId m_lease = noLease;
+    TimePoint m_registeredAt;
     /// An entry is being written. The lease held must be the one of the last write, so writes do not overlap.
     bool m_registering = false;
     /// Number of calls of registerAgain(); a registration that one of them overlaps may be lost.
--- a/src/fleet/tests/registration_test.cpp
+++ b/src/fleet/tests/registration_test.cpp
@@ -19,7 +19,7 @@
     FakeKeyValueStore store;
     Registration registration { store, "instances/", { .name = "entry-1" }, 1 };
 
-    void registerAgain() { runCoroutine(context, completed(registration.registerAgain())); }
+    void registerAgain(RegisterAgainOptions options = {}) { runCoroutine(context, completed(registration.registerAgain(options))); }
 
     std::size_t registeredInstances() { return runCoroutine(context, store.list("instances/"))->size(); }
 };
@@ -46,3 +46,23 @@
     f.registerAgain();
     cr_expect_eq(f.registeredInstances(), 1);
 }
+
+Test(Registration, registeredBeforeTheOldestCopy_leaseIsOnlyRenewed)
+{
+    RegistrationFixture f;
+    f.registerAgain();
+    auto writes = f.store.writes;
+    f.registerAgain({ .oldestCopy = Seconds(0) });
+    cr_expect_eq(f.store.writes, writes);
+    cr_expect_eq(f.registeredInstances(), 1);
+}
+
+/// Guards against lost registrations: the lease may have expired while the store was away.
+Test(Registration, leaseOfEarlierRegistrationHasExpired_isRegisteredAgain)
+{
+    RegistrationFixture f;
+    f.registerAgain();
+    f.store.model = {};
+    f.registerAgain({ .oldestCopy = Seconds(0) });
+    cr_expect_eq(f.registeredInstances(), 1);
+}
--- a/src/fleet/tests/restoredstore_test.cpp
+++ b/src/fleet/tests/restoredstore_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetview.h"
 #include "fleet/storereplica.h"
+#include "fleet/storerewrite.h"
 
 #include <criterion/criterion.h>
 
@@ -173,6 +174,29 @@
     cr_expect(readers.front().name == "new");
 }
 
+/// Guards against instances without peers: in a large fleet the last ones register again many seconds after the restore.
+Test(FleetView, largeFleetLosesAllRegistrations_keepsThemUntilAllHadTimeToRegister)
+{
+    constexpr int instances = 1600;
+    FleetView fleet("self", 100);
+    TimePoint now { Seconds(10) };
+    for (int i = 1; i < instances; ++i) {
+        auto name = std::to_string(i);
+        fleet.onRegistered(name, { .name = name });
+    }
+    auto registrationSpread = rewriteSpread(instances, callsToRegisterAgain);
+    cr_expect_eq(registrationSpread.count(), 24000, "three writes of each at 200 a second");
+    fleet.onStoreRestored(now);
+    for (int i = 1; i < instances; ++i)
+        fleet.onUnregistered(std::to_string(i), now);
+    now += registrationSpread;
+    fleet.onTick(now);
+    cr_expect_eq(fleet.instanceCount(), instances);
+    now += Seconds(3);
+    fleet.onTick(now);
+    cr_expect_eq(fleet.instanceCount(), 1);
+}
+
 /// Guards against instances without peers: all that had registered since the copy were forgotten until they registered again.
 Test(FleetView, registrationsLostByRestoredStore_areKeptUntilWrittenAgain)
 {
--- a/src/keyvalue/keyvaluetypes.h
+++ b/src/keyvalue/keyvaluetypes.h
@@ -1,10 +1,15 @@
 #pragma once
 
+#include "common/time.h"
+
 #include <cstdint>
 #include <string>
 
 namespace guavaspan {
 
+/// Age of the oldest copy from which a store is expected to come back; writes that it acknowledged earlier are safe.
+inline constexpr auto maxStoreCopyAge = Seconds(60);
+
 /// Version of a key that does not exist.
 inline constexpr std::int64_t absentVersion = 0;
 
--- a/src/quarantine/internal/crashrecordwriter.cpp
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -17,8 +17,7 @@
     /// Records are removed by their lease; the longest one that the platform grants lasts ten minutes.
     constexpr auto recordLifetime = Seconds(600);
     constexpr std::size_t maxKnownKeys = 10000;
-    /// Records that the store may have lost when it comes back from a copy: age of the oldest copy, and their number.
-    constexpr auto maxCopyAge = Seconds(60);
+    /// Records that are kept in case the store comes back from a copy.
     constexpr std::size_t maxLatestRecords = 500;
     constexpr const char* promptPartMarker = "prompt-part";
 
@@ -87,7 +86,7 @@
 void CrashRecordWriter::writeAgain()
 {
     auto now = Clock::now();
-    std::erase_if(m_latestRecords, [&](const AddedRecord& added) { return added.addedAt + maxCopyAge < now; });
+    std::erase_if(m_latestRecords, [&](const AddedRecord& added) { return added.addedAt + maxStoreCopyAge < now; });
     for (const auto& added : m_latestRecords)
         m_queue.push_back(added.record);
 }
--- a/src/usage/internal/usagecustodian.cpp
+++ b/src/usage/internal/usagecustodian.cpp
@@ -15,8 +15,6 @@
     /// The instance that stops writes its record itself if the store responds, within a second.
     constexpr auto firstCheckDelay = Milliseconds(2000);
     constexpr auto retryDelay = Milliseconds(1000);
-    /// Age of the oldest copy from which the store is expected to come back.
-    constexpr auto maxCopyAge = Seconds(60);
     constexpr std::size_t maxRecords = 2000;
 
 }
@@ -66,7 +64,7 @@
 
 bool UsageCustodian::mayBeLost(const HeldRecord& held, TimePoint now) const
 {
-    return !held.inStore || held.handedOverAt + maxCopyAge >= now;
+    return !held.inStore || held.handedOverAt + maxStoreCopyAge >= now;
 }
 
 void UsageCustodian::dropOldRecords(TimePoint now)
--- a/src/usage/internal/usagewriter.cpp
+++ b/src/usage/internal/usagewriter.cpp
@@ -39,6 +39,7 @@
     if (m_ledger.totals().empty())
         co_return;
     m_hasUnwrittenChanges = true;
+    m_versionKnown = false;
     for (int write = 0; write < maxWrites; ++write) {
         bool written = co_await flushChanges();
         if (written)
