--- a/src/entry/drain.h
+++ b/src/entry/drain.h
@@ -19,13 +19,15 @@
     std::function<void()> cutRequests;
     /// Writes use that is not on record; false if that failed.
     std::function<Awaitable<bool>()> writeUsage;
+    /// Hands use to peers, which write it if the store lacks it; false if none took it.
+    std::function<Awaitable<bool>()> handOverUsage;
     /// Asked before each step, since settings that are read again may change it.
     std::function<StopSchedule()> schedule;
 };
 
 /// Waits until a stopping instance may end its process: the load balancer has stopped sending requests, answers have
 /// been sent and read, and use is on record or cannot be written in time. Ends before the host kills the process.
-/// False if use is not on record.
+/// False if use is neither on record nor with a peer.
 Awaitable<bool> drain(DrainOptions);
 
 }
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "entry/configurationcatchup.h"
 #include "entry/entrysettings.h"
+#include "entry/storerecovery.h"
+#include "entry/storeschema.h"
 #include "fleet/fleetcensus.h"
 #include "fleet/peerfeed.h"
 #include "fleet/registration.h"
@@ -15,28 +18,12 @@
 #include "relay/handoverservice.h"
 #include "relay/requesthandler.h"
 #include "relay/targetpathprober.h"
-#include "usage/usagecustodian.h"
-#include "usage/usagewriter.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 
 namespace guavaspan {
 
-/// Keys of the shared store and decoders of their values, as the platform defines them.
-struct StoreSchema {
-    std::string configurationKey;
-    std::string targetPrefix;
-    std::string instancePrefix;
-    std::string usagePrefix;
-    std::string crashPrefix;
-    std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
-    std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
-
-    /// Compares two values of a key by the order in which they were written; empty if the values do not tell it.
-    std::optional<std::strong_ordering> compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const;
-};
-
 /// Platform services and formats that an entry instance uses.
 struct EntryPlatform {
     IKeyValueStore& keyValue;
@@ -58,15 +45,6 @@
 
 private:
     bool listen();
-    /// Replaces the configuration of the listing if a peer has a newer one.
-    Awaitable<> addNewerConfiguration(StoreListing&);
-    /// The peer's configuration document, if the peer can be asked and has one.
-    Awaitable<std::optional<std::string>> fetchConfigurationOf(InstanceRecord peer, Milliseconds timeout);
-    void onPeerVersion(const InstanceLoadReport&);
-    Awaitable<> takeConfigurationOf(InstanceRecord peer);
-    void onStoreRestored(const StoreRestored&);
-    /// Writes again what the store may have lost of this instance. The position, from 0 to 1, is its place among all instances.
-    Awaitable<> writeRecordsAgain(double position);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
@@ -76,8 +54,7 @@
     Awaitable<> tickLoop();
     Awaitable<> handleStopSignals();
     Awaitable<> drainAndStop();
-    /// Writes the usage totals to the store and hands them to peers; false if neither worked.
-    Awaitable<bool> recordLastUsage();
+    Awaitable<bool> handOverLastUsage();
     Awaitable<> servePeer(HttpExchange&);
     void cutRequests();
     void logCutConnections();
@@ -118,6 +95,8 @@
     HandoverService m_handoverService;
     EngineShutdownPoller m_shutdownPoller;
     Registration m_registration;
+    StoreRecovery m_storeRecovery;
+    ConfigurationCatchUp m_configurationCatchUp;
     TargetPathProber m_targetPathProber;
     RequestHandler m_requestHandler;
     PeerFeedServer m_peerFeed;
@@ -127,9 +106,6 @@
     asio::signal_set m_stopSignals;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
-    int m_storeRestorations = 0;
-    /// Since when a peer has had a newer configuration in force than this instance.
-    std::optional<TimePoint> m_behindPeerSince;
     /// Records that peers hand over from now on would end with this process.
     bool m_takesUsageRecords = true;
     std::optional<int> m_retrySharers;
--- a/src/entry/internal/drain.cpp
+++ b/src/entry/internal/drain.cpp
@@ -1,6 +1,8 @@
 #include "entry/drain.h"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 
 namespace guavaspan {
 
@@ -10,9 +12,11 @@
     /// Longest time to wait for the last write of use if the store does not respond.
     constexpr auto writeTimeout = Milliseconds(1000);
 
-    Awaitable<> writeAndNotify(std::function<Awaitable<bool>()> writeUsage, std::shared_ptr<bool> written)
+    using OperationResult = std::shared_ptr<std::optional<bool>>;
+
+    Awaitable<> runAndNotify(std::function<Awaitable<bool>()> operation, OperationResult result)
     {
-        *written = co_await writeUsage();
+        *result = co_await operation();
     }
 
     Awaitable<> waitUntilIdle(const DrainOptions& options, std::function<TimePoint()> latest)
@@ -35,14 +39,19 @@
         co_await waitUntilIdle(options, std::move(answersEndAt));
     }
 
-    Awaitable<bool> writeUsage(const DrainOptions& options)
+    /// A store that does not respond, or comes back from a copy later, has no other source for the use than peers. Both run at the
+    /// same time so that neither takes up the time of the other.
+    Awaitable<bool> saveUsage(const DrainOptions& options)
     {
-        auto written = std::make_shared<bool>(false);
-        asio::co_spawn(co_await asio::this_coro::executor, writeAndNotify(options.writeUsage, written), asio::detached);
+        auto executor = co_await asio::this_coro::executor;
+        auto written = std::make_shared<std::optional<bool>>();
+        auto handedOver = std::make_shared<std::optional<bool>>();
+        asio::co_spawn(executor, runAndNotify(options.writeUsage, written), asio::detached);
+        asio::co_spawn(executor, runAndNotify(options.handOverUsage, handedOver), asio::detached);
         auto deadline = std::min<TimePoint>(Clock::now() + writeTimeout, options.schedule().processEndsAt());
-        while (!*written && Clock::now() < deadline)
+        while ((!*written || !*handedOver) && Clock::now() < deadline)
             co_await sleepFor(checkInterval);
-        co_return *written;
+        co_return written->value_or(false) || handedOver->value_or(false);
     }
 
 }
@@ -61,12 +70,12 @@
     options.closeListener();
     while (true) {
         auto endedBefore = options.endedRequests();
-        bool written = co_await writeUsage(options);
+        bool saved = co_await saveUsage(options);
         bool requestArrived = options.busyConnections() > 0 || options.endedRequests() != endedBefore;
         if (!requestArrived || Clock::now() >= options.schedule().requestsEndAt())
-            co_return written;
+            co_return saved;
         co_await waitForRequests(options);
-        if (!written)
+        if (!saved)
             co_return false;
     }
 }
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -4,12 +4,10 @@
 #include "common/overloaded.h"
 #include "common/stopsignals.h"
 #include "entry/drain.h"
-#include "fleet/storerewrite.h"
 #include "net/logflusher.h"
 #include "usage/usagehandover.h"
 
 #include <algorithm>
-
 #include <csignal>
 
 namespace guavaspan {
@@ -29,18 +27,6 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
-    constexpr int callsToWriteUsageAgain = 1;
-
-    /// Time that an instance waits for the store's answer to its last write once peers have its usage.
-    constexpr auto lastWriteTimeout = Milliseconds(400);
-    constexpr auto lastWriteCheckInterval = Milliseconds(10);
-
-    /// Longer than a configuration takes from one instance to all others by way of the store.
-    constexpr auto configurationSpreadTime = Milliseconds(1000);
-    /// Peers that a new instance asks for a newer configuration than the store has, and the time for each answer.
-    constexpr std::size_t peersAskedAtStart = 2;
-    constexpr auto startQueryTimeout = Milliseconds(200);
-
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -49,11 +35,6 @@
         return { .maxBodyBytes = limits.maxBodyBytes, .maxHeaderBytes = limits.maxHeaderBytes, .headerTimeout = limits.headerTimeout, .writeTimeout = callerWriteTimeout, .idleTimeout = limits.idleTimeout };
     }
 
-    Awaitable<> storeResult(Awaitable<bool> operation, std::shared_ptr<std::optional<bool>> result)
-    {
-        *result = co_await std::move(operation);
-    }
-
     StoreFollower::PeerStoreFactory peerStoreFactory()
     {
         return [](const InstanceRecord& peer) { return std::make_unique<PeerFeedClient>(peer.peerEndpoint); };
@@ -61,25 +42,6 @@
 
 }
 
-std::optional<std::strong_ordering> StoreSchema::compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const
-{
-    if (key == configurationKey) {
-        auto leftConfiguration = decodeConfiguration(left);
-        auto rightConfiguration = decodeConfiguration(right);
-        if (!leftConfiguration || !rightConfiguration)
-            return std::nullopt;
-        return leftConfiguration->version <=> rightConfiguration->version;
-    }
-    if (!key.starts_with(targetPrefix))
-        return std::nullopt;
-    auto id = key.substr(targetPrefix.size());
-    auto leftTarget = decodeTarget(id, left);
-    auto rightTarget = decodeTarget(id, right);
-    if (!leftTarget || !rightTarget)
-        return std::nullopt;
-    return guavaspan::compareWriteOrder(*leftTarget, *rightTarget);
-}
-
 EntryInstance::EntryInstance(EntrySettings settings, EntryPlatform platform)
     : m_settings(std::move(settings))
     , m_platform(std::move(platform))
@@ -105,6 +67,8 @@
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
     , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity, .callerEndpoint = m_settings.callers }, unixMilliseconds())
+    , m_storeRecovery({ .io = m_io, .fleet = m_fleet, .directory = m_directory, .replica = m_replica, .registration = m_registration, .usageWriter = m_usageWriter, .usageCustodian = m_usageCustodian, .crashRecordWriter = m_crashRecordWriter, .random = m_random })
+    , m_configurationCatchUp({ .io = m_io, .instance = m_settings.instance, .schema = m_platform.storeSchema, .fleet = m_fleet, .replica = m_replica, .configuration = m_configuration, .random = m_random })
     , m_targetPathProber(m_io, m_dispatcher, m_directory, Random(m_random()))
     , m_requestHandler(m_relayContext)
     , m_peerFeed(m_replica)
@@ -122,8 +86,8 @@
         m_peerFeed.onReplicaChanged();
     });
     m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
-    m_follower.setFirstListingHook([this](StoreListing& listing) { return addNewerConfiguration(listing); });
-    m_replica.setRestoreListener([this](const StoreRestored& event) { onStoreRestored(event); });
+    m_follower.setFirstListingHook([this](StoreListing& listing) { return m_configurationCatchUp.completeFirstListing(listing); });
+    m_replica.setRestoreListener([this](const StoreRestored& event) { m_storeRecovery.onStoreRestored(event); });
     m_directory.setUnavailableListener([this](const TargetUnavailable& event) {
         m_crashGuard.onTargetUnavailable(event);
         m_promptGuard.onTargetUnavailable(event);
@@ -185,93 +149,6 @@
     return 0;
 }
 
-/// A store that came back from a copy may have an older configuration until the operator writes again; instances that ran
-/// before know the newer one, and the keys that it revokes.
-Awaitable<> EntryInstance::addNewerConfiguration(StoreListing& listing)
-{
-    const auto& schema = m_platform.storeSchema;
-    auto configuration = std::find_if(listing.entries.begin(), listing.entries.end(), [&](const KeyValueEntry& entry) { return entry.key == schema.configurationKey; });
-    if (listing.revision.era == 0 || configuration == listing.entries.end())
-        co_return;
-    std::vector<InstanceRecord> peers;
-    for (const auto& entry : listing.entries) {
-        auto record = entry.key.starts_with(schema.instancePrefix) ? decodeInstanceRecord(entry.value) : std::nullopt;
-        if (record && record->name != m_settings.instance)
-            peers.push_back(std::move(*record));
-    }
-    std::shuffle(peers.begin(), peers.end(), m_random);
-    peers.resize(std::min(peers.size(), peersAskedAtStart));
-    for (const auto& peer : peers) {
-        auto offered = co_await fetchConfigurationOf(peer, startQueryTimeout);
-        if (!offered || schema.compareWriteOrder(configuration->key, *offered, configuration->value) != std::strong_ordering::greater)
-            continue;
-        logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer.name }, { "era", listing.revision.era }, { "revision", listing.revision.number } });
-        configuration->value = std::move(*offered);
-    }
-}
-
-Awaitable<std::optional<std::string>> EntryInstance::fetchConfigurationOf(InstanceRecord peer, Milliseconds timeout)
-{
-    PeerFeedClient client(peer.peerEndpoint, timeout);
-    auto offered = co_await client.listAll(m_platform.storeSchema.configurationKey);
-    if (!offered) {
-        logEvent(LogLevel::Info, "peer_configuration_not_read", { { "peer", peer.name }, { "detail", describe(offered.error()) } });
-        co_return std::nullopt;
-    }
-    for (auto& entry : offered->entries) {
-        if (entry.key == m_platform.storeSchema.configurationKey)
-            co_return std::move(entry.value);
-    }
-    co_return std::nullopt;
-}
-
-void EntryInstance::onPeerVersion(const InstanceLoadReport& report)
-{
-    if (report.configurationVersion <= m_configuration.version()) {
-        if (!m_configuration.knowsNewerVersion())
-            m_behindPeerSince.reset();
-        return;
-    }
-    m_configuration.onVersionKnown(report.configurationVersion);
-    auto now = Clock::now();
-    if (!m_behindPeerSince)
-        m_behindPeerSince = now;
-    const auto* peer = m_fleet.find(report.instance);
-    if (!peer || now < *m_behindPeerSince + configurationSpreadTime)
-        return;
-    m_behindPeerSince = now;
-    logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", report.instance }, { "version", report.configurationVersion }, { "in_force", m_configuration.version() } });
-    asio::co_spawn(m_io, takeConfigurationOf(*peer), asio::detached);
-}
-
-Awaitable<> EntryInstance::takeConfigurationOf(InstanceRecord peer)
-{
-    auto offered = co_await fetchConfigurationOf(std::move(peer), PeerFeedClient::defaultListTimeout);
-    if (offered)
-        m_replica.adoptNewer(m_platform.storeSchema.configurationKey, *offered);
-}
-
-void EntryInstance::onStoreRestored(const StoreRestored& event)
-{
-    ++m_storeRestorations;
-    m_directory.onStoreRestored(Clock::now());
-    m_fleet.onStoreRestored(Clock::now());
-    auto position = std::uniform_real_distribution<double>(0, 1)(m_random);
-    logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() }, { "rewrite_position", position } });
-    asio::co_spawn(m_io, writeRecordsAgain(position), asio::detached);
-}
-
-/// Registrations come first, as peers divide budgets by them.
-Awaitable<> EntryInstance::writeRecordsAgain(double position)
-{
-    auto delayFor = [&](int calls) { return std::chrono::duration_cast<Milliseconds>(position * rewriteSpread(m_fleet.instanceCount(), calls)); };
-    co_await m_registration.registerAgain({ .delay = delayFor(callsToRegisterAgain) });
-    co_await sleepFor(delayFor(callsToWriteUsageAgain));
-    m_crashRecordWriter.writeAgain();
-    m_usageCustodian.checkAgain(Clock::now());
-    co_await m_usageWriter.writeAgain();
-}
-
 void EntryInstance::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
 {
     const auto& schema = m_platform.storeSchema;
@@ -363,7 +240,7 @@
         .storeCalls = static_cast<double>(m_follower.storeCalls()),
         .storeEra = static_cast<double>(m_replica.revision().era),
         .storeRevision = static_cast<double>(m_replica.revision().number),
-        .storeRestorations = static_cast<double>(m_storeRestorations),
+        .storeRestorations = static_cast<double>(m_replica.restorations()),
         .rejectedStoreListings = static_cast<double>(m_follower.rejectedListings()),
         .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
@@ -383,7 +260,7 @@
                    [&](const InstanceLoadReport& report) {
                        m_placementClient.onLoadReport(report, Clock::now());
                        m_placementServer.onLoadReport(report);
-                       onPeerVersion(report);
+                       m_configurationCatchUp.onPeerReport(report, Clock::now());
                    },
                    [&](const PlacementQuery& query) { m_placementServer.onQuery(query); },
                    [&](const PlacementResponse& response) { m_placementClient.onResponse(response); },
@@ -427,7 +304,6 @@
 {
     while (true) {
         countInstances();
-        m_fleet.setStoreStatesEras(m_replica.revision().era > 0);
         m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
         m_placementClient.sendLoadReport(true);
         for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
@@ -507,7 +383,7 @@
 /// so that callers do not find a closed port. Requests in flight run until shortly before the host's kill.
 Awaitable<> EntryInstance::drainAndStop()
 {
-    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return recordLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
+    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .handOverUsage = [this] { return handOverLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
     bool usageWritten = co_await drain(std::move(options));
     if (!usageWritten)
         logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
@@ -515,25 +391,16 @@
     m_io.stop();
 }
 
-/// Peers keep the totals as well, because a store that does not respond now, or comes back from a copy later, has no other
-/// source for them. Both run at the same time so that neither uses up the time of the other.
-Awaitable<bool> EntryInstance::recordLastUsage()
+Awaitable<bool> EntryInstance::handOverLastUsage()
 {
     m_takesUsageRecords = false;
-    UsageHandover handover { .own = m_usageWriter.record(), .held = m_usageCustodian.heldUsage(Clock::now()) };
-    if (handover.own.totals.empty() && handover.held.empty())
-        co_return true;
     std::vector<Endpoint> peers;
     for (const auto& peer : m_fleet.reachablePeers(Clock::now()))
         peers.push_back(peer.peerEndpoint);
     std::shuffle(peers.begin(), peers.end(), m_random);
-    auto writing = std::make_shared<std::optional<bool>>();
-    asio::co_spawn(m_io, storeResult(m_usageWriter.flushChanges(), writing), asio::detached);
+    UsageHandover handover { .own = m_usageWriter.record(), .held = m_usageCustodian.heldUsage(Clock::now()) };
     int accepted = co_await handOverUsage(std::move(handover), std::move(peers));
-    auto deadline = Clock::now() + lastWriteTimeout;
-    while (!writing->has_value() && Clock::now() < deadline)
-        co_await sleepFor(lastWriteCheckInterval);
-    co_return accepted > 0 || writing->value_or(false);
+    co_return accepted > 0;
 }
 
 Awaitable<> EntryInstance::servePeer(HttpExchange& exchange)
--- /dev/null
+++ b/src/entry/storeschema.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "routing/routingtypes.h"
+#include "targets/targettypes.h"
+
+#include <compare>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace guavaspan {
+
+/// Keys of the shared store and decoders of their values, as the platform defines them.
+struct StoreSchema {
+    std::string configurationKey;
+    std::string targetPrefix;
+    std::string instancePrefix;
+    std::string usagePrefix;
+    std::string crashPrefix;
+    std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
+    std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
+
+    /// Compares two values of a key by the order in which they were written; empty if the values do not tell it.
+    std::optional<std::strong_ordering> compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const;
+};
+
+}
--- a/src/entry/tests/drain_test.cpp
+++ b/src/entry/tests/drain_test.cpp
@@ -16,6 +16,7 @@
     bool listening = true;
     bool requestArrivesDuringWrite = false;
     bool storeResponds = true;
+    bool peerTakesUsage = false;
     bool requestsEnd = true;
     bool idleConnectionsOpen = true;
     bool requestsCut = false;
@@ -46,6 +47,12 @@
         co_return storeResponds;
     }
 
+    Awaitable<bool> handOverUsage()
+    {
+        co_await sleepFor(Milliseconds(5));
+        co_return peerTakesUsage;
+    }
+
     Awaitable<> drainThenStop(DrainOptions options, bool& written)
     {
         written = co_await drain(std::move(options));
@@ -54,7 +61,7 @@
 
     bool run()
     {
-        DrainOptions options { .busyConnections = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeIdleConnections = [this] { idleConnectionsOpen = false; }, .closeListener = [this] { listening = false; }, .cutRequests = [this] { requestsCut = true; }, .writeUsage = [this] { return writeUsage(); }, .schedule = [this] { return StopSchedule(stop); } };
+        DrainOptions options { .busyConnections = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeIdleConnections = [this] { idleConnectionsOpen = false; }, .closeListener = [this] { listening = false; }, .cutRequests = [this] { requestsCut = true; }, .writeUsage = [this] { return writeUsage(); }, .handOverUsage = [this] { return handOverUsage(); }, .schedule = [this] { return StopSchedule(stop); } };
         bool written = false;
         asio::co_spawn(io, drainThenStop(std::move(options), written), asio::detached);
         io.run_for(Seconds(4));
@@ -130,3 +137,12 @@
     cr_expect(!f.run());
     cr_expect(Clock::now() < f.stop.signalledAt + f.stop.stopLimit);
 }
+
+/// Guards against lost use: the store does not answer while the instance stops.
+Test(Drain, storeSilent_useWithAPeerIsSaved)
+{
+    DrainFixture f;
+    f.storeResponds = false;
+    f.peerTakesUsage = true;
+    cr_expect(f.run());
+}
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -50,14 +50,12 @@
     /// Number of registered instances, including this one.
     int instanceCount() const { return static_cast<int>(peers().size()) + 1; }
 
-    /// If the store states eras, peers of older versions, which do not know them, do not count as its readers.
-    void setStoreStatesEras(bool statesEras) { m_storeStatesEras = statesEras; }
-
-    /// Peers that read the shared store for the fleet, those in the local failure domain first.
-    std::vector<InstanceRecord> storeReaders(const std::string& localFailureDomain, TimePoint now) const;
+    /// Peers that read the shared store for the fleet, those in the local failure domain first. If the store states eras, peers
+    /// of older versions, which do not know them, do not count.
+    std::vector<InstanceRecord> storeReaders(const std::string& localFailureDomain, TimePoint now, bool storeStatesEras) const;
 
     /// Returns true if this instance is one of the few that read the shared store for the fleet.
-    bool readsStore(TimePoint now) const;
+    bool readsStore(TimePoint now, bool storeStatesEras) const;
 
     /// The owner of a service's pool. Among this instance and its reachable peers, those with the
     /// largest CPU quota qualify, and rendezvous hashing selects one. Peers in `excluded` are skipped.
@@ -67,7 +65,7 @@
 
 private:
     std::size_t storeReaderCount() const;
-    std::vector<InstanceRecord> possibleStoreReaders(TimePoint now) const;
+    std::vector<InstanceRecord> possibleStoreReaders(TimePoint now, bool storeStatesEras) const;
 
     struct LastReport {
         std::int64_t sequence = 0;
@@ -79,7 +77,6 @@
 
     std::string m_self;
     int m_cpuMillicores = 0;
-    bool m_storeStatesEras = false;
     /// Until when instances may register again.
     TimePoint m_lostKeysKeptUntil;
     std::map<std::string, InstanceRecord> m_registered;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -122,24 +122,24 @@
 }
 
 /// Instances of older versions cannot tell whether their copies are of the store's current era.
-std::vector<InstanceRecord> FleetView::possibleStoreReaders(TimePoint now) const
+std::vector<InstanceRecord> FleetView::possibleStoreReaders(TimePoint now, bool storeStatesEras) const
 {
     auto readers = reachablePeers(now);
-    std::erase_if(readers, [&](const InstanceRecord& peer) { return m_storeStatesEras && !m_lastReports.at(peer.name).knowsStoreEra; });
+    std::erase_if(readers, [&](const InstanceRecord& peer) { return storeStatesEras && !m_lastReports.at(peer.name).knowsStoreEra; });
     return readers;
 }
 
-bool FleetView::readsStore(TimePoint now) const
+bool FleetView::readsStore(TimePoint now, bool storeStatesEras) const
 {
     auto selfWeight = std::pair(m_cpuMillicores, rendezvousWeight(m_self, storeReaderKey));
-    auto reachable = possibleStoreReaders(now);
+    auto reachable = possibleStoreReaders(now, storeStatesEras);
     auto higherRanked = std::count_if(reachable.begin(), reachable.end(), [&](const InstanceRecord& peer) { return std::pair(peer.cpuMillicores, rendezvousWeight(peer.name, storeReaderKey)) > selfWeight; });
     return static_cast<std::size_t>(higherRanked) < storeReaderCount();
 }
 
-std::vector<InstanceRecord> FleetView::storeReaders(const std::string& localFailureDomain, TimePoint now) const
+std::vector<InstanceRecord> FleetView::storeReaders(const std::string& localFailureDomain, TimePoint now, bool storeStatesEras) const
 {
-    auto readers = possibleStoreReaders(now);
+    auto readers = possibleStoreReaders(now, storeStatesEras);
     auto weight = [](const InstanceRecord& peer) { return std::pair(peer.cpuMillicores, rendezvousWeight(peer.name, storeReaderKey)); };
     std::sort(readers.begin(), readers.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return weight(left) > weight(right); });
     readers.resize(std::min(readers.size(), storeReaderCount()));
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -160,10 +160,7 @@
         reply.status = 503;
     } else if (path == "/fleet/entries") {
         reply.status = 200;
-        auto listing = m_replica.listing(BootClock::now());
-        auto prefix = exchange.query("prefix");
-        std::erase_if(listing.entries, [&](const KeyValueEntry& entry) { return !entry.key.starts_with(prefix); });
-        reply.body = encode(listing);
+        reply.body = encode(m_replica.listing(BootClock::now(), exchange.query("prefix")));
     } else if (path == "/fleet/changes") {
         StoreRevision after { .era = m_replica.revision().era, .number = parseNumber(exchange.query("after")) };
         // Peers of older versions state no era.
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -43,11 +43,16 @@
     return m_replica.age(BootClock::now()) > m_options.staleAge;
 }
 
+bool StoreFollower::storeStatesEras() const
+{
+    return m_replica.revision().era > 0;
+}
+
 bool StoreFollower::readsStore() const
 {
     if (!m_replica.loaded() || m_fleet.instanceCount() <= m_options.maxDirectReaders || stale())
         return true;
-    return m_fleet.readsStore(Clock::now());
+    return m_fleet.readsStore(Clock::now(), storeStatesEras());
 }
 
 void StoreFollower::setReachable(bool reachable)
@@ -126,7 +131,7 @@
 {
     // If the replica is stale, the readers are probably cut off too, and any peer may still reach the store.
     auto now = Clock::now();
-    auto peers = stale() ? m_fleet.reachablePeers(now) : m_fleet.storeReaders(m_options.failureDomain, now);
+    auto peers = stale() ? m_fleet.reachablePeers(now) : m_fleet.storeReaders(m_options.failureDomain, now, storeStatesEras());
     if (peers.empty())
         peers = m_fleet.peers();
     if (peers.empty())
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -21,14 +21,16 @@
 /// unless the values themselves tell that it is older.
 void StoreReplica::beginEra(StoreRevision revision)
 {
+    ++m_restorations;
     if (m_restoreListener)
         m_restoreListener({ .from = m_revision, .to = revision });
     for (auto& [key, entry] : m_entries)
         entry.revision = 0;
 }
 
-/// True if the entry of a copy from which the store came back is older than one that this replica has or had.
-bool StoreReplica::isSupersededInCopy(const StoreChange& copied)
+/// Returns true if the entry of a copy from which the store came back is older than the one that this replica has or has seen removed.
+/// That one then stands for the copied entry until it is written again.
+bool StoreReplica::keepNewerThan(const StoreChange& copied)
 {
     if (!m_entryOrder)
         return false;
@@ -107,7 +109,7 @@
         apply({ .key = key, .revision = listing.revision.number }, asOf);
     for (const auto& entry : listing.entries) {
         StoreChange change { .key = entry.key, .value = entry.value, .revision = entry.version };
-        if (restored && isSupersededInCopy(change))
+        if (restored && keepNewerThan(change))
             ++m_olderEntries;
         else
             apply(change, asOf);
@@ -144,12 +146,11 @@
     return true;
 }
 
-StoreListing StoreReplica::listing(BootTime now) const
+StoreListing StoreReplica::listing(BootTime now, std::string_view prefix) const
 {
     StoreListing listing { .revision = m_revision, .age = age(now) };
-    listing.entries.reserve(m_entries.size());
-    for (const auto& [key, entry] : m_entries)
-        listing.entries.push_back({ .key = key, .value = entry.value, .version = entry.revision });
+    for (auto position = m_entries.lower_bound(std::string(prefix)); position != m_entries.end() && position->first.starts_with(prefix); ++position)
+        listing.entries.push_back({ .key = position->first, .value = position->second.value, .version = position->second.revision });
     return listing;
 }
 
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -68,6 +68,7 @@
     Awaitable<bool> updateFromPeer();
     void onListingRejected(const StoreListing&);
     bool readsStore() const;
+    bool storeStatesEras() const;
     bool stale() const;
     void setReachable(bool reachable);
 
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <string_view>
 
 namespace guavaspan {
 
@@ -51,8 +52,11 @@
     BootTime confirmedAt() const { return m_confirmedAt; }
     Clock::duration age(BootTime now) const { return now - m_confirmedAt; }
 
-    /// All entries, for a peer that follows this replica.
-    StoreListing listing(BootTime now) const;
+    /// How often the store came back from a copy.
+    int restorations() const { return m_restorations; }
+
+    /// The entries with the prefix, for a peer that follows this replica.
+    StoreListing listing(BootTime now, std::string_view prefix = {}) const;
 
     /// Changes after a revision; sets `historyLost` if the follower must list all entries again.
     StoreChanges changesAfter(StoreRevision revision, BootTime now) const;
@@ -69,7 +73,7 @@
     };
 
     void beginEra(StoreRevision);
-    bool isSupersededInCopy(const StoreChange&);
+    bool keepNewerThan(const StoreChange& copied);
     void apply(const StoreChange&, BootTime asOf);
     void remember(const StoreChange&);
     void rememberRemoved(const std::string& key, std::string value, BootTime asOf);
@@ -78,6 +82,7 @@
     bool m_loaded = false;
     StoreRevision m_revision;
     std::uint64_t m_olderEntries = 0;
+    int m_restorations = 0;
     BootTime m_confirmedAt;
     std::map<std::string, Entry> m_entries;
     /// Entries that were removed lately, by key; a copy of the store may still have them.
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -35,7 +35,7 @@
     ReplicaFixture f;
     f.replica.setKeyFilter([](const std::string& key) { return key != "c"; });
     f.replica.applyChanges(f.changes(8, { { .key = "c", .value = "1", .revision = 7 }, { .key = "b", .value = "2", .revision = 8 } }), start);
-    cr_expect(f.replica.revision().number == 8, "rejected changes still advance the revision");
+    cr_expect(f.replica.revision() == StoreRevision({ .number = 8 }), "rejected changes still advance the revision");
     cr_expect(f.replica.listing(start).entries.size() == 2);
     cr_expect(f.replica.changesAfter({ .number = 6 }, start).changes.size() == 1);
     cr_expect(f.notifications.back() == Notification("b", "2"));
@@ -64,7 +64,7 @@
     f.replica.applyChanges(f.changes(8, { { .key = "a", .value = "old", .revision = 7 }, { .key = "a", .revision = 6 } }), start);
     cr_expect(f.notifications.back() == Notification("a", "new"));
     f.replica.applyListing({ .revision = { .number = 7 } }, start);
-    cr_expect(f.replica.revision().number == 8);
+    cr_expect(f.replica.revision() == StoreRevision({ .number = 8 }));
     cr_expect(f.notifications.back().second == "new", "an older listing is ignored");
 }
 
@@ -143,10 +143,10 @@
             fleet.onRegistered(nameOf(i), { .name = nameOf(i), .failureDomain = i % 2 == 0 ? "north" : "south", .cpuMillicores = millicoresOf(i) });
             fleet.onReport(reportOf(nameOf(i), 1), now);
         }
-        bool reads = fleet.readsStore(now);
+        bool reads = fleet.readsStore(now, false);
         readers += reads ? 1 : 0;
         cr_expect(!reads || self < strongInstances, "the readers have the largest CPU quota");
-        auto storeReaders = fleet.storeReaders("south", now);
+        auto storeReaders = fleet.storeReaders("south", now, false);
         cr_expect(!storeReaders.empty() && storeReaders.front().cpuMillicores == 500);
     }
     return readers;
--- a/src/fleet/tests/restoredstore_test.cpp
+++ b/src/fleet/tests/restoredstore_test.cpp
@@ -166,10 +166,9 @@
     fleet.onReport({ .instance = "old-1", .sequence = 1 }, now);
     fleet.onReport({ .instance = "old-2", .sequence = 1 }, now);
     fleet.onReport({ .instance = "new", .sequence = 1, .storeEra = 1 }, now);
-    cr_expect(!fleet.readsStore(now));
-    fleet.setStoreStatesEras(true);
-    cr_expect(fleet.readsStore(now));
-    auto readers = fleet.storeReaders("north", now);
+    cr_expect(!fleet.readsStore(now, false));
+    cr_expect(fleet.readsStore(now, true));
+    auto readers = fleet.storeReaders("north", now, true);
     cr_assert(readers.size() == 1);
     cr_expect(readers.front().name == "new");
 }
