--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -90,6 +90,7 @@
     void addInterruption(Fingerprint, Interruption, TimePoint now);
     void confirm(Fingerprint, const TargetIncarnation&, TimePoint now);
     bool countCrash(const CrashReport&, bool local, TimePoint now);
+    void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
     bool mayConvict(Fingerprint) const;
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -176,6 +176,7 @@
     if (!separate) {
         ++m_statistics.uncountedCrashes;
         logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("same_incident") } });
+        logIfNotConvicted(fingerprint);
         return;
     }
     bool local = interruption->local;
@@ -184,6 +185,23 @@
     if (local)
         m_broadcast(report);
     convictIfEvident(fingerprint, now);
+    logIfNotConvicted(fingerprint);
+}
+
+/// Reports why a request is still sent although as many targets as a conviction needs have crashed while they ran it.
+void CrashGuard::logIfNotConvicted(Fingerprint fingerprint) const
+{
+    const auto& suspect = m_cases.at(fingerprint);
+    const auto& entries = suspect.interruptions.entries();
+    auto crashes = std::count_if(entries.begin(), entries.end(), [](const Interruption& interruption) { return interruption.confirmed; });
+    if (suspect.convictedAt || static_cast<std::size_t>(crashes) < crashesToConvict)
+        return;
+    std::string cause = "explained_by_others";
+    if (!mayConvict(fingerprint))
+        cause = "answered_before";
+    else if (suspect.reports.size() < crashesToConvict)
+        cause = "same_incident";
+    logEvent(LogLevel::Info, "request_not_convicted", { { "fingerprint", hexOf(fingerprint) }, { "cause", cause }, { "crashes", std::int64_t(crashes) }, { "counted", std::int64_t(suspect.reports.size()) } });
 }
 
 bool CrashGuard::countCrash(const CrashReport& report, bool local, TimePoint now)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -153,8 +153,10 @@
 void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
 {
     // Connections of an instance that has lost its path break without a fault of the target.
-    if (m_context.dispatcher.targetPath().isLost(target.service))
+    if (m_context.dispatcher.targetPath().isLost(target.service)) {
+        logIgnoredInterruption(session.request, target);
         return;
+    }
     bool interrupted = !abandoned && !session.headerSent && !session.stream->isStopping();
     if (interrupted)
         m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
