Add failing tests of requests that crash a small service

The soak's crashing requests get what they lacked: a crash later than ordinary work takes, answers first, many callers at once, popular neighbours; and a check that no sound request is refused for crashes.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -177,6 +177,7 @@
             co_await sleepFor(spec.readPause);
     }
     attempt.responseComplete = true;
+    attempt.refusedAsCrashing = attempt.status >= 500 && body.find(crashRefusalCode) != std::string::npos;
     if (isStream && attempt.contentError.empty())
         attempt.contentError = verifier.errorAtEnd();
     if (!isStream && attempt.status == 200 && body != attempt.id + std::string(spec.paddingBytes, paddingCharacter))
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/budgetcheck.h"
 #include "soak/constants.h"
+#include "soak/crashtrigger.h"
 #include "soak/stopcheck.h"
 
 #include <algorithm>
@@ -24,6 +25,11 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    bool crashesEngines(const Attempt& attempt)
+    {
+        return parseCrashTrigger(attempt.path) || attempt.promptPart.starts_with(crashingPromptPart);
+    }
+
     class RecordChecker {
     public:
         explicit RecordChecker(const SoakRecord& record)
@@ -47,6 +53,7 @@
                 checkApiKey(attempt);
                 checkConfigurationDelay(attempt);
                 checkPlannedStop(attempt);
+                checkCrashRefusal(attempt);
             }
             checkConfigurationReverts();
             checkUsage();
@@ -238,16 +245,25 @@
             }
         }
 
+        void checkCrashRefusal(const Attempt& attempt)
+        {
+            if (attempt.refusedAsCrashing && !crashesEngines(attempt))
+                reportViolation("a request that crashes no engine is not refused for crashes", attempt, fmt::format("status {}", attempt.status));
+        }
+
         /// Callers send a request that crashes engines again and again; soon after it has crashed three of them,
         /// undisturbed instances must stop passing it on.
         void checkCrashingRequests()
         {
             std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>> runsByPath;
             for (const auto& attempt : m_record.attempts) {
-                if (attempt.path.find(crashMarker) == std::string::npos)
+                auto trigger = parseCrashTrigger(attempt.path);
+                if (!trigger)
                     continue;
-                for (const auto* engineRecord : engineRecordsOf(attempt.id))
-                    runsByPath[attempt.path].emplace_back(engineRecord->recordedAt, &attempt);
+                for (const auto* engineRecord : engineRecordsOf(attempt.id)) {
+                    if (engineRecord->recordedAt >= trigger->from)
+                        runsByPath[attempt.path].emplace_back(engineRecord->recordedAt, &attempt);
+                }
             }
             reportLateRuns(runsByPath, crashesUntilKnown, maxRunsOfKnownCrash, "a request that crashed three engines is not executed again");
         }
@@ -328,8 +344,7 @@
     int eligible = 0;
     int served = 0;
     for (const auto& attempt : record.attempts) {
-        bool crashesEngines = attempt.path.find(crashMarker) != std::string::npos || attempt.promptPart.starts_with(crashingPromptPart);
-        bool allowed = !crashesEngines && record.organisationByKey.contains(attempt.apiKey) && !record.revokedKeys.contains(attempt.apiKey) && !record.removedPaths.contains(attempt.path);
+        bool allowed = !crashesEngines(attempt) && record.organisationByKey.contains(attempt.apiKey) && !record.revokedKeys.contains(attempt.apiKey) && !record.removedPaths.contains(attempt.path);
         if (!allowed || attempt.sentAt < record.faultsEndedAt + recoveryTimeout)
             continue;
         ++eligible;
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -32,10 +32,8 @@
 inline constexpr const char* streamPath = "/stream/";
 inline constexpr const char* orderPath = "/order/";
 inline constexpr const char* lookupPath = "/lookup/";
-/// Contained in the path of a request that ends every engine that executes it.
-inline constexpr const char* crashMarker = "crash";
-/// Contained in addition if the engine becomes silent for some seconds before it ends.
-inline constexpr const char* silentCrashMarker = "silent-crash";
+/// Code in the body of a refusal of a request that crashes engines.
+inline constexpr const char* crashRefusalCode = "\"crashes_targets\"";
 
 /// Lists the parts of a prompt in order.
 inline constexpr const char* promptPartsHeader = "X-Prompt-Prefix";
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -2,6 +2,7 @@
 
 #include "net/httpclient.h"
 #include "soak/constants.h"
+#include "soak/crashtrigger.h"
 
 #include <csignal>
 #include <fmt/format.h>
@@ -190,9 +191,11 @@
         co_return;
     }
     recordEvent(EngineRecord::Event::Arrival, exchange);
-    if (path.find(crashMarker) != std::string::npos) {
+    auto trigger = parseCrashTrigger(path);
+    if (trigger && soakNow() >= trigger->from) {
         recordEvent(EngineRecord::Event::Run, exchange);
-        co_await crash(path.find(silentCrashMarker) != std::string::npos);
+        co_await sleepFor(trigger->delay);
+        co_await crash(trigger->silent);
         co_return;
     }
     auto attemptId = exchange.header(attemptIdHeader);
--- a/soak/record.h
+++ b/soak/record.h
@@ -46,6 +46,8 @@
     bool sealed = false;
     /// The response was read to its end.
     bool responseComplete = false;
+    /// The response states that the request crashes engines.
+    bool refusedAsCrashing = false;
     /// Describes an error in the response body; empty if there is none.
     std::string contentError;
 };
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include "platform/names.h"
 #include "platform/platformstore.h"
 #include "soak/constants.h"
+#include "soak/crashtrigger.h"
 #include "usage/usagewriter.h"
 
 #include <algorithm>
@@ -17,7 +18,11 @@
     constexpr auto startupTime = Milliseconds(2500);
     /// Time after which callers send another request that crashes engines instead of the previous one.
     constexpr SoakTime crashingRequestPeriod = 9000;
-    constexpr int crashingCallers = 2;
+    /// Time for which engines may answer a request before it crashes them.
+    constexpr SoakTime timeOfAnswersBeforeCrashes = 2000;
+    constexpr int callersOfPopularRequest = 3;
+    constexpr auto pauseOfPopularCallers = Milliseconds(10);
+    constexpr int crashingPromptCallers = 2;
     constexpr auto pauseOfCrashingCallers = Milliseconds(250);
     constexpr int idleCallersPerCaller = 3;
     constexpr auto maxPauseOfIdleCallers = Milliseconds(12000);
@@ -122,7 +127,10 @@
     auto number = crashingRequestNumber();
     RequestSpec spec;
     spec.type = number % 2 == 0 ? RequestType::Stream : RequestType::Lookup;
-    spec.path = fmt::format("{}{}{}/", number % 2 == 0 ? streamPath : lookupPath, number % 4 == 2 ? silentCrashMarker : crashMarker, number);
+    CrashTrigger trigger { .number = number, .delay = m_options.crashDelay, .silent = number % 4 == 2 };
+    if (m_options.crashesAfterAnswers)
+        trigger.from = m_callersStartedAt + number * crashingRequestPeriod + timeOfAnswersBeforeCrashes;
+    spec.path = fmt::format("{}{}/", number % 2 == 0 ? streamPath : lookupPath, encode(trigger));
     spec.apiKey = fmt::format("key-{}-{}", number % organisationCount, random() % keysPerOrganisation);
     spec.eventCount = 20;
     spec.outputTokenLimit = 80 + static_cast<int>(random() % 20);
@@ -145,10 +153,14 @@
     auto shouldContinue = [this] { return m_callersActive; };
     for (int i = 0; i < m_options.callers; ++i)
         startCaller({ .name = fmt::format("c{}", i), .seed = m_options.seed * 1000 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .attempts = m_record.attempts });
-    for (int i = 0; m_options.crashingRequests && i < crashingCallers; ++i)
+    for (int i = 0; m_options.crashingRequests && i < m_options.crashingCallers; ++i)
         startCaller({ .name = fmt::format("x{}", i), .seed = m_options.seed * 1000 + 500 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingRequest(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
-    for (int i = 0; m_options.crashingPrompts && i < crashingCallers; ++i)
+    for (int i = 0; m_options.crashingPrompts && i < crashingPromptCallers; ++i)
         startCaller({ .name = fmt::format("p{}", i), .seed = m_options.seed * 1000 + 600 + static_cast<std::uint64_t>(i), .nextRequest = [this](Random& random) { return nextCrashingPrompt(random); }, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfCrashingCallers, .attempts = m_record.attempts });
+    for (int i = 0; i < m_options.popularRequests * callersOfPopularRequest; ++i) {
+        auto popular = [path = fmt::format("{}popular{}/", lookupPath, i % m_options.popularRequests)](Random&) { return RequestSpec { .path = path, .apiKey = fmt::format("key-0-{}", keysPerOrganisation - 1) }; };
+        startCaller({ .name = fmt::format("f{}", i), .seed = m_options.seed * 1000 + 800 + static_cast<std::uint64_t>(i), .nextRequest = popular, .chooseEndpoint = chooseEndpointOf, .shouldContinue = shouldContinue, .pauseBetweenRequests = pauseOfPopularCallers, .attempts = m_record.attempts });
+    }
     if (m_options.variedCallers)
         startVariedCallers();
     auto nextLookup = [](Random& random) { return RequestSpec { .path = lookupPath, .apiKey = fmt::format("key-{}-{}", random() % organisationCount, keysPerOrganisation - 1) }; };
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "common/time.h"
+
 #include <cstdint>
 #include <string>
 
@@ -15,6 +17,14 @@
     std::string faults = "all";
     /// Some callers send requests that crash engines.
     bool crashingRequests = false;
+    /// Callers that send them at the same time.
+    int crashingCallers = 2;
+    /// Time from the begin of such a request's execution to the crash.
+    Milliseconds crashDelay { 0 };
+    /// Engines answer such a request for some time before it begins to crash them.
+    bool crashesAfterAnswers = false;
+    /// Look-ups that several callers each send alike.
+    int popularRequests = 0;
     /// Some callers send requests that crash engines by a part of their prompts; no two are alike.
     bool crashingPrompts = false;
     /// Engines of plain requests end if they reject too many, and say so.
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -1,6 +1,7 @@
 #include "soak/budgetcheck.h"
 #include "soak/checks.h"
 #include "soak/constants.h"
+#include "soak/crashtrigger.h"
 #include "soak/stopcheck.h"
 
 #include <algorithm>
@@ -213,7 +214,7 @@
     for (int run = 0; run < 7; ++run) {
         auto id = "x" + std::to_string(run);
         SoakTime sentAt = run < 3 ? 100000 + run : 104000 + run;
-        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = "/lookup/crash1/", .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = "/lookup/crash1-from0-after0/", .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
         f.record.engineRecords.push_back({ .attemptId = id, .engineId = "e" + id, .organisation = "org", .recordedAt = sentAt + 1 });
     }
     cr_expect(f.firstViolatedGuarantee() == "a request that crashed three engines is not executed again");
@@ -224,6 +225,38 @@
     cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the third crash are allowed");
 }
 
+Test(SoakChecks, findViolations_crashingRequestAnsweredBefore_answersAreNoCrashes)
+{
+    ChecksFixture f;
+    f.record.engineRecords.clear();
+    f.record.attempts.clear();
+    for (int run = 0; run < 9; ++run) {
+        auto id = "x" + std::to_string(run);
+        SoakTime sentAt = run < 6 ? 100000 + run : 104000 + run;
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = "/lookup/crash1-from104000-after90/", .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
+        f.record.engineRecords.push_back({ .attemptId = id, .engineId = "e" + id, .organisation = "org", .recordedAt = sentAt + 1 });
+    }
+    cr_expect(f.firstViolatedGuarantee().empty());
+}
+
+Test(SoakChecks, findViolations_soundRequestRefusedAsCrashing_reportsViolation)
+{
+    ChecksFixture f;
+    f.record.attempts.front().refusedAsCrashing = true;
+    cr_expect(f.firstViolatedGuarantee() == "a request that crashes no engine is not refused for crashes");
+    f.record.attempts.front().path = "/lookup/crash1-from0-after0/";
+    cr_expect(f.firstViolatedGuarantee() != "a request that crashes no engine is not refused for crashes");
+}
+
+Test(SoakChecks, crashTriggerInPath_isReadAsItWasWritten)
+{
+    CrashTrigger trigger { .number = 6, .from = 123456789, .delay = guavaspan::Milliseconds(90), .silent = true };
+    cr_expect(parseCrashTrigger("/lookup/" + encode(trigger) + "/x") == trigger);
+    trigger.silent = false;
+    cr_expect(parseCrashTrigger("/lookup/" + encode(trigger) + "/x") == trigger);
+    cr_expect(!parseCrashTrigger("/lookup/x"));
+}
+
 Test(SoakChecks, findViolations_crashingPromptPartExecutedAfterFifthCrash_reportsViolation)
 {
     ChecksFixture f;
--- a/src/dispatch/tests/targetpath_test.cpp
+++ b/src/dispatch/tests/targetpath_test.cpp
@@ -106,3 +106,16 @@
     cr_assert(probes.size() == 2);
     cr_expect(probes[0]->service == "model" && probes[1]->service == "shop");
 }
+
+/// Guards against BUDGET: a request that was sent as soon as engines had returned crashed one before the path counted as regained, which
+/// made its crash no evidence.
+Test(TargetPath, targetConnects_pathIsRegainedBeforeTheNextUpdate)
+{
+    TargetPathFixture f;
+    f.fail(8, 9);
+    f.path.update(f.usable());
+    cr_assert(f.path.isLost("shop"));
+    f.path.onConnected(f.entries[8]);
+    cr_expect(!f.path.isLost("shop"));
+    cr_expect(f.path.update(f.usable()) == std::vector<std::string> { "shop" }, "the change is still reported");
+}
