Keep the evidence of crashes that look like a lost path

Cause: TargetPath takes failed connections to all engines of a small service for a lost path. Interruptions were dropped while it lasted, and it lasted up to 100 ms longer than the first connection that succeeded. A request that had waited for the engines' return crashes one after 86 ms.

Change: a connection that succeeds ends the loss at once. What breaks during it is evidence like that of a caller who leaves a silent engine: it counts once the engine's entry is gone, which the loss of a path does not cause. interruption_ignored is gone with the case that it reported; answer_interrupted has path_lost.

--- a/src/dispatch/internal/targetpath.cpp
+++ b/src/dispatch/internal/targetpath.cpp
@@ -17,6 +17,8 @@
 void TargetPath::onConnected(const TargetEntry& target)
 {
     m_failed.erase(target.service);
+    if (m_lost.erase(target.service) > 0)
+        m_regained.insert(target.service);
 }
 
 void TargetPath::onConnectFailed(const TargetEntry& target)
@@ -40,17 +42,12 @@
 
 std::vector<std::string> TargetPath::update(const Targets& usable)
 {
-    std::vector<std::string> changed;
-    for (const auto& service : m_lost) {
-        if (!m_failed.contains(service))
-            changed.push_back(service);
-    }
-    for (const auto& service : changed)
-        m_lost.erase(service);
+    std::vector<std::string> changed(m_regained.begin(), m_regained.end());
+    m_regained.clear();
     for (const auto& [service, targets] : byService(usable)) {
         auto failures = static_cast<std::size_t>(std::count_if(targets.begin(), targets.end(), [&](const auto* target) { return hasFailed(*target); }));
         bool lost = failures > 0 && failures >= std::min(failuresToLose, targets.size());
-        if (lost && m_lost.insert(service).second)
+        if (lost && m_lost.insert(service).second && std::find(changed.begin(), changed.end(), service) == changed.end())
             changed.push_back(service);
     }
     return changed;
--- a/src/dispatch/targetpath.h
+++ b/src/dispatch/targetpath.h
@@ -19,13 +19,13 @@
     void onConnectFailed(const TargetEntry&);
 
     /// False while all connections succeed; update() and targetsToProbe() then have nothing to do.
-    bool inDoubt() const { return !m_failed.empty() || !m_lost.empty(); }
+    bool inDoubt() const { return !m_failed.empty() || !m_lost.empty() || !m_regained.empty(); }
 
     /// Decides with the targets that are usable now; a target whose entry is removed has failed by itself. Returns the services whose
     /// result has changed.
     std::vector<std::string> update(const Targets& usable);
 
-    /// True while all requests to targets of the service would fail.
+    /// True while all requests to targets of the service would fail; a connection that succeeds ends this at once.
     bool isLost(const std::string& service) const { return m_lost.contains(service); }
     const std::set<std::string>& lostServices() const { return m_lost; }
 
@@ -39,6 +39,8 @@
     /// By service, addresses to which a connection failed since the last one that succeeded.
     std::map<std::string, std::set<std::string>> m_failed;
     std::set<std::string> m_lost;
+    /// Services whose path was regained since the last update.
+    std::set<std::string> m_regained;
 };
 
 }
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -28,6 +28,11 @@
     TimePoint lastHeardAt;
     /// The caller left or the deadline passed; otherwise the connection broke.
     bool abandoned = false;
+    /// New connections to all targets of the service fail too.
+    bool pathLost = false;
+
+    /// False if only the target's end shows that it did not merely get out of reach.
+    bool isEvidence() const { return !abandoned && !pathLost; }
 };
 
 /// Detects requests that crash the targets that run them, by matching unanswered attempts with
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -107,11 +107,11 @@
     bool crashed = unavailable != m_unavailableTargets.end() && crashedBeforeRemoval(attempt, unavailable->second);
     bool counts = unavailable == m_unavailableTargets.end() || crashed;
     ++m_statistics.interruptedAnswers;
-    logEvent(LogLevel::Info, "answer_interrupted", { { "fingerprint", hexOf(attempt.fingerprint) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "abandoned", attempt.abandoned }, { "silent_ms", elapsed(attempt.lastHeardAt, now).count() }, { "counts", counts } });
+    logEvent(LogLevel::Info, "answer_interrupted", { { "fingerprint", hexOf(attempt.fingerprint) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "abandoned", attempt.abandoned }, { "path_lost", attempt.pathLost }, { "silent_ms", elapsed(attempt.lastHeardAt, now).count() }, { "counts", counts } });
     if (!counts)
         return;
-    addInterruption(attempt.fingerprint, { .target = target, .sentAt = attempt.sentAt, .endedAt = now, .abandoned = attempt.abandoned, .local = true }, now);
-    if (!attempt.abandoned)
+    addInterruption(attempt.fingerprint, { .target = target, .sentAt = attempt.sentAt, .endedAt = now, .abandoned = !attempt.isEvidence(), .local = true }, now);
+    if (attempt.isEvidence())
         m_broadcast(InterruptionReport { .fingerprint = attempt.fingerprint, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = elapsed(attempt.sentAt, now), .interruptedAgo = Milliseconds(0) });
     if (crashed)
         confirm(attempt.fingerprint, target, now);
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -25,7 +25,7 @@
     TargetIncarnation target;
     TimePoint sentAt;
     TimePoint endedAt;
-    /// The caller left or the deadline passed while the target was silent.
+    /// The caller left or the deadline passed while the target was silent, or the path to it was lost.
     bool abandoned = false;
     /// Observed by this instance, not reported by a peer.
     bool local = false;
--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -424,3 +424,21 @@
     cr_expect(!f.refuses(0));
     cr_expect(!f.refuses(1));
 }
+
+/// Guards against BUDGET: engines that a request ended one after the other looked like a lost path, which dropped the evidence.
+Test(CrashGuard, interruptionsWhilePathIsLost_countOnceEntriesAreRemoved)
+{
+    FleetFixture f;
+    for (int number : { 1, 2, 3 }) {
+        auto sentAt = f.now;
+        f.now += Milliseconds(90);
+        f.guards[0]->onUnanswered({ .fingerprint = f.request, .target = f.engine(number), .sentAt = sentAt, .lastHeardAt = sentAt, .pathLost = true }, f.now);
+        f.now += Milliseconds(100);
+    }
+    cr_expect(!f.refuses(0), "the path may be lost");
+    f.now += Seconds(3);
+    for (int number : { 1, 2, 3 })
+        f.removeEntry(number);
+    cr_expect(f.refuses(0));
+    cr_expect(f.refuses(1));
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -156,14 +156,11 @@
     case AttemptOutcome::Broken:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::CallerGone:
-        // Connections of an instance that has lost its path break without a fault of the target.
-        if (m_context.dispatcher.targetPath().isLost(target.service)) {
-            logIgnoredInterruption(request, target);
-            return;
-        }
-        if (attempt.outcome == AttemptOutcome::Broken)
+        // Connections of an instance that has lost its path break without a fault of the target; only its end confirms one.
+        bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
+        if (attempt.outcome == AttemptOutcome::Broken && !pathLost)
             m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt }, now);
-        m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken }, now);
+        m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken, .pathLost = pathLost }, now);
         return;
     }
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -1,6 +1,5 @@
 #include "relay/relaycontext.h"
 
-#include "common/hash.h"
 #include "common/log.h"
 
 #include <algorithm>
@@ -86,11 +85,6 @@
     return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts };
 }
 
-void logIgnoredInterruption(const RelayRequest& request, const TargetEntry& target)
-{
-    logEvent(LogLevel::Info, "interruption_ignored", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", target.id }, { "incarnation", std::to_string(target.startedAt) }, { "cause", std::string("path_lost") } });
-}
-
 void recordConnection(RelayContext& context, const RelayRequest& request, const TargetEntry& target, bool connected)
 {
     auto& path = context.dispatcher.targetPath();
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -152,15 +152,12 @@
 
 void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
 {
-    // Connections of an instance that has lost its path break without a fault of the target.
-    if (m_context.dispatcher.targetPath().isLost(target.service)) {
-        logIgnoredInterruption(session.request, target);
-        return;
-    }
-    bool interrupted = !abandoned && !session.headerSent && !session.stream->isStopping();
+    // Connections of an instance that has lost its path break without a fault of the target; only its end confirms one.
+    bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
+    bool interrupted = !abandoned && !pathLost && !session.headerSent && !session.stream->isStopping();
     if (interrupted)
         m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
-    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned }, Clock::now());
+    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned, .pathLost = pathLost }, Clock::now());
 }
 
 /// Finds an engine that starts the request. False if none did; session.responseHead may then hold an engine's error.
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -128,9 +128,6 @@
 /// The gate that the request passes before each send.
 SendGate makeSendGate(RelayContext&, const RelayRequest&);
 
-/// Reports an interrupted attempt that counts against no request, since the path to the service's targets is lost.
-void logIgnoredInterruption(const RelayRequest&, const TargetEntry&);
-
 /// Takes note of whether a connection to a target was established.
 void recordConnection(RelayContext&, const RelayRequest&, const TargetEntry&, bool connected);
 
