--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -12,6 +12,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "placement/promptguardlink.h"
+#include "placement/trialclient.h"
 #include "quarantine/crashrecordwriter.h"
 #include "relay/activerequests.h"
 #include "relay/engineshutdownpoller.h"
@@ -85,6 +86,7 @@
     CrashGuard m_crashGuard;
     PromptGuardLink m_promptGuardLink;
     PromptGuard m_promptGuard;
+    TrialClient m_trialClient;
     CrashRecordWriter m_crashRecordWriter;
     UsageLedger m_usage;
     UsageWriter m_usageWriter;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -59,10 +59,11 @@
     , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { std::visit([this](const auto& concreteRecord) { m_crashRecordWriter.add(concreteRecord); }, record); })
     , m_promptGuardLink(m_link)
     , m_promptGuard(m_settings.instance, m_promptGuardLink, [this](const PromptPartRecord& record) { m_crashRecordWriter.add(record); })
+    , m_trialClient(m_io, m_settings.instance, m_fleet, m_link)
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
     , m_usageCustodian(m_platform.keyValue)
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .trials = m_trialClient, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -279,6 +280,9 @@
                    [&](const PromptPartInquiry& inquiry) { m_promptGuard.onPeerMessage(inquiry, Clock::now()); },
                    [&](const PromptPartClearance& clearance) { m_promptGuard.onPeerMessage(clearance, Clock::now()); },
                    [&](const PromptPartConviction& conviction) { m_promptGuard.onPeerMessage(conviction, Clock::now()); },
+                   [&](const TrialQuery& query) { m_trialClient.onQuery(query, Clock::now()); },
+                   [&](const TrialResponse& response) { m_trialClient.onResponse(response); },
+                   [&](const TrialRelease& release) { m_trialClient.onRelease(release, Clock::now()); },
                },
         message);
 }
@@ -324,6 +328,7 @@
         m_shutdownPoller.onTick(Clock::now());
         m_crashGuard.onTick(Clock::now());
         m_promptGuard.onTick(Clock::now());
+        m_trialClient.onTick(Clock::now());
         m_configuration.confirm(m_replica.confirmedAt());
         m_placementClient.setRelaysForPeers(ready());
         if (ready() != m_wasReady) {
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -29,6 +29,9 @@
         PromptPartInquiry,
         PromptPartClearance,
         PromptPartConviction,
+        TrialQuery,
+        TrialResponse,
+        TrialRelease,
     };
 
     json fieldsOf(const InstanceLoadReport& report)
@@ -90,7 +93,7 @@
 
     json fieldsOf(const CompletionReport& report)
     {
-        return json::array({ report.fingerprint });
+        return json::array({ report.fingerprint, report.sentAgo.count() });
     }
 
     json fieldsOf(const ConvictionNotice& notice)
@@ -110,7 +113,7 @@
 
     json fieldsOf(const InterruptionReport& report)
     {
-        return json::array({ report.fingerprint, report.target, report.targetStartedAt, report.sentAgo.count(), report.interruptedAgo.count() });
+        return json::array({ report.fingerprint, report.target, report.targetStartedAt, report.sentAgo.count(), report.interruptedAgo.count(), report.onTrial });
     }
 
     json fieldsOf(const PromptInterruptionReport& report)
@@ -118,6 +121,21 @@
         return json::array({ report.parts, report.target, report.targetStartedAt, report.sentAgo.count() });
     }
 
+    json fieldsOf(const TrialQuery& query)
+    {
+        return json::array({ query.id.instance, query.id.incarnation, query.id.number, query.trial.suspects, query.trial.target });
+    }
+
+    json fieldsOf(const TrialResponse& response)
+    {
+        return json::array({ response.number, static_cast<int>(response.decision) });
+    }
+
+    json fieldsOf(const TrialRelease& release)
+    {
+        return json::array({ release.id.instance, release.id.incarnation, release.id.number, static_cast<int>(release.end) });
+    }
+
     json fieldsOf(const PromptPartInquiry& inquiry)
     {
         return json::array({ inquiry.instance, inquiry.part, inquiry.since.count() });
@@ -270,9 +288,17 @@
         report.targetStartedAt = fields.at(2).get<std::int64_t>();
         report.sentAgo = Milliseconds(fields.at(3).get<std::int64_t>());
         report.interruptedAgo = Milliseconds(fields.at(4).get<std::int64_t>());
+        // Instances of earlier versions do not state it.
+        report.onTrial = fields.size() > 5 && fields.at(5).get<bool>();
         return report;
     }
 
+    CompletionReport completionReportFrom(const json& fields)
+    {
+        // Instances of earlier versions state the fingerprint only.
+        return { .fingerprint = fields.at(0).get<Fingerprint>(), .sentAgo = Milliseconds(fields.size() > 1 ? fields.at(1).get<std::int64_t>() : 0) };
+    }
+
     template <typename FingerprintMessage>
     FingerprintMessage fingerprintMessageFrom(const json& fields)
     {
@@ -307,6 +333,26 @@
         return message;
     }
 
+    TrialId trialIdFrom(const json& fields)
+    {
+        return { .instance = fields.at(0).get<std::string>(), .incarnation = fields.at(1).get<std::int64_t>(), .number = fields.at(2).get<std::uint64_t>() };
+    }
+
+    TrialQuery trialQueryFrom(const json& fields)
+    {
+        return { .id = trialIdFrom(fields), .trial = { .suspects = fields.at(3).get<std::vector<Suspect>>(), .target = fields.at(4).get<std::string>() } };
+    }
+
+    TrialResponse trialResponseFrom(const json& fields)
+    {
+        return { .number = fields.at(0).get<std::uint64_t>(), .decision = static_cast<TrialDecision>(fields.at(1).get<int>()) };
+    }
+
+    TrialRelease trialReleaseFrom(const json& fields)
+    {
+        return { .id = trialIdFrom(fields), .end = static_cast<TrialEnd>(fields.at(3).get<int>()) };
+    }
+
     ShutdownNotice shutdownNoticeFrom(const json& fields)
     {
         ShutdownNotice notice;
@@ -350,7 +396,7 @@
         case MessageType::CrashReport:
             return crashReportFrom(fields);
         case MessageType::CompletionReport:
-            return fingerprintMessageFrom<CompletionReport>(fields);
+            return completionReportFrom(fields);
         case MessageType::ConvictionNotice:
             return fingerprintMessageFrom<ConvictionNotice>(fields);
         case MessageType::PardonNotice:
@@ -367,6 +413,12 @@
             return promptPartClearanceFrom(fields);
         case MessageType::PromptPartConviction:
             return promptPartMessageFrom<PromptPartConviction>(fields);
+        case MessageType::TrialQuery:
+            return trialQueryFrom(fields);
+        case MessageType::TrialResponse:
+            return trialResponseFrom(fields);
+        case MessageType::TrialRelease:
+            return trialReleaseFrom(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -4,6 +4,7 @@
 #include "placement/placementtypes.h"
 #include "quarantine/crashguardmessages.h"
 #include "quarantine/promptguardmessages.h"
+#include "quarantine/trialledger.h"
 
 #include <optional>
 #include <variant>
@@ -100,8 +101,32 @@
     friend bool operator==(const ShutdownNotice&, const ShutdownNotice&) = default;
 };
 
+/// Asks the owner of a service for the trial of a request that is suspected of crashing targets; repeated while it runs.
+struct TrialQuery {
+    TrialId id;
+    Trial trial;
+
+    friend bool operator==(const TrialQuery&, const TrialQuery&) = default;
+};
+
+/// The owner's decision on a trial of the instance that receives it.
+struct TrialResponse {
+    std::uint64_t number = 0;
+    TrialDecision decision = TrialDecision::Granted;
+
+    friend bool operator==(const TrialResponse&, const TrialResponse&) = default;
+};
+
+/// The trial has ended.
+struct TrialRelease {
+    TrialId id;
+    TrialEnd end = TrialEnd::Answered;
+
+    friend bool operator==(const TrialRelease&, const TrialRelease&) = default;
+};
+
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
-using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction>;
+using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction, TrialQuery, TrialResponse, TrialRelease>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -30,13 +30,16 @@
     bool abandoned = false;
     /// New connections to all targets of the service fail too.
     bool pathLost = false;
+    /// It ran on trial, so that no other suspect ran on the target.
+    bool onTrial = false;
 
     /// False if only the target's end shows that it did not merely get out of reach.
     bool isEvidence() const { return !abandoned && !pathLost; }
 };
 
 /// Detects requests that crash the targets that run them, by matching unanswered attempts with
-/// targets that disappear. All instances learn of all crashes: by messages, and from the shared store
+/// targets that disappear. A crash interrupts all requests that run on the target, so those that were interrupted
+/// several times run on trial until one that was sent later is answered. All instances learn of all crashes: by messages, and from the shared store
 /// if they were not running then. Each one decides by itself which requests to refuse.
 class CrashGuard {
 public:
@@ -53,13 +56,13 @@
     /// The target answered a request that was sent at this time, so it has not crashed before.
     void onTargetAnswered(const TargetEntry&, TimePoint sentAt);
 
-    /// Records that the request was answered completely, which removes its recorded crashes.
-    void onCompleted(Fingerprint, TimePoint now);
+    /// Records that the request, sent at this time, was answered completely, which refutes its earlier crashes.
+    void onCompleted(Fingerprint, TimePoint sentAt, TimePoint now);
 
     void onPeerMessage(const CrashGuardMessage&, TimePoint now);
     void onStoredRecord(const CrashRecord&, TimePoint now);
 
-    /// Decides cases whose evidence has arrived, and repeats recent reports, since messages to peers may be lost.
+    /// Repeats recent reports, since messages to peers may be lost.
     void onTick(TimePoint now);
 
     /// The retry delay to advise if the request must not be sent to a target.
@@ -68,6 +71,12 @@
     /// True if a target crashed while it ran the request.
     bool isSuspect(Fingerprint) const;
 
+    /// True if several targets may have crashed while they ran the request, so that it must run alone to show whether it was the cause.
+    bool needsTrial(Fingerprint) const;
+
+    /// True if an attempt that began at this time and still runs has lasted well beyond those that were interrupted.
+    bool outlives(Fingerprint, TimePoint sentAt, TimePoint now) const;
+
     const CrashGuardStatistics& statistics() const { return m_statistics; }
 
 private:
@@ -80,6 +89,8 @@
         /// This instance observed one of the crashes, so it informs the others.
         bool local = false;
         std::optional<TimePoint> convictedAt;
+        /// When it became known that several targets have crashed, also by a record in the store.
+        std::optional<TimePoint> suspectedAt;
 
         /// Crashes that are counted and those that are likely.
         std::size_t weight() const;
@@ -95,19 +106,18 @@
     void addInterruption(Fingerprint, Interruption, TimePoint now);
     void confirm(Fingerprint, const TargetIncarnation&, TimePoint now);
     bool countCrash(const CrashReport&, bool local, TimePoint now);
+    void recordSuspicion(Fingerprint, TimePoint now);
     void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
     bool mayConvict(Fingerprint) const;
     bool isSuspended(Fingerprint) const;
-    bool hasUnexplainedCrash(Fingerprint) const;
     bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
-    bool outweighs(Fingerprint, const Case&, Fingerprint other, const Case& otherCase) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
     void onConvictionNotice(const ConvictionNotice&, TimePoint now);
     void onPriorCompletion(Fingerprint, TimePoint now);
     void notifyIfCompletedBefore(Fingerprint, TimePoint now);
-    void clear(Fingerprint, TimePoint now);
+    void clear(Fingerprint, TimePoint answeredFrom, TimePoint now);
 
     Broadcaster m_broadcast;
     Recorder m_record;
--- a/src/quarantine/crashguardmessages.h
+++ b/src/quarantine/crashguardmessages.h
@@ -16,6 +16,8 @@
     Milliseconds sentAgo { 0 };
     /// Time from the interruption to this report.
     Milliseconds interruptedAgo { 0 };
+    /// The request ran on trial.
+    bool onTrial = false;
 
     friend bool operator==(const InterruptionReport&, const InterruptionReport&) = default;
 };
@@ -27,8 +29,15 @@
     friend bool operator==(const PriorCompletionNotice&, const PriorCompletionNotice&) = default;
 };
 
+/// Tells instances that start that several targets have crashed while they ran the request, so it runs on trial only.
+struct SuspicionRecord {
+    Fingerprint fingerprint = 0;
+
+    friend auto operator<=>(const SuspicionRecord&, const SuspicionRecord&) = default;
+};
+
 /// What the shared store keeps of crashes.
-using CrashRecord = std::variant<CrashReport, ConvictionNotice>;
+using CrashRecord = std::variant<CrashReport, ConvictionNotice, SuspicionRecord>;
 
 /// Messages that the crash guards of all instances exchange.
 using CrashGuardMessage = std::variant<InterruptionReport, PriorCompletionNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice>;
--- a/src/quarantine/crashrecordwriter.h
+++ b/src/quarantine/crashrecordwriter.h
@@ -11,7 +11,7 @@
 namespace guavaspan {
 
 /// What instances keep of crashes in the shared store.
-using StoredCrashRecord = std::variant<CrashReport, ConvictionNotice, PromptPartRecord>;
+using StoredCrashRecord = std::variant<CrashReport, ConvictionNotice, SuspicionRecord, PromptPartRecord>;
 
 std::string encodeCrashRecord(const StoredCrashRecord&);
 std::optional<StoredCrashRecord> decodeCrashRecord(const std::string&);
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -6,30 +6,29 @@
 
 #include <algorithm>
 #include <charconv>
-#include <tuple>
 
 namespace guavaspan {
 
 namespace {
 
-    /// Crashes after which a request is refused. If many callers send the same request, it runs on
+    /// Crashes after which a request is refused, one of them on trial. If many callers send the same request, it runs on
     /// several targets at any time, so two crashes may be a coincidence.
     constexpr std::size_t crashesToConvict = 3;
     /// Crashes after which a request is refused that was answered before. A request that many callers send is
     /// interrupted by most crashes, whatever their cause.
     constexpr std::size_t crashesToConvictCompleted = 10;
+    /// Targets that may have crashed after which a request runs on trial only. A single crash interrupts many requests.
+    constexpr std::size_t crashesToSuspect = 2;
     /// Crashes from which a request's reports are kept in the shared store. Most requests that run on a
     /// crashing target never meet a second crash, so of the first crash only the likeliest cause is kept.
     constexpr std::size_t crashesToRecord = 2;
-    /// A request that has this many crashes more than all that ran beside it needs no further evidence.
-    constexpr std::size_t decisiveLead = 2;
-    /// Time in which the reports of all requests that a crash interrupted arrive.
-    constexpr auto evidenceDelay = Seconds(1);
     /// A shorter silence before the end of an attempt says nothing about the target.
     constexpr auto minSilence = Milliseconds(250);
     /// The entry of a crashed target expires after three missed heartbeats; a target whose entry was
     /// removed for another reason is heard until then.
     constexpr auto minSilenceBeforeRemoval = Milliseconds(1500);
+    /// A request that crashes targets does so after about the same time.
+    constexpr int outlivingFactor = 2;
     constexpr auto unavailableTargetLifetime = Seconds(60);
     constexpr auto suspicionLifetime = std::chrono::minutes(30);
     constexpr auto convictionLifetime = std::chrono::hours(6);
@@ -83,6 +82,8 @@
         const auto& suspect = entry.second;
         bool convicted = suspect.convictedAt && *suspect.convictedAt + convictionLifetime > now;
         bool suspicious = !suspect.reports.empty() && suspect.lastCrashAt + suspicionLifetime > now;
+        if (suspect.suspectedAt)
+            suspicious = suspicious || *suspect.suspectedAt + suspicionLifetime > now;
         return suspect.interruptions.empty() && !convicted && !suspicious;
     });
     if (m_cases.empty())
@@ -107,12 +108,12 @@
     bool crashed = unavailable != m_unavailableTargets.end() && crashedBeforeRemoval(attempt, unavailable->second);
     bool counts = unavailable == m_unavailableTargets.end() || crashed;
     ++m_statistics.interruptedAnswers;
-    logEvent(LogLevel::Info, "answer_interrupted", { { "fingerprint", hexOf(attempt.fingerprint) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "abandoned", attempt.abandoned }, { "path_lost", attempt.pathLost }, { "silent_ms", elapsed(attempt.lastHeardAt, now).count() }, { "counts", counts } });
+    logEvent(LogLevel::Info, "answer_interrupted", { { "fingerprint", hexOf(attempt.fingerprint) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "abandoned", attempt.abandoned }, { "path_lost", attempt.pathLost }, { "on_trial", attempt.onTrial }, { "silent_ms", elapsed(attempt.lastHeardAt, now).count() }, { "counts", counts } });
     if (!counts)
         return;
-    addInterruption(attempt.fingerprint, { .target = target, .sentAt = attempt.sentAt, .endedAt = now, .abandoned = !attempt.isEvidence(), .local = true }, now);
+    addInterruption(attempt.fingerprint, { .target = target, .sentAt = attempt.sentAt, .endedAt = now, .abandoned = !attempt.isEvidence(), .onTrial = attempt.onTrial, .local = true }, now);
     if (attempt.isEvidence())
-        m_broadcast(InterruptionReport { .fingerprint = attempt.fingerprint, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = elapsed(attempt.sentAt, now), .interruptedAgo = Milliseconds(0) });
+        m_broadcast(InterruptionReport { .fingerprint = attempt.fingerprint, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = elapsed(attempt.sentAt, now), .interruptedAgo = Milliseconds(0), .onTrial = attempt.onTrial });
     if (crashed)
         confirm(attempt.fingerprint, target, now);
 }
@@ -171,6 +172,7 @@
         return;
     auto incidentsBefore = found->second.interruptions.confirmedIncidents();
     interruption->confirmed = true;
+    recordSuspicion(fingerprint, now);
     auto report = reportOf(fingerprint, target);
     bool separate = found->second.interruptions.confirmedIncidents() > incidentsBefore;
     if (!separate) {
@@ -188,6 +190,19 @@
     logIfNotConvicted(fingerprint);
 }
 
+/// Notes that several targets have crashed, which instances that start later must know. Peers write the same record.
+void CrashGuard::recordSuspicion(Fingerprint fingerprint, TimePoint now)
+{
+    auto& suspect = m_cases.at(fingerprint);
+    if (suspect.interruptions.confirmedCrashes() < crashesToSuspect)
+        return;
+    suspect.suspectedAt = now;
+    const auto& entries = suspect.interruptions.entries();
+    bool observed = std::any_of(entries.begin(), entries.end(), [](const Interruption& interruption) { return interruption.local; });
+    if (observed)
+        m_record(SuspicionRecord { .fingerprint = fingerprint });
+}
+
 /// Reports why a request is still sent although as many targets as a conviction needs have crashed while they ran it.
 void CrashGuard::logIfNotConvicted(Fingerprint fingerprint) const
 {
@@ -196,7 +211,7 @@
     auto crashes = std::count_if(entries.begin(), entries.end(), [](const Interruption& interruption) { return interruption.confirmed; });
     if (suspect.convictedAt || static_cast<std::size_t>(crashes) < crashesToConvict)
         return;
-    std::string cause = "explained_by_others";
+    std::string cause = "no_trial";
     if (!mayConvict(fingerprint))
         cause = "answered_before";
     else if (suspect.reports.size() < crashesToConvict)
@@ -240,43 +255,12 @@
     });
 }
 
-/// True if the first request explains crashes that both ran into: it has more of them, or as many and is interrupted
-/// sooner after it starts.
-bool CrashGuard::outweighs(Fingerprint fingerprint, const Case& suspect, Fingerprint other, const Case& otherCase) const
-{
-    auto rank = [](Fingerprint id, const Case& ranked) { return std::make_tuple(ranked.weight(), -ranked.interruptions.medianRunTime(), id); };
-    return rank(fingerprint, suspect) > rank(other, otherCase);
-}
-
-/// True if a recent crash during which the request ran cannot be explained by another request that ran there.
-bool CrashGuard::hasUnexplainedCrash(Fingerprint fingerprint) const
-{
-    const auto& suspect = m_cases.at(fingerprint);
-    const auto& entries = suspect.interruptions.entries();
-    return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) {
-        bool explained = std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
-            const auto& [other, otherCase] = entry;
-            bool ranThere = other != fingerprint && otherCase.interruptions.find(interruption.target);
-            return ranThere && mayConvict(other) && outweighs(other, otherCase, fingerprint, suspect);
-        });
-        return interruption.isEvidence() && !explained;
-    });
-}
-
-/// Convicts at once if no request that ran beside this one comes close; otherwise onTick() decides.
+/// Convicts a request that has crashed targets one after the other, among them one on which it ran alone.
 void CrashGuard::convictIfEvident(Fingerprint fingerprint, TimePoint now)
 {
     const auto& suspect = m_cases.at(fingerprint);
-    if (suspect.convictedAt || suspect.reports.size() < crashesToConvict || !mayConvict(fingerprint))
-        return;
-    const auto& entries = suspect.interruptions.entries();
-    bool rivalled = std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
-        const Case& rival = entry.second;
-        if (entry.first == fingerprint || rival.weight() + decisiveLead <= suspect.weight())
-            return false;
-        return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) { return rival.interruptions.find(interruption.target) != nullptr; });
-    });
-    if (rivalled || !hasUnexplainedCrash(fingerprint))
+    bool evident = suspect.reports.size() >= crashesToConvict && suspect.interruptions.hasConfirmedTrial();
+    if (suspect.convictedAt || !evident || !mayConvict(fingerprint))
         return;
     convict(fingerprint, now);
     m_broadcast(ConvictionNotice { .fingerprint = fingerprint });
@@ -309,20 +293,32 @@
         m_broadcast(PriorCompletionNotice { .fingerprint = fingerprint });
 }
 
-void CrashGuard::clear(Fingerprint fingerprint, TimePoint now)
+/// Discards the evidence from before the sending of a request that was answered; what ran at the same time may still crash.
+void CrashGuard::clear(Fingerprint fingerprint, TimePoint answeredFrom, TimePoint now)
 {
     m_completed.add(fingerprint, now);
-    m_cases.erase(fingerprint);
+    auto found = m_cases.find(fingerprint);
+    if (found == m_cases.end())
+        return;
+    auto& suspect = found->second;
+    suspect.interruptions.removeEndedBefore(answeredFrom);
+    if (suspect.interruptions.empty()) {
+        m_cases.erase(found);
+        return;
+    }
+    std::erase_if(suspect.reports, [&](const CrashReport& report) { return !suspect.interruptions.find(incarnationOf(report)); });
+    suspect.suspectedAt.reset();
+    suspect.convictedAt.reset();
 }
 
-void CrashGuard::onCompleted(Fingerprint fingerprint, TimePoint now)
+void CrashGuard::onCompleted(Fingerprint fingerprint, TimePoint sentAt, TimePoint now)
 {
     bool wasSuspect = m_cases.contains(fingerprint);
-    clear(fingerprint, now);
+    clear(fingerprint, sentAt, now);
     if (!wasSuspect)
         return;
     logEvent(LogLevel::Info, "request_cleared", { { "fingerprint", hexOf(fingerprint) } });
-    m_broadcast(CompletionReport { .fingerprint = fingerprint });
+    m_broadcast(CompletionReport { .fingerprint = fingerprint, .sentAgo = std::chrono::ceil<Milliseconds>(now - sentAt) });
 }
 
 void CrashGuard::onInterruptionReport(const InterruptionReport& report, TimePoint now)
@@ -330,7 +326,7 @@
     TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
     if (m_unavailableTargets.contains(target))
         return;
-    addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo }, now);
+    addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo, .onTrial = report.onTrial }, now);
     if (m_cases[report.fingerprint].weight() + 1 >= crashesToConvict)
         notifyIfCompletedBefore(report.fingerprint, now);
 }
@@ -362,7 +358,7 @@
                            convictIfEvident(report.fingerprint, now);
                    },
                    [&](const PriorCompletionNotice& notice) { onPriorCompletion(notice.fingerprint, now); },
-                   [&](const CompletionReport& report) { clear(report.fingerprint, now); },
+                   [&](const CompletionReport& report) { clear(report.fingerprint, now - report.sentAgo, now); },
                    [&](const ConvictionNotice& notice) { onConvictionNotice(notice, now); },
                    [&](const PardonNotice& notice) { m_cases.erase(notice.fingerprint); },
                },
@@ -374,6 +370,7 @@
     std::visit(Overloaded {
                    [&](const CrashReport& report) { countCrash(report, false, now); },
                    [&](const ConvictionNotice& notice) { onConvictionNotice(notice, now); },
+                   [&](const SuspicionRecord& suspicion) { m_cases[suspicion.fingerprint].suspectedAt = now; },
                },
         record);
 }
@@ -386,9 +383,6 @@
     removeExpired(now);
     std::vector<CrashGuardMessage> repeated;
     for (const auto& [fingerprint, suspect] : m_cases) {
-        bool decidable = suspect.reports.size() >= crashesToConvict && suspect.lastCrashAt + evidenceDelay <= now;
-        if (decidable && mayConvict(fingerprint) && hasUnexplainedCrash(fingerprint))
-            convict(fingerprint, now);
         if (suspect.convictedAt && *suspect.convictedAt + repetitionDuration >= now)
             repeated.emplace_back(ConvictionNotice { .fingerprint = fingerprint });
         if (suspect.local && suspect.reports.size() >= crashesToRecord && suspect.lastCrashAt + repetitionDuration >= now)
@@ -405,7 +399,7 @@
     auto found = m_cases.find(fingerprint);
     if (found == m_cases.end() || !mayConvict(fingerprint))
         return false;
-    return found->second.weight() >= crashesToConvict && hasUnexplainedCrash(fingerprint);
+    return found->second.weight() >= crashesToConvict && found->second.interruptions.hasTrial();
 }
 
 bool CrashGuard::isSuspect(Fingerprint fingerprint) const
@@ -414,6 +408,22 @@
     return found != m_cases.end() && !found->second.reports.empty();
 }
 
+bool CrashGuard::needsTrial(Fingerprint fingerprint) const
+{
+    auto found = m_cases.find(fingerprint);
+    if (found == m_cases.end())
+        return false;
+    const auto& suspect = found->second;
+    return suspect.suspectedAt || std::max(suspect.reports.size(), suspect.interruptions.possibleCrashes()) >= crashesToSuspect;
+}
+
+bool CrashGuard::outlives(Fingerprint fingerprint, TimePoint sentAt, TimePoint now) const
+{
+    auto found = m_cases.find(fingerprint);
+    auto longest = found == m_cases.end() ? Clock::duration::zero() : found->second.interruptions.longestRunTime();
+    return longest > Clock::duration::zero() && now - sentAt > outlivingFactor * longest;
+}
+
 std::optional<Clock::duration> CrashGuard::retryDelayIfRefused(Fingerprint fingerprint, TimePoint now) const
 {
     auto found = m_cases.find(fingerprint);
--- a/src/quarantine/internal/crashrecordwriter.cpp
+++ b/src/quarantine/internal/crashrecordwriter.cpp
@@ -20,16 +20,18 @@
     /// Records that are kept in case the store comes back from a copy.
     constexpr std::size_t maxLatestRecords = 500;
     constexpr const char* promptPartMarker = "prompt-part";
+    constexpr const char* suspicionMarker = "suspected";
 
 }
 
-/// A conviction has the fingerprint only, a crash report also the target and its incarnation. The record of a part of a prompt starts
-/// with a word that is no fingerprint.
+/// A conviction has the fingerprint only, a crash report also the target and its incarnation. Records of parts of prompts and of
+/// suspicions start with a word that is no fingerprint.
 std::string encodeCrashRecord(const StoredCrashRecord& record)
 {
     return std::visit(Overloaded {
                           [](const CrashReport& report) { return json::array({ hexOf(report.fingerprint), report.target, report.incarnation }).dump(); },
                           [](const ConvictionNotice& notice) { return json::array({ hexOf(notice.fingerprint) }).dump(); },
+                          [](const SuspicionRecord& suspicion) { return json::array({ suspicionMarker, hexOf(suspicion.fingerprint) }).dump(); },
                           [](const PromptPartRecord& conviction) { return json::array({ promptPartMarker, hexOf(conviction.part) }).dump(); },
                       },
         record);
@@ -41,6 +43,8 @@
         auto fields = json::parse(text);
         if (fields.at(0) == promptPartMarker)
             return PromptPartRecord { .part = std::stoull(fields.at(1).get<std::string>(), nullptr, 16) };
+        if (fields.at(0) == suspicionMarker)
+            return SuspicionRecord { .fingerprint = std::stoull(fields.at(1).get<std::string>(), nullptr, 16) };
         Fingerprint fingerprint = std::stoull(fields.at(0).get<std::string>(), nullptr, 16);
         if (fields.size() == 1)
             return ConvictionNotice { .fingerprint = fingerprint };
@@ -66,6 +70,7 @@
     return std::visit(Overloaded {
                           [&](const CrashReport& report) { return m_keyPrefix + hexOf(report.fingerprint) + "/" + hexOf(stableHash(report.incarnation, stableHash(report.target))); },
                           [&](const ConvictionNotice& notice) { return m_keyPrefix + hexOf(notice.fingerprint) + "/convicted"; },
+                          [&](const SuspicionRecord& suspicion) { return m_keyPrefix + hexOf(suspicion.fingerprint) + "/" + suspicionMarker; },
                           [&](const PromptPartRecord& conviction) { return m_keyPrefix + promptPartMarker + "/" + hexOf(conviction.part); },
                       },
         record);
--- a/src/quarantine/internal/interruptionlog.cpp
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -9,6 +9,7 @@
     /// Interruptions by targets that are lost together end within this time: a silent connection is detected by
     /// probes that are a second apart.
     constexpr auto incidentWindow = Seconds(1);
+    constexpr auto confirmedLifetime = std::chrono::minutes(30);
 
     template <typename Predicate>
     std::size_t countIncidents(const std::vector<Interruption>& interruptions, Predicate counts)
@@ -24,7 +25,7 @@
         for (const auto* interruption : byEnd) {
             bool sentAfterLast = last && interruption->sentAt >= last->endedAt;
             bool endedLater = last && interruption->endedAt > last->endedAt + incidentWindow;
-            if (last && !sentAfterLast && !endedLater)
+            if (last && !sentAfterLast && !endedLater && !interruption->onTrial)
                 continue;
             ++incidents;
             last = interruption;
@@ -73,6 +74,14 @@
     return *median;
 }
 
+Clock::duration InterruptionLog::longestRunTime() const
+{
+    Clock::duration longest {};
+    for (const auto& interruption : m_interruptions)
+        longest = std::max(longest, interruption.endedAt - interruption.sentAt);
+    return longest;
+}
+
 void InterruptionLog::onAlive(const TargetIncarnation& target, TimePoint provenAt)
 {
     std::erase_if(m_interruptions, [&](const Interruption& interruption) { return !interruption.confirmed && interruption.target == target && interruption.endedAt < provenAt; });
@@ -80,7 +89,7 @@
 
 void InterruptionLog::removeExpired(TimePoint now)
 {
-    removeEndedBefore(now - m_lifetime);
+    std::erase_if(m_interruptions, [&](const Interruption& interruption) { return interruption.endedAt + (interruption.confirmed ? confirmedLifetime : m_lifetime) < now; });
 }
 
 void InterruptionLog::removeEndedBefore(TimePoint time)
@@ -98,4 +107,24 @@
     return countIncidents(m_interruptions, [](const Interruption& interruption) { return interruption.isEvidence(); });
 }
 
+std::size_t InterruptionLog::possibleCrashes() const
+{
+    return static_cast<std::size_t>(std::count_if(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.isEvidence(); }));
+}
+
+std::size_t InterruptionLog::confirmedCrashes() const
+{
+    return static_cast<std::size_t>(std::count_if(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.confirmed; }));
+}
+
+bool InterruptionLog::hasTrial() const
+{
+    return std::any_of(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.onTrial && interruption.isEvidence(); });
+}
+
+bool InterruptionLog::hasConfirmedTrial() const
+{
+    return std::any_of(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.onTrial && interruption.confirmed; });
+}
+
 }
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -27,6 +27,8 @@
     TimePoint endedAt;
     /// The caller left or the deadline passed while the target was silent, or the path to it was lost.
     bool abandoned = false;
+    /// No other suspect ran on the target, so the request alone explains its crash.
+    bool onTrial = false;
     /// Observed by this instance, not reported by a peer.
     bool local = false;
     /// The target has crashed.
@@ -56,20 +58,30 @@
     /// Removes the unconfirmed interruption of an incarnation that has since been seen alive.
     void onAlive(const TargetIncarnation&, TimePoint provenAt);
 
+    /// Removes unconfirmed interruptions whose lifetime has passed, and confirmed ones after their own lifetime.
     void removeExpired(TimePoint now);
     void removeEndedBefore(TimePoint);
     const std::vector<Interruption>& entries() const { return m_interruptions; }
     bool empty() const { return m_interruptions.empty(); }
 
-    /// Numbers of separate incidents. Interruptions that overlap in time and end together may have one
+    /// Numbers of separate incidents. An interruption on trial is one by itself; others that overlap in time and end together may have one
     /// cause other than the request, such as the loss of a failure domain, and form one incident.
     std::size_t confirmedIncidents() const;
     /// Counts confirmed interruptions and unconfirmed ones that were not abandoned.
     std::size_t possibleIncidents() const;
+    /// Number of targets with interruptions that possibleIncidents() counts.
+    std::size_t possibleCrashes() const;
+    std::size_t confirmedCrashes() const;
+
+    /// True if an interruption that possibleIncidents() counts was on trial.
+    bool hasTrial() const;
+    bool hasConfirmedTrial() const;
 
     /// Median time from sending to interruption; the maximum if there is none. A request that crashes its target is
     /// interrupted soon after it starts.
     Clock::duration medianRunTime() const;
+    /// Longest time from sending to interruption; zero if there is none.
+    Clock::duration longestRunTime() const;
 
 private:
     Clock::duration m_lifetime;
--- a/src/quarantine/quarantineservice.h
+++ b/src/quarantine/quarantineservice.h
@@ -9,6 +9,8 @@
 /// Reports that a suspect request completed.
 struct CompletionReport {
     Fingerprint fingerprint = 0;
+    /// Time from the sending of the request to this report.
+    Milliseconds sentAgo { 0 };
 
     friend bool operator==(const CompletionReport&, const CompletionReport&) = default;
 };
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -140,7 +140,24 @@
     return timeLeft(request) >= minTimeForRetry && m_retryGate.tryTake(request, cause);
 }
 
-void PlainRelay::reportToGuards(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, TimePoint now)
+TrialEnd PlainRelay::trialEndOf(const Attempt& attempt, TimePoint now)
+{
+    switch (attempt.outcome) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::FailedAnswer:
+    case AttemptOutcome::Malformed:
+    case AttemptOutcome::NotRun:
+        return TrialEnd::Answered;
+    case AttemptOutcome::Broken:
+        return TrialEnd::Broken;
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::CallerGone:
+        return trialEndAfterSilence(now - attempt.lastHeardAt);
+    }
+    return TrialEnd::Answered;
+}
+
+void PlainRelay::reportToGuards(const RelayRequest& request, const TargetEntry& target, const Attempt& attempt, bool onTrial, TimePoint now)
 {
     switch (attempt.outcome) {
     case AttemptOutcome::Answered:
@@ -150,6 +167,8 @@
         m_context.promptGuard.onTargetAnswered(target, attempt.sentAt);
         if (attempt.outcome != AttemptOutcome::Malformed)
             m_context.promptGuard.onAnswerBegun(request.caller.sharedParts, now);
+        if (attempt.outcome == AttemptOutcome::Answered)
+            m_context.crashGuard.onCompleted(request.fingerprint, attempt.sentAt, now);
         return;
     case AttemptOutcome::NotRun:
         return;
@@ -160,7 +179,7 @@
         bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
         if (attempt.outcome == AttemptOutcome::Broken && !pathLost)
             m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt }, now);
-        m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken, .pathLost = pathLost }, now);
+        m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken, .pathLost = pathLost, .onTrial = onTrial }, now);
         return;
     }
 }
@@ -235,7 +254,13 @@
             result.detail = placement.error().detail;
             break;
         }
+        if (!co_await gate.startTrialIfNeeded(id, placement->target)) {
+            m_context.placement.release(id);
+            co_await sleepFor(SendGate::trialRetryInterval);
+            continue;
+        }
         if (!gate.tryClaim(placement->target)) {
+            gate.endTrial(TrialEnd::Answered);
             m_context.placement.release(id);
             continue;
         }
@@ -248,14 +273,14 @@
         result.detail = attempt.detail;
         logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "target", result.target }, { "send", std::int64_t(result.sends) }, { "verdict", std::string(toString(attempt.outcome)) }, { "detail", attempt.detail }, { "time_left_ms", attempt.timeLeft.count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "score", placement->score } });
         auto now = Clock::now();
-        reportToGuards(request, placement->target, attempt, now);
+        reportToGuards(request, placement->target, attempt, gate.onTrial(), now);
+        gate.endTrial(trialEndOf(attempt, now));
         switch (attempt.outcome) {
         case AttemptOutcome::CallerGone:
             result.reason = "caller_gone";
             co_return result;
         case AttemptOutcome::Answered:
             m_context.dispatcher.outcomes().onSuccess(address, now);
-            m_context.crashGuard.onCompleted(request.fingerprint, now);
             co_return co_await deliverAnswer(request, std::move(attempt), std::move(result));
         case AttemptOutcome::FailedAnswer:
             mayHaveRun = true;
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -1,6 +1,7 @@
 #include "relay/sendgate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavaspan {
 
@@ -10,6 +11,9 @@
     constexpr int maxLimitConflicts = 3;
     /// Retry delay of a request with a part of a prompt that crashes targets.
     constexpr auto retryDelayPromptPart = Seconds(60);
+    /// Trials of requests that crash nothing take as long as the requests; longer ones hold up the others.
+    constexpr auto maxTrialWait = Milliseconds(500);
+    constexpr auto retryDelayTrial = Seconds(1);
 
 }
 
@@ -51,6 +55,8 @@
     if (auto refused = crashRefusal())
         return refused;
     auto now = Clock::now();
+    if (m_waitsForTrialSince && *m_waitsForTrialSince + maxTrialWait < now && !suspects().empty())
+        return SendRefusal { .reason = "suspect_on_trial", .retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayTrial) };
     if (auto wait = waitIfAllLimited(now))
         return SendRefusal { .reason = "targets_limited", .retryAfter = m_context.dispatcher.jitteredRetryDelay(*wait) };
     return std::nullopt;
@@ -60,12 +66,54 @@
 {
     auto excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
     excluded.insert(m_triedTargets.begin(), m_triedTargets.end());
+    auto targetOnTrial = std::exchange(m_targetOnTrial, std::nullopt);
+    if (!targetOnTrial)
+        return excluded;
+    auto usable = m_context.directory.usableTargets(m_service);
+    bool othersLeft = std::any_of(usable.begin(), usable.end(), [&](const auto* target) { return target->id != *targetOnTrial && !excluded.contains(target->id); });
+    if (othersLeft)
+        excluded.insert(*targetOnTrial);
     return excluded;
 }
 
+std::vector<Suspect> SendGate::suspects() const
+{
+    std::vector<Suspect> suspects;
+    if (m_context.crashGuard.needsTrial(m_fingerprint))
+        suspects.push_back(m_fingerprint);
+    return suspects;
+}
+
+Awaitable<bool> SendGate::startTrialIfNeeded(std::uint64_t number, const TargetEntry& target)
+{
+    endTrial(TrialEnd::Answered);
+    auto suspects = this->suspects();
+    if (suspects.empty())
+        co_return true;
+    Trial trial { .suspects = std::move(suspects), .target = target.id };
+    auto decision = co_await m_context.trials.start(number, m_service, std::move(trial), m_lifetime);
+    if (decision == TrialDecision::Granted) {
+        m_trial = number;
+        m_waitsForTrialSince.reset();
+        co_return true;
+    }
+    if (decision == TrialDecision::TargetOnTrial)
+        m_targetOnTrial = target.id;
+    if (!m_waitsForTrialSince)
+        m_waitsForTrialSince = Clock::now();
+    co_return false;
+}
+
+void SendGate::endTrial(TrialEnd end)
+{
+    if (m_trial)
+        m_context.trials.end(*m_trial, end);
+    m_trial.reset();
+}
+
 bool SendGate::tryClaim(const TargetEntry& target)
 {
-    if (crashRefusal())
+    if (crashRefusal() || (!m_trial && !suspects().empty()))
         return false;
     if (m_context.targetLimits.tryTake(target, Clock::now()))
         return true;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -32,6 +32,7 @@
 /// State of one request across all engines that it is sent to.
 struct StreamRelay::Session {
     RelayRequest& request;
+    SendGate gate;
     RelayResult result;
     WorkId id = 0;
     std::shared_ptr<LiveStream> stream;
@@ -150,14 +151,16 @@
     m_context.promptGuard.onTargetAnswered(target, session.sentAt);
 }
 
-void StreamRelay::reportUnanswered(const Session& session, const TargetEntry& target, bool abandoned)
+/// Ends the trial if there is one.
+void StreamRelay::reportUnanswered(Session& session, const TargetEntry& target, bool abandoned)
 {
     // Connections of an instance that has lost its path break without a fault of the target; only its end confirms one.
     bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
     bool interrupted = !abandoned && !pathLost && !session.headerSent && !session.stream->isStopping();
     if (interrupted)
         m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
-    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned, .pathLost = pathLost }, Clock::now());
+    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned, .pathLost = pathLost, .onTrial = session.gate.onTrial() }, Clock::now());
+    session.gate.endTrial(abandoned ? trialEndAfterSilence(Clock::now() - session.lastHeardAt) : TrialEnd::Broken);
 }
 
 /// Finds an engine that starts the request. False if none did; session.responseHead may then hold an engine's error.
@@ -167,7 +170,7 @@
     m_retryGate.onRequest(request);
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
     PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
-    auto gate = makeSendGate(m_context, request);
+    auto& gate = session.gate;
     while (session.result.sends < maxSends && !m_context.dispatcher.targetPath().isLost(request.service.name)) {
         session.refusal = gate.refusal();
         if (session.refusal)
@@ -184,7 +187,14 @@
                 session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
+        if (!co_await gate.startTrialIfNeeded(id, placement->target)) {
+            m_context.placement.release(session.id);
+            session.id = 0;
+            co_await sleepFor(SendGate::trialRetryInterval);
+            continue;
+        }
         if (!gate.tryClaim(placement->target)) {
+            gate.endTrial(TrialEnd::Answered);
             m_context.placement.release(session.id);
             session.id = 0;
             continue;
@@ -206,8 +216,11 @@
         m_context.streams.remove(session.id);
         if (!request.callerWatch.gone())
             recordStartFailure(address, session);
-        if (session.mayHaveRun && session.responseHead.status == 0 && !session.malformed)
+        bool unanswered = session.mayHaveRun && session.responseHead.status == 0 && !session.malformed;
+        if (unanswered)
             reportUnanswered(session, target, request.callerWatch.gone() || Clock::now() >= request.deadline);
+        else
+            gate.endTrial(TrialEnd::Answered);
         if (request.callerWatch.gone() || !session.responseHead.notRun)
             co_return false;
         m_context.placement.release(session.id);
@@ -259,6 +272,10 @@
         m_context.metrics.recordPause(secondsBetween(session.lastEventAt, now));
     }
     session.lastEventAt = now;
+    if (session.gate.onTrial() && m_context.crashGuard.outlives(session.request.fingerprint, session.sentAt, now)) {
+        m_context.crashGuard.onCompleted(session.request.fingerprint, session.sentAt, now);
+        session.gate.endTrial(TrialEnd::Answered);
+    }
     m_context.dispatcher.setOutputTokens(session.id, session.stream->outputTokens());
     auto written = co_await session.request.exchange.writeEvents(std::move(bytes));
     if (!written)
@@ -306,7 +323,7 @@
     auto move = co_await session.stream->awaitMove(moveTimeout);
     if (!move || session.request.callerWatch.gone() || session.request.cut)
         co_return false;
-    if (!session.headerSent && makeSendGate(m_context, session.request).crashRefusal())
+    if (!session.headerSent && session.gate.crashRefusal())
         co_return false;
     auto continuation = move->continuation;
     continuation.lastEventId = session.stream->lastEventId();
@@ -399,7 +416,7 @@
 
 Awaitable<RelayResult> StreamRelay::run(RelayRequest& request)
 {
-    Session session { .request = request };
+    Session session { .request = request, .gate = makeSendGate(m_context, request) };
     bool started = co_await start(session);
     bool mayRelayToPeer = !started && !session.mayHaveRun && !session.refusal && !request.callerWatch.gone();
     if (mayRelayToPeer && m_context.dispatcher.targetPath().isLost(request.service.name)) {
@@ -414,9 +431,10 @@
             outcome = StreamOutcome::DeadlineReached;
         const auto& lastTarget = session.stream->target();
         if (outcome == StreamOutcome::Complete)
-            m_context.crashGuard.onCompleted(request.fingerprint, Clock::now());
+            m_context.crashGuard.onCompleted(request.fingerprint, session.sentAt, Clock::now());
         else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
             reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
+        session.gate.endTrial(TrialEnd::Answered);
         bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
         if (failed)
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
--- a/src/relay/plainrelay.h
+++ b/src/relay/plainrelay.h
@@ -22,7 +22,8 @@
     struct Attempt;
 
     Awaitable<Attempt> attempt(RelayRequest&, const Placement&, bool mayRetry);
-    void reportToGuards(const RelayRequest&, const TargetEntry&, const Attempt&, TimePoint now);
+    void reportToGuards(const RelayRequest&, const TargetEntry&, const Attempt&, bool onTrial, TimePoint now);
+    static TrialEnd trialEndOf(const Attempt&, TimePoint now);
     Awaitable<RelayResult> refuse(RelayRequest&, RelayResult, SendRefusal, bool mayHaveRun);
     Awaitable<RelayResult> deliverAnswer(RelayRequest&, Attempt, RelayResult);
     Awaitable<RelayResult> respondWithError(RelayRequest&, RelayResult, bool mayHaveRun);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -33,6 +33,7 @@
     UsageLedger& usage;
     CrashGuard& crashGuard;
     PromptGuard& promptGuard;
+    ITrials& trials;
     FleetCensus& census;
     const FleetView& fleet;
     std::string failureDomain;
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/dispatcher.h"
 #include "quarantine/crashguard.h"
+#include "quarantine/itrials.h"
 #include "quarantine/promptguard.h"
 #include "targets/targetlimits.h"
 
@@ -11,6 +12,7 @@
 struct SendGateContext {
     CrashGuard& crashGuard;
     PromptGuard& promptGuard;
+    ITrials& trials;
     TargetLimits& targetLimits;
     TargetDirectory& directory;
     Dispatcher& dispatcher;
@@ -22,7 +24,8 @@
     Clock::duration retryAfter {};
 };
 
-/// Decides for one request whether and to which targets it may be sent, before each attempt.
+/// Decides for one request whether and to which targets it may be sent, before each attempt. A request that is suspected of
+/// crashing targets is sent on trial only.
 class SendGate {
 public:
     SendGate(SendGateContext, std::string service, Fingerprint, std::vector<PromptPart>);
@@ -36,6 +39,15 @@
     /// Targets that the request must not be placed on.
     std::set<std::string> excludedTargets();
 
+    /// Starts a trial if the request needs one for the next send; `number` is unique in this process. False if it has to be
+    /// placed again after trialRetryInterval, since others are on trial.
+    Awaitable<bool> startTrialIfNeeded(std::uint64_t number, const TargetEntry&);
+
+    bool onTrial() const { return m_trial.has_value(); }
+    void endTrial(TrialEnd);
+
+    static constexpr auto trialRetryInterval = Milliseconds(30);
+
     /// Claims one send to a target. False if the request has to be placed again, since what allowed the
     /// placement changed while it waited.
     bool tryClaim(const TargetEntry&);
@@ -45,6 +57,7 @@
 
 private:
     std::optional<Clock::duration> waitIfAllLimited(TimePoint now);
+    std::vector<Suspect> suspects() const;
 
     SendGateContext m_context;
     std::string m_service;
@@ -52,6 +65,13 @@
     std::vector<PromptPart> m_promptParts;
     std::set<std::string> m_triedTargets;
     int m_limitConflicts = 0;
+    /// The number of the trial that runs.
+    std::optional<std::uint64_t> m_trial;
+    /// Another suspect is on trial there.
+    std::optional<std::string> m_targetOnTrial;
+    std::optional<TimePoint> m_waitsForTrialSince;
+    /// The trial ends with this object.
+    std::shared_ptr<const bool> m_lifetime = std::make_shared<const bool>(true);
 };
 
 }
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -40,7 +40,7 @@
     Awaitable<> finish(Session&, StreamOutcome);
     Awaitable<> respondUnstarted(Session&);
     void onHeard(Session&, const TargetEntry&);
-    void reportUnanswered(const Session&, const TargetEntry&, bool abandoned);
+    void reportUnanswered(Session&, const TargetEntry&, bool abandoned);
     void recordStartFailure(const std::string& address, const Session&);
     WorkEstimate estimateOf(const RelayRequest&) const;
     static std::string reasonFor(StreamOutcome);
