Let only answers since the first crash protect a request

Cause: CrashGuard asked for ten crashes instead of three if a request was known to be answered in the last minutes, since popular requests are interrupted by most crashes. What was answered before says nothing about now. PromptGuard asks for answers since the first interruption: two rules for one question.

Evidence: real processes (CrashingRequest) sent the request 7 and 16 times later than 3 s after the third crash, 3 allowed; the log says request_not_convicted with answered_before.

Change: the exception is gone; trials protect popular requests now. An answer refutes what broke before it was sent, here and at peers. A peer objects to a conviction only with an answer after all crashes that it knows of, and says when it was sent.

--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -108,7 +108,7 @@
 
     json fieldsOf(const PriorCompletionNotice& notice)
     {
-        return json::array({ notice.fingerprint });
+        return json::array({ notice.fingerprint, notice.sentAgo.count() });
     }
 
     json fieldsOf(const InterruptionReport& report)
@@ -299,6 +299,13 @@
         return { .fingerprint = fields.at(0).get<Fingerprint>(), .sentAgo = Milliseconds(fields.size() > 1 ? fields.at(1).get<std::int64_t>() : 0) };
     }
 
+    PriorCompletionNotice priorCompletionNoticeFrom(const json& fields)
+    {
+        // Instances of earlier versions state the fingerprint only; their answers may be as old as they remember.
+        constexpr auto longestMemory = std::chrono::minutes(10);
+        return { .fingerprint = fields.at(0).get<Fingerprint>(), .sentAgo = fields.size() > 1 ? Milliseconds(fields.at(1).get<std::int64_t>()) : longestMemory };
+    }
+
     template <typename FingerprintMessage>
     FingerprintMessage fingerprintMessageFrom(const json& fields)
     {
@@ -404,7 +411,7 @@
         case MessageType::InterruptionReport:
             return interruptionReportFrom(fields);
         case MessageType::PriorCompletionNotice:
-            return fingerprintMessageFrom<PriorCompletionNotice>(fields);
+            return priorCompletionNoticeFrom(fields);
         case MessageType::PromptInterruptionReport:
             return promptInterruptionReportFrom(fields);
         case MessageType::PromptPartInquiry:
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -113,15 +113,13 @@
     void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
-    bool mayConvict(Fingerprint) const;
     bool isSuspended(Fingerprint) const;
     bool wasCauseOnTrial(Fingerprint, const Interruption&) const;
     bool crashedTargetOnTrial(Fingerprint, bool onlyConfirmed) const;
     bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
     void onConvictionNotice(const ConvictionNotice&, TimePoint now);
-    void onPriorCompletion(Fingerprint, TimePoint now);
-    void notifyIfCompletedBefore(Fingerprint, TimePoint now);
+    void onPriorCompletion(const PriorCompletionNotice&, TimePoint now);
     void clear(Fingerprint, TimePoint answeredFrom, TimePoint now);
 
     Broadcaster m_broadcast;
@@ -132,7 +130,7 @@
     std::set<TargetIncarnation> m_unclearTargets;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
     CompletedRequests m_completed;
-    /// When peers were last told that a request was answered before.
+    /// When peers were last told that an answer refutes a conviction.
     std::map<Fingerprint, TimePoint> m_notifiedAt;
     TimePoint m_nextDecision;
 };
--- a/src/quarantine/crashguardmessages.h
+++ b/src/quarantine/crashguardmessages.h
@@ -22,9 +22,11 @@
     friend bool operator==(const InterruptionReport&, const InterruptionReport&) = default;
 };
 
-/// Tells that a request which is suspected now was answered before, so that crashes weigh less against it.
+/// Tells that a request which is convicted was answered after all crashes that the sender knows of.
 struct PriorCompletionNotice {
     Fingerprint fingerprint = 0;
+    /// Time from the sending of the request that was answered to this notice.
+    Milliseconds sentAgo { 0 };
 
     friend bool operator==(const PriorCompletionNotice&, const PriorCompletionNotice&) = default;
 };
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -14,9 +14,6 @@
     /// Crashes after which a request is refused, one of them on trial. If many callers send the same request, it runs on
     /// several targets at any time, so two crashes may be a coincidence.
     constexpr std::size_t crashesToConvict = 3;
-    /// Crashes after which a request is refused that was answered before. A request that many callers send is
-    /// interrupted by most crashes, whatever their cause.
-    constexpr std::size_t crashesToConvictCompleted = 10;
     /// Targets that may have crashed after which a request runs on trial only. A single crash interrupts many requests.
     constexpr std::size_t crashesToSuspect = 2;
     /// Crashes from which a request's reports are kept in the shared store. Most requests that run on a
@@ -38,7 +35,7 @@
     constexpr auto unavailableTargetLifetime = Seconds(60);
     constexpr auto suspicionLifetime = std::chrono::minutes(30);
     constexpr auto convictionLifetime = std::chrono::hours(6);
-    /// Time between notices to peers that a request was answered before.
+    /// Time between notices to peers that an answer refutes a conviction.
     constexpr auto notificationInterval = Seconds(5);
     constexpr auto decisionInterval = Seconds(1);
     /// Time after a crash or a conviction in which it is reported again.
@@ -217,11 +214,7 @@
     auto crashes = std::count_if(entries.begin(), entries.end(), [](const Interruption& interruption) { return interruption.confirmed; });
     if (suspect.convictedAt || static_cast<std::size_t>(crashes) < crashesToConvict)
         return;
-    std::string cause = "no_trial";
-    if (!mayConvict(fingerprint))
-        cause = "answered_before";
-    else if (suspect.reports.size() < crashesToConvict)
-        cause = "same_incident";
+    std::string cause = suspect.reports.size() < crashesToConvict ? "same_incident" : "no_trial";
     logEvent(LogLevel::Info, "request_not_convicted", { { "fingerprint", hexOf(fingerprint) }, { "cause", cause }, { "crashes", std::int64_t(crashes) }, { "counted", std::int64_t(suspect.reports.size()) } });
 }
 
@@ -240,14 +233,15 @@
     suspect.lastCrashAt = now;
     logEvent(LogLevel::Info, "request_crash", { { "fingerprint", hexOf(report.fingerprint) }, { "target", report.target }, { "incarnation", report.incarnation }, { "result", std::string("counted") }, { "local", local }, { "crashes", std::int64_t(suspect.reports.size()) } });
     bool recorded = suspect.reports.size() >= crashesToRecord || startedLastAt(report.fingerprint, incarnationOf(report));
-    if (suspect.local && recorded && mayConvict(report.fingerprint)) {
+    if (suspect.local && recorded) {
         for (const auto& recorded : suspect.reports)
             m_record(recorded);
     }
     return true;
 }
 
-/// True if of the requests that this instance ran at the target, this one was interrupted soonest after it was sent.
+/// True if of the requests that this instance ran at the target and that are not known to be answered, this one was interrupted
+/// soonest after it was sent.
 bool CrashGuard::startedLastAt(Fingerprint fingerprint, const TargetIncarnation& target) const
 {
     auto runTimeOf = [&](const Case& suspect) -> std::optional<Clock::duration> {
@@ -255,9 +249,9 @@
         return interruption && interruption->local ? std::optional(interruption->endedAt - interruption->sentAt) : std::nullopt;
     };
     auto own = runTimeOf(m_cases.at(fingerprint));
-    return own && std::none_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
+    return own && !m_completed.contains(fingerprint) && std::none_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
         auto other = runTimeOf(entry.second);
-        return other && *other < *own && mayConvict(entry.first);
+        return other && *other < *own && !m_completed.contains(entry.first);
     });
 }
 
@@ -304,7 +298,7 @@
 {
     const auto& suspect = m_cases.at(fingerprint);
     bool evident = suspect.reports.size() >= crashesToConvict && crashedTargetOnTrial(fingerprint, true);
-    if (suspect.convictedAt || !evident || !mayConvict(fingerprint))
+    if (suspect.convictedAt || !evident)
         return;
     convict(fingerprint, now);
     m_broadcast(ConvictionNotice { .fingerprint = fingerprint });
@@ -321,26 +315,10 @@
         m_record(ConvictionNotice { .fingerprint = fingerprint });
 }
 
-/// True unless the request was answered before and has met few crashes since.
-bool CrashGuard::mayConvict(Fingerprint fingerprint) const
-{
-    if (!m_completed.contains(fingerprint))
-        return true;
-    auto found = m_cases.find(fingerprint);
-    return found != m_cases.end() && found->second.reports.size() >= crashesToConvictCompleted;
-}
-
-/// Tells peers that suspect a request that it was answered at this instance before.
-void CrashGuard::notifyIfCompletedBefore(Fingerprint fingerprint, TimePoint now)
-{
-    if (m_completed.contains(fingerprint) && m_notifiedAt.emplace(fingerprint, now).second)
-        m_broadcast(PriorCompletionNotice { .fingerprint = fingerprint });
-}
-
 /// Discards the evidence from before the sending of a request that was answered; what ran at the same time may still crash.
 void CrashGuard::clear(Fingerprint fingerprint, TimePoint answeredFrom, TimePoint now)
 {
-    m_completed.add(fingerprint, now);
+    m_completed.add(fingerprint, answeredFrom, now);
     auto found = m_cases.find(fingerprint);
     if (found == m_cases.end())
         return;
@@ -351,8 +329,10 @@
         return;
     }
     std::erase_if(suspect.reports, [&](const CrashReport& report) { return !suspect.interruptions.find(incarnationOf(report)); });
-    suspect.suspectedAt.reset();
-    suspect.convictedAt.reset();
+    if (suspect.interruptions.confirmedCrashes() < crashesToSuspect)
+        suspect.suspectedAt.reset();
+    if (suspect.reports.size() < crashesToConvict)
+        suspect.convictedAt.reset();
 }
 
 void CrashGuard::onCompleted(Fingerprint fingerprint, TimePoint sentAt, TimePoint now)
@@ -371,26 +351,29 @@
     if (m_unavailableTargets.contains(target))
         return;
     addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo, .onTrial = report.onTrial }, now);
-    if (m_cases[report.fingerprint].weight() + 1 >= crashesToConvict)
-        notifyIfCompletedBefore(report.fingerprint, now);
 }
 
 void CrashGuard::onConvictionNotice(const ConvictionNotice& notice, TimePoint now)
 {
-    if (mayConvict(notice.fingerprint))
+    auto answeredFrom = m_completed.lastSentAt(notice.fingerprint);
+    bool refuted = answeredFrom && !m_cases.contains(notice.fingerprint);
+    if (!refuted)
         convict(notice.fingerprint, now);
-    else
-        notifyIfCompletedBefore(notice.fingerprint, now);
+    else if (m_notifiedAt.emplace(notice.fingerprint, now).second)
+        m_broadcast(PriorCompletionNotice { .fingerprint = notice.fingerprint, .sentAgo = std::chrono::ceil<Milliseconds>(now - *answeredFrom) });
 }
 
-void CrashGuard::onPriorCompletion(Fingerprint fingerprint, TimePoint now)
+/// Stored evidence has no times, so that any answer that a peer knows to be later than all evidence refutes it.
+void CrashGuard::onPriorCompletion(const PriorCompletionNotice& notice, TimePoint now)
 {
-    m_completed.add(fingerprint, now);
-    auto found = m_cases.find(fingerprint);
-    if (found != m_cases.end() && found->second.convictedAt && !mayConvict(fingerprint)) {
-        logEvent(LogLevel::Info, "request_acquitted", { { "fingerprint", hexOf(fingerprint) } });
-        found->second.convictedAt.reset();
-    }
+    auto isConvicted = [&] {
+        auto found = m_cases.find(notice.fingerprint);
+        return found != m_cases.end() && found->second.convictedAt;
+    };
+    bool wasConvicted = isConvicted();
+    clear(notice.fingerprint, now - notice.sentAgo, now);
+    if (wasConvicted && !isConvicted())
+        logEvent(LogLevel::Info, "request_acquitted", { { "fingerprint", hexOf(notice.fingerprint) }, { "sent_ago_ms", notice.sentAgo.count() } });
 }
 
 void CrashGuard::onPeerMessage(const CrashGuardMessage& message, TimePoint now)
@@ -401,7 +384,7 @@
                        if (countCrash(report, false, now))
                            convictIfEvident(report.fingerprint, now);
                    },
-                   [&](const PriorCompletionNotice& notice) { onPriorCompletion(notice.fingerprint, now); },
+                   [&](const PriorCompletionNotice& notice) { onPriorCompletion(notice, now); },
                    [&](const CompletionReport& report) { clear(report.fingerprint, now - report.sentAgo, now); },
                    [&](const ConvictionNotice& notice) { onConvictionNotice(notice, now); },
                    [&](const PardonNotice& notice) { m_cases.erase(notice.fingerprint); },
@@ -441,7 +424,7 @@
 bool CrashGuard::isSuspended(Fingerprint fingerprint) const
 {
     auto found = m_cases.find(fingerprint);
-    if (found == m_cases.end() || !mayConvict(fingerprint))
+    if (found == m_cases.end())
         return false;
     return found->second.weight() >= crashesToConvict && crashedTargetOnTrial(fingerprint, false);
 }
@@ -485,7 +468,7 @@
     if (found == m_cases.end())
         return std::nullopt;
     const auto& convictedAt = found->second.convictedAt;
-    if (convictedAt && *convictedAt + convictionLifetime > now && mayConvict(fingerprint))
+    if (convictedAt && *convictedAt + convictionLifetime > now)
         return retryDelayConvicted;
     if (isSuspended(fingerprint))
         return retryDelayUnconfirmed;
--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -424,17 +424,58 @@
 }
 
 /// Callers of a popular request are interrupted by every crash, whichever request causes it.
-Test(CrashGuard, popularRequestThatWasAnsweredBefore_isNotConvictedByCrashesInSuccession)
+Test(CrashGuard, popularRequestThatIsAnsweredAfterEachCrash_isNotConvictedByCrashesInSuccession)
 {
     FleetFixture f;
-    f.guards[1]->onCompleted(f.request, f.now, f.now);
-    for (int number : { 1, 2, 3, 4, 5 })
+    for (int number = 1; number <= 20; ++number) {
         f.crash(0, number);
-    cr_expect(!f.refuses(0), "the peer that answered it tells so");
-    cr_expect(!f.refuses(1));
-    for (int number = 6; number <= 20; ++number)
+        cr_expect(!f.refuses(0) && !f.refuses(1));
+        f.now += Milliseconds(10);
+        f.guards[1]->onCompleted(f.request, f.now - Milliseconds(5), f.now);
+        cr_expect(!f.guards[0]->needsTrial(f.request), "the peer that answered it tells so");
+    }
+    cr_expect(!f.refuses(0) && !f.refuses(1));
+}
+
+/// Guards against BUDGET: a request that was answered before it began to crash targets was sent until it had ended ten.
+Test(CrashGuard, requestThatWasAnsweredBeforeTheFirstCrash_isRefusedAfterTheThird)
+{
+    FleetFixture f;
+    for (std::size_t instance : { 0, 1 })
+        f.guards[instance]->onCompleted(f.request, f.now - Milliseconds(15), f.now);
+    f.now += Seconds(5);
+    for (int number : { 1, 2, 3 }) {
+        cr_expect(!f.refuses(0) && !f.refuses(1));
         f.crash(0, number);
-    cr_expect(f.refuses(0), "it has not been answered since");
+    }
+    f.tick(Seconds(1));
+    cr_expect(f.refuses(0));
+    cr_expect(f.refuses(1));
+}
+
+/// Guards against BUDGET: an answer that had been sent before the crash refuted it.
+Test(CrashGuard, answerToRequestThatWasSentBeforeTheCrashes_refutesNothing)
+{
+    FleetFixture f;
+    auto sentBefore = f.now;
+    for (int number : { 1, 2, 3 })
+        f.crash(0, number);
+    f.guards[1]->onCompleted(f.request, sentBefore, f.now);
+    cr_expect(f.refuses(0));
+    cr_expect(f.refuses(1));
+}
+
+/// Guards against BUDGET: a peer that had only answered the request before lifted the conviction of all.
+Test(CrashGuard, convictionThatAPeerLearnsFromTheStore_isNotLiftedByEarlierAnswers)
+{
+    FleetFixture f;
+    f.guards[1]->onCompleted(f.request, f.now - Milliseconds(15), f.now);
+    f.connected = false;
+    for (int number : { 1, 2, 3 })
+        f.crash(0, number);
+    f.connected = true;
+    f.tick(Seconds(1));
+    cr_expect(f.refuses(0), "it knows crashes that are later than the answer");
 }
 
 Test(CrashGuard, convictedRequestThatIsAnsweredAfterAll_isAdmittedByAllInstances)
--- a/src/quarantine/tests/crashguardfleet_test.cpp
+++ b/src/quarantine/tests/crashguardfleet_test.cpp
@@ -331,3 +331,17 @@
 {
     expectRuleKept({ .crashingCallers = 6, .soundRequests = 6, .callersOfEach = 6, .lostMessagesPercent = 5 });
 }
+
+/// Guards against BUDGET: an answer from before the first crash protected the request for the next nine.
+Test(CrashGuardFleet, requestIsAnsweredBeforeItCrashesEngines_isSentFewTimesAfterTheThirdCrash)
+{
+    for (std::size_t engines : { 1, 3, 9 })
+        expectRuleKept({ .engines = engines, .crashingCallers = 4, .answeredFor = Seconds(3), .soundRequests = 6, .callersOfEach = 6 });
+}
+
+/// Guards against BUDGET: all of this at the same time, as in the users' record.
+Test(CrashGuardFleet, wavesAfterAnswersBesidePopularRequests_onlyTheCrashingOneIsRefused)
+{
+    expectRuleKept({ .crashingCallers = 9, .timeToCrash = Milliseconds(40), .answeredFor = Seconds(2), .soundRequests = 20, .callersOfEach = 3, .lostMessagesPercent = 2 });
+    expectRuleKept({ .crashingCallers = 9, .answeredFor = Seconds(2), .soundRequests = 6, .callersOfEach = 6, .restartsAllInstances = true });
+}
