Count crashed engines, not runs, in the soak's check of crashing requests

The users' rule counts from the third engine that a request has crashed. A test of the check says so; the bound of three late runs is unchanged.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -255,31 +255,39 @@
         /// undisturbed instances must stop passing it on.
         void checkCrashingRequests()
         {
-            std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>> runsByPath;
+            CrashingRuns runsByPath;
             for (const auto& attempt : m_record.attempts) {
                 auto trigger = parseCrashTrigger(attempt.path);
                 if (!trigger)
                     continue;
                 for (const auto* engineRecord : engineRecordsOf(attempt.id)) {
                     if (engineRecord->recordedAt >= trigger->from)
-                        runsByPath[attempt.path].emplace_back(engineRecord->recordedAt, &attempt);
+                        runsByPath[attempt.path].push_back({ .record = engineRecord, .attempt = &attempt });
                 }
             }
             reportLateRuns(runsByPath, crashesUntilKnown, maxRunsOfKnownCrash, "a request that crashed three engines is not executed again");
         }
 
-        /// Reports requests that crash engines and are executed by undisturbed instances more often than `allowed` once the first
-        /// `known` of them have crashed engines.
-        void reportLateRuns(std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>>& runsByCause, int known, int allowed, const char* guarantee)
+        struct CrashingRun {
+            const EngineRecord* record = nullptr;
+            const Attempt* attempt = nullptr;
+        };
+        using CrashingRuns = std::map<std::string, std::vector<CrashingRun>>;
+
+        /// Reports requests that crash engines and are executed by undisturbed instances more often than `allowed` once they have
+        /// crashed `known` engines.
+        void reportLateRuns(CrashingRuns& runsByCause, std::size_t known, int allowed, const char* guarantee)
         {
             for (auto& [cause, runs] : runsByCause) {
-                if (runs.size() <= static_cast<std::size_t>(known))
+                std::stable_sort(runs.begin(), runs.end(), [](const CrashingRun& left, const CrashingRun& right) { return left.record->recordedAt < right.record->recordedAt; });
+                std::set<std::string> engines;
+                auto last = std::find_if(runs.begin(), runs.end(), [&](const CrashingRun& run) { return engines.insert(run.record->engineId).second && engines.size() == known; });
+                if (last == runs.end())
                     continue;
-                std::sort(runs.begin(), runs.end());
-                auto knownAt = runs[static_cast<std::size_t>(known) - 1].first + recoveryAllowance.count() + schedulingSlack.count();
-                auto lateRuns = std::count_if(runs.begin(), runs.end(), [&](const auto& run) { return run.first > knownAt && instanceAndStoreUndisturbed(*run.second); });
+                auto knownAt = last->record->recordedAt + recoveryAllowance.count() + schedulingSlack.count();
+                auto lateRuns = std::count_if(runs.begin(), runs.end(), [&](const CrashingRun& run) { return run.record->recordedAt > knownAt && instanceAndStoreUndisturbed(*run.attempt); });
                 if (lateRuns > allowed)
-                    reportViolation(guarantee, *runs.back().second, fmt::format("{}: executed {} times, {} of them later than {}", cause, runs.size(), lateRuns, knownAt));
+                    reportViolation(guarantee, *runs.back().attempt, fmt::format("{}: executed {} times, {} of them later than {}", cause, runs.size(), lateRuns, knownAt));
             }
         }
 
@@ -287,12 +295,12 @@
         /// stop passing such requests on.
         void checkCrashingPromptParts()
         {
-            std::map<std::string, std::vector<std::pair<SoakTime, const Attempt*>>> runsByPart;
+            CrashingRuns runsByPart;
             for (const auto& attempt : m_record.attempts) {
                 if (!attempt.promptPart.starts_with(crashingPromptPart))
                     continue;
                 for (const auto* engineRecord : engineRecordsOf(attempt.id))
-                    runsByPart[attempt.promptPart].emplace_back(engineRecord->recordedAt, &attempt);
+                    runsByPart[attempt.promptPart].push_back({ .record = engineRecord, .attempt = &attempt });
             }
             reportLateRuns(runsByPart, crashesUntilPartIsKnown, maxRequestsWithKnownPart, "requests with a part in their prompts under which five engines have ended are not executed");
         }
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -76,12 +76,12 @@
 /// Excessive deadlines that are allowed, and their allowed share of all late repeats.
 inline constexpr int maxExcessiveDeadlines = 20;
 inline constexpr double maxExcessiveDeadlineShare = 0.2;
-/// Executions after which a request that crashes engines is known to do so.
-inline constexpr int crashesUntilKnown = 3;
+/// Engines that a request has crashed when it is known to do so.
+inline constexpr std::size_t crashesUntilKnown = 3;
 /// Executions allowed later than recoveryAllowance after the last of crashesUntilKnown.
 inline constexpr int maxRunsOfKnownCrash = 3;
 /// Engines that end under requests with one part in their prompts before the part is known to end them.
-inline constexpr int crashesUntilPartIsKnown = 5;
+inline constexpr std::size_t crashesUntilPartIsKnown = 5;
 /// Requests with the part that may reach engines later than recoveryAllowance after the last of them.
 inline constexpr int maxRequestsWithKnownPart = 3;
 /// Brittle engines that may end while the service is brittle, and as a share of its engines.
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -225,6 +225,23 @@
     cr_expect(f.firstViolatedGuarantee().empty(), "three executions after the third crash are allowed");
 }
 
+Test(SoakChecks, findViolations_requestCrashesOneEngineInSeveralRuns_isNotKnownBeforeTheThirdEngine)
+{
+    ChecksFixture f;
+    f.record.engineRecords.clear();
+    f.record.attempts.clear();
+    for (int run = 0; run < 9; ++run) {
+        auto id = "x" + std::to_string(run);
+        SoakTime sentAt = run < 4 ? 100000 + run : 104000 + run;
+        f.record.attempts.push_back({ .id = id, .type = RequestType::Lookup, .path = "/lookup/crash1-from0-after0/", .apiKey = "key", .instance = "i", .incarnation = 1, .sentAt = sentAt, .endedAt = sentAt + 5, .requestSent = true, .status = 502, .responseComplete = true });
+        f.record.engineRecords.push_back({ .attemptId = id, .engineId = run < 4 ? "e0" : "e" + id, .organisation = "org", .recordedAt = sentAt + 1 });
+    }
+    cr_expect(f.firstViolatedGuarantee().empty());
+    f.record.engineRecords[1].engineId = "e1";
+    f.record.engineRecords[2].engineId = "e2";
+    cr_expect(f.firstViolatedGuarantee() == "a request that crashed three engines is not executed again");
+}
+
 Test(SoakChecks, findViolations_crashingRequestAnsweredBefore_answersAreNoCrashes)
 {
     ChecksFixture f;
