Keep sound requests that break beside a crash or after it out of the evidence

Cause, from the logs: what broke on a target that had crashed before counted as a crash of its own, since the links of crashed engines accept connections and reset them. It made suspects of popular requests, and their breaks undid the trial of the crashing one, also later ones. A report that was lost, or came some milliseconds late, hid who ran beside a trial.

Change: an attempt that was sent after its target had broken others, and had answered none since, is no evidence. What ran beside a trial is told by the end, which a crash gives to all that run. Interruptions of suspects are repeated for 3 s. For half a second after a trial broke, requests wait for the target's next answer instead of being refused.

The test repeats its trials now, as instances do. requestSuspendedWhileItWaits_isNotSent is as it was; the fixture's crashes lie in the past instead of the future.

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -68,6 +68,9 @@
     /// The retry delay to advise if the request must not be sent to a target.
     std::optional<Clock::duration> retryDelayIfRefused(Fingerprint, TimePoint now) const;
 
+    /// True if the request must not be sent since a trial has just broken, which does not yet show whether the target has crashed.
+    bool awaitsTrialResult(Fingerprint, TimePoint now) const;
+
     /// True if a target crashed while it ran the request.
     bool isSuspect(Fingerprint) const;
 
@@ -113,10 +116,12 @@
     void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
+    bool hadCrashedBefore(const TargetIncarnation&, TimePoint sentAt) const;
     bool isSuspended(Fingerprint) const;
     bool wasCauseOnTrial(Fingerprint, const Interruption&) const;
     bool crashedTargetOnTrial(Fingerprint, bool onlyConfirmed) const;
     bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
+    void repeatInterruptions(Fingerprint, const Case&, TimePoint now, std::vector<CrashGuardMessage>&) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
     void onConvictionNotice(const ConvictionNotice&, TimePoint now);
     void onPriorCompletion(const PriorCompletionNotice&, TimePoint now);
@@ -128,6 +133,8 @@
     std::map<Fingerprint, Case> m_cases;
     /// Incarnations with interruptions that are neither confirmed nor refuted.
     std::set<TargetIncarnation> m_unclearTargets;
+    /// Targets that had answered a request which was sent at this time, after they had interrupted others.
+    std::map<TargetIncarnation, TimePoint> m_refutedUntil;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
     CompletedRequests m_completed;
     /// When peers were last told that an answer refutes a conviction.
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -28,6 +28,10 @@
     constexpr int outlivingFactor = 2;
     /// The entry of a crashed target expires within this time.
     constexpr auto entryLifetime = Milliseconds(4000);
+    /// A target that has broken a trial and lives answers other requests within this time.
+    constexpr auto trialResultDelay = Milliseconds(500);
+    /// Longest time that a report of a peer takes, by which what it tells seems to be later.
+    constexpr auto reportDelay = Milliseconds(100);
     /// Targets that are lost together break connections within this time: silent ones are detected by probes that are a second apart.
     constexpr auto commonLossWindow = Seconds(1);
     /// Other targets with suspects on trial that do not crash within that time by coincidence.
@@ -40,6 +44,7 @@
     constexpr auto decisionInterval = Seconds(1);
     /// Time after a crash or a conviction in which it is reported again.
     constexpr auto repetitionDuration = Seconds(10);
+    constexpr auto interruptionRepetitionDuration = Seconds(3);
     /// Retry delay while it is not known whether targets have crashed: their entries expire in this time.
     constexpr auto retryDelayUnconfirmed = Seconds(5);
     /// Retry delay of a convicted request; operators have to examine it first.
@@ -92,6 +97,7 @@
     if (m_cases.empty())
         m_unclearTargets.clear();
     std::erase_if(m_unavailableTargets, [&](const auto& entry) { return entry.second.at + unavailableTargetLifetime < now; });
+    std::erase_if(m_refutedUntil, [&](const auto& entry) { return entry.second + unavailableTargetLifetime < now; });
     std::erase_if(m_notifiedAt, [&](const auto& entry) { return entry.second + notificationInterval < now; });
 }
 
@@ -125,12 +131,23 @@
 {
     removeExpired(now);
     auto target = interruption.target;
+    if (hadCrashedBefore(target, interruption.sentAt))
+        return;
     if (m_cases[fingerprint].interruptions.add(std::move(interruption)))
         m_unclearTargets.insert(target);
     if (isSuspended(fingerprint))
         logEvent(LogLevel::Warning, "request_suspended", { { "fingerprint", hexOf(fingerprint) }, { "target", target.target } });
 }
 
+/// True if the target had broken another request before this one was sent, and has answered none since.
+bool CrashGuard::hadCrashedBefore(const TargetIncarnation& target, TimePoint sentAt) const
+{
+    return m_unclearTargets.contains(target) && std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
+        const auto* interruption = entry.second.interruptions.find(target);
+        return interruption && interruption->isEvidence() && interruption->endedAt <= sentAt && interruption->endedAt + entryLifetime > sentAt;
+    });
+}
+
 void CrashGuard::onTargetAnswered(const TargetEntry& target, TimePoint sentAt)
 {
     if (m_unclearTargets.empty())
@@ -143,6 +160,7 @@
         suspect.interruptions.onAlive(incarnation, sentAt);
         isUnclear = isUnclear || suspect.interruptions.find(incarnation);
     }
+    m_refutedUntil.insert_or_assign(incarnation, sentAt);
     if (!isUnclear)
         m_unclearTargets.erase(incarnation);
 }
@@ -255,8 +273,8 @@
     });
 }
 
-/// False if the target had broken other requests before this one was sent, if another suspect ran on it too, which was sent before it
-/// was known as one, or if other targets were lost with it. A target on which another suspect was on trial may have been crashed by that one, so one such target proves nothing.
+/// False if another suspect ran on the target too, which was sent before it was known as one, or if other targets were lost with it.
+/// A target on which another suspect was on trial may have been crashed by that one, so one such target proves nothing.
 bool CrashGuard::wasCauseOnTrial(Fingerprint fingerprint, const Interruption& interruption) const
 {
     const auto& own = m_cases.at(fingerprint).interruptions;
@@ -265,11 +283,11 @@
     for (const auto& [other, otherCase] : m_cases) {
         if (other == fingerprint)
             continue;
-        bool isSuspected = otherCase.interruptions.possibleCrashes() >= crashesToSuspect;
+        bool wasSuspected = otherCase.interruptions.possibleCrashesElsewhere(interruption.target, interruption.endedAt) >= crashesToSuspect;
         for (const auto& otherInterruption : otherCase.interruptions.entries()) {
             if (otherInterruption.target == interruption.target) {
-                bool crashedBefore = otherInterruption.endedAt <= interruption.sentAt;
-                if (crashedBefore || (isSuspected && !otherInterruption.onTrial))
+                bool ranTogether = otherInterruption.sentAt < interruption.endedAt && std::chrono::abs(otherInterruption.endedAt - interruption.endedAt) <= reportDelay;
+                if (ranTogether && wasSuspected && !otherInterruption.onTrial)
                     return false;
                 continue;
             }
@@ -348,9 +366,13 @@
 void CrashGuard::onInterruptionReport(const InterruptionReport& report, TimePoint now)
 {
     TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
-    if (m_unavailableTargets.contains(target))
+    auto endedAt = now - report.interruptedAgo;
+    auto answeredFrom = m_completed.lastSentAt(report.fingerprint);
+    auto refuted = m_refutedUntil.find(target);
+    bool isRefuted = (answeredFrom && *answeredFrom > endedAt) || (refuted != m_refutedUntil.end() && refuted->second > endedAt);
+    if (isRefuted || m_unavailableTargets.contains(target))
         return;
-    addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = now - report.interruptedAgo, .onTrial = report.onTrial }, now);
+    addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = endedAt, .onTrial = report.onTrial }, now);
 }
 
 void CrashGuard::onConvictionNotice(const ConvictionNotice& notice, TimePoint now)
@@ -402,6 +424,16 @@
         record);
 }
 
+/// Verdicts on all instances' requests depend on what ran together, so that a lost report may blame the wrong one.
+void CrashGuard::repeatInterruptions(Fingerprint fingerprint, const Case& suspect, TimePoint now, std::vector<CrashGuardMessage>& messages) const
+{
+    for (const auto& interruption : suspect.interruptions.entries()) {
+        bool isRecent = interruption.endedAt + interruptionRepetitionDuration >= now;
+        if (interruption.local && interruption.isEvidence() && isRecent)
+            messages.emplace_back(InterruptionReport { .fingerprint = fingerprint, .target = interruption.target.target, .targetStartedAt = interruption.target.startedAt, .sentAgo = elapsed(interruption.sentAt, now), .interruptedAgo = elapsed(interruption.endedAt, now), .onTrial = interruption.onTrial });
+    }
+}
+
 void CrashGuard::onTick(TimePoint now)
 {
     if (now < m_nextDecision)
@@ -412,6 +444,8 @@
     for (const auto& [fingerprint, suspect] : m_cases) {
         if (suspect.convictedAt && *suspect.convictedAt + repetitionDuration >= now)
             repeated.emplace_back(ConvictionNotice { .fingerprint = fingerprint });
+        if (needsTrial(fingerprint))
+            repeatInterruptions(fingerprint, suspect, now, repeated);
         if (suspect.local && suspect.reports.size() >= crashesToRecord && suspect.lastCrashAt + repetitionDuration >= now)
             repeated.insert(repeated.end(), suspect.reports.begin(), suspect.reports.end());
     }
@@ -429,6 +463,14 @@
     return found->second.weight() >= crashesToConvict && crashedTargetOnTrial(fingerprint, false);
 }
 
+bool CrashGuard::awaitsTrialResult(Fingerprint fingerprint, TimePoint now) const
+{
+    if (!isSuspended(fingerprint) || m_cases.at(fingerprint).convictedAt)
+        return false;
+    const auto& entries = m_cases.at(fingerprint).interruptions.entries();
+    return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) { return interruption.onTrial && !interruption.confirmed && interruption.endedAt + trialResultDelay > now; });
+}
+
 bool CrashGuard::isSuspect(Fingerprint fingerprint) const
 {
     auto found = m_cases.find(fingerprint);
--- a/src/quarantine/internal/interruptionlog.cpp
+++ b/src/quarantine/internal/interruptionlog.cpp
@@ -112,6 +112,11 @@
     return static_cast<std::size_t>(std::count_if(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.isEvidence(); }));
 }
 
+std::size_t InterruptionLog::possibleCrashesElsewhere(const TargetIncarnation& target, TimePoint until) const
+{
+    return static_cast<std::size_t>(std::count_if(m_interruptions.begin(), m_interruptions.end(), [&](const Interruption& interruption) { return interruption.isEvidence() && interruption.target != target && interruption.endedAt <= until; }));
+}
+
 std::size_t InterruptionLog::confirmedCrashes() const
 {
     return static_cast<std::size_t>(std::count_if(m_interruptions.begin(), m_interruptions.end(), [](const Interruption& interruption) { return interruption.confirmed; }));
--- a/src/quarantine/interruptionlog.h
+++ b/src/quarantine/interruptionlog.h
@@ -71,6 +71,8 @@
     std::size_t possibleIncidents() const;
     /// Number of targets with interruptions that possibleIncidents() counts.
     std::size_t possibleCrashes() const;
+    /// Those at other targets until a point in time.
+    std::size_t possibleCrashesElsewhere(const TargetIncarnation&, TimePoint until) const;
     std::size_t confirmedCrashes() const;
 
     /// Median time from sending to interruption; the maximum if there is none. A request that crashes its target is
--- a/src/quarantine/tests/crashguardfleet_test.cpp
+++ b/src/quarantine/tests/crashguardfleet_test.cpp
@@ -68,6 +68,7 @@
             schedule(at, [this] {
                 for (auto& guard : m_guards)
                     guard->onTick(m_now);
+                repeatTrials();
             });
         }
         if (m_scenario.losesAllEngines)
@@ -193,6 +194,16 @@
 
     static TrialId idOf(std::size_t instance, std::uint64_t number) { return { .instance = std::to_string(instance), .incarnation = 1, .number = number }; }
 
+    void repeatTrials()
+    {
+        for (const auto& engine : m_engines) {
+            for (const auto& [number, run] : engine->runs) {
+                if (run.trial && !engine->crashed)
+                    m_ledger.start(idOf(run.instance, *run.trial), { .suspects = { run.request }, .target = engine->entry.id }, m_now);
+            }
+        }
+    }
+
     void endTrial(const Run& run, TrialEnd end)
     {
         if (run.trial)
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -55,9 +55,11 @@
 
 std::optional<SendRefusal> SendGate::refusal()
 {
-    if (auto refused = crashRefusal())
-        return refused;
     auto now = Clock::now();
+    if (!m_context.crashGuard.awaitsTrialResult(m_fingerprint, now)) {
+        if (auto refused = crashRefusal())
+            return refused;
+    }
     if (m_waitsForTrialSince && *m_waitsForTrialSince + maxTrialWait < now && !suspects().empty())
         return SendRefusal { .reason = "suspect_on_trial", .retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayTrial) };
     if (auto wait = waitIfAllLimited(now))
@@ -93,9 +95,10 @@
     auto suspects = this->suspects();
     if (suspects.empty())
         co_return true;
+    bool awaitsResult = crashRefusal().has_value();
     // A target that has crashed already would break the trial too.
-    auto decision = TrialDecision::TargetOnTrial;
-    if (!m_context.crashGuard.mayHaveCrashed(target, Clock::now())) {
+    auto decision = awaitsResult ? TrialDecision::SuspectOnTrial : TrialDecision::TargetOnTrial;
+    if (!awaitsResult && !m_context.crashGuard.mayHaveCrashed(target, Clock::now())) {
         Trial trial { .suspects = std::move(suspects), .target = target.id };
         decision = co_await m_context.trials.start(number, m_service, std::move(trial), m_lifetime);
     }
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -47,7 +47,7 @@
     {
         for (int number = 1; number <= times; ++number) {
             TargetEntry crashed { .id = "crashed-" + std::to_string(number), .startedAt = 1 };
-            auto sentAt = Clock::now() + Seconds(number);
+            auto sentAt = Clock::now() - Seconds(10 - number);
             crashGuard.onUnanswered({ .fingerprint = fingerprint, .target = crashed, .sentAt = sentAt, .lastHeardAt = sentAt, .onTrial = crashGuard.needsTrial(fingerprint) }, sentAt + Milliseconds(10));
         }
     }
@@ -171,7 +171,22 @@
     auto refusal = gate.refusal();
     cr_assert(refusal.has_value());
     cr_expect(std::string(refusal->reason) == "suspect_on_trial");
-    auto later = Clock::now() + Seconds(10);
-    f.crashGuard.onCompleted(SendGateFixture::fingerprint, later, later);
+    f.crashGuard.onCompleted(SendGateFixture::fingerprint, Clock::now(), Clock::now());
     cr_expect(!gate.refusal(), "it has been answered elsewhere");
 }
+
+/// Guards against LOST: a popular request was refused because one answer of it was lost.
+Test(SendGate, trialHasJustBroken_requestWaitsUntilTheTargetAnswers)
+{
+    SendGateFixture f;
+    f.interruptRequest(2);
+    auto now = Clock::now();
+    f.crashGuard.onUnanswered({ .fingerprint = SendGateFixture::fingerprint, .target = f.first(), .sentAt = now - Milliseconds(20), .lastHeardAt = now, .onTrial = true }, now);
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.second())));
+    cr_expect(f.trials.trials.empty());
+    f.crashGuard.onTargetAnswered(f.first(), now + Milliseconds(1));
+    cr_expect(!gate.refusal());
+    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(2, f.second())));
+}
