Send requests with a suspected part of a prompt on trial

Change: a part that two targets have broken off, and that no answer has begun with since, makes its requests run on trial, in the same ledger as whole requests. The trial ends with the first event; peers are told when a part needs none any more, as requests wait for it everywhere. A request may wait for a trial up to half of its route's latency objective, half a second at least.

Two tests of PromptGuard say when a part needs a trial and that a wave and two trials give the verdict. The verdict's own rule is unchanged: it needed three incidents before, too; what is new is that the second and the third cost one engine each.

--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -118,7 +118,7 @@
 
     json fieldsOf(const PromptInterruptionReport& report)
     {
-        return json::array({ report.parts, report.target, report.targetStartedAt, report.sentAgo.count() });
+        return json::array({ report.parts, report.target, report.targetStartedAt, report.sentAgo.count(), report.onTrial });
     }
 
     json fieldsOf(const TrialQuery& query)
@@ -319,6 +319,8 @@
         report.target = fields.at(1).get<std::string>();
         report.targetStartedAt = fields.at(2).get<std::int64_t>();
         report.sentAgo = Milliseconds(fields.at(3).get<std::int64_t>());
+        // Instances of earlier versions do not state it.
+        report.onTrial = fields.size() > 4 && fields.at(4).get<bool>();
         return report;
     }
 
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -35,7 +35,7 @@
     cr_expect(roundTrips(TrialResponse { .number = 9, .decision = TrialDecision::TargetOnTrial }));
     cr_expect(roundTrips(TrialRelease { .id = trial, .end = TrialEnd::Silent }));
     cr_expect(roundTrips(PriorCompletionNotice { .fingerprint = 11, .sentAgo = Milliseconds(400) }));
-    cr_expect(roundTrips(PromptInterruptionReport { .parts = { 3, ~0ULL }, .target = "t", .targetStartedAt = 1LL << 41, .sentAgo = Milliseconds(30) }));
+    cr_expect(roundTrips(PromptInterruptionReport { .parts = { 3, ~0ULL }, .target = "t", .targetStartedAt = 1LL << 41, .sentAgo = Milliseconds(30), .onTrial = true }));
     cr_expect(roundTrips(PromptPartInquiry { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
     cr_expect(roundTrips(PromptPartClearance { .part = ~0ULL, .age = Milliseconds(30) }));
     cr_expect(roundTrips(PromptPartConviction { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
--- a/src/quarantine/internal/promptguard.cpp
+++ b/src/quarantine/internal/promptguard.cpp
@@ -5,6 +5,7 @@
 #include "common/overloaded.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -14,6 +15,8 @@
 
     /// Separate interruptions after which a part is convicted. Engines that leave or are lost interrupt sound requests too.
     constexpr std::size_t incidentsToConvict = 3;
+    /// Targets that broke off requests with a part, after which requests with it run on trial only.
+    constexpr std::size_t targetsToSuspect = 2;
     /// Time for the peers' responses to an inquiry.
     constexpr auto inquiryTime = Milliseconds(300);
     /// An interruption counts until an answer with the part begins; rare parts crash targets minutes apart.
@@ -56,6 +59,21 @@
     });
 }
 
+bool PromptGuard::Case::needsTrial() const
+{
+    return !convictedAt && interruptions.possibleCrashes() >= targetsToSuspect;
+}
+
+std::vector<PromptPart> PromptGuard::partsThatNeedTrial(const std::vector<PromptPart>& parts) const
+{
+    std::vector<PromptPart> suspects;
+    std::copy_if(parts.begin(), parts.end(), std::back_inserter(suspects), [&](PromptPart part) {
+        auto found = m_cases.find(part);
+        return found != m_cases.end() && found->second.needsTrial();
+    });
+    return suspects;
+}
+
 std::optional<TimePoint> PromptGuard::lastAnswer(PromptPart part) const
 {
     for (const auto* answers : { &m_answers, &m_earlierAnswers }) {
@@ -79,9 +97,9 @@
     if (interruption.parts.empty())
         return;
     auto target = incarnationOf(interruption.target);
-    logEvent(LogLevel::Info, "prompt_interrupted", { { "prompt_parts", describe(interruption.parts) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "since_sent_ms", ageOf(interruption.sentAt, now).count() } });
-    addInterruption(interruption.parts, { .target = target, .sentAt = interruption.sentAt, .endedAt = now, .local = true }, now);
-    m_transport.sendToAll(PromptInterruptionReport { .parts = interruption.parts, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = ageOf(interruption.sentAt, now) });
+    logEvent(LogLevel::Info, "prompt_interrupted", { { "prompt_parts", describe(interruption.parts) }, { "target", target.target }, { "incarnation", std::to_string(target.startedAt) }, { "since_sent_ms", ageOf(interruption.sentAt, now).count() }, { "on_trial", interruption.onTrial } });
+    addInterruption(interruption.parts, { .target = target, .sentAt = interruption.sentAt, .endedAt = now, .onTrial = interruption.onTrial, .local = true }, now);
+    m_transport.sendToAll(PromptInterruptionReport { .parts = interruption.parts, .target = target.target, .targetStartedAt = target.startedAt, .sentAgo = ageOf(interruption.sentAt, now), .onTrial = interruption.onTrial });
 }
 
 void PromptGuard::addInterruption(const std::vector<PromptPart>& parts, const Interruption& interruption, TimePoint now)
@@ -112,22 +130,24 @@
     }
     for (auto part : parts) {
         recordAnswer(part, now);
-        clear(part, now, now);
+        clear(part, now, true, now);
     }
 }
 
 /// Discards the evidence against a part from before an answer with it began.
-void PromptGuard::clear(PromptPart part, TimePoint answeredAt, TimePoint now)
+void PromptGuard::clear(PromptPart part, TimePoint answeredAt, bool isOwnAnswer, TimePoint now)
 {
     auto found = m_cases.find(part);
     if (found == m_cases.end())
         return;
     auto& suspect = found->second;
+    bool neededTrial = suspect.needsTrial();
     suspect.interruptions.removeEndedBefore(answeredAt);
     suspect.inquiredAt.reset();
     suspect.answersWithoutPart = 0;
     bool acquitted = suspect.convictedAt && answeredAt > suspect.evidenceSince && unexplainedIncidents(part, suspect) < incidentsToConvict;
-    bool informsPeers = acquitted && suspect.local;
+    // Requests with the part wait at all instances until its trial ends.
+    bool informsPeers = (acquitted && suspect.local) || (isOwnAnswer && neededTrial && !suspect.needsTrial());
     if (acquitted) {
         suspect.convictedAt.reset();
         logEvent(LogLevel::Warning, "prompt_part_acquitted", { { "part", hexOf(part) }, { "cause", std::string("answered") } });
@@ -235,7 +255,7 @@
 
 void PromptGuard::onInterruptionReport(const PromptInterruptionReport& report, TimePoint now)
 {
-    addInterruption(report.parts, { .target = { .target = report.target, .startedAt = report.targetStartedAt }, .sentAt = now - report.sentAgo, .endedAt = now }, now);
+    addInterruption(report.parts, { .target = { .target = report.target, .startedAt = report.targetStartedAt }, .sentAt = now - report.sentAgo, .endedAt = now, .onTrial = report.onTrial }, now);
 }
 
 void PromptGuard::onInquiry(const std::string& instance, PromptPart part, Milliseconds since, TimePoint now)
@@ -266,7 +286,7 @@
                    [&](const PromptPartClearance& clearance) {
                        // A conviction that arrives later may be older than the clearance.
                        recordAnswer(clearance.part, now - clearance.age);
-                       clear(clearance.part, now - clearance.age, now);
+                       clear(clearance.part, now - clearance.age, false, now);
                    },
                    [&](const PromptPartConviction& conviction) { onConviction(conviction, now); },
                },
--- a/src/quarantine/promptguard.h
+++ b/src/quarantine/promptguard.h
@@ -15,6 +15,8 @@
     const std::vector<PromptPart>& parts;
     const TargetEntry& target;
     TimePoint sentAt;
+    /// The request ran on trial, so that no other suspect ran on the target.
+    bool onTrial = false;
 };
 
 /// Sends messages of the prompt guard to other instances, which may be lost.
@@ -27,7 +29,8 @@
 };
 
 /// Detects parts of prompts that crash the targets which begin to answer requests with them. Such requests need not be alike otherwise.
-/// A part is suspect while interruptions with it follow each other and no answer with it begins anywhere.
+/// A part is suspect while interruptions with it follow each other and no answer with it begins anywhere; then requests with it run
+/// on trial.
 class PromptGuard {
 public:
     /// Keeps a record in the shared store. May be called again with the same record.
@@ -53,6 +56,9 @@
     /// A part for which requests must not be sent to targets.
     std::optional<PromptPart> refusedPart(const std::vector<PromptPart>&, TimePoint now) const;
 
+    /// Parts that several targets have broken off and that no answer has begun with since.
+    std::vector<PromptPart> partsThatNeedTrial(const std::vector<PromptPart>&) const;
+
     std::size_t convictedParts() const;
 
 private:
@@ -65,6 +71,9 @@
         std::size_t answersWithoutPart = 0;
         /// This instance observed one of the interruptions.
         bool local = false;
+
+        bool needsTrial() const;
+
         /// When peers were asked whether they know answers with the part.
         std::optional<TimePoint> inquiredAt;
         std::optional<TimePoint> convictedAt;
@@ -81,7 +90,7 @@
     std::optional<PromptGuardMessage> decide(PromptPart, Case&, TimePoint now);
     void convict(PromptPart, Case&, TimePoint evidenceSince, TimePoint now);
     void acquitExplained(PromptPart convictedPart, const Case&);
-    void clear(PromptPart, TimePoint answeredAt, TimePoint now);
+    void clear(PromptPart, TimePoint answeredAt, bool isOwnAnswer, TimePoint now);
     void onInterruptionReport(const PromptInterruptionReport&, TimePoint now);
     void onInquiry(const std::string& instance, PromptPart, Milliseconds since, TimePoint now);
     void onConviction(const PromptPartConviction&, TimePoint now);
--- a/src/quarantine/promptguardmessages.h
+++ b/src/quarantine/promptguardmessages.h
@@ -14,6 +14,8 @@
     std::int64_t targetStartedAt = 0;
     /// Time from the sending of the request to this report.
     Milliseconds sentAgo { 0 };
+    /// The request ran on trial.
+    bool onTrial = false;
 
     friend bool operator==(const PromptInterruptionReport&, const PromptInterruptionReport&) = default;
 };
--- a/src/quarantine/tests/promptguard_test.cpp
+++ b/src/quarantine/tests/promptguard_test.cpp
@@ -254,3 +254,39 @@
     f.now += std::chrono::minutes(11);
     cr_expect(!f.refuses(0, crashing));
 }
+
+/// Guards against BUDGET: requests with the part that came at the same time ended all engines of a small service wave after wave.
+Test(PromptGuard, partThatSeveralEnginesBrokeOff_runsOnTrialUntilAnAnswerWithItBegins)
+{
+    PromptGuardFixture f;
+    std::vector<PromptPart> parts { common, crashing };
+    f.interrupt(0, 1, parts);
+    cr_expect(f.guards[0]->partsThatNeedTrial(parts).empty());
+    f.interrupt(1, 2, parts);
+    for (auto& guard : f.guards)
+        cr_expect(guard->partsThatNeedTrial(parts) == parts);
+    f.pass(Milliseconds(100));
+    f.answer(2, { common, rare });
+    std::vector<PromptPart> crashingPart { crashing };
+    for (auto& guard : f.guards)
+        cr_expect(guard->partsThatNeedTrial(parts) == crashingPart, "peers learn of the answer");
+}
+
+/// Guards against BUDGET: engines that end at the same time count as one incident, so the verdict took three waves of them.
+Test(PromptGuard, partOfAWaveBreaksTwoTrials_isRefusedByAllInstances)
+{
+    PromptGuardFixture f;
+    std::vector<PromptPart> parts { common, crashing };
+    for (int engine : { 1, 2, 3 })
+        f.interrupt(engine % 2, engine, parts);
+    f.pass(Seconds(3));
+    for (int engine : { 4, 5 }) {
+        f.answer(0, { common });
+        f.guards[0]->onInterrupted({ .parts = parts, .target = PromptGuardFixture::engine(engine), .sentAt = f.now - Milliseconds(80), .onTrial = true }, f.now);
+        f.pass(Milliseconds(200));
+        f.answer(0, { common });
+    }
+    f.pass(Seconds(1));
+    cr_expect(f.allRefuse(crashing));
+    cr_expect(f.noneRefuses(common));
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -178,7 +178,7 @@
         // Connections of an instance that has lost its path break without a fault of the target; only its end confirms one.
         bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
         if (attempt.outcome == AttemptOutcome::Broken && !pathLost)
-            m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt }, now);
+            m_context.promptGuard.onInterrupted({ .parts = request.caller.sharedParts, .target = target, .sentAt = attempt.sentAt, .onTrial = onTrial }, now);
         m_context.crashGuard.onUnanswered({ .fingerprint = request.fingerprint, .target = target, .sentAt = attempt.sentAt, .lastHeardAt = attempt.lastHeardAt, .abandoned = attempt.outcome != AttemptOutcome::Broken, .pathLost = pathLost, .onTrial = onTrial }, now);
         return;
     }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -82,7 +82,7 @@
 
 SendGate makeSendGate(RelayContext& context, const RelayRequest& request)
 {
-    return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .trials = context.trials, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts };
+    return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .trials = context.trials, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts, request.route.latencyObjective };
 }
 
 void recordConnection(RelayContext& context, const RelayRequest& request, const TargetEntry& target, bool connected)
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -15,16 +15,17 @@
     /// Retry delay of a request with a part of a prompt that crashes targets.
     constexpr auto retryDelayPromptPart = Seconds(60);
     /// Trials of requests that crash nothing take as long as the requests; longer ones hold up the others.
-    constexpr auto maxTrialWait = Milliseconds(500);
+    constexpr auto minTrialWait = Milliseconds(500);
     constexpr auto retryDelayTrial = Seconds(1);
 
 }
 
-SendGate::SendGate(SendGateContext context, std::string service, Fingerprint fingerprint, std::vector<PromptPart> promptParts)
+SendGate::SendGate(SendGateContext context, std::string service, Fingerprint fingerprint, std::vector<PromptPart> promptParts, Clock::duration latencyObjective)
     : m_context(context)
     , m_service(std::move(service))
     , m_fingerprint(fingerprint)
     , m_promptParts(std::move(promptParts))
+    , m_maxTrialWait(std::max<Clock::duration>(minTrialWait, latencyObjective / 2))
 {
 }
 
@@ -60,7 +61,7 @@
         if (auto refused = crashRefusal())
             return refused;
     }
-    if (m_waitsForTrialSince && *m_waitsForTrialSince + maxTrialWait < now && !suspects().empty())
+    if (m_waitsForTrialSince && *m_waitsForTrialSince + m_maxTrialWait < now && !suspects().empty())
         return SendRefusal { .reason = "suspect_on_trial", .retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayTrial) };
     if (auto wait = waitIfAllLimited(now))
         return SendRefusal { .reason = "targets_limited", .retryAfter = m_context.dispatcher.jitteredRetryDelay(*wait) };
@@ -83,7 +84,7 @@
 
 std::vector<Suspect> SendGate::suspects() const
 {
-    std::vector<Suspect> suspects;
+    auto suspects = m_context.promptGuard.partsThatNeedTrial(m_promptParts);
     if (m_context.crashGuard.needsTrial(m_fingerprint))
         suspects.push_back(m_fingerprint);
     return suspects;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -158,7 +158,7 @@
     bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
     bool interrupted = !abandoned && !pathLost && !session.headerSent && !session.stream->isStopping();
     if (interrupted)
-        m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt }, Clock::now());
+        m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt, .onTrial = session.gate.onTrial() }, Clock::now());
     m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned, .pathLost = pathLost, .onTrial = session.gate.onTrial() }, Clock::now());
     session.gate.endTrial(abandoned ? trialEndAfterSilence(Clock::now() - session.lastHeardAt) : TrialEnd::Broken);
 }
@@ -262,6 +262,9 @@
         http::response<http::empty_body> head { std::move(header.base()) };
         session.headerSent = true;
         m_context.promptGuard.onAnswerBegun(session.request.caller.sharedParts, now);
+        // The trial of a part ends with the first event, since many requests wait for it.
+        if (!m_context.crashGuard.needsTrial(session.request.fingerprint))
+            session.gate.endTrial(TrialEnd::Answered);
         session.result.firstEventDelay = now - session.request.arrivedAt;
         m_context.metrics.recordFirstEvent(session.request.route.name, secondsBetween(session.request.arrivedAt, now));
         auto started = co_await session.request.exchange.beginResponse(std::move(head));
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -28,7 +28,7 @@
 /// crashing targets is sent on trial only.
 class SendGate {
 public:
-    SendGate(SendGateContext, std::string service, Fingerprint, std::vector<PromptPart>);
+    SendGate(SendGateContext, std::string service, Fingerprint, std::vector<PromptPart>, Clock::duration latencyObjective);
 
     /// Checked before each placement.
     std::optional<SendRefusal> refusal();
@@ -63,6 +63,7 @@
     std::string m_service;
     Fingerprint m_fingerprint;
     std::vector<PromptPart> m_promptParts;
+    Clock::duration m_maxTrialWait;
     std::set<std::string> m_triedTargets;
     int m_limitConflicts = 0;
     /// The number of the trial that runs.
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -37,7 +37,7 @@
     static TargetEntry first() { return { .id = "first", .service = "shop", .startedAt = 1 }; }
     static TargetEntry second() { return { .id = "second", .service = "shop", .startedAt = 1 }; }
 
-    SendGate gate() { return { { .crashGuard = crashGuard, .promptGuard = promptGuard, .trials = trials, .targetLimits = targetLimits, .directory = directory, .dispatcher = dispatcher }, "shop", fingerprint, { promptPart } }; }
+    SendGate gate() { return { { .crashGuard = crashGuard, .promptGuard = promptGuard, .trials = trials, .targetLimits = targetLimits, .directory = directory, .dispatcher = dispatcher }, "shop", fingerprint, { promptPart }, Milliseconds(100) }; }
 
     void pause(const TargetEntry& target) { targetLimits.onPauseRequested(target, Seconds(5), Clock::now()); }
 
