Start no trial at an address whose target may have crashed

Cause, from the log: the entry of an engine that was gone named the address of its successor, which had crashed 0.1 s before. A trial at the old entry broke and counted as the third crash. Addresses are used again; the check for targets that may have crashed went by the target's name.

SendGate.targetAtTheSameAddressMayHaveCrashed_noTrialStartsThere failed before.

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -30,17 +30,17 @@
     bool abandoned = false;
     /// New connections to all targets of the service fail too.
     bool pathLost = false;
-    /// It ran on trial, so that no other suspect ran on the target.
+    /// It ran on trial, so that no other suspect was sent to the target.
     bool onTrial = false;
 
     /// False if only the target's end shows that it did not merely get out of reach.
     bool isEvidence() const { return !abandoned && !pathLost; }
 };
 
-/// Detects requests that crash the targets that run them, by matching unanswered attempts with
-/// targets that disappear. A crash interrupts all requests that run on the target, so those that were interrupted
-/// several times run on trial until one that was sent later is answered. All instances learn of all crashes: by messages, and from the shared store
-/// if they were not running then. Each one decides by itself which requests to refuse.
+/// Detects requests that crash the targets that run them, by matching unanswered attempts with targets that disappear. A crash
+/// interrupts all requests that run on the target, so those that were interrupted several times run on trial until one that was sent
+/// later is answered. All instances learn of all crashes: by messages, and from the shared store if they were not running then. Each
+/// one decides by itself which requests to refuse.
 class CrashGuard {
 public:
     /// Sends a message to all peers.
@@ -133,8 +133,8 @@
     std::map<Fingerprint, Case> m_cases;
     /// Incarnations with interruptions that are neither confirmed nor refuted.
     std::set<TargetIncarnation> m_unclearTargets;
-    /// Targets that had answered a request which was sent at this time, after they had interrupted others.
-    std::map<TargetIncarnation, TimePoint> m_refutedUntil;
+    /// For targets that had interrupted requests, when the request was sent that they answered last.
+    std::map<TargetIncarnation, TimePoint> m_answeredTargets;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
     CompletedRequests m_completed;
     /// When peers were last told that an answer refutes a conviction.
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -97,7 +97,7 @@
     if (m_cases.empty())
         m_unclearTargets.clear();
     std::erase_if(m_unavailableTargets, [&](const auto& entry) { return entry.second.at + unavailableTargetLifetime < now; });
-    std::erase_if(m_refutedUntil, [&](const auto& entry) { return entry.second + unavailableTargetLifetime < now; });
+    std::erase_if(m_answeredTargets, [&](const auto& entry) { return entry.second + unavailableTargetLifetime < now; });
     std::erase_if(m_notifiedAt, [&](const auto& entry) { return entry.second + notificationInterval < now; });
 }
 
@@ -160,7 +160,7 @@
         suspect.interruptions.onAlive(incarnation, sentAt);
         isUnclear = isUnclear || suspect.interruptions.find(incarnation);
     }
-    m_refutedUntil.insert_or_assign(incarnation, sentAt);
+    m_answeredTargets.insert_or_assign(incarnation, sentAt);
     if (!isUnclear)
         m_unclearTargets.erase(incarnation);
 }
@@ -278,7 +278,7 @@
 bool CrashGuard::wasCauseOnTrial(Fingerprint fingerprint, const Interruption& interruption) const
 {
     const auto& own = m_cases.at(fingerprint).interruptions;
-    /// Other targets that were lost, and whether a suspect was on trial there.
+    // Other targets that were lost, and whether a suspect was on trial there.
     std::map<TargetIncarnation, bool> lostTogether;
     for (const auto& [other, otherCase] : m_cases) {
         if (other == fingerprint)
@@ -368,8 +368,8 @@
     TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
     auto endedAt = now - report.interruptedAgo;
     auto answeredFrom = m_completed.lastSentAt(report.fingerprint);
-    auto refuted = m_refutedUntil.find(target);
-    bool isRefuted = (answeredFrom && *answeredFrom > endedAt) || (refuted != m_refutedUntil.end() && refuted->second > endedAt);
+    auto refuted = m_answeredTargets.find(target);
+    bool isRefuted = (answeredFrom && *answeredFrom > endedAt) || (refuted != m_answeredTargets.end() && refuted->second > endedAt);
     if (isRefuted || m_unavailableTargets.contains(target))
         return;
     addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = endedAt, .onTrial = report.onTrial }, now);
--- a/src/quarantine/promptguard.h
+++ b/src/quarantine/promptguard.h
@@ -15,7 +15,7 @@
     const std::vector<PromptPart>& parts;
     const TargetEntry& target;
     TimePoint sentAt;
-    /// The request ran on trial, so that no other suspect ran on the target.
+    /// The request ran on trial, so that no other suspect was sent to the target.
     bool onTrial = false;
 };
 
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -90,6 +90,14 @@
     return suspects;
 }
 
+/// A target that has crashed already would break the trial too. Entries of targets that are gone may have the address of a new one.
+bool SendGate::mayHaveCrashed(const TargetEntry& target) const
+{
+    auto now = Clock::now();
+    auto usable = m_context.directory.usableTargets();
+    return m_context.crashGuard.mayHaveCrashed(target, now) || std::any_of(usable.begin(), usable.end(), [&](const auto* other) { return other->endpoint == target.endpoint && m_context.crashGuard.mayHaveCrashed(*other, now); });
+}
+
 Awaitable<bool> SendGate::startTrialIfNeeded(std::uint64_t number, const TargetEntry& target)
 {
     endTrial(TrialEnd::Answered);
@@ -97,9 +105,8 @@
     if (suspects.empty())
         co_return true;
     bool awaitsResult = crashRefusal().has_value();
-    // A target that has crashed already would break the trial too.
     auto decision = awaitsResult ? TrialDecision::SuspectOnTrial : TrialDecision::TargetOnTrial;
-    if (!awaitsResult && !m_context.crashGuard.mayHaveCrashed(target, Clock::now())) {
+    if (!awaitsResult && !mayHaveCrashed(target)) {
         Trial trial { .suspects = std::move(suspects), .target = target.id };
         decision = co_await m_context.trials.start(number, m_service, std::move(trial), m_lifetime);
     }
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -58,6 +58,7 @@
 private:
     std::optional<Clock::duration> waitIfAllLimited(TimePoint now);
     std::vector<Suspect> suspects() const;
+    bool mayHaveCrashed(const TargetEntry&) const;
 
     SendGateContext m_context;
     std::string m_service;
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -34,8 +34,8 @@
         targetLimits.onInstances({}, Clock::now());
     }
 
-    static TargetEntry first() { return { .id = "first", .service = "shop", .startedAt = 1 }; }
-    static TargetEntry second() { return { .id = "second", .service = "shop", .startedAt = 1 }; }
+    static TargetEntry first() { return { .id = "first", .service = "shop", .endpoint = { .address = "10.0.0.1", .port = 1 }, .startedAt = 1 }; }
+    static TargetEntry second() { return { .id = "second", .service = "shop", .endpoint = { .address = "10.0.0.1", .port = 2 }, .startedAt = 1 }; }
 
     SendGate gate() { return { { .crashGuard = crashGuard, .promptGuard = promptGuard, .trials = trials, .targetLimits = targetLimits, .directory = directory, .dispatcher = dispatcher }, "shop", fingerprint, { promptPart }, Milliseconds(100) }; }
 
@@ -190,3 +190,20 @@
     cr_expect(!gate.refusal());
     cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(2, f.second())));
 }
+
+/// Guards against LOST: a trial at an address whose engine had just crashed was taken for a crash by the request on trial.
+Test(SendGate, targetAtTheSameAddressMayHaveCrashed_noTrialStartsThere)
+{
+    SendGateFixture f;
+    f.interruptRequest(2);
+    auto successor = f.first();
+    successor.id = "successor";
+    f.directory.onEntryWritten(successor.id, successor, Clock::now());
+    auto now = Clock::now();
+    constexpr Fingerprint other = 8;
+    f.crashGuard.onUnanswered({ .fingerprint = other, .target = successor, .sentAt = now - Milliseconds(20), .lastHeardAt = now }, now);
+    auto gate = f.gate();
+    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(f.trials.trials.empty());
+    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(2, f.second())));
+}
