Remember that a target broke requests after those are cleared

Cause, from the log: an engine had crashed at 19:41:35.420. The requests that it broke were answered elsewhere within half a second, which discarded their interruptions, and with them all that was known of the engine. At 35.941 a trial began there and broke, and the request on trial got the blame.

Change: which targets broke requests, and since when, is kept apart from the evidence against requests, until the target answers one that was sent later or is gone. Trials, and the check whether a target had crashed before a request was sent, go by that.

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -107,6 +107,13 @@
         TimePoint at;
     };
 
+    /// A target that broke requests and has answered none that was sent later. What is known of it outlasts the suspicion of the
+    /// requests that it broke.
+    struct BrokenTarget {
+        TimePoint since;
+        TimePoint lastAt;
+    };
+
     void removeExpired(TimePoint now);
     bool crashedBeforeRemoval(const UnansweredAttempt&, const UnavailableTarget&) const;
     void addInterruption(Fingerprint, Interruption, TimePoint now);
@@ -133,6 +140,7 @@
     std::map<Fingerprint, Case> m_cases;
     /// Incarnations with interruptions that are neither confirmed nor refuted.
     std::set<TargetIncarnation> m_unclearTargets;
+    std::map<TargetIncarnation, BrokenTarget> m_brokenTargets;
     /// For targets that had interrupted requests, when the request was sent that they answered last.
     std::map<TargetIncarnation, TimePoint> m_answeredTargets;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -97,6 +97,7 @@
     if (m_cases.empty())
         m_unclearTargets.clear();
     std::erase_if(m_unavailableTargets, [&](const auto& entry) { return entry.second.at + unavailableTargetLifetime < now; });
+    std::erase_if(m_brokenTargets, [&](const auto& entry) { return entry.second.lastAt + entryLifetime < now; });
     std::erase_if(m_answeredTargets, [&](const auto& entry) { return entry.second + unavailableTargetLifetime < now; });
     std::erase_if(m_notifiedAt, [&](const auto& entry) { return entry.second + notificationInterval < now; });
 }
@@ -131,7 +132,13 @@
 {
     removeExpired(now);
     auto target = interruption.target;
-    if (hadCrashedBefore(target, interruption.sentAt))
+    // No trial starts at a target that may have crashed, which its instance knows best.
+    bool crashedBefore = !interruption.onTrial && hadCrashedBefore(target, interruption.sentAt);
+    if (interruption.isEvidence()) {
+        auto& broken = m_brokenTargets.try_emplace(target, BrokenTarget { .since = interruption.endedAt }).first->second;
+        broken.lastAt = std::max(broken.lastAt, interruption.endedAt);
+    }
+    if (crashedBefore)
         return;
     if (m_cases[fingerprint].interruptions.add(std::move(interruption)))
         m_unclearTargets.insert(target);
@@ -142,17 +149,18 @@
 /// True if the target had broken another request before this one was sent, and has answered none since.
 bool CrashGuard::hadCrashedBefore(const TargetIncarnation& target, TimePoint sentAt) const
 {
-    return m_unclearTargets.contains(target) && std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
-        const auto* interruption = entry.second.interruptions.find(target);
-        return interruption && interruption->isEvidence() && interruption->endedAt <= sentAt && interruption->endedAt + entryLifetime > sentAt;
-    });
+    auto broken = m_brokenTargets.find(target);
+    return broken != m_brokenTargets.end() && broken->second.since <= sentAt && broken->second.lastAt + entryLifetime > sentAt;
 }
 
 void CrashGuard::onTargetAnswered(const TargetEntry& target, TimePoint sentAt)
 {
-    if (m_unclearTargets.empty())
+    if (m_unclearTargets.empty() && m_brokenTargets.empty())
         return;
     auto incarnation = incarnationOf(target);
+    auto broken = m_brokenTargets.find(incarnation);
+    if (broken != m_brokenTargets.end() && broken->second.lastAt < sentAt)
+        m_brokenTargets.erase(broken);
     if (!m_unclearTargets.contains(incarnation))
         return;
     bool isUnclear = false;
@@ -172,6 +180,7 @@
     m_unavailableTargets.insert_or_assign(target, UnavailableTarget { .announced = announced, .at = event.at });
     removeExpired(event.at);
     m_unclearTargets.erase(target);
+    m_brokenTargets.erase(target);
     // A peer's answer to a broadcast may clear requests, so they are not confirmed while iterating.
     std::vector<Fingerprint> crashed;
     for (auto& [fingerprint, suspect] : m_cases) {
@@ -479,13 +488,8 @@
 
 bool CrashGuard::mayHaveCrashed(const TargetEntry& target, TimePoint now) const
 {
-    auto incarnation = incarnationOf(target);
-    if (!m_unclearTargets.contains(incarnation))
-        return false;
-    return std::any_of(m_cases.begin(), m_cases.end(), [&](const auto& entry) {
-        const auto* interruption = entry.second.interruptions.find(incarnation);
-        return interruption && interruption->endedAt + entryLifetime > now;
-    });
+    auto broken = m_brokenTargets.find(incarnationOf(target));
+    return broken != m_brokenTargets.end() && broken->second.lastAt + entryLifetime > now;
 }
 
 bool CrashGuard::needsTrial(Fingerprint fingerprint) const
--- a/src/quarantine/tests/crashguard_test.cpp
+++ b/src/quarantine/tests/crashguard_test.cpp
@@ -508,3 +508,23 @@
     cr_expect(f.refuses(0));
     cr_expect(f.refuses(1));
 }
+
+/// Guards against LOST: once the requests that a crash had interrupted were answered elsewhere, the crashed target was taken for a
+/// working one, and the next request that broke there got the blame.
+Test(CrashGuard, requestsThatATargetBrokeAreAnsweredElsewhere_targetMayStillHaveCrashed)
+{
+    GuardFixture f;
+    f.interrupt(20, 1);
+    f.now += Milliseconds(50);
+    f.peerGuard.onCompleted(20, f.now - Milliseconds(10), f.now);
+    for (auto* guard : { &f.localGuard, &f.peerGuard }) {
+        cr_expect(!guard->isSuspect(20));
+        cr_expect(guard->mayHaveCrashed(f.engine(1), f.now));
+    }
+    f.interrupt(8, 1);
+    f.interrupt(8, 2);
+    cr_expect(!f.localGuard.needsTrial(8), "it was sent to the first target after that had crashed");
+    f.now += Milliseconds(50);
+    f.localGuard.onTargetAnswered(f.engine(1), f.now);
+    cr_expect(!f.localGuard.mayHaveCrashed(f.engine(1), f.now));
+}
