--- a/src/entry/internal/storerecovery.cpp
+++ b/src/entry/internal/storerecovery.cpp
@@ -12,7 +12,7 @@
 }
 
 StoreRecovery::StoreRecovery(StoreRecoveryOptions options)
-    : m_options(std::move(options))
+    : m_options(options)
 {
 }
 
