Let only the instance that sent a request judge whether its target had crashed before

Cause, from the log: two instances were paused while the crashing look-up ended an engine. On resuming they saw their own requests broken first and read the peer's report after that; its times count from its arrival, so that the report looked like a send to an engine that had crashed before, and was dropped. The crashing request was taken for a new one, ran without a trial beside the trial of a popular order, and that order got the blame.

Ruled out: a second trial at the engine; the log has one grant.

Change: the check applies to the instance's own attempts only; what a peer counts, all count.

Result: 66 tests of quarantine pass, CrashGuardFleet among them.

--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -132,8 +132,8 @@
 {
     removeExpired(now);
     auto target = interruption.target;
-    // No trial starts at a target that may have crashed, which its instance knows best.
-    bool crashedBefore = !interruption.onTrial && hadCrashedBefore(target, interruption.sentAt);
+    // Reports of peers may arrive long after what they tell, so that only the instance that sent the request can tell the order.
+    bool crashedBefore = interruption.local && !interruption.onTrial && hadCrashedBefore(target, interruption.sentAt);
     if (interruption.isEvidence()) {
         auto& broken = m_brokenTargets.try_emplace(target, BrokenTarget { .since = interruption.endedAt }).first->second;
         broken.lastAt = std::max(broken.lastAt, interruption.endedAt);
