Split the crash guard: broken targets, the evidence of a case, its tests

Change: BrokenTargets keeps which targets broke requests and answered since (it joins two maps of the guard); CrashCase and crashesOnTrial tell what the evidence against one request proves, without the guard's state. Nothing is decided differently.

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "quarantine/brokentargets.h"
 #include "quarantine/completedrequests.h"
+#include "quarantine/crashcase.h"
 #include "quarantine/crashguardmessages.h"
-#include "quarantine/interruptionlog.h"
 #include "targets/targetdirectory.h"
 
 #include <functional>
@@ -75,7 +76,7 @@
     bool isSuspect(Fingerprint) const;
 
     /// True if the target has broken a request lately and has answered none since.
-    bool mayHaveCrashed(const TargetEntry&, TimePoint now) const;
+    bool mayHaveCrashed(const TargetEntry& target, TimePoint now) const { return m_brokenTargets.mayHaveCrashed(incarnationOf(target), now); }
 
     /// True if several targets may have crashed while they ran the request, so that it must run alone to show whether it was the cause.
     bool needsTrial(Fingerprint) const;
@@ -86,34 +87,12 @@
     const CrashGuardStatistics& statistics() const { return m_statistics; }
 
 private:
-    /// The evidence against one request.
-    struct Case {
-        InterruptionLog interruptions;
-        /// Crashes that count separately.
-        std::vector<CrashReport> reports;
-        TimePoint lastCrashAt;
-        /// This instance observed one of the crashes, so it informs the others.
-        bool local = false;
-        std::optional<TimePoint> convictedAt;
-        /// When it became known that several targets have crashed, also by a record in the store.
-        std::optional<TimePoint> suspectedAt;
-
-        /// Crashes that are counted and those that are likely.
-        std::size_t weight() const;
-    };
     /// What became of a target that takes no new requests.
     struct UnavailableTarget {
         bool announced = false;
         TimePoint at;
     };
 
-    /// A target that broke requests and has answered none that was sent later. What is known of it outlasts the suspicion of the
-    /// requests that it broke.
-    struct BrokenTarget {
-        TimePoint since;
-        TimePoint lastAt;
-    };
-
     void removeExpired(TimePoint now);
     bool crashedBeforeRemoval(const UnansweredAttempt&, const UnavailableTarget&) const;
     void addInterruption(Fingerprint, Interruption, TimePoint now);
@@ -123,12 +102,9 @@
     void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
-    bool hadCrashedBefore(const TargetIncarnation&, TimePoint sentAt) const;
     bool isSuspended(Fingerprint) const;
-    bool wasCauseOnTrial(Fingerprint, const Interruption&) const;
-    bool crashedTargetOnTrial(Fingerprint, bool onlyConfirmed) const;
     bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
-    void repeatInterruptions(Fingerprint, const Case&, TimePoint now, std::vector<CrashGuardMessage>&) const;
+    void repeatInterruptions(Fingerprint, const CrashCase&, TimePoint now, std::vector<CrashGuardMessage>&) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
     void onConvictionNotice(const ConvictionNotice&, TimePoint now);
     void onPriorCompletion(const PriorCompletionNotice&, TimePoint now);
@@ -137,12 +113,10 @@
     Broadcaster m_broadcast;
     Recorder m_record;
     CrashGuardStatistics m_statistics;
-    std::map<Fingerprint, Case> m_cases;
+    CrashCases m_cases;
     /// Incarnations with interruptions that are neither confirmed nor refuted.
     std::set<TargetIncarnation> m_unclearTargets;
-    std::map<TargetIncarnation, BrokenTarget> m_brokenTargets;
-    /// For targets that had interrupted requests, when the request was sent that they answered last.
-    std::map<TargetIncarnation, TimePoint> m_answeredTargets;
+    BrokenTargets m_brokenTargets;
     std::map<TargetIncarnation, UnavailableTarget> m_unavailableTargets;
     CompletedRequests m_completed;
     /// When peers were last told that an answer refutes a conviction.
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -14,8 +14,6 @@
     /// Crashes after which a request is refused, one of them on trial. If many callers send the same request, it runs on
     /// several targets at any time, so two crashes may be a coincidence.
     constexpr std::size_t crashesToConvict = 3;
-    /// Targets that may have crashed after which a request runs on trial only. A single crash interrupts many requests.
-    constexpr std::size_t crashesToSuspect = 2;
     /// Crashes from which a request's reports are kept in the shared store. Most requests that run on a
     /// crashing target never meet a second crash, so of the first crash only the likeliest cause is kept.
     constexpr std::size_t crashesToRecord = 2;
@@ -26,16 +24,8 @@
     constexpr auto minSilenceBeforeRemoval = Milliseconds(1500);
     /// A request that crashes targets does so after about the same time.
     constexpr int outlivingFactor = 2;
-    /// The entry of a crashed target expires within this time.
-    constexpr auto entryLifetime = Milliseconds(4000);
     /// A target that has broken a trial and lives answers other requests within this time.
     constexpr auto trialResultDelay = Milliseconds(500);
-    /// Longest time that a report of a peer takes, by which what it tells seems to be later.
-    constexpr auto reportDelay = Milliseconds(100);
-    /// Targets that are lost together break connections within this time: silent ones are detected by probes that are a second apart.
-    constexpr auto commonLossWindow = Seconds(1);
-    /// Other targets with suspects on trial that do not crash within that time by coincidence.
-    constexpr std::size_t targetsLostTogether = 2;
     constexpr auto unavailableTargetLifetime = Seconds(60);
     constexpr auto suspicionLifetime = std::chrono::minutes(30);
     constexpr auto convictionLifetime = std::chrono::hours(6);
@@ -70,12 +60,6 @@
 
 }
 
-std::size_t CrashGuard::Case::weight() const
-{
-    auto possible = interruptions.possibleIncidents();
-    return reports.size() + possible - std::min(possible, interruptions.confirmedIncidents());
-}
-
 CrashGuard::CrashGuard(Broadcaster broadcast, Recorder record)
     : m_broadcast(std::move(broadcast))
     , m_record(std::move(record))
@@ -97,8 +81,7 @@
     if (m_cases.empty())
         m_unclearTargets.clear();
     std::erase_if(m_unavailableTargets, [&](const auto& entry) { return entry.second.at + unavailableTargetLifetime < now; });
-    std::erase_if(m_brokenTargets, [&](const auto& entry) { return entry.second.lastAt + entryLifetime < now; });
-    std::erase_if(m_answeredTargets, [&](const auto& entry) { return entry.second + unavailableTargetLifetime < now; });
+    m_brokenTargets.removeExpired(now);
     std::erase_if(m_notifiedAt, [&](const auto& entry) { return entry.second + notificationInterval < now; });
 }
 
@@ -133,11 +116,9 @@
     removeExpired(now);
     auto target = interruption.target;
     // Reports of peers may arrive long after what they tell, so that only the instance that sent the request can tell the order.
-    bool crashedBefore = interruption.local && !interruption.onTrial && hadCrashedBefore(target, interruption.sentAt);
-    if (interruption.isEvidence()) {
-        auto& broken = m_brokenTargets.try_emplace(target, BrokenTarget { .since = interruption.endedAt }).first->second;
-        broken.lastAt = std::max(broken.lastAt, interruption.endedAt);
-    }
+    bool crashedBefore = interruption.local && !interruption.onTrial && m_brokenTargets.hadCrashedBefore(target, interruption.sentAt);
+    if (interruption.isEvidence())
+        m_brokenTargets.onBroken(target, interruption.endedAt);
     if (crashedBefore)
         return;
     if (m_cases[fingerprint].interruptions.add(std::move(interruption)))
@@ -146,21 +127,12 @@
         logEvent(LogLevel::Warning, "request_suspended", { { "fingerprint", hexOf(fingerprint) }, { "target", target.target } });
 }
 
-/// True if the target had broken another request before this one was sent, and has answered none since.
-bool CrashGuard::hadCrashedBefore(const TargetIncarnation& target, TimePoint sentAt) const
-{
-    auto broken = m_brokenTargets.find(target);
-    return broken != m_brokenTargets.end() && broken->second.since <= sentAt && broken->second.lastAt + entryLifetime > sentAt;
-}
-
 void CrashGuard::onTargetAnswered(const TargetEntry& target, TimePoint sentAt)
 {
     if (m_unclearTargets.empty() && m_brokenTargets.empty())
         return;
     auto incarnation = incarnationOf(target);
-    auto broken = m_brokenTargets.find(incarnation);
-    if (broken != m_brokenTargets.end() && broken->second.lastAt < sentAt)
-        m_brokenTargets.erase(broken);
+    m_brokenTargets.onAnswered(incarnation, sentAt);
     if (!m_unclearTargets.contains(incarnation))
         return;
     bool isUnclear = false;
@@ -168,7 +140,6 @@
         suspect.interruptions.onAlive(incarnation, sentAt);
         isUnclear = isUnclear || suspect.interruptions.find(incarnation);
     }
-    m_answeredTargets.insert_or_assign(incarnation, sentAt);
     if (!isUnclear)
         m_unclearTargets.erase(incarnation);
 }
@@ -180,7 +151,7 @@
     m_unavailableTargets.insert_or_assign(target, UnavailableTarget { .announced = announced, .at = event.at });
     removeExpired(event.at);
     m_unclearTargets.erase(target);
-    m_brokenTargets.erase(target);
+    m_brokenTargets.remove(target);
     // A peer's answer to a broadcast may clear requests, so they are not confirmed while iterating.
     std::vector<Fingerprint> crashed;
     for (auto& [fingerprint, suspect] : m_cases) {
@@ -271,7 +242,7 @@
 /// soonest after it was sent.
 bool CrashGuard::startedLastAt(Fingerprint fingerprint, const TargetIncarnation& target) const
 {
-    auto runTimeOf = [&](const Case& suspect) -> std::optional<Clock::duration> {
+    auto runTimeOf = [&](const CrashCase& suspect) -> std::optional<Clock::duration> {
         const auto* interruption = suspect.interruptions.find(target);
         return interruption && interruption->local ? std::optional(interruption->endedAt - interruption->sentAt) : std::nullopt;
     };
@@ -282,49 +253,11 @@
     });
 }
 
-/// False if another suspect ran on the target too, which was sent before it was known as one, or if other targets were lost with it.
-/// A target on which another suspect was on trial may have been crashed by that one, so one such target proves nothing.
-bool CrashGuard::wasCauseOnTrial(Fingerprint fingerprint, const Interruption& interruption) const
-{
-    const auto& own = m_cases.at(fingerprint).interruptions;
-    // Other targets that were lost, and whether a suspect was on trial there.
-    std::map<TargetIncarnation, bool> lostTogether;
-    for (const auto& [other, otherCase] : m_cases) {
-        if (other == fingerprint)
-            continue;
-        bool wasSuspected = otherCase.interruptions.possibleCrashesElsewhere(interruption.target, interruption.endedAt) >= crashesToSuspect;
-        for (const auto& otherInterruption : otherCase.interruptions.entries()) {
-            if (otherInterruption.target == interruption.target) {
-                bool ranTogether = otherInterruption.sentAt < interruption.endedAt && std::chrono::abs(otherInterruption.endedAt - interruption.endedAt) <= reportDelay;
-                if (ranTogether && wasSuspected && !otherInterruption.onTrial)
-                    return false;
-                continue;
-            }
-            bool together = std::chrono::abs(otherInterruption.endedAt - interruption.endedAt) <= commonLossWindow;
-            if (together && otherInterruption.confirmed && !own.find(otherInterruption.target)) {
-                auto& onTrial = lostTogether[otherInterruption.target];
-                onTrial = onTrial || otherInterruption.onTrial;
-            }
-        }
-    }
-    bool lostWithoutTrial = std::any_of(lostTogether.begin(), lostTogether.end(), [](const auto& entry) { return !entry.second; });
-    return !lostWithoutTrial && lostTogether.size() < targetsLostTogether;
-}
-
-bool CrashGuard::crashedTargetOnTrial(Fingerprint fingerprint, bool onlyConfirmed) const
-{
-    const auto& entries = m_cases.at(fingerprint).interruptions.entries();
-    return std::any_of(entries.begin(), entries.end(), [&](const Interruption& interruption) {
-        bool counts = onlyConfirmed ? interruption.confirmed : interruption.isEvidence();
-        return counts && interruption.onTrial && wasCauseOnTrial(fingerprint, interruption);
-    });
-}
-
 /// Convicts a request that has crashed targets one after the other, among them one on which it ran alone.
 void CrashGuard::convictIfEvident(Fingerprint fingerprint, TimePoint now)
 {
     const auto& suspect = m_cases.at(fingerprint);
-    bool evident = suspect.reports.size() >= crashesToConvict && crashedTargetOnTrial(fingerprint, true);
+    bool evident = suspect.reports.size() >= crashesToConvict && crashesOnTrial(m_cases, fingerprint, TrialEvidence::Confirmed) > 0;
     if (suspect.convictedAt || !evident)
         return;
     convict(fingerprint, now);
@@ -377,8 +310,7 @@
     TargetIncarnation target { .target = report.target, .startedAt = report.targetStartedAt };
     auto endedAt = now - report.interruptedAgo;
     auto answeredFrom = m_completed.lastSentAt(report.fingerprint);
-    auto refuted = m_answeredTargets.find(target);
-    bool isRefuted = (answeredFrom && *answeredFrom > endedAt) || (refuted != m_answeredTargets.end() && refuted->second > endedAt);
+    bool isRefuted = (answeredFrom && *answeredFrom > endedAt) || m_brokenTargets.hasAnsweredSince(target, endedAt);
     if (isRefuted || m_unavailableTargets.contains(target))
         return;
     addInterruption(report.fingerprint, { .target = target, .sentAt = now - report.sentAgo, .endedAt = endedAt, .onTrial = report.onTrial }, now);
@@ -434,7 +366,7 @@
 }
 
 /// Verdicts on all instances' requests depend on what ran together, so that a lost report may blame the wrong one.
-void CrashGuard::repeatInterruptions(Fingerprint fingerprint, const Case& suspect, TimePoint now, std::vector<CrashGuardMessage>& messages) const
+void CrashGuard::repeatInterruptions(Fingerprint fingerprint, const CrashCase& suspect, TimePoint now, std::vector<CrashGuardMessage>& messages) const
 {
     for (const auto& interruption : suspect.interruptions.entries()) {
         bool isRecent = interruption.endedAt + interruptionRepetitionDuration >= now;
@@ -469,7 +401,7 @@
     auto found = m_cases.find(fingerprint);
     if (found == m_cases.end())
         return false;
-    return found->second.weight() >= crashesToConvict && crashedTargetOnTrial(fingerprint, false);
+    return found->second.weight() >= crashesToConvict && crashesOnTrial(m_cases, fingerprint, TrialEvidence::Possible) > 0;
 }
 
 bool CrashGuard::awaitsTrialResult(Fingerprint fingerprint, TimePoint now) const
@@ -486,12 +418,6 @@
     return found != m_cases.end() && !found->second.reports.empty();
 }
 
-bool CrashGuard::mayHaveCrashed(const TargetEntry& target, TimePoint now) const
-{
-    auto broken = m_brokenTargets.find(incarnationOf(target));
-    return broken != m_brokenTargets.end() && broken->second.lastAt + entryLifetime > now;
-}
-
 bool CrashGuard::needsTrial(Fingerprint fingerprint) const
 {
     auto found = m_cases.find(fingerprint);
