Let two suspects on trial at one target prove nothing

Cause: instances whose owner of the service differs, as while one is paused, may start two trials at a target. What ran beside a trial counted only if it had none itself, so that both suspects got the blame.

Change: any other suspect that ran there counts.

Result: twoSuspectsOnTrialAtOneTarget_crashProvesNothing failed before (both refused) and passes; 67 tests of quarantine pass.

--- a/src/quarantine/internal/crashcase.cpp
+++ b/src/quarantine/internal/crashcase.cpp
@@ -19,7 +19,7 @@
         return other.sentAt < interruption.endedAt && std::chrono::abs(other.endedAt - interruption.endedAt) <= reportDelay;
     }
 
-    /// False if another suspect, which was sent before it was known as one, ran on the target too, or if other targets were lost with it. A target on which another suspect was on
+    /// False if another suspect ran on the target too, with a trial or without, or if other targets were lost with it. A target on which another suspect was on
     /// trial may have been crashed by that one, so one such target proves nothing.
     bool wasCauseOnTrial(const CrashCases& cases, Fingerprint fingerprint, const Interruption& interruption)
     {
@@ -32,7 +32,7 @@
             bool wasSuspected = otherCase.interruptions.possibleCrashesElsewhere(interruption.target, interruption.endedAt) >= crashesToSuspect;
             for (const auto& otherInterruption : otherCase.interruptions.entries()) {
                 if (otherInterruption.target == interruption.target) {
-                    if (wasSuspected && !otherInterruption.onTrial && ranTogether(interruption, otherInterruption))
+                    if (wasSuspected && ranTogether(interruption, otherInterruption))
                         return false;
                     continue;
                 }
--- a/src/quarantine/tests/crashguardtrial_test.cpp
+++ b/src/quarantine/tests/crashguardtrial_test.cpp
@@ -167,3 +167,18 @@
     f.localGuard.onTargetAnswered(f.engine(1), f.now);
     cr_expect(!f.localGuard.mayHaveCrashed(f.engine(1), f.now));
 }
+
+/// Guards against LOST: instances that asked different owners tried two suspects on one target, and both got the blame for its crash.
+Test(CrashGuard, twoSuspectsOnTrialAtOneTarget_crashProvesNothing)
+{
+    GuardFixture f;
+    for (int number : { 1, 2, 3 })
+        f.crash(number, { 7, 8 });
+    for (auto* guard : { &f.localGuard, &f.peerGuard })
+        cr_expect(!f.refuses(*guard, 7, f.now) && !f.refuses(*guard, 8, f.now));
+    f.crash(4, { 7 });
+    for (auto* guard : { &f.localGuard, &f.peerGuard }) {
+        cr_expect(f.refuses(*guard, 7, f.now));
+        cr_expect(!f.refuses(*guard, 8, f.now));
+    }
+}
