Try a request once more whose conviction rests on one trial

Cause: a verdict had no way back but an answer, and a refused request has none. One trial cannot be told from a coincidence.

Change: ten seconds after a conviction with a single trial behind it the request may run on trial again; the answer clears it, a second crash refuses it for good. The Retry-After says when. A conviction with two trials, or one learnt from a peer or the store without its evidence, lasts as before.

Result: two tests of CrashGuard failed before (no way back).

--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -103,6 +103,7 @@
     void convict(Fingerprint, TimePoint now);
     void convictIfEvident(Fingerprint, TimePoint now);
     bool isSuspended(Fingerprint) const;
+    bool isRetrialPossible(Fingerprint) const;
     bool startedLastAt(Fingerprint, const TargetIncarnation&) const;
     void repeatInterruptions(Fingerprint, const CrashCase&, TimePoint now, std::vector<CrashGuardMessage>&) const;
     void onInterruptionReport(const InterruptionReport&, TimePoint now);
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -29,6 +29,8 @@
     constexpr auto unavailableTargetLifetime = Seconds(60);
     constexpr auto suspicionLifetime = std::chrono::minutes(30);
     constexpr auto convictionLifetime = std::chrono::hours(6);
+    /// A crashed target is replaced within this time, and the fault that ended it has passed.
+    constexpr auto retrialDelay = Seconds(10);
     /// Time between notices to peers that an answer refutes a conviction.
     constexpr auto notificationInterval = Seconds(5);
     constexpr auto decisionInterval = Seconds(1);
@@ -404,6 +406,12 @@
     return found->second.weight() >= crashesToConvict && crashesOnTrial(m_cases, fingerprint, TrialEvidence::Possible) > 0;
 }
 
+/// A verdict that rests on a single trial may be wrong, if the target ended for another cause: the request is tried once more.
+bool CrashGuard::isRetrialPossible(Fingerprint fingerprint) const
+{
+    return crashesOnTrial(m_cases, fingerprint, TrialEvidence::Possible) == 1;
+}
+
 bool CrashGuard::awaitsTrialResult(Fingerprint fingerprint, TimePoint now) const
 {
     if (!isSuspended(fingerprint) || m_cases.at(fingerprint).convictedAt)
@@ -440,8 +448,12 @@
     if (found == m_cases.end())
         return std::nullopt;
     const auto& convictedAt = found->second.convictedAt;
-    if (convictedAt && *convictedAt + convictionLifetime > now)
-        return retryDelayConvicted;
+    if (convictedAt && *convictedAt + convictionLifetime > now) {
+        if (!isRetrialPossible(fingerprint))
+            return retryDelayConvicted;
+        auto untilRetrial = *convictedAt + retrialDelay - now;
+        return untilRetrial > Clock::duration::zero() ? std::optional(untilRetrial) : std::nullopt;
+    }
     if (isSuspended(fingerprint))
         return retryDelayUnconfirmed;
     return std::nullopt;
--- a/src/quarantine/tests/crashguardtrial_test.cpp
+++ b/src/quarantine/tests/crashguardtrial_test.cpp
@@ -182,3 +182,36 @@
         cr_expect(!f.refuses(*guard, 8, f.now));
     }
 }
+
+/// Guards against LOST: a sound request whose trial met the end of its target for another cause was refused for six hours.
+Test(CrashGuard, convictionThatRestsOnOneTrial_allowsAnotherTrialAfterAWhile)
+{
+    GuardFixture f;
+    for (int number : { 1, 2, 3 })
+        f.crash(number, { 7 });
+    for (auto* guard : { &f.localGuard, &f.peerGuard }) {
+        cr_expect(f.refuses(*guard, 7, f.now + Seconds(9)));
+        cr_expect(!f.refuses(*guard, 7, f.now + Seconds(11)));
+        cr_expect(guard->needsTrial(7));
+    }
+    f.now += Seconds(11);
+    f.peerGuard.onCompleted(7, f.now, f.now);
+    for (auto* guard : { &f.localGuard, &f.peerGuard })
+        cr_expect(!f.refuses(*guard, 7, f.now) && !guard->needsTrial(7));
+}
+
+/// Guards against BUDGET: the trial after a conviction must be the last one.
+Test(CrashGuard, secondTrialCrashesItsTarget_requestIsRefusedForGood)
+{
+    GuardFixture f;
+    for (int number : { 1, 2, 3 })
+        f.crash(number, { 7 });
+    f.now += Seconds(11);
+    f.interrupt(7, 4);
+    for (auto* guard : { &f.localGuard, &f.peerGuard }) {
+        cr_expect(f.refuses(*guard, 7, f.now), "at once, before the crash is confirmed");
+        f.now += Seconds(3);
+        guard->onTargetUnavailable({ .entry = f.engine(4), .reason = UnavailableReason::EntryRemoved, .at = f.now });
+        cr_expect(f.refuses(*guard, 7, f.now + std::chrono::minutes(20)));
+    }
+}
