--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -1,22 +1,16 @@
 #include "placement/placementclient.h"
 
 #include "common/log.h"
+#include "placement/ownerquery.h"
 
 namespace guavaspan {
 
 namespace {
 
-    /// Time after which a query is sent again. An owner responds within a round trip of a few
-    /// milliseconds, so by then a datagram was lost.
-    constexpr auto responseTimeout = Milliseconds(35);
     /// Interval at which the query of a waiting request is repeated, so that the owner keeps it queued.
     constexpr auto waitingQueryInterval = Milliseconds(200);
-    /// Consecutive queries without a response after which an owner counts as unreachable.
-    constexpr int maxUnansweredQueries = 3;
     /// Time for which an unreachable owner is not queried.
     constexpr auto ownerRetryDelay = Milliseconds(1500);
-    /// Owners queried before this instance decides without one.
-    constexpr int maxOwnersTried = 2;
 
 }
 
@@ -80,7 +74,7 @@
     if (!request.engine)
         co_return co_await m_dispatcher.place(std::move(request));
     auto decider = PlacementDecider::Here;
-    for (int ownersTried = 0; ownersTried < maxOwnersTried; ++ownersTried) {
+    for (int ownersTried = 0; ownersTried < OwnerQueryLimits::maxOwnersTried; ++ownersTried) {
         auto owner = ownerOf(request.service);
         if (owner == m_instance)
             break;
@@ -111,14 +105,14 @@
         PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait };
         m_link.send(owner, query);
         pending->response.reset();
-        pending->wakeUp.expires_after(unansweredQueries == 0 && now - queriedAt > responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(responseTimeout));
+        pending->wakeUp.expires_after(unansweredQueries == 0 && now - queriedAt > OwnerQueryLimits::responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(OwnerQueryLimits::responseTimeout));
         co_await pending->wakeUp.async_wait(asTuple);
         if (pending->cancelled) {
             outcome = PlacementOutcome(PlacementRefusal { .cause = RefusalCause::Cancelled, .detail = "the caller disconnected" });
             break;
         }
         if (!pending->response) {
-            if (++unansweredQueries < maxUnansweredQueries)
+            if (++unansweredQueries < OwnerQueryLimits::maxUnansweredQueries)
                 continue;
             markUnreachable(owner);
             break;
--- a/src/placement/internal/trialclient.cpp
+++ b/src/placement/internal/trialclient.cpp
@@ -1,16 +1,13 @@
 #include "placement/trialclient.h"
 
+#include "placement/ownerquery.h"
+
 #include <algorithm>
 
 namespace guavaspan {
 
 namespace {
 
-    /// An owner responds within a round trip of a few milliseconds, so by then a datagram was lost.
-    constexpr auto responseTimeout = Milliseconds(35);
-    constexpr int maxQueries = 3;
-    /// Owners queried before this instance decides without one.
-    constexpr int maxOwnersTried = 2;
     constexpr auto repetitionInterval = Milliseconds(300);
 
 }
@@ -36,7 +33,7 @@
     std::optional<TrialDecision> decision;
     std::string owner;
     std::set<std::string> unreachable;
-    for (int tried = 0; !decision && tried < maxOwnersTried; ++tried) {
+    for (int tried = 0; !decision && tried < OwnerQueryLimits::maxOwnersTried; ++tried) {
         owner = m_fleet.ownerOf(service, unreachable, Clock::now());
         if (owner == m_instance)
             break;
@@ -56,9 +53,9 @@
 {
     auto pending = std::make_shared<PendingQuery>(m_io);
     m_pending.insert_or_assign(number, pending);
-    for (int query = 0; query < maxQueries && !pending->decision; ++query) {
+    for (int query = 0; query < OwnerQueryLimits::maxUnansweredQueries && !pending->decision; ++query) {
         m_link.send(owner, TrialQuery { .id = idOf(number), .trial = trial });
-        pending->wakeUp.expires_after(responseTimeout);
+        pending->wakeUp.expires_after(OwnerQueryLimits::responseTimeout);
         co_await pending->wakeUp.async_wait(asTuple);
     }
     m_pending.erase(number);
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -254,7 +254,7 @@
             result.detail = placement.error().detail;
             break;
         }
-        if (!co_await gate.startTrialIfNeeded(id, placement->target)) {
+        if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
             m_context.placement.release(id);
             co_await sleepFor(SendGate::trialRetryInterval);
             continue;
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -61,7 +61,7 @@
         if (auto refused = crashRefusal())
             return refused;
     }
-    if (m_waitsForTrialSince && *m_waitsForTrialSince + m_maxTrialWait < now && !suspects().empty())
+    if (m_waitsForTrialSince && *m_waitsForTrialSince + m_maxTrialWait < now && needsTrial())
         return SendRefusal { .reason = "suspect_on_trial", .retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayTrial) };
     if (auto wait = waitIfAllLimited(now))
         return SendRefusal { .reason = "targets_limited", .retryAfter = m_context.dispatcher.jitteredRetryDelay(*wait) };
@@ -98,12 +98,10 @@
     return m_context.crashGuard.mayHaveCrashed(target, now) || std::any_of(usable.begin(), usable.end(), [&](const auto* other) { return other->endpoint == target.endpoint && m_context.crashGuard.mayHaveCrashed(*other, now); });
 }
 
-Awaitable<bool> SendGate::startTrialIfNeeded(std::uint64_t number, const TargetEntry& target)
+Awaitable<bool> SendGate::startTrial(std::uint64_t number, const TargetEntry& target)
 {
     endTrial(TrialEnd::Answered);
     auto suspects = this->suspects();
-    if (suspects.empty())
-        co_return true;
     bool awaitsResult = crashRefusal().has_value();
     auto decision = awaitsResult ? TrialDecision::SuspectOnTrial : TrialDecision::TargetOnTrial;
     if (!awaitsResult && !mayHaveCrashed(target)) {
@@ -134,7 +132,7 @@
 
 bool SendGate::tryClaim(const TargetEntry& target)
 {
-    if (crashRefusal() || (!m_trial && !suspects().empty()))
+    if (crashRefusal() || (!m_trial && needsTrial()))
         return false;
     if (m_context.targetLimits.tryTake(target, Clock::now()))
         return true;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -187,7 +187,7 @@
                 session.retryAfter = placement.error().retryAfter;
             co_return false;
         }
-        if (!co_await gate.startTrialIfNeeded(id, placement->target)) {
+        if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
             m_context.placement.release(session.id);
             session.id = 0;
             co_await sleepFor(SendGate::trialRetryInterval);
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -39,9 +39,12 @@
     /// Targets that the request must not be placed on.
     std::set<std::string> excludedTargets();
 
-    /// Starts a trial if the request needs one for the next send; `number` is unique in this process. False if it has to be
-    /// placed again after trialRetryInterval, since others are on trial.
-    Awaitable<bool> startTrialIfNeeded(std::uint64_t number, const TargetEntry&);
+    /// True if the next send has to be a trial.
+    bool needsTrial() const { return !suspects().empty(); }
+
+    /// Starts the trial of the next send; `number` is unique in this process. False if the request has to be placed again after
+    /// trialRetryInterval, since others are on trial.
+    Awaitable<bool> startTrial(std::uint64_t number, const TargetEntry&);
 
     bool onTrial() const { return m_trial.has_value(); }
     void endTrial(TrialEnd);
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -131,11 +131,11 @@
 {
     SendGateFixture f;
     auto gate = f.gate();
-    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(!gate.needsTrial());
     cr_expect(!gate.onTrial(), "it is not suspected yet");
     f.interruptRequest(2);
     cr_expect(!gate.tryClaim(f.first()));
-    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(runCoroutine(f.io, gate.startTrial(1, f.first())));
     cr_expect(gate.onTrial() && gate.tryClaim(f.first()));
     cr_assert(f.trials.trials.size() == 1);
     Trial expected { .suspects = { SendGateFixture::fingerprint }, .target = "first" };
@@ -151,11 +151,11 @@
     f.interruptRequest(2);
     f.trials.decision = TrialDecision::TargetOnTrial;
     auto gate = f.gate();
-    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(!runCoroutine(f.io, gate.startTrial(1, f.first())));
     cr_expect(gate.excludedTargets() == std::set<std::string> { "first" });
     cr_expect(gate.excludedTargets().empty(), "the trial there may have ended");
     gate.exclude("second");
-    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(2, f.first())));
+    cr_expect(!runCoroutine(f.io, gate.startTrial(2, f.first())));
     cr_expect(gate.excludedTargets() == std::set<std::string> { "second" }, "no other target is left");
 }
 
@@ -165,7 +165,7 @@
     f.interruptRequest(2);
     f.trials.decision = TrialDecision::SuspectOnTrial;
     auto gate = f.gate();
-    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(!runCoroutine(f.io, gate.startTrial(1, f.first())));
     cr_expect(!gate.refusal());
     std::this_thread::sleep_for(Milliseconds(510));
     auto refusal = gate.refusal();
@@ -184,11 +184,11 @@
     f.crashGuard.onUnanswered({ .fingerprint = SendGateFixture::fingerprint, .target = f.first(), .sentAt = now - Milliseconds(20), .lastHeardAt = now, .onTrial = true }, now);
     auto gate = f.gate();
     cr_expect(!gate.refusal());
-    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.second())));
+    cr_expect(!runCoroutine(f.io, gate.startTrial(1, f.second())));
     cr_expect(f.trials.trials.empty());
     f.crashGuard.onTargetAnswered(f.first(), now + Milliseconds(1));
     cr_expect(!gate.refusal());
-    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(2, f.second())));
+    cr_expect(runCoroutine(f.io, gate.startTrial(2, f.second())));
 }
 
 /// Guards against LOST: a trial at an address whose engine had just crashed was taken for a crash by the request on trial.
@@ -203,7 +203,7 @@
     constexpr Fingerprint other = 8;
     f.crashGuard.onUnanswered({ .fingerprint = other, .target = successor, .sentAt = now - Milliseconds(20), .lastHeardAt = now }, now);
     auto gate = f.gate();
-    cr_expect(!runCoroutine(f.io, gate.startTrialIfNeeded(1, f.first())));
+    cr_expect(!runCoroutine(f.io, gate.startTrial(1, f.first())));
     cr_expect(f.trials.trials.empty());
-    cr_expect(runCoroutine(f.io, gate.startTrialIfNeeded(2, f.second())));
+    cr_expect(runCoroutine(f.io, gate.startTrial(2, f.second())));
 }
