Offer followers the latest state of each key instead of a log of changes

Callers of a follower were refused as an older version says, for as long as no newer one was written.

Cause: a replica remembered a change for its followers only if it changed the replica itself. A listing in several pages has the revision of its first page, and later pages may hold newer entries; the watch from there brings these changes again, they are known, and were not remembered. A follower between the two revisions never got them, nor removals that happened between two pages. Class: what one copy needs was taken for what all copies need.

Change: the changes after a revision are computed from the entries themselves, which carry their revisions, and from the latest removals, remembered whether or not the replica had the entry. A key that changed several times is offered once: followers on slow links got every version of a large configuration. A listing no longer makes all followers list; only those in between of the revision held and the listed one have to.

--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    /// Changes kept for followers: a few seconds of changes in a busy fleet.
-    constexpr std::size_t maxHistoryLength = 500;
+    /// Removals kept for followers: several seconds of removals in a busy fleet.
+    constexpr std::size_t maxRemovals = 500;
 
 }
 
@@ -67,25 +67,34 @@
         m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision });
         m_removedEntries.erase(change.key);
     } else {
+        // A follower may still have an entry that this replica never had.
+        rememberRemoval(change.key, change.revision);
         if (existing == m_entries.end() || existing->second.revision >= change.revision)
             return;
         rememberRemoved(change.key, std::move(existing->second.value), asOf);
         m_entries.erase(existing);
     }
-    remember(change);
     if (m_listener)
         m_listener(change.key, change.value);
 }
 
-void StoreReplica::remember(const StoreChange& change)
+void StoreReplica::rememberRemoval(const std::string& key, std::int64_t revision)
 {
-    m_history.push_back(change);
-    while (m_history.size() > maxHistoryLength) {
-        m_historyStart = m_history.front().revision;
-        m_history.pop_front();
+    m_removals.push_back({ .key = key, .revision = revision });
+    while (m_removals.size() > maxRemovals) {
+        m_historyStart = m_removals.front().revision;
+        m_removals.pop_front();
     }
 }
 
+/// A listing does not show which entries were written and removed again since the revision held. A follower that is at a revision
+/// in between may have them.
+void StoreReplica::beginGap(std::int64_t listedRevision)
+{
+    m_historyStart = std::max(m_historyStart, m_gap.end);
+    m_gap = { .begin = m_revision.number, .end = listedRevision };
+}
+
 void StoreReplica::applyListing(const StoreListing& listing, BootTime asOf)
 {
     // An older listing, such as from a peer that lags, would revert changes.
@@ -94,6 +103,9 @@
     bool restored = m_loaded && listing.revision.era > m_revision.era;
     if (restored)
         beginEra(listing.revision);
+    bool continues = m_loaded && !restored;
+    if (continues)
+        beginGap(listing.revision.number);
     std::set<std::string> listedKeys;
     for (const auto& entry : listing.entries)
         listedKeys.insert(entry.key);
@@ -102,9 +114,6 @@
         if (listedKeys.count(key) == 0 && entry.revision <= listing.revision.number)
             removedKeys.push_back(key);
     }
-    // A listing does not show the individual changes since the previous revision or their order, so followers
-    // must list again.
-    m_history.clear();
     for (const auto& key : removedKeys)
         apply({ .key = key, .revision = listing.revision.number }, asOf);
     for (const auto& entry : listing.entries) {
@@ -114,9 +123,12 @@
         else
             apply(change, asOf);
     }
-    m_history.clear();
     m_revision = listing.revision;
-    m_historyStart = m_revision.number;
+    if (!continues) {
+        m_removals.clear();
+        m_historyStart = m_revision.number;
+        m_gap = {};
+    }
     m_loaded = true;
     confirm(asOf);
 }
@@ -157,12 +169,19 @@
 StoreChanges StoreReplica::changesAfter(StoreRevision revision, BootTime now) const
 {
     StoreChanges result { .revision = m_revision, .age = age(now) };
+    bool inGap = revision.number > m_gap.begin && revision.number < m_gap.end;
     // A follower that is ahead gets no changes, and this older replica cannot confirm that its entries are current.
-    if (!m_loaded || revision.era != m_revision.era || revision.number < m_historyStart || revision > m_revision) {
+    if (!m_loaded || revision.era != m_revision.era || revision.number < m_historyStart || inGap || revision > m_revision) {
         result.historyLost = true;
         return result;
     }
-    std::copy_if(m_history.begin(), m_history.end(), std::back_inserter(result.changes), [&](const StoreChange& change) { return change.revision > revision.number; });
+    // Only the latest change of each key, since followers of a configuration that changes often would not keep up with all of them.
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.revision > revision.number)
+            result.changes.push_back({ .key = key, .value = entry.value, .revision = entry.revision });
+    }
+    std::copy_if(m_removals.begin(), m_removals.end(), std::back_inserter(result.changes), [&](const StoreChange& removal) { return removal.revision > revision.number; });
+    std::stable_sort(result.changes.begin(), result.changes.end(), [](const StoreChange& left, const StoreChange& right) { return left.revision < right.revision; });
     return result;
 }
 
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -58,7 +58,7 @@
     /// The entries with the prefix, for a peer that follows this replica.
     StoreListing listing(BootTime now, std::string_view prefix = {}) const;
 
-    /// Changes after a revision; sets `historyLost` if the follower must list all entries again.
+    /// The latest change of each key that changed after a revision; sets `historyLost` if the follower must list all entries again.
     StoreChanges changesAfter(StoreRevision revision, BootTime now) const;
 
 private:
@@ -72,10 +72,17 @@
         BootTime removedAt;
     };
 
+    /// Revisions between `begin` and `end`, whose changes this replica did not see one by one.
+    struct Gap {
+        std::int64_t begin = 0;
+        std::int64_t end = 0;
+    };
+
     void beginEra(StoreRevision);
+    void beginGap(std::int64_t listedRevision);
     bool keepNewerThan(const StoreChange& copied);
     void apply(const StoreChange&, BootTime asOf);
-    void remember(const StoreChange&);
+    void rememberRemoval(const std::string& key, std::int64_t revision);
     void rememberRemoved(const std::string& key, std::string value, BootTime asOf);
     void confirm(BootTime);
 
@@ -87,9 +94,12 @@
     std::map<std::string, Entry> m_entries;
     /// Entries that were removed lately, by key; a copy of the store may still have them.
     std::map<std::string, RemovedEntry> m_removedEntries;
-    std::deque<StoreChange> m_history;
-    /// Changes up to this revision are no longer in the history.
+    /// Latest removals of any keys, for followers.
+    std::deque<StoreChange> m_removals;
+    /// Removals up to this revision are no longer kept.
     std::int64_t m_historyStart = 0;
+    /// The latest gap; history before an earlier one is not kept.
+    Gap m_gap;
     Listener m_listener;
     RestoreListener m_restoreListener;
     EntryOrder m_entryOrder;
--- a/src/fleet/tests/fleet_test.cpp
+++ b/src/fleet/tests/fleet_test.cpp
@@ -80,6 +80,59 @@
     cr_expect(f.replica.changesAfter({ .number = 12 }, start).historyLost, "the follower is ahead");
 }
 
+/// Guards against CONFIG: a change that a listing in several pages had already brought never reached the followers.
+Test(StoreReplica, changesAfter_changesKnownFromALaterPage_areOffered)
+{
+    StoreReplica replica;
+    replica.applyListing({ .entries = { { .key = "a", .value = "1", .version = 90 }, { .key = "config", .value = "v8", .version = 103 } }, .revision = { .number = 100 } }, start);
+    replica.applyChanges({ .changes = { { .key = "b", .revision = 102 }, { .key = "config", .value = "v8", .revision = 103 } }, .revision = { .number = 104 } }, start);
+    auto changes = replica.changesAfter({ .number = 100 }, start);
+    cr_expect(!changes.historyLost);
+    cr_assert(changes.changes.size() == 2);
+    cr_expect(changes.changes[0] == StoreChange({ .key = "b", .revision = 102 }), "a key that was removed between two pages");
+    cr_expect(changes.changes[1] == StoreChange({ .key = "config", .value = "v8", .revision = 103 }));
+}
+
+/// Guards against CONFIG: followers on slow links received every version of a large configuration and never caught up.
+Test(StoreReplica, changesAfter_keyChangedSeveralTimes_onlyTheLatestChangeIsOffered)
+{
+    ReplicaFixture f;
+    f.replica.applyChanges(f.changes(10, { { .key = "a", .value = "2", .revision = 7 }, { .key = "b", .value = "2", .revision = 8 }, { .key = "a", .value = "3", .revision = 9 }, { .key = "a", .value = "4", .revision = 10 } }), start);
+    auto changes = f.replica.changesAfter({ .number = 6 }, start);
+    cr_assert(changes.changes.size() == 2);
+    cr_expect(changes.changes[0] == StoreChange({ .key = "b", .value = "2", .revision = 8 }));
+    cr_expect(changes.changes[1] == StoreChange({ .key = "a", .value = "4", .revision = 10 }));
+}
+
+/// Guards against CONFIG: after each listing of a reader all its followers had to list, too.
+Test(StoreReplica, changesAfter_listingInBetween_followerOfTheRevisionBeforeGetsTheDifference)
+{
+    ReplicaFixture f;
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "2", .version = 12 } }, .revision = { .number = 20 } }, start);
+    auto changes = f.replica.changesAfter({ .number = 6 }, start);
+    cr_expect(!changes.historyLost);
+    cr_assert(changes.changes.size() == 2);
+    cr_expect(changes.changes[0] == StoreChange({ .key = "a", .value = "2", .revision = 12 }));
+    cr_expect(changes.changes[1] == StoreChange({ .key = "b", .revision = 20 }));
+    cr_expect(f.replica.changesAfter({ .number = 13 }, start).historyLost, "an entry may have been written and removed in between");
+    cr_expect(!f.replica.changesAfter({ .number = 20 }, start).historyLost);
+    f.replica.applyListing({ .entries = { { .key = "a", .value = "2", .version = 12 } }, .revision = { .number = 30 } }, start);
+    cr_expect(f.replica.changesAfter({ .number = 6 }, start).historyLost);
+    cr_expect(!f.replica.changesAfter({ .number = 20 }, start).historyLost);
+}
+
+Test(StoreReplica, changesAfter_removalsNoLongerKept_historyIsLost)
+{
+    constexpr int removals = 600;
+    ReplicaFixture f;
+    StoreChanges changes { .revision = { .number = 6 + removals } };
+    for (int i = 1; i <= removals; ++i)
+        changes.changes.push_back({ .key = "c" + std::to_string(i), .revision = 6 + i });
+    f.replica.applyChanges(changes, start);
+    cr_expect(f.replica.changesAfter({ .number = 6 }, start).historyLost);
+    cr_expect(!f.replica.changesAfter({ .number = 6 + removals / 2 }, start).historyLost);
+}
+
 Test(StoreReplica, applyChanges_olderConfirmation_doesNotDecreaseConfirmedAt)
 {
     ReplicaFixture f;
