Tell an outage of the store from failed calls of one instance

Cause: an instance whose own calls had failed once took the store for lost until it read the store again. Followers don't, so for seconds they took each removal for an expired lease and kept the engine for two more seconds, all of the bound, although their peers read the store all the while. The other way round, a follower that makes no calls never learned of an outage, and removed engines at once whose entries had expired in it. A second outage reckoned its deadline from the end of the first.

Change: the peers' feed states when its source regained the store. An instance whose calls fail knows that the store was not away as soon as a peer that noticed no outage has confirmed the copy since. Log: store_outage_ended.

Evidence: onlyOwnCallsFail_storeWasNotLost, sourceNoticedAnOutage and two tests of the directory are new; the interface they use did not exist before.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -98,12 +98,14 @@
     });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
-    m_follower.setReachabilityListener([this](bool reachable) {
-        if (reachable)
-            m_directory.onStoreRegained(Clock::now());
+    m_follower.setStoreLostListener([this] { m_directory.onStoreLost(Clock::now()); });
+    m_follower.setStoreRegainedListener([this](std::optional<BootTime> at) {
+        if (at)
+            m_directory.onStoreRegained(Clock::now() - (BootClock::now() - *at));
         else
-            m_directory.onStoreLost(Clock::now());
+            m_directory.onStoreNotLost();
     });
+    m_peerFeed.setOutageEnd([this] { return m_follower.outageEnd(); });
 }
 
 bool EntryInstance::listen()
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -22,6 +22,19 @@
         return std::chrono::ceil<Milliseconds>(duration).count();
     }
 
+    json toOptionalMilliseconds(const std::optional<Clock::duration>& duration)
+    {
+        return duration ? json(std::chrono::floor<Milliseconds>(*duration).count()) : json();
+    }
+
+    /// Peers of older versions do not send the field.
+    std::optional<Clock::duration> optionalMillisecondsAt(const json& fields, std::size_t index)
+    {
+        if (fields.size() <= index || fields.at(index).is_null())
+            return std::nullopt;
+        return Milliseconds(fields.at(index).get<std::int64_t>());
+    }
+
     json toBinary(const std::string& bytes)
     {
         return json::binary({ bytes.begin(), bytes.end() });
@@ -45,7 +58,7 @@
         json entries = json::array();
         for (const auto& entry : listing.entries)
             entries.push_back(json::array({ entry.key, entry.version, toBinary(entry.value) }));
-        return toBytes(json::array({ listing.revision.number, toMilliseconds(listing.age), entries, listing.revision.era }));
+        return toBytes(json::array({ listing.revision.number, toMilliseconds(listing.age), entries, listing.revision.era, toOptionalMilliseconds(listing.sinceOutage) }));
     }
 
     std::string encode(const StoreChanges& changes)
@@ -53,7 +66,7 @@
         json list = json::array();
         for (const auto& change : changes.changes)
             list.push_back(json::array({ change.key, change.revision, change.value ? toBinary(*change.value) : json() }));
-        return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era }));
+        return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era, toOptionalMilliseconds(changes.sinceOutage) }));
     }
 
     /// The number is the first field. Peers of older versions know no eras; era 0 makes what they offer older than any stated era.
@@ -65,7 +78,7 @@
     StoreListing listingFrom(const json& fields)
     {
         constexpr std::size_t eraIndex = 3;
-        StoreListing listing { .revision = revisionFrom(fields, eraIndex), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
+        StoreListing listing { .revision = revisionFrom(fields, eraIndex), .age = Milliseconds(fields.at(1).get<std::int64_t>()), .sinceOutage = optionalMillisecondsAt(fields, eraIndex + 1) };
         for (const auto& entry : fields.at(2))
             listing.entries.push_back({ .key = entry.at(0), .value = bytesOf(entry.at(2)), .version = entry.at(1) });
         return listing;
@@ -74,7 +87,7 @@
     StoreChanges changesFrom(const json& fields)
     {
         constexpr std::size_t eraIndex = 4;
-        StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()) };
+        StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()), .sinceOutage = optionalMillisecondsAt(fields, eraIndex + 1) };
         for (const auto& changeFields : fields.at(3)) {
             StoreChange change { .key = changeFields.at(0), .revision = changeFields.at(1) };
             if (!changeFields.at(2).is_null())
@@ -143,9 +156,16 @@
         changes = m_replica.changesAfter(after, BootClock::now());
     }
     m_waitingTimers.erase(position);
+    changes.sinceOutage = sinceOutage(BootClock::now());
     co_return changes;
 }
 
+std::optional<Clock::duration> PeerFeedServer::sinceOutage(BootTime now) const
+{
+    auto outageEnd = m_outageEnd ? m_outageEnd() : std::nullopt;
+    return outageEnd ? std::optional<Clock::duration>(now - *outageEnd) : std::nullopt;
+}
+
 void PeerFeedServer::onReplicaChanged()
 {
     for (auto* wakeUp : m_waitingTimers)
@@ -160,7 +180,10 @@
         reply.status = 503;
     } else if (path == "/fleet/entries") {
         reply.status = 200;
-        reply.body = encode(m_replica.listing(BootClock::now(), exchange.query("prefix")));
+        auto now = BootClock::now();
+        auto listing = m_replica.listing(now, exchange.query("prefix"));
+        listing.sinceOutage = sinceOutage(now);
+        reply.body = encode(listing);
     } else if (path == "/fleet/changes") {
         StoreRevision after { .era = m_replica.revision().era, .number = parseNumber(exchange.query("after")) };
         // Peers of older versions state no era.
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -13,6 +13,7 @@
     /// Delay before a store that failed is called again, multiplied by the number of consecutive failures up to a limit.
     constexpr auto storeRetryDelay = Milliseconds(500);
     constexpr int maxRetryDelayFactor = 3;
+    constexpr auto minTimeBetweenOutages = Milliseconds(500);
 
 }
 
@@ -62,11 +63,47 @@
     m_reachable = reachable;
     logEvent(reachable ? LogLevel::Info : LogLevel::Warning, reachable ? "store_regained" : "store_lost",
         { { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
-    if (m_reachabilityListener)
-        m_reachabilityListener(reachable);
+    if (reachable)
+        return;
+    m_outageBegin = BootClock::now();
+    if (m_storeLostListener)
+        m_storeLostListener();
+}
+
+/// Without a time the store was not away, only the calls of this instance failed.
+void StoreFollower::onStoreRegained(std::optional<BootTime> at)
+{
+    auto sinceOutage = at ? std::chrono::duration_cast<Milliseconds>(BootClock::now() - *at).count() : -1;
+    logEvent(LogLevel::Info, "store_outage_ended", { { "noticed_here", m_outageBegin.has_value() }, { "store_was_away", at.has_value() }, { "ended_ms_ago", sinceOutage } });
+    m_outageBegin.reset();
+    if (at)
+        m_outageEnd = at;
+    if (m_storeRegainedListener)
+        m_storeRegainedListener(at);
 }
 
-Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFrom(IWatchableStore& source, bool relist)
+/// The calls of this instance may go on failing although the store is available to others, and a follower that makes no calls
+/// learns of an outage from its source only.
+void StoreFollower::onSourceAnswered(const SourceState& state)
+{
+    auto now = BootClock::now();
+    if (state.source == StoreSource::Store) {
+        setReachable(true);
+        if (m_outageBegin)
+            onStoreRegained(now);
+        return;
+    }
+    auto outageEnd = state.sinceOutage ? std::optional(now - *state.sinceOutage) : std::nullopt;
+    // The time that an answer takes to arrive makes the same outage seem to end later.
+    bool isNews = outageEnd && (!m_outageEnd || *m_outageEnd + minTimeBetweenOutages < *outageEnd);
+    bool confirmedSince = m_outageBegin && state.confirmedAt > *m_outageBegin;
+    if (isNews)
+        onStoreRegained(outageEnd);
+    else if (confirmedSince)
+        onStoreRegained(std::nullopt);
+}
+
+Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFrom(IWatchableStore& source, StoreSource kind, bool relist)
 {
     auto calledAt = BootClock::now();
     std::string emptyPrefix;
@@ -84,7 +121,9 @@
             co_await m_firstListingHook(*listing);
         // The source computed the age after this call began, so subtracting it from the time of the call gives a
         // time no later than the one at which the entries were last confirmed to be current.
-        m_replica.applyListing(*listing, calledAt - listing->age);
+        auto confirmedAt = calledAt - listing->age;
+        onSourceAnswered({ .source = kind, .confirmedAt = confirmedAt, .sinceOutage = listing->sinceOutage });
+        m_replica.applyListing(*listing, confirmedAt);
         co_return UpdateResult::Current;
     }
     auto changes = co_await source.watch(emptyPrefix, m_replica.revision(), m_options.watchWait);
@@ -95,7 +134,9 @@
         co_return UpdateResult::Failed;
     if (changes->historyLost || changes->revision.era > m_replica.revision().era)
         co_return UpdateResult::HistoryLost;
-    m_replica.applyChanges(*changes, calledAt - changes->age);
+    auto confirmedAt = calledAt - changes->age;
+    onSourceAnswered({ .source = kind, .confirmedAt = confirmedAt, .sinceOutage = changes->sinceOutage });
+    m_replica.applyChanges(*changes, confirmedAt);
     co_return UpdateResult::Current;
 }
 
@@ -108,10 +149,10 @@
         { { "offered_era", listing.revision.era }, { "offered_revision", listing.revision.number }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "offered_age_ms", std::chrono::duration_cast<Milliseconds>(listing.age).count() }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(BootClock::now())).count() } });
 }
 
-Awaitable<> StoreFollower::updateFromStore()
+Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFromStore()
 {
     ++m_storeCalls;
-    auto result = co_await updateFrom(m_store, m_relistStore);
+    auto result = co_await updateFrom(m_store, StoreSource::Store, m_relistStore);
     // After a failed listing the relist is still due; a failed watch says nothing about the history.
     if (result != UpdateResult::Failed)
         m_relistStore = result == UpdateResult::HistoryLost;
@@ -120,14 +161,14 @@
         // An unreachable store is called less often: if no instance reaches it, the first one that does serves the others.
         m_consecutiveFailures = std::min(m_consecutiveFailures + 1, maxRetryDelayFactor);
         m_storeRetryAt = Clock::now() + m_consecutiveFailures * storeRetryDelay;
-        co_return;
+        co_return result;
     }
     m_consecutiveFailures = 0;
     m_source = StoreSource::Store;
+    co_return result;
 }
 
-/// Returns true if the peer brought the replica up to date.
-Awaitable<bool> StoreFollower::updateFromPeer()
+Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFromPeer()
 {
     // If the replica is stale, the readers are probably cut off too, and any peer may still reach the store.
     auto now = Clock::now();
@@ -135,17 +176,18 @@
     if (peers.empty())
         peers = m_fleet.peers();
     if (peers.empty())
-        co_return false;
+        co_return UpdateResult::Failed;
     auto source = m_makePeerStore(peers[m_nextPeer % peers.size()]);
-    auto result = co_await updateFrom(*source, m_relistPeer);
+    auto result = co_await updateFrom(*source, StoreSource::Peer, m_relistPeer);
     m_relistPeer = result == UpdateResult::HistoryLost;
-    if (result == UpdateResult::Failed || stale()) {
+    if (result == UpdateResult::Current && stale())
+        result = UpdateResult::Failed;
+    if (result == UpdateResult::Failed)
         // The next call goes to another peer, which may still reach the store.
         ++m_nextPeer;
-        co_return false;
-    }
-    m_source = StoreSource::Peer;
-    co_return true;
+    else
+        m_source = StoreSource::Peer;
+    co_return result;
 }
 
 Awaitable<> StoreFollower::followStore()
@@ -173,9 +215,9 @@
     while (true) {
         auto startedAt = Clock::now();
         bool needed = m_replica.loaded() ? (!readsStore() || stale() || !m_reachable) : !m_reachable;
-        bool updated = needed && co_await updateFromPeer();
+        auto result = needed ? co_await updateFromPeer() : UpdateResult::Current;
         auto next = startedAt + m_options.callInterval;
-        if (needed && !updated)
+        if (result == UpdateResult::Failed)
             next = std::max<TimePoint>(next, Clock::now() + failedUpdateDelay);
         if (Clock::now() < next)
             co_await sleepFor(next - Clock::now());
--- a/src/fleet/peerfeed.h
+++ b/src/fleet/peerfeed.h
@@ -36,6 +36,10 @@
     {
     }
 
+    using OutageEnd = std::function<std::optional<BootTime>()>;
+    /// When this instance or its source last regained the store, for followers that have not noticed that it was lost.
+    void setOutageEnd(OutageEnd outageEnd) { m_outageEnd = std::move(outageEnd); }
+
     Awaitable<> handle(HttpExchange&);
 
     /// Wakes the followers that wait for a change.
@@ -43,8 +47,10 @@
 
 private:
     Awaitable<StoreChanges> waitForChanges(StoreRevision after, Milliseconds wait);
+    std::optional<Clock::duration> sinceOutage(BootTime now) const;
 
     const StoreReplica& m_replica;
+    OutageEnd m_outageEnd;
     std::list<asio::steady_timer*> m_waitingTimers;
 };
 
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -33,8 +33,11 @@
 /// or other instances read it for the fleet.
 class StoreFollower {
 public:
-    /// Called when the store becomes unreachable or reachable again.
-    using ReachabilityListener = std::function<void(bool reachable)>;
+    /// Called when the store becomes unavailable, as far as this instance knows.
+    using StoreLostListener = std::function<void()>;
+    /// Called when the store is known to be available again, be it to a peer, before the changes since are applied. Without a time only
+    /// the calls of this instance have failed.
+    using StoreRegainedListener = std::function<void(std::optional<BootTime> at)>;
     using PeerStoreFactory = std::function<std::unique_ptr<IWatchableStore>(const InstanceRecord&)>;
 
     StoreFollower(IWatchableStore&, StoreReplica&, const FleetView&, StoreFollowerOptions, PeerStoreFactory);
@@ -43,7 +46,8 @@
     using FirstListingHook = std::function<Awaitable<>(StoreListing&)>;
     void setFirstListingHook(FirstListingHook hook) { m_firstListingHook = std::move(hook); }
 
-    void setReachabilityListener(ReachabilityListener listener) { m_reachabilityListener = std::move(listener); }
+    void setStoreLostListener(StoreLostListener listener) { m_storeLostListener = std::move(listener); }
+    void setStoreRegainedListener(StoreRegainedListener listener) { m_storeRegainedListener = std::move(listener); }
 
     /// Both loops run concurrently, so that a store that does not respond does not delay updates from a peer.
     Awaitable<> followStore();
@@ -51,6 +55,8 @@
 
     /// False while this instance's calls to the store fail.
     bool reachable() const { return m_reachable; }
+    /// End of the last outage that this instance or its source noticed.
+    std::optional<BootTime> outageEnd() const { return m_outageEnd; }
     StoreSource source() const { return m_source; }
     std::uint64_t storeCalls() const { return m_storeCalls; }
     /// Listings that were not applied because the replica was ahead of them.
@@ -63,23 +69,36 @@
         Failed,
     };
 
-    Awaitable<UpdateResult> updateFrom(IWatchableStore&, bool relist);
-    Awaitable<> updateFromStore();
-    Awaitable<bool> updateFromPeer();
+    /// What a source says of itself in its answer.
+    struct SourceState {
+        StoreSource source = StoreSource::None;
+        BootTime confirmedAt;
+        std::optional<Clock::duration> sinceOutage;
+    };
+
+    Awaitable<UpdateResult> updateFrom(IWatchableStore&, StoreSource, bool relist);
+    Awaitable<UpdateResult> updateFromStore();
+    Awaitable<UpdateResult> updateFromPeer();
+    void onSourceAnswered(const SourceState&);
     void onListingRejected(const StoreListing&);
     bool readsStore() const;
     bool storeStatesEras() const;
     bool stale() const;
     void setReachable(bool reachable);
+    void onStoreRegained(std::optional<BootTime> at);
 
     IWatchableStore& m_store;
     StoreReplica& m_replica;
     const FleetView& m_fleet;
     StoreFollowerOptions m_options;
     PeerStoreFactory m_makePeerStore;
-    ReachabilityListener m_reachabilityListener;
+    StoreLostListener m_storeLostListener;
+    StoreRegainedListener m_storeRegainedListener;
     FirstListingHook m_firstListingHook;
     bool m_reachable = true;
+    /// When the store became unavailable, until it is known to be available again.
+    std::optional<BootTime> m_outageBegin;
+    std::optional<BootTime> m_outageEnd;
     bool m_relistStore = false;
     bool m_relistPeer = false;
     TimePoint m_storeRetryAt;
--- a/src/fleet/tests/storefollower_test.cpp
+++ b/src/fleet/tests/storefollower_test.cpp
@@ -15,7 +15,7 @@
         ++callCount;
         if (!reachable)
             co_return unreachable();
-        co_return StoreListing { .entries = { { .key = "k", .value = value, .version = revision } }, .revision = { .era = era, .number = revision }, .age = age };
+        co_return StoreListing { .entries = { { .key = "k", .value = value, .version = revision } }, .revision = { .era = era, .number = revision }, .age = currentAge(), .sinceOutage = sinceOutage };
     }
 
     Awaitable<Result<StoreChanges>> watch(std::string, StoreRevision after, Milliseconds) override
@@ -23,20 +23,24 @@
         ++callCount;
         if (!reachable)
             co_return unreachable();
-        StoreChanges changes { .revision = { .era = era, .number = revision }, .historyLost = after.era != era, .age = age };
+        StoreChanges changes { .revision = { .era = era, .number = revision }, .historyLost = after.era != era, .age = currentAge(), .sinceOutage = sinceOutage };
         if (!changes.historyLost && after.number < revision)
             changes.changes.push_back({ .key = "k", .value = value, .revision = revision });
         co_return changes;
     }
 
     bool reachable = true;
+    std::optional<Clock::duration> sinceOutage;
     Clock::duration age {};
+    /// When the source lost the store; its age rises from then on.
+    std::optional<BootTime> lostStoreAt;
     std::string value = "old";
     std::int64_t era = 0;
     std::int64_t revision = 5;
     int callCount = 0;
 
 private:
+    Clock::duration currentAge() const { return lostStoreAt ? BootClock::now() - *lostStoreAt : age; }
     static Error unreachable() { return { .code = ErrorCode::Unavailable, .step = Step::KeyValue, .peer = "fake" }; }
 };
 
@@ -60,23 +64,36 @@
     StoreReplica replica;
     FleetView fleet { "self", 100 };
     StoreFollower follower;
-    std::vector<bool> reachabilityChanges;
+    int outages = 0;
+    /// Without a time for an outage that only this instance noticed.
+    std::vector<std::optional<BootTime>> outageEnds;
     std::string value;
 
-    FollowerFixture()
-        : follower(store, replica, fleet, { .failureDomain = "north", .maxDirectReaders = 0, .callInterval = Milliseconds(20), .staleAge = Milliseconds(300) }, [this](const InstanceRecord& peer) { return std::make_unique<PeerStoreProxy>(peers[peer.name]); })
+    explicit FollowerFixture(StoreFollowerOptions options = { .failureDomain = "north", .maxDirectReaders = 0, .callInterval = Milliseconds(20), .staleAge = Milliseconds(300) })
+        : follower(store, replica, fleet, std::move(options), [this](const InstanceRecord& peer) { return std::make_unique<PeerStoreProxy>(peers[peer.name]); })
     {
-        follower.setReachabilityListener([this](bool reachable) { reachabilityChanges.push_back(reachable); });
+        follower.setStoreLostListener([this] { ++outages; });
+        follower.setStoreRegainedListener([this](std::optional<BootTime> at) { outageEnds.push_back(at); });
         replica.setChangeListener([this](const std::string&, const std::optional<std::string>& newValue) { value = newValue.value_or(""); });
     }
 
-    void addPeer(const std::string& name)
+    void addPeer(const std::string& name, int cpuMillicores = 0)
     {
-        fleet.onRegistered(name, { .name = name, .failureDomain = "south" });
+        fleet.onRegistered(name, { .name = name, .failureDomain = "south", .cpuMillicores = cpuMillicores });
         fleet.onReport({ .instance = name, .sequence = 1 }, Clock::now());
         peers[name];
     }
 
+    /// The peers are alive and say so.
+    Awaitable<> reportForPeers()
+    {
+        for (std::int64_t sequence = 2;; ++sequence) {
+            for (const auto& [name, source] : peers)
+                fleet.onReport({ .instance = name, .sequence = sequence }, Clock::now());
+            co_await sleepFor(Milliseconds(100));
+        }
+    }
+
     void run(Milliseconds time)
     {
         asio::co_spawn(io, follower.followStore(), asio::detached);
@@ -96,8 +113,8 @@
     f.run(Milliseconds(400));
     cr_expect(f.value == "from peer");
     cr_expect(f.follower.source() == StoreSource::Peer);
-    cr_assert(!f.reachabilityChanges.empty());
-    cr_expect(!f.reachabilityChanges.front());
+    cr_expect(f.outages == 1);
+    cr_expect(!f.follower.reachable());
 }
 
 Test(StoreFollower, stalePeer_isSkipped)
@@ -134,7 +151,7 @@
     f.run(Milliseconds(1400));
     cr_expect(f.value == "copied");
     cr_expect(f.follower.reachable());
-    cr_expect(f.reachabilityChanges.empty());
+    cr_expect(f.outages == 0 && f.outageEnds.empty());
     cr_expect(f.follower.rejectedListings() == 0);
 }
 
@@ -151,3 +168,35 @@
     cr_expect(f.value == "new");
     cr_expect(f.replica.age(BootClock::now()) >= Milliseconds(300));
 }
+
+/// Guards against DRAIN: an instance whose own calls had failed once took removals for expired leases, although its peers read the store.
+Test(StoreFollower, onlyOwnCallsFail_storeWasNotLost)
+{
+    FollowerFixture f;
+    f.addPeer("other");
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "old", .version = 5 } }, .revision = { .number = 5 } }, BootClock::now());
+    f.store.reachable = false;
+    f.run(Milliseconds(1500));
+    cr_expect(f.outages == 1);
+    cr_assert(f.outageEnds.size() == 1);
+    cr_expect(!f.outageEnds.front());
+    cr_expect(!f.follower.outageEnd(), "followers of this instance need not wait for expired entries");
+}
+
+/// Guards against lost engines: a follower that made no calls removed entries at once that had expired while the store was away.
+Test(StoreFollower, sourceNoticedAnOutage_followerLearnsOfItOnce)
+{
+    FollowerFixture f({ .failureDomain = "north", .maxDirectReaders = 0, .callInterval = Milliseconds(20) });
+    f.addPeer("first", 1000);
+    f.addPeer("second", 1000);
+    f.peers["first"].sinceOutage = Milliseconds(700);
+    f.peers["second"].sinceOutage = Milliseconds(700);
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "old", .version = 5 } }, .revision = { .number = 5 } }, BootClock::now());
+    auto startedAt = BootClock::now();
+    f.run(Milliseconds(300));
+    cr_expect(f.outages == 0);
+    cr_assert(f.outageEnds.size() == 1);
+    cr_assert(f.outageEnds.front().has_value());
+    cr_expect(*f.outageEnds.front() < startedAt);
+    cr_expect(f.follower.outageEnd() == f.outageEnds.front());
+}
--- a/src/keyvalue/iwatchablestore.h
+++ b/src/keyvalue/iwatchablestore.h
@@ -30,6 +30,8 @@
     StoreRevision revision;
     /// Time since the entries were last known to be up to date at the source.
     Clock::duration age {};
+    /// Time since the source regained the store, if it had lost it. Leases may have expired meanwhile.
+    std::optional<Clock::duration> sinceOutage;
 };
 
 /// A write of a key, or its removal if there is no value.
@@ -50,6 +52,7 @@
     /// The source no longer has the changes after the given revision; list all entries again.
     bool historyLost = false;
     Clock::duration age {};
+    std::optional<Clock::duration> sinceOutage;
 };
 
 /// Source of a store's entries and their changes: the store or a peer that replicates it.
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -1,5 +1,6 @@
 #include "targets/targetdirectory.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace guavaspan {
@@ -62,7 +63,7 @@
     if (target == m_targets.end())
         return;
     if (target->second.entry.state == TargetState::Ready && mayBeLeaseExpiry(now)) {
-        target->second.rewriteDeadline = m_storeRegainedAt.value_or(now) + rewriteTimeout;
+        target->second.rewriteDeadline = (m_storeReachable ? *m_storeRegainedAt : now) + rewriteTimeout;
         return;
     }
     removeTarget(target, UnavailableReason::EntryRemoved, now);
@@ -102,13 +103,21 @@
     m_storeReachable = false;
 }
 
-void TargetDirectory::onStoreRegained(TimePoint now)
+void TargetDirectory::onStoreRegained(TimePoint at)
 {
-    if (!m_storeReachable)
-        m_storeRegainedAt = now;
+    m_storeRegainedAt = std::max(m_storeRegainedAt.value_or(at), at);
     m_storeReachable = true;
 }
 
+void TargetDirectory::onStoreNotLost()
+{
+    m_storeReachable = true;
+    for (auto& [id, target] : m_targets) {
+        if (target.rewriteDeadline)
+            target.rewriteDeadline = m_storeRegainedAt.value_or(TimePoint::min()) + rewriteTimeout;
+    }
+}
+
 void TargetDirectory::onStoreRestored(TimePoint now)
 {
     m_storeReachable = true;
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -46,10 +46,12 @@
     /// All entries were read again; targets that are missing from the list are removed.
     void onSnapshot(const std::vector<TargetEntry>&, TimePoint now);
 
-    /// The store became unreachable, or reachable again. Entries that expired in between
+    /// The store became unavailable, or was available again at a time. Entries that expired in between
     /// stay in use until their targets have had time to write them again.
     void onStoreLost(TimePoint now);
-    void onStoreRegained(TimePoint now);
+    void onStoreRegained(TimePoint at);
+    /// The store had been available all the while, only not to this instance.
+    void onStoreNotLost();
 
     /// The store came back from a copy. Entries that the copy lacks stay in use until their targets have had time to
     /// write them again.
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -86,6 +86,36 @@
     cr_expect(!f.directory.isUsable("b"), "its entry was not written again");
 }
 
+/// Guards against DRAIN: a removal waited for the target to write again, although only this instance had lost the store.
+Test(TargetDirectory, entryRemovedAfterOnlyThisInstanceLostTheStore_isRemovedAtOnce)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.write(f.entry("b"));
+    f.directory.onStoreLost(f.now);
+    f.directory.onEntryRemoved("a", f.now);
+    cr_expect(f.directory.isUsable("a"), "whether the store was lost is not known yet");
+    f.directory.onStoreNotLost();
+    f.directory.onTick(f.now);
+    cr_expect(!f.directory.isUsable("a"));
+    f.directory.onEntryRemoved("b", f.now);
+    cr_expect(!f.directory.isUsable("b"));
+}
+
+/// Guards against lost engines: a deadline was reckoned from the end of an earlier outage.
+Test(TargetDirectory, entryExpiredInASecondOutage_isKeptUntilRewriteDeadline)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.directory.onStoreLost(f.now);
+    f.directory.onStoreRegained(f.now);
+    f.now += Seconds(20);
+    f.directory.onStoreLost(f.now);
+    f.directory.onEntryRemoved("a", f.now);
+    f.directory.onTick(f.now);
+    cr_expect(f.directory.isUsable("a"));
+}
+
 Test(TargetDirectory, drainingEntryRemovedAfterOutage_isRemovedAtOnce)
 {
     DirectoryFixture f;
