Derive the limits of a stale configuration from its bound

Callers were refused with 404 or 401 as an older version says, later than the bound (2 s) after the store had acknowledged the newer one.

Cause: limits as long as the bound or longer. A route or key was denied by a configuration confirmed up to 2,500 ms ago. A copy counted as stale after 2,000 ms, and only then was the store called, up to 180 ms later. Where both readers of the fleet have lost the store and are alive, nothing is left. Class: a limit that does not leave the time for what follows it.

A copy is stale 600 ms before the bound. Ages are no longer overstated by the time for which a peer or the store held the call, so that this needs few more calls. A store that failed is called again after 100 ms, with a listing; a lost history is followed by the listing at once; a peer that is behind is not listed; answers of peers that have begun may take longer, for large configurations on slow links.

--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -23,6 +23,8 @@
     Milliseconds stopLimit { 8000 };
     /// Maximum time for which a revoked key may still be accepted.
     Milliseconds keyLifetimeAfterRevocation { 5000 };
+    /// Time from the store's acknowledgement of a configuration until it must be in force.
+    Milliseconds configurationTime { 2000 };
     Milliseconds minLeaseTtl { 1000 };
     /// Retries allowed per request that arrived within the window.
     double retryRatio = 0.2;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -50,7 +50,7 @@
     , m_targetLimits(m_settings.instance)
     , m_fleet(m_settings.instance, m_settings.capacity)
     , m_census(m_settings.instance, m_settings.retryWindow)
-    , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain }, peerStoreFactory())
+    , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain, .staleAge = staleAgeFor(m_settings.configurationTime) }, peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
@@ -63,7 +63,7 @@
     , m_crashRecordWriter(m_platform.keyValue, m_platform.storeSchema.crashPrefix)
     , m_usageWriter(m_platform.keyValue, m_usage, usageKey(m_platform.storeSchema.usagePrefix, m_settings.instance, std::to_string(unixMilliseconds())))
     , m_usageCustodian(m_platform.keyValue)
-    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .trials = m_trialClient, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .activeRequests = std::make_shared<ActiveRequests>() }
+    , m_relayContext { .io = m_io, .wireFormat = m_platform.wireFormat, .configuration = m_configuration, .directory = m_directory, .dispatcher = m_dispatcher, .placement = m_placementClient, .streams = m_liveStreams, .retryBudget = m_retryBudget, .outputEstimator = m_outputEstimator, .usage = m_usage, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .trials = m_trialClient, .census = m_census, .fleet = m_fleet, .failureDomain = m_settings.failureDomain, .metrics = m_metrics, .random = m_random, .targetLimits = m_targetLimits, .onTargetDraining = [this](const TargetEntry& target) { m_shutdownPoller.onDrainingAnswer(target); }, .configurationTime = m_settings.configurationTime, .activeRequests = std::make_shared<ActiveRequests>() }
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
@@ -202,7 +202,7 @@
         return;
     }
     m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
-    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number } });
+    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() } });
 }
 
 bool EntryInstance::ready() const
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -13,8 +13,10 @@
 
     using nlohmann::json;
 
-    /// Added to the wait of a watch to get the timeout of its HTTP call.
+    /// Added to the wait of a watch to get the time within which the peer begins its answer.
     constexpr auto watchTimeoutMargin = Milliseconds(600);
+    /// Time for the rest of an answer; a link of 10 Mbit/s takes a megabyte in 0.8 s.
+    constexpr Milliseconds answerTimeout { 2500 };
     constexpr Milliseconds maxWatchWait { 5000 };
 
     std::int64_t toMilliseconds(Clock::duration duration)
@@ -66,7 +68,7 @@
         json list = json::array();
         for (const auto& change : changes.changes)
             list.push_back(json::array({ change.key, change.revision, change.value ? toBinary(*change.value) : json() }));
-        return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era, toOptionalMilliseconds(changes.sinceOutage) }));
+        return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era, toOptionalMilliseconds(changes.sinceOutage), toOptionalMilliseconds(changes.waited) }));
     }
 
     /// The number is the first field. Peers of older versions know no eras; era 0 makes what they offer older than any stated era.
@@ -87,7 +89,7 @@
     StoreChanges changesFrom(const json& fields)
     {
         constexpr std::size_t eraIndex = 4;
-        StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()), .sinceOutage = optionalMillisecondsAt(fields, eraIndex + 1) };
+        StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()), .sinceOutage = optionalMillisecondsAt(fields, eraIndex + 1), .waited = optionalMillisecondsAt(fields, eraIndex + 2).value_or(Clock::duration {}) };
         for (const auto& changeFields : fields.at(3)) {
             StoreChange change { .key = changeFields.at(0), .revision = changeFields.at(1) };
             if (!changeFields.at(2).is_null())
@@ -108,7 +110,7 @@
 
 Awaitable<Result<std::string>> PeerFeedClient::fetch(std::string requestTarget, Clock::duration timeout)
 {
-    HttpCall call { .endpoint = m_peer, .target = std::move(requestTarget), .timeout = timeout };
+    HttpCall call { .endpoint = m_peer, .target = std::move(requestTarget), .timeout = timeout, .bodyTimeout = answerTimeout };
     auto response = co_await callHttp(std::move(call));
     if (!response)
         co_return response.error();
@@ -146,7 +148,8 @@
 
 Awaitable<StoreChanges> PeerFeedServer::waitForChanges(StoreRevision after, Milliseconds wait)
 {
-    auto deadline = Clock::now() + std::min(wait, maxWatchWait);
+    auto calledAt = Clock::now();
+    auto deadline = calledAt + std::min(wait, maxWatchWait);
     asio::steady_timer wakeUp(co_await asio::this_coro::executor);
     auto position = m_waitingTimers.insert(m_waitingTimers.end(), &wakeUp);
     auto changes = m_replica.changesAfter(after, BootClock::now());
@@ -157,6 +160,7 @@
     }
     m_waitingTimers.erase(position);
     changes.sinceOutage = sinceOutage(BootClock::now());
+    changes.waited = Clock::now() - calledAt;
     co_return changes;
 }
 
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -10,11 +10,21 @@
     constexpr auto failedUpdateDelay = Milliseconds(100);
     /// Time for a new instance to discover its peers: two of their report intervals.
     constexpr auto peerDiscoveryTime = Milliseconds(1200);
-    /// Delay before a store that failed is called again, multiplied by the number of consecutive failures up to a limit.
+    /// Delay before a store is called again whose call failed for the first time, such as a watch that was cut.
+    constexpr auto firstStoreRetryDelay = Milliseconds(100);
+    /// Delay after further failures, multiplied by their number up to a limit.
     constexpr auto storeRetryDelay = Milliseconds(500);
-    constexpr int maxRetryDelayFactor = 3;
+    constexpr int maxRetryDelayFactor = 2;
+    /// Time for a copy that is stale to become current from another source, and for what it brings to be applied.
+    constexpr auto fallbackTime = Milliseconds(600);
+    constexpr auto minStaleAge = Milliseconds(500);
     constexpr auto minTimeBetweenOutages = Milliseconds(500);
 
+    Clock::duration storeRetryDelayAfter(int consecutiveFailures)
+    {
+        return consecutiveFailures <= 1 ? firstStoreRetryDelay : (consecutiveFailures - 1) * storeRetryDelay;
+    }
+
 }
 
 std::string_view toString(StoreSource source)
@@ -30,6 +40,11 @@
     return "none";
 }
 
+Milliseconds staleAgeFor(Milliseconds configurationTime)
+{
+    return std::max(minStaleAge, configurationTime - fallbackTime);
+}
+
 StoreFollower::StoreFollower(IWatchableStore& store, StoreReplica& replica, const FleetView& fleet, StoreFollowerOptions options, PeerStoreFactory makePeerStore)
     : m_store(store)
     , m_replica(replica)
@@ -132,9 +147,12 @@
     // A source of an earlier era has nothing newer.
     if (changes->revision.era < m_replica.revision().era)
         co_return UpdateResult::Failed;
+    bool isBehind = kind == StoreSource::Peer && changes->revision < m_replica.revision();
+    if (isBehind)
+        co_return UpdateResult::Failed;
     if (changes->historyLost || changes->revision.era > m_replica.revision().era)
         co_return UpdateResult::HistoryLost;
-    auto confirmedAt = calledAt - changes->age;
+    auto confirmedAt = std::min(calledAt + changes->waited, BootClock::now()) - changes->age;
     onSourceAnswered({ .source = kind, .confirmedAt = confirmedAt, .sinceOutage = changes->sinceOutage });
     m_replica.applyChanges(*changes, confirmedAt);
     co_return UpdateResult::Current;
@@ -153,14 +171,13 @@
 {
     ++m_storeCalls;
     auto result = co_await updateFrom(m_store, StoreSource::Store, m_relistStore);
-    // After a failed listing the relist is still due; a failed watch says nothing about the history.
-    if (result != UpdateResult::Failed)
-        m_relistStore = result == UpdateResult::HistoryLost;
+    // After a failure a listing is sure to bring the latest state, whatever became of the history and however much has changed.
+    m_relistStore = result != UpdateResult::Current;
     setReachable(result != UpdateResult::Failed);
     if (result == UpdateResult::Failed) {
         // An unreachable store is called less often: if no instance reaches it, the first one that does serves the others.
-        m_consecutiveFailures = std::min(m_consecutiveFailures + 1, maxRetryDelayFactor);
-        m_storeRetryAt = Clock::now() + m_consecutiveFailures * storeRetryDelay;
+        m_consecutiveFailures = std::min(m_consecutiveFailures + 1, maxRetryDelayFactor + 1);
+        m_storeRetryAt = Clock::now() + storeRetryDelayAfter(m_consecutiveFailures);
         co_return result;
     }
     m_consecutiveFailures = 0;
@@ -202,8 +219,9 @@
             peersDiscovered = true;
             continue;
         }
-        if (startedAt >= m_storeRetryAt && readsStore())
-            co_await updateFromStore();
+        bool needed = startedAt >= m_storeRetryAt && readsStore();
+        if (needed && co_await updateFromStore() == UpdateResult::HistoryLost)
+            continue;
         auto next = startedAt + m_options.callInterval;
         if (Clock::now() < next)
             co_await sleepFor(next - Clock::now());
@@ -216,6 +234,8 @@
         auto startedAt = Clock::now();
         bool needed = m_replica.loaded() ? (!readsStore() || stale() || !m_reachable) : !m_reachable;
         auto result = needed ? co_await updateFromPeer() : UpdateResult::Current;
+        if (result == UpdateResult::HistoryLost)
+            continue;
         auto next = startedAt + m_options.callInterval;
         if (result == UpdateResult::Failed)
             next = std::max<TimePoint>(next, Clock::now() + failedUpdateDelay);
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -24,11 +24,14 @@
     /// Minimum time between the starts of two calls, which limits their rate.
     Milliseconds callInterval { 180 };
     /// Time that a watch call waits for a change; also bounds the age of the replica's last confirmation.
-    Milliseconds watchWait { 700 };
+    Milliseconds watchWait { 500 };
     /// Age of the replica from which an instance also tries other sources than its usual one.
-    Milliseconds staleAge { 2000 };
+    Milliseconds staleAge { 1400 };
 };
 
+/// The age from which a copy counts as stale so that a change is still in force in time if the copy has to come from elsewhere then.
+Milliseconds staleAgeFor(Milliseconds configurationTime);
+
 /// Keeps the replica current: from the store, or from a peer if the store is unreachable
 /// or other instances read it for the fleet.
 class StoreFollower {
--- a/src/fleet/tests/storefollower_test.cpp
+++ b/src/fleet/tests/storefollower_test.cpp
@@ -169,6 +169,24 @@
     cr_expect(f.replica.age(BootClock::now()) >= Milliseconds(300));
 }
 
+/// Guards against CONFIG: with both readers of the fleet cut off from the store, an instance took longer than the bound to read it itself.
+Test(StoreFollower, allReadersLoseTheStore_changeIsReadInTime)
+{
+    constexpr Milliseconds configurationTime { 2000 };
+    FollowerFixture f({ .failureDomain = "north", .maxDirectReaders = 0, .staleAge = staleAgeFor(configurationTime) });
+    auto now = BootClock::now();
+    for (const char* reader : { "first", "second" }) {
+        f.addPeer(reader, 1000);
+        f.peers[reader].lostStoreAt = now;
+    }
+    asio::co_spawn(f.io, f.reportForPeers(), asio::detached);
+    f.replica.applyListing({ .entries = { { .key = "k", .value = "old", .version = 5 } }, .revision = { .number = 5 } }, now);
+    f.store.revision = 6;
+    f.store.value = "new";
+    f.run(configurationTime);
+    cr_expect(f.value == "new");
+}
+
 /// Guards against DRAIN: an instance whose own calls had failed once took removals for expired leases, although its peers read the store.
 Test(StoreFollower, onlyOwnCallsFail_storeWasNotLost)
 {
--- a/src/keyvalue/iwatchablestore.h
+++ b/src/keyvalue/iwatchablestore.h
@@ -53,6 +53,8 @@
     bool historyLost = false;
     Clock::duration age {};
     std::optional<Clock::duration> sinceOutage;
+    /// Time that had passed at the source between the call and its answer.
+    Clock::duration waited {};
 };
 
 /// Source of a store's entries and their changes: the store or a peer that replicates it.
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -11,8 +11,10 @@
     std::string target = "/";
     std::string body;
     HttpHeaders headers;
-    /// Total time to connect, to send the request and to read the response.
+    /// Time to connect, to send the request and to read the response; its body may take longer if it has a time of its own.
     Clock::duration timeout = Seconds(5);
+    /// Time for the body from the end of the header on.
+    Clock::duration bodyTimeout {};
     std::uint64_t maxResponseBytes = 16 << 20;
 };
 
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -20,6 +20,7 @@
     http::response_parser<http::string_body> parser;
     parser.header_limit(maxResponseHeaderBytes);
     parser.body_limit(call.maxResponseBytes);
+    bool headerIsRead = false;
     while (!parser.is_done()) {
         // The timer of tcp_stream does not end a read whose bytes have already arrived, so a fast sender outlasts it.
         if (Clock::now() >= deadline)
@@ -27,6 +28,11 @@
         auto [error, bytes] = co_await http::async_read_some(stream, buffer, parser, asTuple);
         if (error)
             co_return linkError(error, Step::ReadReply, call.endpoint);
+        if (headerIsRead || !parser.is_header_done())
+            continue;
+        headerIsRead = true;
+        deadline = std::max<TimePoint>(deadline, Clock::now() + call.bodyTimeout);
+        stream.expires_at(deadline);
     }
     // The response to the request would follow an informational one.
     if (parser.get().result_int() < 200)
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -16,8 +16,6 @@
     constexpr auto retryAfterUnconfirmed = Milliseconds(1000);
     /// Retry-After while this instance stops; another instance can take the request at once.
     constexpr auto retryAfterStopping = Milliseconds(50);
-    /// Configurations take effect on all instances within 2 s; an older one may lack a new route or key.
-    constexpr auto maxConfigurationAgeForDenial = Milliseconds(2500);
     /// Time limit for all requests; the only one for a request without a deadline on a route without a timeout.
     constexpr auto maxRequestTime = Seconds(120);
     /// Longest time that a sound engine needs for one token.
@@ -87,7 +85,7 @@
         return refuseWith(503, "no_configuration", retryAfterNoConfiguration);
     auto now = BootClock::now();
     // An outdated configuration cannot distinguish an unknown route or key from one that was just added.
-    bool mayDeny = m_context.configuration.age(now) <= maxConfigurationAgeForDenial;
+    bool mayDeny = m_context.configuration.age(now) < m_context.configurationTime;
     admission.route = admission.table->match(exchange.header("Host"), pathOf(exchange));
     if (!admission.route)
         return mayDeny ? refuseWith(404, "no_route", {}) : refuseWith(503, "configuration_unconfirmed", retryAfterUnconfirmed);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -42,6 +42,8 @@
     TargetLimits& targetLimits;
     /// Handles a target's statement that it is shutting down.
     std::function<void(const TargetEntry&)> onTargetDraining;
+    /// Time from the store's acknowledgement of a configuration until it must be in force.
+    Milliseconds configurationTime { 2000 };
     /// Shared with the coroutines that relay them, which the io_context destroys after this object.
     std::shared_ptr<ActiveRequests> activeRequests;
     /// Set while the instance stops.
