Do not pass on a peer's denial by an older configuration

A caller of an instance without a path to the engines got 404 for a route that this instance had in force.

Cause: the instance relays the request to a peer, which decides by its own configuration; a peer that does not have the newer one yet denies it, and the answer was passed on. Class: a decision already taken is taken again by somebody who knows less.

Change: a relayed request carries the version that admitted it. A peer with an older one answers 421 (older_configuration), so the next peer is asked, or the caller told to come back.

--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -12,8 +12,6 @@
     constexpr std::size_t maxPeersTried = 3;
     /// The peer answers when the deadline is reached, and its answer takes a moment.
     constexpr auto answerMargin = Milliseconds(100);
-    /// Answer of a peer that does not reach the targets either.
-    constexpr unsigned statusNotRelayed = 421;
     /// Retry delay while no instance that reaches targets is known.
     constexpr auto retryDelayUnreachable = Seconds(1);
 
@@ -27,7 +25,7 @@
 Awaitable<RelayResult> PeerRelay::run(RelayRequest& request)
 {
     RelayResult result;
-    if (request.caller.relayedByPeer)
+    if (request.caller.relayedUnderVersion)
         co_return co_await refuse(request, std::move(result));
     auto peers = m_context.fleet.relayingPeers(request.service.name, Clock::now());
     std::shuffle(peers.begin(), peers.end(), m_context.random);
@@ -36,7 +34,7 @@
     for (const auto& peer : peers) {
         TargetConnection connection(m_context.io.get_executor());
         request.callerWatch.setCancelAction([&] { connection.cancel(); });
-        auto message = m_context.wireFormat.buildPeerRequest(request.exchange.request(), timeLeft(request));
+        auto message = m_context.wireFormat.buildPeerRequest(request.exchange.request(), { .timeLeft = timeLeft(request), .configurationVersion = request.table->version() });
         auto attemptTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
         auto opened = co_await connection.open(*peer.callerEndpoint, std::move(message), attemptTimeout);
         result.target = peer.name;
@@ -121,7 +119,7 @@
 
 Awaitable<RelayResult> PeerRelay::refuse(RelayRequest& request, RelayResult result)
 {
-    result.status = request.caller.relayedByPeer ? statusNotRelayed : 503;
+    result.status = request.caller.relayedUnderVersion ? statusNotRelayed : 503;
     result.reason = "targets_unreachable";
     auto retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayUnreachable);
     co_await sendRefusal(request.exchange, result.status, result.reason, retryAfter);
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -83,6 +83,9 @@
     };
     if (!admission.table)
         return refuseWith(503, "no_configuration", retryAfterNoConfiguration);
+    // The peer answers its caller as the newer configuration says.
+    if (caller.relayedUnderVersion && admission.table->version() < *caller.relayedUnderVersion)
+        return refuseWith(statusNotRelayed, "older_configuration", retryAfterNoConfiguration);
     auto now = BootClock::now();
     // An outdated configuration cannot distinguish an unknown route or key from one that was just added.
     bool mayDeny = m_context.configuration.age(now) < m_context.configurationTime;
@@ -116,7 +119,7 @@
     RelayResult result { .status = admission.refusalStatus, .reason = admission.reason };
     if (admission.closesConnection)
         exchange.closeAfterResponse();
-    if (admission.refusalStatus == 503)
+    if (admission.refusalStatus == 503 || admission.refusalStatus == statusNotRelayed)
         co_await sendRefusal(exchange, admission.refusalStatus, admission.reason, admission.retryAfter);
     else
         co_await sendFailure(exchange, admission.refusalStatus, admission.reason);
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -26,8 +26,9 @@
     std::uint64_t contentHash = 0;
     /// Parts of the prompt that other requests share, in order.
     std::vector<PromptPart> sharedParts;
-    /// Another instance, which reaches no target, relayed the request; it must not be relayed to a further one.
-    bool relayedByPeer = false;
+    /// Version of the configuration by which another instance, which reaches no target, relayed the request. Such a request must not
+    /// be relayed to a further one.
+    std::optional<std::int64_t> relayedUnderVersion;
 };
 
 /// Identifies a stopped generation so that an engine can resume it.
@@ -51,6 +52,13 @@
     std::optional<Continuation> continuation;
 };
 
+/// Values added to a caller's request when it is relayed to another instance.
+struct PeerForwardOptions {
+    Milliseconds timeLeft { 0 };
+    /// Version of the configuration that admitted the request.
+    std::int64_t configurationVersion = 0;
+};
+
 /// Fields that the relay reads from the header of a target's answer.
 struct TargetResponseHead {
     unsigned status = 0;
@@ -88,7 +96,7 @@
     virtual HttpRequest buildTargetRequest(const HttpRequest&, const ForwardOptions&) const = 0;
 
     /// Builds the request to another instance, which handles it as its caller's.
-    virtual HttpRequest buildPeerRequest(const HttpRequest&, Milliseconds timeLeft) const = 0;
+    virtual HttpRequest buildPeerRequest(const HttpRequest&, const PeerForwardOptions&) const = 0;
 
     virtual TargetResponseHead parseResponseHead(const http::response_header<>&) const = 0;
 };
--- a/src/relay/peerrelay.h
+++ b/src/relay/peerrelay.h
@@ -5,6 +5,9 @@
 
 namespace guavaspan {
 
+/// Answer of an instance to a request of a peer that it does not handle: it reaches no target either, or has an older configuration.
+inline constexpr unsigned statusNotRelayed = 421;
+
 /// Relays requests to another instance while this one reaches no target. The other instance handles them as those of its own callers:
 /// it alone decides on limits, retries and use, and passes them on to targets only.
 class PeerRelay {
--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -26,7 +26,7 @@
         return request;
     }
 
-    HttpRequest buildPeerRequest(const HttpRequest& original, Milliseconds) const override { return original; }
+    HttpRequest buildPeerRequest(const HttpRequest& original, const PeerForwardOptions&) const override { return original; }
 
     TargetResponseHead parseResponseHead(const http::response_header<>& header) const override
     {
