Ignore refusals that belong to another request

The users' report: a faulty engine wrote an earlier refusal once more. Shown here: the caller was told "not run, try again" (503) for an order, or a stream, that the engine ran.

Cause: a refusal (X-Not-Executed, or 421) was believed before its request id was compared. No connection to an engine is kept, so that an earlier refusal after an answer reaches nobody (ruled out by earlierRefusalFollowsAnAnswer); but an engine may answer a new connection with it.

Change: one function reads the head of a target's answer for both relays. A refusal that names another request says nothing about this one, which counts as possibly run: 502, no second send. Log: refusal_of_another_request.

--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -122,7 +122,7 @@
     if (!read)
         co_return finish(outcomeOf(read.error()), describe(read.error()));
     attempt.lastHeardAt = Clock::now();
-    auto responseHead = m_context.wireFormat.parseResponseHead(connection.header());
+    auto responseHead = readResponseHead(m_context, request, placement.target, connection.header());
     recordTargetState(m_context, placement.target, responseHead);
     auto outcome = classify(responseHead, request.caller.requestId);
     if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Malformed)
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -85,6 +85,17 @@
     return { { .crashGuard = context.crashGuard, .promptGuard = context.promptGuard, .trials = context.trials, .targetLimits = context.targetLimits, .directory = context.directory, .dispatcher = context.dispatcher }, request.service.name, request.fingerprint, request.caller.sharedParts, request.route.latencyObjective };
 }
 
+TargetResponseHead readResponseHead(const RelayContext& context, const RelayRequest& request, const TargetEntry& target, const http::response_header<>& header)
+{
+    auto responseHead = context.wireFormat.parseResponseHead(header);
+    bool ofAnotherRequest = !responseHead.requestId.empty() && responseHead.requestId != request.caller.requestId;
+    if (responseHead.notRun && ofAnotherRequest) {
+        logEvent(LogLevel::Warning, "refusal_of_another_request", { { "request", request.caller.requestId }, { "answered", responseHead.requestId }, { "target", target.id }, { "status", std::int64_t(responseHead.status) } });
+        responseHead.notRun = false;
+    }
+    return responseHead;
+}
+
 void recordConnection(RelayContext& context, const RelayRequest& request, const TargetEntry& target, bool connected)
 {
     auto& path = context.dispatcher.targetPath();
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -121,7 +121,7 @@
         session.result.detail = describe(read.error());
         co_return false;
     }
-    session.responseHead = m_context.wireFormat.parseResponseHead(connection->header());
+    session.responseHead = readResponseHead(m_context, request, target, connection->header());
     onHeard(session, target);
     recordTargetState(m_context, target, session.responseHead);
     session.result.detail = "status " + std::to_string(session.responseHead.status);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -99,6 +99,9 @@
     Rank rank() const { return { .priority = priority }; }
 };
 
+/// Reads the header of a target's answer. A refusal that belongs to another request does not say that this one has not run.
+TargetResponseHead readResponseHead(const RelayContext&, const RelayRequest&, const TargetEntry&, const http::response_header<>&);
+
 /// How a request ended, for logs and metrics.
 struct RelayResult {
     unsigned status = 0;
