--- a/src/net/internal/nettypes.cpp
+++ b/src/net/internal/nettypes.cpp
@@ -24,6 +24,13 @@
     return Endpoint { .address = std::string(host), .port = port };
 }
 
+bool isConnectable(const Endpoint& endpoint)
+{
+    boost::system::error_code error;
+    auto address = asio::ip::make_address(endpoint.address, error);
+    return !error && !address.is_unspecified() && !address.is_multicast() && endpoint.port != 0;
+}
+
 bool isMalformedMessage(const boost::system::error_code& error)
 {
     return error.category() == http::make_error_code(http::error::bad_field).category() && error != http::error::end_of_stream && error != http::error::partial_message;
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -41,6 +41,9 @@
 /// Parses "127.0.0.1:80" or "[::1]:80". Host names are rejected: instances address peers by IP address.
 std::optional<Endpoint> parseEndpoint(std::string_view);
 
+/// False for port 0 and the unspecified address, which name no server.
+bool isConnectable(const Endpoint&);
+
 /// True if the bytes received are no HTTP message, or exceed a limit; false if the connection broke or timed out.
 bool isMalformedMessage(const boost::system::error_code&);
 
