Limit the nesting of CBOR documents

The users' report: an odd entry, very deeply nested, ended the machines that read it again and again. Shown here for an entry of 700,000 nested arrays under the prefix of our own registrations: every instance that reads it ends.

Cause: the library parses CBOR recursively and exhausts the stack. The engines' entries are JSON, which it parses with a loop: ruled out for them.

Change: parseCbor builds the document with a limit of 32 levels, and is the only way by which CBOR is read: registrations, peers' feeds, messages, handed-over usage, and the own interface's peer messages and resume handles. It returns nothing for sizes that no container can have, too, where two callers had let an exception out.

--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleettypes.h"
 
+#include "common/cbor.h"
+
 #include <nlohmann/json.hpp>
 
 namespace guavaspan {
@@ -25,7 +27,10 @@
 std::optional<InstanceRecord> decodeInstanceRecord(const std::string& bytes)
 {
     try {
-        auto fields = json::from_cbor(bytes);
+        auto document = parseCbor(bytes);
+        if (!document)
+            return std::nullopt;
+        const auto& fields = *document;
         auto peerEndpoint = parseEndpoint(fields.at(1).get<std::string>());
         if (!peerEndpoint)
             return std::nullopt;
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -1,5 +1,6 @@
 #include "fleet/peerfeed.h"
 
+#include "common/cbor.h"
 #include "net/httpclient.h"
 
 #include <algorithm>
@@ -119,6 +120,11 @@
     co_return std::move(response->body());
 }
 
+Error PeerFeedClient::unreadableAnswer() const
+{
+    return { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = "no CBOR document" };
+}
+
 Awaitable<Result<StoreListing>> PeerFeedClient::listAll(std::string prefix)
 {
     // Peers of older versions ignore the prefix.
@@ -126,8 +132,11 @@
     auto body = co_await fetch(std::move(requestTarget), m_listTimeout);
     if (!body)
         co_return body.error();
+    auto document = parseCbor(*body);
+    if (!document)
+        co_return unreadableAnswer();
     try {
-        co_return listingFrom(json::from_cbor(*body));
+        co_return listingFrom(*document);
     } catch (const json::exception& exception) {
         co_return Error { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = exception.what() };
     }
@@ -139,8 +148,11 @@
     auto body = co_await fetch(requestTarget, wait + watchTimeoutMargin);
     if (!body)
         co_return body.error();
+    auto document = parseCbor(*body);
+    if (!document)
+        co_return unreadableAnswer();
     try {
-        co_return changesFrom(json::from_cbor(*body));
+        co_return changesFrom(*document);
     } catch (const json::exception& exception) {
         co_return Error { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = exception.what() };
     }
--- a/src/fleet/peerfeed.h
+++ b/src/fleet/peerfeed.h
@@ -23,6 +23,7 @@
 
 private:
     Awaitable<Result<std::string>> fetch(std::string requestTarget, Clock::duration timeout);
+    Error unreadableAnswer() const;
 
     Endpoint m_peer;
     Milliseconds m_listTimeout;
--- a/src/peers/internal/peermessage.cpp
+++ b/src/peers/internal/peermessage.cpp
@@ -1,5 +1,6 @@
 #include "peers/peermessage.h"
 
+#include "common/cbor.h"
 #include "common/overloaded.h"
 
 #include <nlohmann/json.hpp>
@@ -249,9 +250,10 @@
 
 std::optional<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
-    auto body = json::from_cbor(bytes, true, false);
-    if (!body.is_array() || body.size() != 3)
+    auto document = parseCbor(bytes);
+    if (!document || !document->is_array() || document->size() != 3)
         return std::nullopt;
+    const auto& body = *document;
     try {
         auto type = body[1].get<std::size_t>();
         switch (static_cast<MessageGroup>(body[0].get<int>())) {
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -1,5 +1,6 @@
 #include "placement/placementmessages.h"
 
+#include "common/cbor.h"
 #include "common/overloaded.h"
 
 #include <nlohmann/json.hpp>
@@ -383,9 +384,11 @@
 std::optional<FleetMessage> decodeFleetMessage(const std::string& bytes)
 {
     try {
-        auto message = json::from_cbor(bytes);
-        const auto& fields = message.at(1);
-        switch (static_cast<MessageType>(message.at(0).get<int>())) {
+        auto message = parseCbor(bytes);
+        if (!message)
+            return std::nullopt;
+        const auto& fields = message->at(1);
+        switch (static_cast<MessageType>(message->at(0).get<int>())) {
         case MessageType::LoadReport:
             return loadReportFrom(fields);
         case MessageType::PlacementQuery:
--- a/src/streams/internal/resumehandle.cpp
+++ b/src/streams/internal/resumehandle.cpp
@@ -1,5 +1,6 @@
 #include "streams/resumehandle.h"
 
+#include "common/cbor.h"
 #include "common/encoding.h"
 
 #include <array>
@@ -38,9 +39,10 @@
 
     std::optional<ResumeHandle> decode(const std::string& bytes)
     {
-        auto fields = nlohmann::json::from_cbor(bytes, true, false);
-        if (!fields.is_array() || fields.size() != 9)
+        auto document = parseCbor(bytes);
+        if (!document || !document->is_array() || document->size() != 9)
             return std::nullopt;
+        const auto& fields = *document;
         try {
             return ResumeHandle { .identity = { .target = fields[0], .incarnation = fields[1], .generation = fields[2] }, .organisation = fields[3], .service = fields[4], .model = fields[5], .requestId = fields[6], .promptTokens = fields[7], .chat = fields[8] };
         } catch (const nlohmann::json::exception&) {
--- a/src/usage/internal/usagecustodian.cpp
+++ b/src/usage/internal/usagecustodian.cpp
@@ -1,5 +1,6 @@
 #include "usage/usagecustodian.h"
 
+#include "common/cbor.h"
 #include "common/log.h"
 
 #include <algorithm>
@@ -33,10 +34,10 @@
 {
     try {
         std::vector<HandedUsage> usage;
-        auto list = json::from_cbor(bytes);
-        if (!list.is_array())
+        auto list = parseCbor(bytes);
+        if (!list || !list->is_array())
             return std::nullopt;
-        for (const auto& fields : list) {
+        for (const auto& fields : *list) {
             UsageRecord record { .key = fields.at(0).get<std::string>(), .totals = decodeUsage(fields.at(1).get<std::string>()) };
             usage.push_back({ .record = std::move(record), .age = Milliseconds(fields.at(2).get<std::int64_t>()), .inStore = fields.at(3).get<bool>() });
         }
