Start tasks again that fail, and skip entries that cannot be applied

Candidate of the incident: an exception while an entry is applied ends the loop that follows the store, without a line; from then on the instance keeps its configuration and engines for good.

Ruled out as the cause: no entry was found that throws; the decoders catch what the libraries throw, and crash records everything. The class remains: a task of the process that ends in silence.

Change: an entry whose application fails is logged and skipped (store_entry_not_applied). The tasks of an instance are logged and started again if they fail (task_failed).

Evidence: PersistentTask.taskThatThrows_isStartedAgainUntilItReturns.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -46,6 +46,8 @@
 
 private:
     bool listen();
+    void runTask(const char* name, std::function<Awaitable<>()> task);
+    void onStoreChange(const std::string& key, const std::optional<std::string>& value);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -5,6 +5,7 @@
 #include "common/stopsignals.h"
 #include "entry/drain.h"
 #include "net/logflusher.h"
+#include "net/persistenttask.h"
 #include "usage/usagehandover.h"
 
 #include <algorithm>
@@ -83,7 +84,7 @@
         return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
     });
     m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) {
-        onStoreEntry(key, value);
+        onStoreChange(key, value);
         m_peerFeed.onReplicaChanged();
     });
     m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
@@ -133,25 +134,40 @@
         return 1;
     }
     logEvent(LogLevel::Info, "started", { { "instance", m_settings.instance }, { "failure_domain", m_settings.failureDomain }, { "callers", toString(m_settings.callers) }, { "store", toString(m_settings.store) } });
-    asio::co_spawn(m_io, flushLogPeriodically(), asio::detached);
-    asio::co_spawn(m_io, m_follower.followStore(), asio::detached);
-    asio::co_spawn(m_io, m_follower.followPeers(), asio::detached);
-    asio::co_spawn(m_io, m_registration.run(), asio::detached);
-    asio::co_spawn(m_io, reportLoop(), asio::detached);
-    asio::co_spawn(m_io, m_link.receiveLoop(), asio::detached);
-    asio::co_spawn(m_io, tickLoop(), asio::detached);
-    asio::co_spawn(m_io, handleStopSignals(), asio::detached);
-    asio::co_spawn(m_io, reloadLoop(), asio::detached);
-    asio::co_spawn(m_io, m_usageWriter.run(usageFlushInterval), asio::detached);
-    asio::co_spawn(m_io, m_usageCustodian.run(), asio::detached);
-    asio::co_spawn(m_io, m_crashRecordWriter.run(), asio::detached);
-    asio::co_spawn(m_io, m_targetPathProber.run(), asio::detached);
+    runTask("log", [] { return flushLogPeriodically(); });
+    runTask("store", [this] { return m_follower.followStore(); });
+    runTask("peers", [this] { return m_follower.followPeers(); });
+    runTask("registration", [this] { return m_registration.run(); });
+    runTask("reports", [this] { return reportLoop(); });
+    runTask("messages", [this] { return m_link.receiveLoop(); });
+    runTask("tick", [this] { return tickLoop(); });
+    runTask("stop", [this] { return handleStopSignals(); });
+    runTask("reload", [this] { return reloadLoop(); });
+    runTask("usage", [this] { return m_usageWriter.run(usageFlushInterval); });
+    runTask("custodian", [this] { return m_usageCustodian.run(); });
+    runTask("crash_records", [this] { return m_crashRecordWriter.run(); });
+    runTask("target_path", [this] { return m_targetPathProber.run(); });
     m_io.run();
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
     flushLog();
     return 0;
 }
 
+void EntryInstance::runTask(const char* name, std::function<Awaitable<>()> task)
+{
+    asio::co_spawn(m_io, runPersistently(name, std::move(task)), asio::detached);
+}
+
+/// An entry that cannot be applied must not keep the others from being applied.
+void EntryInstance::onStoreChange(const std::string& key, const std::optional<std::string>& value)
+{
+    try {
+        onStoreEntry(key, value);
+    } catch (const std::exception& exception) {
+        logEvent(LogLevel::Error, "store_entry_not_applied", { { "key", key }, { "bytes", std::int64_t(value ? value->size() : 0) }, { "detail", std::string(exception.what()) } });
+    }
+}
+
 void EntryInstance::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
 {
     const auto& schema = m_platform.storeSchema;
