--- a/soak/constants.h
+++ b/soak/constants.h
@@ -97,4 +97,7 @@
 /// Added to time limits because other programs on the machine can delay the processes.
 inline constexpr auto schedulingSlack = Milliseconds(300);
 
+/// Service of look-ups and orders.
+inline constexpr const char* plainService = "shop";
+
 }
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -17,7 +17,6 @@
     using nlohmann::json;
 
     constexpr const char* modelService = "model";
-    constexpr const char* plainService = "shop";
 
     /// Derives a loopback address from the process id so that concurrent runs share no ports.
     std::string processLoopbackAddress()
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace guavaspan::soak {
@@ -45,6 +46,8 @@
         asio::co_spawn(m_io, failRequestsPeriodically(), asio::detached);
     if (m_options.restoredStore)
         asio::co_spawn(m_io, restoreStorePeriodically(), asio::detached);
+    if (m_options.oddEntries)
+        asio::co_spawn(m_io, writeOddEntriesPeriodically(), asio::detached);
     if (m_options.rolling)
         asio::co_spawn(m_io, stopInstancesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
@@ -336,6 +339,36 @@
     }
 }
 
+/// The entries look like those of an engine at an address that nobody listens on, with one field that no engine writes.
+std::string FaultInjector::oddEntry()
+{
+    constexpr std::size_t nestedLevels = 100000;
+    const auto nested = std::string(nestedLevels, '[') + std::string(nestedLevels, ']');
+    json entry { { "service", plainService }, { "address", "127.0.0.1:1" }, { "zone", "d1" }, { "version", 1 }, { "slots", 16 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "born", 1 }, { "sequence", 0 } };
+    const std::vector<std::pair<std::string, json>> oddFields { { "address", "127.0.0.1:70000" }, { "address", "127.0.0.1:0" }, { "address", 1 }, { "slots", 1e300 }, { "slots", -5 }, { "slots", true }, { "born", 1e30 }, { "sequence", -1 }, { "cold_remaining_ms", 1e300 }, { "state", "odd" }, { "zone", nullptr } };
+    auto choice = m_random() % (oddFields.size() + 2);
+    if (choice == oddFields.size())
+        return nested;
+    if (choice > oddFields.size()) {
+        entry.erase("slots");
+        return entry.dump();
+    }
+    entry[oddFields[choice].first] = oddFields[choice].second;
+    return entry.dump();
+}
+
+Awaitable<> FaultInjector::writeOddEntriesPeriodically()
+{
+    constexpr int keys = 8;
+    while (m_injecting) {
+        ++m_faultCounts["odd entry"];
+        json put { { "key", fmt::format("servers/odd-{}", m_random() % keys) }, { "value", oddEntry() } };
+        co_await m_deployment.postToStore("put", put.dump());
+        auto pause = randomDuration(100, 800);
+        co_await sleepFor(pause);
+    }
+}
+
 Awaitable<> FaultInjector::replaceEngine(Deployment::ManagedEngine& engine)
 {
     auto id = engine.id;
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -44,6 +44,8 @@
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
     Awaitable<> restoreStore();
     Awaitable<> restoreStorePeriodically();
+    std::string oddEntry();
+    Awaitable<> writeOddEntriesPeriodically();
     Awaitable<> injectStoreFault(std::string fault);
     Awaitable<> silenceStoreDuringStop();
     Awaitable<> killEngine(Deployment::ManagedEngine&);
