--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -343,7 +343,7 @@
 std::string FaultInjector::oddEntry()
 {
     constexpr std::size_t nestedLevels = 100000;
-    const auto nested = std::string(nestedLevels, '[') + std::string(nestedLevels, ']');
+    auto nested = std::string(nestedLevels, '[') + std::string(nestedLevels, ']');
     json entry { { "service", plainService }, { "address", "127.0.0.1:1" }, { "zone", "d1" }, { "version", 1 }, { "slots", 16 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "born", 1 }, { "sequence", 0 } };
     const std::vector<std::pair<std::string, json>> oddFields { { "address", "127.0.0.1:70000" }, { "address", "127.0.0.1:0" }, { "address", 1 }, { "slots", 1e300 }, { "slots", -5 }, { "slots", true }, { "born", 1e30 }, { "sequence", -1 }, { "cold_remaining_ms", 1e300 }, { "state", "odd" }, { "zone", nullptr } };
     auto choice = m_random() % (oddFields.size() + 2);
