Report how a process of the soak ended, and whether its store did

A soak lost the stand-in of its store without a trace of how. The log of a process that has ended by itself now says by which signal or exit code, and a store that has not run to the end is a violation of its own.

The loops of the follower take their calls out of conditional expressions, which the compiler has miscompiled before; no behaviour changes.

--- a/soak/childprocesses.cpp
+++ b/soak/childprocesses.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -42,8 +43,11 @@
     auto found = m_pids.find(name);
     if (found == m_pids.end())
         return false;
-    if (::waitpid(found->second, nullptr, WNOHANG) == 0)
+    int status = 0;
+    if (::waitpid(found->second, &status, WNOHANG) == 0)
         return true;
+    std::ofstream log(m_logFolder + "/" + name + ".log", std::ios::app);
+    log << "process ended, " << (WIFSIGNALED(status) ? "signal " : "exit code ") << (WIFSIGNALED(status) ? WTERMSIG(status) : WEXITSTATUS(status)) << "\n";
     m_pids.erase(found);
     return false;
 }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -213,7 +213,10 @@
     if (m_options.brittleEngines)
         m_record.brittleEngines = static_cast<int>(std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return !engine->generates; }));
     m_record.engineRecords = readEngineRecords(m_options.folder + "/records");
-    return findViolations(m_record);
+    auto violations = findViolations(m_record);
+    if (!m_deployment.processes().isRunning("store"))
+        violations.push_back({ .guarantee = "the store of the soak runs to the end", .evidence = m_options.folder + "/store.log" });
+    return violations;
 }
 
 }
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -219,8 +219,10 @@
             peersDiscovered = true;
             continue;
         }
-        bool needed = startedAt >= m_storeRetryAt && readsStore();
-        if (needed && co_await updateFromStore() == UpdateResult::HistoryLost)
+        auto result = UpdateResult::Current;
+        if (startedAt >= m_storeRetryAt && readsStore())
+            result = co_await updateFromStore();
+        if (result == UpdateResult::HistoryLost)
             continue;
         auto next = startedAt + m_options.callInterval;
         if (Clock::now() < next)
@@ -233,7 +235,9 @@
     while (true) {
         auto startedAt = Clock::now();
         bool needed = m_replica.loaded() ? (!readsStore() || stale() || !m_reachable) : !m_reachable;
-        auto result = needed ? co_await updateFromPeer() : UpdateResult::Current;
+        auto result = UpdateResult::Current;
+        if (needed)
+            result = co_await updateFromPeer();
         if (result == UpdateResult::HistoryLost)
             continue;
         auto next = startedAt + m_options.callInterval;
