Compare two random targets if many instances see the same loads

Change: the selector compares two targets at random where loads are shared. Suspects are left out if there are others.

TargetSelector.manyInstancesSeeTheSameLoads_theirRequestsAreSpread gives 120 requests to 12 targets between two summaries.

--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -70,11 +70,25 @@
     return load.requests < engine.slots && load.tokens + estimate.totalTokens() <= memoryShare * engine.memoryTokens;
 }
 
+namespace {
+
+    /// Leaves suspects out if there are others.
+    TargetChoice betterOfTwo(std::vector<TargetChoice> choices, Random& random)
+    {
+        constexpr std::size_t compared = 2;
+        std::shuffle(choices.begin(), choices.end(), random);
+        std::stable_partition(choices.begin(), choices.end(), [](const TargetChoice& choice) { return choice.score < suspectPenalty; });
+        auto end = choices.begin() + static_cast<std::ptrdiff_t>(std::min(compared, choices.size()));
+        return *std::min_element(choices.begin(), end, [](const TargetChoice& left, const TargetChoice& right) { return left.score < right.score; });
+    }
+
+}
+
 std::optional<TargetChoice> selectTarget(const SelectionInputs& inputs, Random& random)
 {
     auto candidates = makeCandidates(inputs);
     bool suspectsExcluded = excludesSuspects(inputs, candidates);
-    std::optional<TargetChoice> best;
+    std::vector<TargetChoice> choices;
     std::uniform_real_distribution<double> tieBreak(0, tieBreakSpread);
     for (const auto& [target, address, suspect] : candidates) {
         if (inputs.excluded.count(target->id) > 0)
@@ -94,10 +108,13 @@
         if (suspect)
             score += suspectPenalty;
         score += tieBreak(random);
-        if (!best || score < best->score)
-            best = TargetChoice { .target = target->id, .isProbe = probe, .score = score, .requests = load.requests, .tokens = load.tokens };
+        choices.push_back({ .target = target->id, .isProbe = probe, .score = score, .requests = load.requests, .tokens = load.tokens });
     }
-    return best;
+    if (choices.empty())
+        return std::nullopt;
+    if (inputs.loadsAreShared)
+        return betterOfTwo(std::move(choices), random);
+    return *std::min_element(choices.begin(), choices.end(), [](const TargetChoice& left, const TargetChoice& right) { return left.score < right.score; });
 }
 
 }
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -39,6 +39,8 @@
     double memoryShare = plannedMemoryShare;
     /// False for work that must not be lost, such as moves of running generations.
     bool allowsProbes = true;
+    /// Many instances see the same loads of their peers, for some time, so that the least loaded target would get the requests of all.
+    bool loadsAreShared = false;
 };
 
 /// The selected target and the figures that led to its selection.
@@ -51,7 +53,8 @@
     double tokens = 0;
 };
 
-/// Selects the least loaded target that has capacity for the whole expected generation, if there is one.
+/// Selects the least loaded target that has capacity for the whole expected generation, if there is one; if loads are shared, the less
+/// loaded one of two at random.
 std::optional<TargetChoice> selectTarget(const SelectionInputs&, Random&);
 
 /// True if the engine has enough free memory and a free slot for this estimate.
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -185,6 +185,51 @@
     cr_expect(f.select({})->target == "engine-0");
 }
 
+/// Guards against a herd: the instances of a large fleet learn at the same time which target is the least loaded, and all sent to it until
+/// the next summary.
+Test(TargetSelector, manyInstancesSeeTheSameLoads_theirRequestsAreSpread)
+{
+    constexpr int targetCount = 12;
+    constexpr int requests = 120;
+    std::vector<TargetEntry> targets;
+    std::vector<const TargetEntry*> candidates;
+    LoadLedger ledger;
+    for (int number = 0; number < targetCount; ++number)
+        targets.push_back({ .id = "shop-" + std::to_string(number), .service = "shop", .failureDomain = "d" + std::to_string(number % 5), .slots = 6 });
+    for (int number = 0; number < targetCount; ++number) {
+        candidates.push_back(&targets[static_cast<std::size_t>(number)]);
+        ledger.setPeerLoads(std::to_string(number), { { targets[static_cast<std::size_t>(number)].id, { .requests = number % 4 } } });
+    }
+    OutcomeTracker outcomes;
+    std::optional<EngineTraits> noEngine;
+    std::set<std::string> excluded;
+    Random random(5);
+    std::map<std::string, int> counts;
+    for (int request = 0; request < requests; ++request) {
+        auto choice = selectTarget({ .candidates = candidates, .ledger = ledger, .outcomes = outcomes, .engine = noEngine, .preferredDomain = "d0", .excluded = excluded, .now = TimePoint(Seconds(100)), .loadsAreShared = true }, random);
+        cr_assert(choice.has_value());
+        ++counts[choice->target];
+    }
+    for (const auto& [target, count] : counts)
+        cr_expect_leq(count, 3 * requests / targetCount, "%s got %d of %d", target.c_str(), count, requests);
+}
+
+Test(TargetSelector, manyInstancesSeeTheSameLoads_suspectIsLeftOut)
+{
+    std::vector<TargetEntry> targets { { .id = "failing", .service = "shop", .endpoint = { .address = "10.0.0.1", .port = 1 }, .slots = 6 }, { .id = "sound", .service = "shop", .endpoint = { .address = "10.0.0.2", .port = 1 }, .slots = 6 } };
+    std::vector<const TargetEntry*> candidates { &targets[0], &targets[1] };
+    LoadLedger ledger;
+    OutcomeTracker outcomes;
+    TimePoint now { Seconds(100) };
+    for (int failure = 0; failure < 6; ++failure)
+        outcomes.onFailure("10.0.0.1:1", now);
+    std::optional<EngineTraits> noEngine;
+    std::set<std::string> excluded;
+    Random random(5);
+    for (int request = 0; request < 50; ++request)
+        cr_expect(selectTarget({ .candidates = candidates, .ledger = ledger, .outcomes = outcomes, .engine = noEngine, .preferredDomain = "", .excluded = excluded, .now = now, .loadsAreShared = true }, random)->target == "sound");
+}
+
 Test(OutcomeTracker, ordinaryErrorRate_isNotSuspect)
 {
     OutcomeTracker outcomes;
