--- /dev/null
+++ b/src/bench/internal/fleetexperiment.cpp
@@ -0,0 +1,322 @@
+#include "bench/fleetexperiment.h"
+
+#include "common/random.h"
+#include "fleet/fleetview.h"
+#include "placement/placementmessages.h"
+#include "placement/reportaggregator.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <memory>
+
+namespace guavaspan::bench {
+
+namespace {
+
+    constexpr auto tickInterval = Milliseconds(100);
+    constexpr auto reportInterval = Milliseconds(500);
+    /// Time for the instances to find each other, which is not measured.
+    constexpr auto startTime = Milliseconds(3000);
+    constexpr const char* service = "writer";
+
+    struct Traffic {
+        std::int64_t messages = 0;
+        std::int64_t bytes = 0;
+    };
+
+    struct Instance {
+        Instance(InstanceRecord instanceRecord, int reportPhase)
+            : record(std::move(instanceRecord))
+            , view(record.name, record.cpuMillicores, record.failureDomain)
+            , phase(reportPhase)
+        {
+        }
+
+        InstanceRecord record;
+        FleetView view;
+        ReportAggregator aggregator;
+        std::int64_t sequence = 0;
+        std::int64_t summarySequence = 0;
+        std::set<std::string> knownSilent;
+        std::vector<std::string> reportedAggregators;
+        std::set<std::string> members;
+        /// Tick within the report interval at which this instance reports.
+        int phase = 0;
+        bool alive = true;
+        Traffic traffic;
+    };
+
+    class FleetExperiment {
+    public:
+        explicit FleetExperiment(FleetExperimentOptions options)
+            : m_options(options)
+            , m_random(options.seed)
+        {
+            for (int number = 0; number < m_options.instances; ++number) {
+                int domain = number % m_options.failureDomains;
+                bool strong = number / m_options.failureDomains < m_options.strongPerDomain;
+                InstanceRecord record { .name = fmt::format("entry-{}", number), .failureDomain = fmt::format("d{}", domain), .cpuMillicores = strong ? 500 : 125, .readsSummaries = m_options.summaries };
+                m_instances.push_back(std::make_unique<Instance>(std::move(record), static_cast<int>(m_random() % (reportInterval / tickInterval))));
+            }
+            for (const auto& instance : m_instances) {
+                for (const auto& peer : m_instances)
+                    instance->view.onRegistered(peer->record.name, peer->record, m_now);
+            }
+        }
+
+        FleetExperimentResult run()
+        {
+            auto begin = m_now;
+            for (int tick = 0; m_now < begin + m_options.length; ++tick, m_now += tickInterval) {
+                if (m_now == begin + startTime)
+                    resetTraffic();
+                if (m_options.fault != FleetFault::None && m_now == begin + m_options.faultAt)
+                    injectFault();
+                for (const auto& instance : m_instances) {
+                    if (instance->alive)
+                        tickInstance(*instance, tick);
+                }
+                if (m_faultAt)
+                    checkDetection();
+                else if (m_now > begin + startTime)
+                    checkViews();
+            }
+            return summarise();
+        }
+
+    private:
+        Instance& named(const std::string& name)
+        {
+            return *m_instances[static_cast<std::size_t>(std::stoi(name.substr(name.find('-') + 1)))];
+        }
+
+        bool arrives(const Instance& sender, const Instance& receiver)
+        {
+            bool muted = m_faultAt && m_options.fault == FleetFault::DomainMuted && isAffected(sender) && !isAffected(receiver);
+            bool lost = m_options.loss > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.loss;
+            return receiver.alive && !muted && !lost;
+        }
+
+        void count(Instance& instance, std::size_t bytes)
+        {
+            ++instance.traffic.messages;
+            instance.traffic.bytes += static_cast<std::int64_t>(bytes);
+        }
+
+        void tickInstance(Instance& instance, int tick)
+        {
+            instance.view.onTick(m_now);
+            bool reports = tick % (reportInterval / tickInterval) == instance.phase;
+            if (reports || instance.view.ownAggregators() != instance.reportedAggregators)
+                report(instance);
+            if (instance.view.aggregates() && (reports || instance.view.silentInstances(m_now) != instance.knownSilent))
+                summarise(instance);
+        }
+
+        void report(Instance& instance)
+        {
+            InstanceLoadReport report { .instance = instance.record.name, .sequence = ++instance.sequence, .relaysForPeers = true, .storeEra = 1, .configurationVersion = 1, .aggregators = instance.view.ownAggregators() };
+            report.loads.emplace("engine", TargetLoad { .requests = 1, .tokens = 2000 });
+            instance.view.takeUnresponsivePeers(m_now);
+            auto bytes = encodeFleetMessage(report).size();
+            for (const auto& name : instance.view.reportRecipients(m_now)) {
+                auto& receiver = named(name);
+                count(instance, bytes);
+                if (!arrives(instance, receiver))
+                    continue;
+                count(receiver, bytes);
+                if (!receiver.view.onReport(report, m_now))
+                    continue;
+                receiver.aggregator.onReport(report, m_now);
+                bool choosesReceiver = !report.aggregators.empty() && report.aggregators.front() == name;
+                if (receiver.view.aggregates() && choosesReceiver && receiver.members.insert(instance.record.name).second)
+                    sendSummary(receiver, instance, makeSummary(receiver));
+            }
+            instance.reportedAggregators = report.aggregators;
+        }
+
+        FleetSummary makeSummary(Instance& instance)
+        {
+            return { .aggregator = instance.record.name, .sequence = ++instance.summarySequence, .silentInstances = instance.view.silentInstances(m_now) };
+        }
+
+        void sendSummary(Instance& sender, Instance& member, const FleetSummary& summary)
+        {
+            auto bytes = encodeFleetMessage(summary).size();
+            count(sender, bytes);
+            if (!arrives(sender, member))
+                return;
+            count(member, bytes);
+            member.view.onSummary(summary, m_now);
+        }
+
+        void summarise(Instance& instance)
+        {
+            instance.aggregator.beginRound(m_now);
+            auto common = makeSummary(instance);
+            instance.knownSilent = common.silentInstances;
+            auto members = instance.view.members(m_now);
+            for (const auto& name : members) {
+                auto summary = common;
+                instance.aggregator.addTo(summary, name, m_now);
+                sendSummary(instance, named(name), summary);
+            }
+            instance.members = { members.begin(), members.end() };
+        }
+
+        void resetTraffic()
+        {
+            for (const auto& instance : m_instances)
+                instance->traffic = {};
+            m_measuredSince = m_now;
+        }
+
+        std::string owner() { return m_instances.back()->view.ownerOf(service, {}, m_now); }
+
+        void injectFault()
+        {
+            m_measuredTraffic = measure();
+            m_faultAt = m_now;
+            if (m_options.fault == FleetFault::OwnerEnds)
+                m_affected.insert(owner());
+            if (m_options.fault == FleetFault::OtherEnds)
+                m_affected.insert(m_instances.back()->record.name);
+            for (const auto& instance : m_instances) {
+                if (m_options.fault == FleetFault::HalfEnds && m_random() % 2 == 0)
+                    m_affected.insert(instance->record.name);
+                if (m_options.fault == FleetFault::DomainMuted && instance->record.failureDomain == "d0")
+                    m_affected.insert(instance->record.name);
+            }
+            for (const auto& name : m_affected)
+                named(name).alive = m_options.fault == FleetFault::DomainMuted;
+        }
+
+        bool isAffected(const Instance& instance) const { return m_affected.contains(instance.record.name); }
+
+        /// All others take the affected instances to be silent, and none of the rest.
+        bool isDetectedBy(const Instance& instance) const
+        {
+            return instance.view.silentInstances(m_now) == m_affected && !m_affected.contains(instance.view.ownerOf(service, {}, m_now));
+        }
+
+        void checkDetection()
+        {
+            bool detected = std::all_of(m_instances.begin(), m_instances.end(), [&](const auto& instance) { return isAffected(*instance) || isDetectedBy(*instance); });
+            if (!detected)
+                m_detectedAt.reset();
+            else if (!m_detectedAt)
+                m_detectedAt = m_now;
+        }
+
+        void checkViews()
+        {
+            std::set<std::string> owners;
+            for (const auto& instance : m_instances) {
+                m_falselySilent += static_cast<int>(instance->view.silentInstances(m_now).size());
+                owners.insert(instance->view.ownerOf(service, {}, m_now));
+            }
+            m_ownerDisagreements += owners.size() > 1 ? 1 : 0;
+        }
+
+        FleetExperimentResult measure()
+        {
+            double seconds = secondsBetween(m_measuredSince, m_now);
+            FleetExperimentResult result;
+            std::vector<double> rates;
+            std::int64_t bytes = 0;
+            std::int64_t messages = 0;
+            for (const auto& instance : m_instances) {
+                messages += instance->traffic.messages;
+                bytes += instance->traffic.bytes;
+                rates.push_back(static_cast<double>(instance->traffic.messages) / seconds);
+            }
+            std::sort(rates.begin(), rates.end());
+            // Each message is counted where it is sent and where it arrives.
+            result.messagesPerSecond = static_cast<double>(messages) / 2 / seconds;
+            result.bytesPerSecond = static_cast<double>(bytes) / 2 / seconds;
+            result.mostMessagesPerSecond = rates.back();
+            result.medianMessagesPerSecond = rates[rates.size() / 2];
+            return result;
+        }
+
+        FleetExperimentResult summarise()
+        {
+            auto result = m_faultAt ? m_measuredTraffic : measure();
+            result.falselySilent = m_falselySilent;
+            result.ownerDisagreements = m_ownerDisagreements;
+            if (m_faultAt && m_detectedAt)
+                result.detectionTime = std::chrono::duration_cast<Milliseconds>(*m_detectedAt - *m_faultAt);
+            return result;
+        }
+
+        FleetExperimentOptions m_options;
+        Random m_random;
+        TimePoint m_now { Seconds(100) };
+        TimePoint m_measuredSince;
+        std::vector<std::unique_ptr<Instance>> m_instances;
+        std::optional<TimePoint> m_faultAt;
+        std::optional<TimePoint> m_detectedAt;
+        std::set<std::string> m_affected;
+        FleetExperimentResult m_measuredTraffic;
+        int m_falselySilent = 0;
+        int m_ownerDisagreements = 0;
+    };
+
+    void printTraffic(int instances, bool summaries)
+    {
+        auto result = runFleetExperiment({ .instances = instances, .summaries = summaries, .length = Milliseconds(5000) });
+        fmt::print("{:>9}  {:<11} {:>12.0f} {:>12.1f} {:>14.1f} {:>14.1f}\n", instances, summaries ? "aggregators" : "all to all", result.messagesPerSecond, result.bytesPerSecond / instances / 1000, result.medianMessagesPerSecond, result.mostMessagesPerSecond);
+    }
+
+    void printDetection(int instances, bool summaries)
+    {
+        fmt::print("{:>9}  {:<11}", instances, summaries ? "aggregators" : "all to all");
+        for (auto fault : { FleetFault::OwnerEnds, FleetFault::OtherEnds, FleetFault::HalfEnds, FleetFault::DomainMuted }) {
+            auto result = runFleetExperiment({ .instances = instances, .summaries = summaries, .fault = fault });
+            fmt::print(" {:>6} ms ({})", result.detectionTime.count(), toString(fault));
+        }
+        fmt::print("\n");
+    }
+
+}
+
+std::string_view toString(FleetFault fault)
+{
+    switch (fault) {
+    case FleetFault::None:
+        return "none";
+    case FleetFault::OwnerEnds:
+        return "owner ends";
+    case FleetFault::OtherEnds:
+        return "other ends";
+    case FleetFault::HalfEnds:
+        return "half ends";
+    case FleetFault::DomainMuted:
+        return "domain muted";
+    }
+    return "none";
+}
+
+FleetExperimentResult runFleetExperiment(const FleetExperimentOptions& options)
+{
+    return FleetExperiment(options).run();
+}
+
+int runFleet()
+{
+    fmt::print("reports and summaries in virtual time\n");
+    fmt::print("{:>9}  {:<11} {:>12} {:>12} {:>14} {:>14}\n", "instances", "", "messages/s", "KB/s each", "median each/s", "most each/s");
+    for (int instances : { 30, 100, 300, 1600 }) {
+        for (bool summaries : { false, true })
+            printTraffic(instances, summaries);
+    }
+    fmt::print("time until all others know that instances have gone silent\n");
+    for (int instances : { 30, 100, 300 }) {
+        for (bool summaries : { false, true })
+            printDetection(instances, summaries);
+    }
+    printDetection(1600, true);
+    return 0;
+}
+
+}
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "bench/costs.h"
 #include "bench/decisions.h"
+#include "bench/fleetexperiment.h"
 #include "bench/promises.h"
 #include "bench/relay.h"
 
@@ -50,7 +51,7 @@
 int main(int argc, char** argv)
 {
     using Strings = std::vector<std::string>;
-    cxxopts::Options options("guavaspan-bench", "Runs the measurement that the first argument names: decisions, promises, relay or costs.");
+    cxxopts::Options options("guavaspan-bench", "Runs the measurement that the first argument names: decisions, fleet, promises, relay or costs.");
     auto add = options.add_options();
     add("what", "Measurement to run", cxxopts::value<std::string>()->default_value("decisions"));
     add("seed", "Random seed", cxxopts::value<std::uint64_t>()->default_value("1"));
@@ -79,6 +80,8 @@
     auto measurement = arguments["what"].as<std::string>();
     if (measurement == "costs")
         return runCosts();
+    if (measurement == "fleet")
+        return runFleet();
     if (measurement == "decisions")
         return decisionsCommand(arguments);
     if (measurement == "relay")
--- a/src/dispatch/loadledger.h
+++ b/src/dispatch/loadledger.h
@@ -23,6 +23,7 @@
     void updatePeerLoads(const std::string& instance, const TargetLoads&);
     void removePeer(const std::string& instance);
 
+    bool hasChangedTargets() const { return !m_changedTargets.empty(); }
     /// Returns the targets whose local load changed since the last call.
     std::set<std::string> takeChangedTargets();
 
--- a/src/entry/configurationcatchup.h
+++ b/src/entry/configurationcatchup.h
@@ -27,8 +27,9 @@
     /// Asks registered peers before the first listing of the store is applied, and puts a newer configuration into it.
     Awaitable<> completeFirstListing(StoreListing&);
 
-    /// Asks the peer if this instance has been behind its peers for longer than a configuration takes to spread.
-    void onPeerReport(const InstanceLoadReport&, TimePoint now);
+    /// A peer has this version in force. Asks it if this instance has been behind its peers for longer than a configuration takes to
+    /// spread.
+    void onPeerVersion(const std::string& peer, std::int64_t version, TimePoint now);
 
 private:
     Awaitable<std::optional<std::string>> fetchFrom(InstanceRecord peer, Milliseconds timeout);
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -12,6 +12,7 @@
 #include "placement/placementclient.h"
 #include "placement/placementserver.h"
 #include "placement/promptguardlink.h"
+#include "placement/summaryserver.h"
 #include "placement/trialclient.h"
 #include "quarantine/crashrecordwriter.h"
 #include "relay/activerequests.h"
@@ -54,6 +55,7 @@
     Awaitable<> serveReadiness(HttpExchange&);
     void onFleetMessage(const FleetMessage&);
     Awaitable<> reportLoop();
+    void sendReport();
     Awaitable<> tickLoop();
     Awaitable<> handleStopSignals();
     Awaitable<> drainAndStop();
@@ -83,6 +85,7 @@
     FleetLink m_link;
     PlacementClient m_placementClient;
     PlacementServer m_placementServer;
+    SummaryServer m_summaryServer;
     LiveStreams m_liveStreams;
     RetryBudget m_retryBudget;
     CrashGuard m_crashGuard;
--- a/src/entry/internal/configurationcatchup.cpp
+++ b/src/entry/internal/configurationcatchup.cpp
@@ -69,23 +69,23 @@
     co_return std::nullopt;
 }
 
-void ConfigurationCatchUp::onPeerReport(const InstanceLoadReport& report, TimePoint now)
+void ConfigurationCatchUp::onPeerVersion(const std::string& peer, std::int64_t version, TimePoint now)
 {
     auto& configuration = m_options.configuration;
-    configuration.onVersionKnown(report.configurationVersion);
+    configuration.onVersionKnown(version);
     if (!configuration.knowsNewerVersion()) {
         m_behindSince.reset();
         return;
     }
     if (!m_behindSince)
         m_behindSince = now;
-    const auto* peer = m_options.fleet.find(report.instance);
-    bool peerIsAhead = report.configurationVersion > configuration.version();
-    if (!peer || !peerIsAhead || now < *m_behindSince + spreadTime)
+    const auto* record = m_options.fleet.find(peer);
+    bool peerIsAhead = version > configuration.version();
+    if (!record || !peerIsAhead || now < *m_behindSince + spreadTime)
         return;
     m_behindSince = now;
-    logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", report.instance }, { "version", report.configurationVersion }, { "in_force", configuration.version() } });
-    asio::co_spawn(m_options.io, takeFrom(*peer), asio::detached);
+    logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer }, { "version", version }, { "in_force", configuration.version() } });
+    asio::co_spawn(m_options.io, takeFrom(*record), asio::detached);
 }
 
 Awaitable<> ConfigurationCatchUp::takeFrom(InstanceRecord peer)
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -49,15 +49,16 @@
     , m_random(randomFromSystem())
     , m_configuration(m_settings.keyLifetimeAfterRevocation - revocationMargin)
     , m_targetLimits(m_settings.instance)
-    , m_fleet(m_settings.instance, m_settings.capacity)
+    , m_fleet(m_settings.instance, m_settings.capacity, m_settings.failureDomain)
     , m_census(m_settings.instance, m_settings.retryWindow)
-    , m_follower(m_platform.store, m_replica, m_fleet, { .failureDomain = m_settings.failureDomain, .staleAge = staleAgeFor(m_settings.configurationTime) }, peerStoreFactory())
+    , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsFor(m_settings.configurationTime, m_settings.failureDomain), peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
     , m_placementServer(m_io, m_settings.instance, m_dispatcher, m_configuration, m_link)
+    , m_summaryServer({ .fleet = m_fleet, .dispatcher = m_dispatcher, .directory = m_directory, .configuration = m_configuration, .link = m_link })
     , m_retryBudget({ .ratio = m_settings.retryRatio, .fleetAllowance = m_settings.retryAllowance, .window = m_settings.retryWindow })
-    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message); }, [this](const CrashRecord& record) { std::visit([this](const auto& concreteRecord) { m_crashRecordWriter.add(concreteRecord); }, record); })
+    , m_crashGuard([this](const CrashGuardMessage& message) { std::visit([this](const auto& concreteMessage) { m_link.broadcast(concreteMessage); }, message); }, [this](const CrashRecord& record) { std::visit([this](const auto& concreteRecord) { m_crashRecordWriter.add(concreteRecord); }, record); })
     , m_promptGuardLink(m_link)
     , m_promptGuard(m_settings.instance, m_promptGuardLink, [this](const PromptPartRecord& record) { m_crashRecordWriter.add(record); })
     , m_trialClient(m_io, m_settings.instance, m_fleet, m_link)
@@ -68,7 +69,7 @@
     , m_moveServer(m_settings.instance, m_dispatcher, m_configuration, m_link)
     , m_handoverService({ .io = m_io, .instance = m_settings.instance, .placement = m_placementClient, .moveServer = m_moveServer, .link = m_link, .streams = m_liveStreams, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .operations = m_platform.operations, .observer = m_metrics })
     , m_shutdownPoller({ .io = m_io, .streams = m_liveStreams, .directory = m_directory, .operations = m_platform.operations, .link = m_link, .storeView = [this] { return storeView(); } })
-    , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity, .callerEndpoint = m_settings.callers }, unixMilliseconds())
+    , m_registration(m_platform.keyValue, m_platform.storeSchema.instancePrefix, { .name = m_settings.instance, .peerEndpoint = m_settings.peers, .failureDomain = m_settings.failureDomain, .cpuMillicores = m_settings.capacity, .callerEndpoint = m_settings.callers, .readsSummaries = true }, unixMilliseconds())
     , m_storeRecovery({ .io = m_io, .fleet = m_fleet, .directory = m_directory, .replica = m_replica, .registration = m_registration, .usageWriter = m_usageWriter, .usageCustodian = m_usageCustodian, .crashRecordWriter = m_crashRecordWriter, .random = m_random })
     , m_configurationCatchUp({ .io = m_io, .instance = m_settings.instance, .schema = m_platform.storeSchema, .fleet = m_fleet, .replica = m_replica, .configuration = m_configuration, .random = m_random })
     , m_targetPathProber(m_io, m_dispatcher, m_directory, Random(m_random()))
@@ -83,10 +84,9 @@
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
         return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
     });
-    m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) {
-        onStoreChange(key, value);
-        m_peerFeed.onReplicaChanged();
-    });
+    m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { onStoreChange(key, value); });
+    m_replica.setChangeFilter([&schema = m_platform.storeSchema](const std::string& key, const std::string& oldValue, const std::string& newValue) { return schema.changesMoreThanHeartbeat(key, oldValue, newValue); });
+    m_replica.setNewsListener([this] { m_peerFeed.onReplicaChanged(); });
     m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
     m_follower.setFirstListingHook([this](StoreListing& listing) { return m_configurationCatchUp.completeFirstListing(listing); });
     m_replica.setRestoreListener([this](const StoreRestored& event) { m_storeRecovery.onStoreRestored(event); });
@@ -185,7 +185,7 @@
     } else if (key.starts_with(schema.instancePrefix)) {
         auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
         if (record)
-            m_fleet.onRegistered(key, std::move(*record));
+            m_fleet.onRegistered(key, std::move(*record), now);
         else
             m_fleet.onUnregistered(key, now);
     } else if (key.starts_with(schema.crashPrefix)) {
@@ -270,6 +270,8 @@
         .retrySharers = static_cast<double>(m_census.sharers(BootClock::now()).value_or(0)),
         .convictedPromptParts = static_cast<double>(m_promptGuard.convictedParts()),
         .unreachableServices = static_cast<double>(m_dispatcher.targetPath().lostServices().size()),
+        .summarisedInstances = static_cast<double>(m_fleet.members(Clock::now()).size()),
+        .silentInstances = static_cast<double>(m_fleet.silentInstances(Clock::now()).size()),
     });
 }
 
@@ -279,8 +281,15 @@
                    [&](const InstanceLoadReport& report) {
                        m_placementClient.onLoadReport(report, Clock::now());
                        m_placementServer.onLoadReport(report);
-                       m_configurationCatchUp.onPeerReport(report, Clock::now());
+                       m_summaryServer.onReport(report, Clock::now());
+                       m_configurationCatchUp.onPeerVersion(report.instance, report.configurationVersion, Clock::now());
+                   },
+                   [&](const FleetSummary& summary) {
+                       m_placementClient.onSummary(summary, Clock::now());
+                       m_configurationCatchUp.onPeerVersion(summary.configurationHolder, summary.configurationVersion, Clock::now());
                    },
+                   // The link delivers the messages of a batch one by one.
+                   [&](const BroadcastBatch&) {},
                    [&](const PlacementQuery& query) { m_placementServer.onQuery(query); },
                    [&](const PlacementResponse& response) { m_placementClient.onResponse(response); },
                    [&](const PlacementRelease& release) { m_placementServer.onRelease(release); },
@@ -321,17 +330,28 @@
     logEvent(LogLevel::Info, "retry_share_changed", { { "sharers", std::int64_t(sharers.value_or(0)) }, { "instances_seen", std::int64_t(m_census.instancesSeen()) }, { "registered", m_fleet.isRegistered(m_registration.key()) }, { "view_age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(now)).count() } });
 }
 
+void EntryInstance::sendReport()
+{
+    m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
+    auto report = m_placementClient.sendLoadReport();
+    m_summaryServer.onReport(report, Clock::now());
+}
+
 /// Sends full load reports at intervals, which make up for lost messages; changes of load are sent immediately.
 Awaitable<> EntryInstance::reportLoop()
 {
     while (true) {
         countInstances();
-        m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
-        m_placementClient.sendLoadReport(true);
-        for (const auto& name : m_fleet.takeUnresponsivePeers(Clock::now())) {
-            logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
+        sendReport();
+        auto now = Clock::now();
+        bool awaitsReports = !m_fleet.usesSummaries() || m_fleet.aggregates();
+        for (const auto& name : m_fleet.takeUnresponsivePeers(now)) {
+            if (awaitsReports)
+                logEvent(LogLevel::Info, "peer_silent", { { "peer", name } });
             m_dispatcher.ledger().removePeer(name);
         }
+        m_placementClient.expireSummary(now);
+        m_summaryServer.sendSummaries(now);
         co_await sleepFor(reportInterval);
     }
 }
@@ -341,6 +361,10 @@
     while (true) {
         m_directory.onTick(Clock::now());
         m_fleet.onTick(Clock::now());
+        if (m_placementClient.needsReport())
+            sendReport();
+        m_summaryServer.onTick(Clock::now());
+        m_link.onTick(Clock::now());
         m_placementServer.onTick(Clock::now());
         m_moveServer.onTick(Clock::now());
         m_shutdownPoller.onTick(Clock::now());
--- a/src/entry/internal/storeschema.cpp
+++ b/src/entry/internal/storeschema.cpp
@@ -21,4 +21,21 @@
     return guavaspan::compareWriteOrder(*leftTarget, *rightTarget);
 }
 
+/// Targets write their entries again and again, with the time that their warm-up still takes.
+bool StoreSchema::changesMoreThanHeartbeat(const std::string& key, const std::string& oldValue, const std::string& newValue) const
+{
+    if (!key.starts_with(targetPrefix))
+        return true;
+    auto id = key.substr(targetPrefix.size());
+    auto oldTarget = decodeTarget(id, oldValue);
+    auto newTarget = decodeTarget(id, newValue);
+    if (!oldTarget || !newTarget)
+        return true;
+    bool warmUpEnds = oldTarget->warmUpRemaining.count() > 0 && newTarget->warmUpRemaining.count() <= 0;
+    oldTarget->sequence = newTarget->sequence;
+    if (!warmUpEnds)
+        oldTarget->warmUpRemaining = newTarget->warmUpRemaining;
+    return *oldTarget != *newTarget;
+}
+
 }
--- a/src/entry/storeschema.h
+++ b/src/entry/storeschema.h
@@ -22,6 +22,9 @@
 
     /// Compares two values of a key by the order in which they were written; empty if the values do not tell it.
     std::optional<std::strong_ordering> compareWriteOrder(const std::string& key, const std::string& left, const std::string& right) const;
+
+    /// False if the new value of a key only shows that the key's writer is alive.
+    bool changesMoreThanHeartbeat(const std::string& key, const std::string& oldValue, const std::string& newValue) const;
 };
 
 }
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -22,6 +22,8 @@
     int cpuMillicores = 0;
     /// Where the instance serves callers; absent in the records of older versions.
     std::optional<Endpoint> callerEndpoint;
+    /// The instance learns of its peers from the summaries of aggregators; false in the records of older versions.
+    bool readsSummaries = false;
 
     friend bool operator==(const InstanceRecord&, const InstanceRecord&) = default;
 };
@@ -54,8 +56,35 @@
     std::int64_t storeEra = 0;
     /// Version of the configuration in force at the instance; 0 for none, and in the reports of older versions.
     std::int64_t configurationVersion = 0;
+    /// Aggregators of the instance in order of preference; the first one sends it summaries, all of them broadcasts.
+    std::vector<std::string> aggregators;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
 
+/// What an aggregator tells an instance about all others.
+struct FleetSummary {
+    std::string aggregator;
+    /// Increases with each summary, across incarnations too.
+    std::int64_t sequence = 0;
+    /// Registered instances whose reports do not arrive.
+    std::set<std::string> silentInstances;
+    /// Instances that do not serve requests that their peers relay to them.
+    std::set<std::string> instancesNotRelaying;
+    /// By instance, the services whose targets it does not reach.
+    std::map<std::string, std::set<std::string>> unreachableServices;
+    /// Load of the other instances on the targets of plain services.
+    TargetLoads loads;
+    /// Outcomes of the other instances since the last summary, at addresses at which requests failed lately.
+    std::map<std::string, OutcomeCount> outcomes;
+    /// Output lengths at the other instances since the last summary.
+    LengthSumsByRoute lengths;
+    StatedLimits limits;
+    /// Newest version of the configuration in force at any instance, and the instance.
+    std::int64_t configurationVersion = 0;
+    std::string configurationHolder;
+
+    friend bool operator==(const FleetSummary&, const FleetSummary&) = default;
+};
+
 }
--- a/src/fleet/internal/fleettypes.cpp
+++ b/src/fleet/internal/fleettypes.cpp
@@ -21,7 +21,7 @@
 
 std::string encodeInstanceRecord(const InstanceRecord& record)
 {
-    return toBytes(json::array({ record.name, toString(record.peerEndpoint), record.failureDomain, record.cpuMillicores, record.callerEndpoint ? toString(*record.callerEndpoint) : std::string() }));
+    return toBytes(json::array({ record.name, toString(record.peerEndpoint), record.failureDomain, record.cpuMillicores, record.callerEndpoint ? toString(*record.callerEndpoint) : std::string(), record.readsSummaries }));
 }
 
 std::optional<InstanceRecord> decodeInstanceRecord(const std::string& bytes)
@@ -41,6 +41,8 @@
         record.cpuMillicores = fields.at(3).get<int>();
         if (fields.size() > 4)
             record.callerEndpoint = parseEndpoint(fields.at(4).get<std::string>());
+        if (fields.size() > 5)
+            record.readsSummaries = fields.at(5).get<bool>();
         return record;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -1,13 +1,17 @@
 #include "fleet/storefollower.h"
 
+#include "common/hash.h"
 #include "common/log.h"
 
+#include <algorithm>
+
 namespace guavaspan {
 
 namespace {
 
-    /// Minimum delay after a failed update from a peer.
+    /// Minimum delay after a failed update from a peer; in a large fleet multiplied by the number of failures up to a limit.
     constexpr auto failedUpdateDelay = Milliseconds(100);
+    constexpr int maxPeerDelayFactor = 4;
     /// Time for a new instance to discover its peers: two of their report intervals.
     constexpr auto peerDiscoveryTime = Milliseconds(1200);
     /// Delay before a store is called again whose call failed for the first time, such as a watch that was cut.
@@ -19,6 +23,11 @@
     constexpr auto fallbackTime = Milliseconds(600);
     constexpr auto minStaleAge = Milliseconds(500);
     constexpr auto minTimeBetweenOutages = Milliseconds(500);
+    /// Shares of the time within which a change must be in force.
+    constexpr double callIntervalShare = 0.09;
+    constexpr double watchWaitShare = 0.25;
+    /// Instances of a large fleet that together call an unreachable store as often as one instance of a small fleet.
+    constexpr int instancesPerRetryDelay = 100;
 
     Clock::duration storeRetryDelayAfter(int consecutiveFailures)
     {
@@ -45,6 +54,16 @@
     return std::max(minStaleAge, configurationTime - fallbackTime);
 }
 
+StoreFollowerOptions followerOptionsFor(Milliseconds configurationTime, std::string failureDomain)
+{
+    auto shareOf = [&](double share) { return Milliseconds(static_cast<std::int64_t>(share * static_cast<double>(configurationTime.count()))); };
+    StoreFollowerOptions options { .failureDomain = std::move(failureDomain) };
+    options.callInterval = std::max(options.callInterval, shareOf(callIntervalShare));
+    options.watchWait = std::max(options.watchWait, shareOf(watchWaitShare));
+    options.staleAge = staleAgeFor(configurationTime);
+    return options;
+}
+
 StoreFollower::StoreFollower(IWatchableStore& store, StoreReplica& replica, const FleetView& fleet, StoreFollowerOptions options, PeerStoreFactory makePeerStore)
     : m_store(store)
     , m_replica(replica)
@@ -54,9 +73,22 @@
 {
 }
 
+/// All others of a large fleet follow the aggregators, so these look for another source sooner.
 bool StoreFollower::stale() const
 {
-    return m_replica.age(BootClock::now()) > m_options.staleAge;
+    auto staleAge = m_fleet.aggregates() ? m_options.staleAge / 2 : m_options.staleAge;
+    return m_replica.age(BootClock::now()) > staleAge;
+}
+
+Milliseconds StoreFollower::watchWait() const
+{
+    return m_fleet.aggregates() ? m_options.watchWait / 2 : m_options.watchWait;
+}
+
+/// By how much an instance of a large fleet calls an unreachable store less often: the first one that reaches it serves the others.
+int StoreFollower::fleetSizeFactor() const
+{
+    return m_fleet.usesSummaries() && !m_fleet.aggregates() ? 1 + m_fleet.instanceCount() / instancesPerRetryDelay : 1;
 }
 
 bool StoreFollower::storeStatesEras() const
@@ -141,7 +173,7 @@
         m_replica.applyListing(*listing, confirmedAt);
         co_return UpdateResult::Current;
     }
-    auto changes = co_await source.watch(emptyPrefix, m_replica.revision(), m_options.watchWait);
+    auto changes = co_await source.watch(emptyPrefix, m_replica.revision(), watchWait());
     if (!changes)
         co_return UpdateResult::Failed;
     // A source of an earlier era has nothing newer.
@@ -177,7 +209,7 @@
     if (result == UpdateResult::Failed) {
         // An unreachable store is called less often: if no instance reaches it, the first one that does serves the others.
         m_consecutiveFailures = std::min(m_consecutiveFailures + 1, maxRetryDelayFactor + 1);
-        m_storeRetryAt = Clock::now() + storeRetryDelayAfter(m_consecutiveFailures);
+        m_storeRetryAt = Clock::now() + fleetSizeFactor() * storeRetryDelayAfter(m_consecutiveFailures);
         co_return result;
     }
     m_consecutiveFailures = 0;
@@ -185,13 +217,24 @@
     co_return result;
 }
 
-Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFromPeer()
+/// If the replica is stale, the readers are probably cut off too, and any peer may still reach the store. Each instance then has an
+/// order of its own, so that not all ask the same peer.
+std::vector<InstanceRecord> StoreFollower::possibleSources() const
 {
-    // If the replica is stale, the readers are probably cut off too, and any peer may still reach the store.
     auto now = Clock::now();
     auto peers = stale() ? m_fleet.reachablePeers(now) : m_fleet.storeReaders(m_options.failureDomain, now, storeStatesEras());
     if (peers.empty())
         peers = m_fleet.peers();
+    if (m_fleet.usesSummaries() && stale()) {
+        auto weight = [&](const InstanceRecord& peer) { return rendezvousWeight(m_fleet.self(), peer.name); };
+        std::sort(peers.begin(), peers.end(), [&](const InstanceRecord& left, const InstanceRecord& right) { return weight(left) < weight(right); });
+    }
+    return peers;
+}
+
+Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFromPeer()
+{
+    auto peers = possibleSources();
     if (peers.empty())
         co_return UpdateResult::Failed;
     auto source = m_makePeerStore(peers[m_nextPeer % peers.size()]);
@@ -199,11 +242,14 @@
     m_relistPeer = result == UpdateResult::HistoryLost;
     if (result == UpdateResult::Current && stale())
         result = UpdateResult::Failed;
-    if (result == UpdateResult::Failed)
+    if (result == UpdateResult::Failed) {
         // The next call goes to another peer, which may still reach the store.
         ++m_nextPeer;
-    else
+        ++m_consecutivePeerFailures;
+    } else {
         m_source = StoreSource::Peer;
+        m_consecutivePeerFailures = 0;
+    }
     co_return result;
 }
 
@@ -242,7 +288,7 @@
             continue;
         auto next = startedAt + m_options.callInterval;
         if (result == UpdateResult::Failed)
-            next = std::max<TimePoint>(next, Clock::now() + failedUpdateDelay);
+            next = std::max<TimePoint>(next, Clock::now() + (m_fleet.usesSummaries() ? std::clamp(m_consecutivePeerFailures, 1, maxPeerDelayFactor) : 1) * failedUpdateDelay);
         if (Clock::now() < next)
             co_await sleepFor(next - Clock::now());
     }
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace guavaspan {
 
@@ -24,8 +25,10 @@
     ++m_restorations;
     if (m_restoreListener)
         m_restoreListener({ .from = m_revision, .to = revision });
-    for (auto& [key, entry] : m_entries)
+    for (auto& [key, entry] : m_entries) {
         entry.revision = 0;
+        entry.newsRevision = 0;
+    }
 }
 
 /// Returns true if the entry of a copy from which the store came back is older than the one that this replica has or has seen removed.
@@ -64,11 +67,15 @@
     if (change.value) {
         if (existing != m_entries.end() && existing->second.revision >= change.revision)
             return;
-        m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision });
+        bool news = existing == m_entries.end() || isNews(existing->second, change);
+        auto newsRevision = news ? change.revision : existing->second.newsRevision;
+        m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision, .newsRevision = newsRevision });
         m_removedEntries.erase(change.key);
+        m_hasNews = m_hasNews || news;
     } else {
         // A follower may still have an entry that this replica never had.
         rememberRemoval(change.key, change.revision);
+        m_hasNews = true;
         if (existing == m_entries.end() || existing->second.revision >= change.revision)
             return;
         rememberRemoved(change.key, std::move(existing->second.value), asOf);
@@ -78,6 +85,17 @@
         m_listener(change.key, change.value);
 }
 
+bool StoreReplica::isNews(const Entry& existing, const StoreChange& change) const
+{
+    return !m_changeFilter || m_changeFilter(change.key, existing.value, *change.value);
+}
+
+void StoreReplica::announceNews()
+{
+    if (std::exchange(m_hasNews, false) && m_newsListener)
+        m_newsListener();
+}
+
 void StoreReplica::rememberRemoval(const std::string& key, std::int64_t revision)
 {
     m_removals.push_back({ .key = key, .revision = revision });
@@ -131,6 +149,7 @@
     }
     m_loaded = true;
     confirm(asOf);
+    announceNews();
 }
 
 void StoreReplica::applyChanges(const StoreChanges& changes, BootTime asOf)
@@ -145,6 +164,7 @@
     }
     m_revision = changes.revision;
     confirm(asOf);
+    announceNews();
 }
 
 bool StoreReplica::adoptNewer(const std::string& key, const std::string& value)
@@ -177,7 +197,7 @@
     }
     // Only the latest change of each key, since followers of a configuration that changes often would not keep up with all of them.
     for (const auto& [key, entry] : m_entries) {
-        if (entry.revision > revision.number)
+        if (entry.newsRevision > revision.number)
             result.changes.push_back({ .key = key, .value = entry.value, .revision = entry.revision });
     }
     std::copy_if(m_removals.begin(), m_removals.end(), std::back_inserter(result.changes), [&](const StoreChange& removal) { return removal.revision > revision.number; });
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -32,6 +32,9 @@
 /// The age from which a copy counts as stale so that a change is still in force in time if the copy has to come from elsewhere then.
 Milliseconds staleAgeFor(Milliseconds configurationTime);
 
+/// Options with which a change is in force at all instances within the time, also if a copy has to come from elsewhere.
+StoreFollowerOptions followerOptionsFor(Milliseconds configurationTime, std::string failureDomain);
+
 /// Keeps the replica current: from the store, or from a peer if the store is unreachable
 /// or other instances read it for the fleet.
 class StoreFollower {
@@ -87,6 +90,9 @@
     bool readsStore() const;
     bool storeStatesEras() const;
     bool stale() const;
+    std::vector<InstanceRecord> possibleSources() const;
+    Milliseconds watchWait() const;
+    int fleetSizeFactor() const;
     void setReachable(bool reachable);
     void onStoreRegained(std::optional<BootTime> at);
 
@@ -108,6 +114,7 @@
     /// Consecutive failed calls to the store, counted only up to the maximum retry delay.
     int m_consecutiveFailures = 0;
     std::size_t m_nextPeer = 0;
+    int m_consecutivePeerFailures = 0;
     StoreSource m_source = StoreSource::None;
     std::uint64_t m_storeCalls = 0;
     std::uint64_t m_rejectedListings = 0;
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -35,6 +35,14 @@
     using EntryOrder = std::function<std::optional<std::strong_ordering>(const std::string& key, const std::string& left, const std::string& right)>;
     void setEntryOrder(EntryOrder order) { m_entryOrder = std::move(order); }
 
+    /// Tells whether a new value of a key differs from the old one in more than what shows that its writer is alive. Followers get
+    /// only such changes.
+    using ChangeFilter = std::function<bool(const std::string& key, const std::string& oldValue, const std::string& newValue)>;
+    void setChangeFilter(ChangeFilter filter) { m_changeFilter = std::move(filter); }
+
+    /// Called once after changes for followers were applied.
+    void setNewsListener(std::function<void()> listener) { m_newsListener = std::move(listener); }
+
     /// Entries whose key the filter rejects are neither stored nor passed on to the listener and to followers.
     void setKeyFilter(std::function<bool(const std::string& key)> keyFilter) { m_keyFilter = std::move(keyFilter); }
 
@@ -66,6 +74,8 @@
         std::string value;
         /// Number within the era of the replica.
         std::int64_t revision = 0;
+        /// The last revision that followers get.
+        std::int64_t newsRevision = 0;
     };
     struct RemovedEntry {
         std::string value;
@@ -82,6 +92,8 @@
     void beginGap(std::int64_t listedRevision);
     bool keepNewerThan(const StoreChange& copied);
     void apply(const StoreChange&, BootTime asOf);
+    bool isNews(const Entry& existing, const StoreChange&) const;
+    void announceNews();
     void rememberRemoval(const std::string& key, std::int64_t revision);
     void rememberRemoved(const std::string& key, std::string value, BootTime asOf);
     void confirm(BootTime);
@@ -103,6 +115,9 @@
     Listener m_listener;
     RestoreListener m_restoreListener;
     EntryOrder m_entryOrder;
+    ChangeFilter m_changeFilter;
+    std::function<void()> m_newsListener;
+    bool m_hasNews = false;
     std::function<bool(const std::string& key)> m_keyFilter;
 };
 
--- a/src/placement/fleetlink.h
+++ b/src/placement/fleetlink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleetview.h"
+#include "placement/broadcastrelay.h"
 #include "placement/placementmessages.h"
 
 #include <array>
@@ -23,10 +24,20 @@
 
     /// Returns false if the instance is not registered or the datagram could not be sent.
     bool send(const std::string& instance, const FleetMessage&);
-    void sendToAll(const FleetMessage&);
+    void sendTo(const std::vector<std::string>& instances, const FleetMessage&);
+
+    /// Sends a message to all instances, in a large fleet by way of the aggregators.
+    void broadcast(const FleetMessage&);
+
+    /// Passes on the broadcasts of others and repeats those of this instance.
+    void onTick(TimePoint now);
 
 private:
     bool transmit(const InstanceRecord&, const std::string& bytes);
+    void transmitTo(const std::vector<std::string>& instances, const std::string& bytes);
+    void sendBroadcasts(TimePoint now);
+    void onDatagram(const std::string& bytes, const asio::ip::udp::endpoint& sender);
+    void deliver(const BroadcastBatch&);
 
     static constexpr std::size_t maxDatagramBytes = 48 << 10;
 
@@ -34,6 +45,7 @@
     asio::ip::udp::socket m_socket;
     std::array<char, maxDatagramBytes> m_buffer {};
     MessageHandler m_messageHandler;
+    BroadcastRelay m_broadcasts;
 };
 
 }
--- a/src/placement/internal/fleetlink.cpp
+++ b/src/placement/internal/fleetlink.cpp
@@ -7,6 +7,7 @@
 FleetLink::FleetLink(asio::io_context& io, FleetView& fleet)
     : m_fleet(fleet)
     , m_socket(io)
+    , m_broadcasts(fleet.self(), unixMilliseconds())
 {
 }
 
@@ -40,11 +41,63 @@
     return peer && transmit(*peer, encodeFleetMessage(message));
 }
 
-void FleetLink::sendToAll(const FleetMessage& message)
+void FleetLink::sendTo(const std::vector<std::string>& instances, const FleetMessage& message)
 {
-    auto bytes = encodeFleetMessage(message);
-    for (const auto& peer : m_fleet.peers())
-        transmit(peer, bytes);
+    if (!instances.empty())
+        transmitTo(instances, encodeFleetMessage(message));
+}
+
+void FleetLink::transmitTo(const std::vector<std::string>& instances, const std::string& bytes)
+{
+    for (const auto& instance : instances) {
+        if (const auto* peer = m_fleet.find(instance))
+            transmit(*peer, bytes);
+    }
+}
+
+void FleetLink::broadcast(const FleetMessage& message)
+{
+    if (!m_fleet.usesSummaries()) {
+        sendTo(m_fleet.peerNames(), message);
+        return;
+    }
+    auto now = Clock::now();
+    m_broadcasts.publish(encodeFleetMessage(message), now);
+    sendBroadcasts(now);
+}
+
+void FleetLink::sendBroadcasts(TimePoint now)
+{
+    for (const auto& batch : m_broadcasts.takeForAggregators(now))
+        sendTo(m_fleet.reportRecipients(now), batch);
+}
+
+/// Subscribers get what has come together since the last tick, which bounds the number of datagrams whatever happens to the targets.
+void FleetLink::onTick(TimePoint now)
+{
+    sendBroadcasts(now);
+    for (const auto& batch : m_broadcasts.takeForSubscribers())
+        sendTo(m_fleet.subscribers(now), batch);
+}
+
+void FleetLink::deliver(const BroadcastBatch& batch)
+{
+    for (const auto& bytes : m_broadcasts.onBatch(batch, Clock::now())) {
+        auto message = decodeFleetMessage(bytes);
+        if (message && !std::holds_alternative<BroadcastBatch>(*message))
+            m_messageHandler(*message);
+    }
+}
+
+void FleetLink::onDatagram(const std::string& bytes, const asio::ip::udp::endpoint& sender)
+{
+    auto message = decodeFleetMessage(bytes);
+    if (!message)
+        logEvent(LogLevel::Warning, "peer_message_unreadable", { { "peer", sender.address().to_string() }, { "bytes", std::int64_t(bytes.size()) } });
+    else if (const auto* batch = std::get_if<BroadcastBatch>(&*message))
+        deliver(*batch);
+    else
+        m_messageHandler(*message);
 }
 
 Awaitable<> FleetLink::receiveLoop()
@@ -58,11 +111,7 @@
             co_await sleepFor(pauseAfterFailure);
             continue;
         }
-        auto message = decodeFleetMessage(std::string(m_buffer.data(), size));
-        if (message)
-            m_messageHandler(*message);
-        else
-            logEvent(LogLevel::Warning, "peer_message_unreadable", { { "peer", remote.address().to_string() }, { "bytes", std::int64_t(size) } });
+        onDatagram(std::string(m_buffer.data(), size), remote);
     }
 }
 
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -11,6 +11,8 @@
     constexpr auto waitingQueryInterval = Milliseconds(200);
     /// Time for which an unreachable owner is not queried.
     constexpr auto ownerRetryDelay = Milliseconds(1500);
+    /// Stands for all other instances among those whose loads are known.
+    constexpr const char* summarisedInstances = "";
 
 }
 
@@ -66,11 +68,13 @@
 void PlacementClient::setTarget(WorkId id, const std::string& target)
 {
     m_dispatcher.setTarget(id, target);
-    sendLoadReport(false);
+    auto deciding = m_decidingInstances.find(id);
+    reportChangedLoads(deciding == m_decidingInstances.end() ? m_instance : deciding->second);
 }
 
 Awaitable<PlacementOutcome> PlacementClient::place(PlacementRequest request)
 {
+    m_dispatcher.setLoadsAreShared(m_fleet.usesSummaries());
     if (!request.engine)
         co_return co_await m_dispatcher.place(std::move(request));
     auto decider = PlacementDecider::Here;
@@ -85,7 +89,7 @@
     }
     m_decidingInstances.insert_or_assign(request.id, m_instance);
     auto outcome = co_await m_dispatcher.place(std::move(request));
-    sendLoadReport(false);
+    reportChangedLoads(m_instance);
     if (outcome)
         outcome->decider = decider;
     co_return outcome;
@@ -144,7 +148,8 @@
     auto& lastAccepted = m_lastAcceptedGrants[owner];
     lastAccepted = std::max(lastAccepted, response.grantNumber);
     m_dispatcher.onGrantedByOwner(request, response.target);
-    sendLoadReport(false);
+    // The owner of a large fleet's pool counts its grants until the next complete report.
+    reportChangedLoads(m_instance);
     const auto* target = m_directory.find(response.target);
     if (!target || !m_directory.isUsable(response.target))
         return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = "the granted target is missing or unavailable in the target directory of this instance" });
@@ -177,29 +182,75 @@
     // Plain requests are short, so the periodic complete reports suffice.
     if (found == m_decidingInstances.end())
         return;
-    if (found->second != m_instance)
-        m_link.send(found->second, PlacementRelease { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = id });
+    auto decidingInstance = std::move(found->second);
     m_decidingInstances.erase(found);
-    sendLoadReport(false);
+    if (decidingInstance != m_instance)
+        m_link.send(decidingInstance, PlacementRelease { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = id });
+    reportChangedLoads(decidingInstance);
 }
 
-void PlacementClient::sendLoadReport(bool complete)
+InstanceLoadReport PlacementClient::makeReport(bool complete)
 {
     auto& ledger = m_dispatcher.ledger();
     auto changedTargets = ledger.takeChangedTargets();
-    if (!complete && changedTargets.empty())
-        return;
-    const auto& lostServices = m_dispatcher.targetPath().lostServices();
-    for (const auto& service : lostServices)
-        m_dispatcher.forgetOutcomes(service);
-    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .outcomes = m_dispatcher.outcomes().takeUnreported(), .lengths = m_outputEstimator.takeUnreported(), .limits = m_targetLimits.ownLimits(Clock::now()), .relaysForPeers = m_relaysForPeers, .unreachableServices = lostServices, .storeEra = m_storeEra, .configurationVersion = m_configurationVersion };
+    InstanceLoadReport report { .instance = m_instance, .sequence = ++m_sequence, .complete = complete, .lastAcceptedGrants = m_lastAcceptedGrants, .limits = m_targetLimits.ownLimits(Clock::now()), .relaysForPeers = m_relaysForPeers, .unreachableServices = m_dispatcher.targetPath().lostServices(), .storeEra = m_storeEra, .configurationVersion = m_configurationVersion, .aggregators = m_fleet.ownAggregators() };
     if (complete) {
         report.loads = ledger.localLoads();
-    } else {
-        for (const auto& target : changedTargets)
-            report.loads.emplace(target, ledger.localLoad(target));
+        return report;
     }
-    m_link.sendToAll(report);
+    for (const auto& target : changedTargets)
+        report.loads.emplace(target, ledger.localLoad(target));
+    return report;
+}
+
+/// Each outcome is reported once, so it belongs in a report that all recipients get.
+void PlacementClient::addUnreported(InstanceLoadReport& report)
+{
+    for (const auto& service : report.unreachableServices)
+        m_dispatcher.forgetOutcomes(service);
+    report.outcomes = m_dispatcher.outcomes().takeUnreported();
+    report.lengths = m_outputEstimator.takeUnreported();
+}
+
+InstanceLoadReport PlacementClient::sendLoadReport()
+{
+    auto report = makeReport(true);
+    addUnreported(report);
+    m_link.sendTo(m_fleet.reportRecipients(Clock::now()), report);
+    m_reportedAggregators = report.aggregators;
+    return report;
+}
+
+/// In a large fleet only the instance that places the work needs to know at once that a target has room.
+void PlacementClient::reportChangedLoads(const std::string& decidingInstance)
+{
+    if (!m_dispatcher.ledger().hasChangedTargets())
+        return;
+    if (m_fleet.usesSummaries()) {
+        if (decidingInstance != m_instance)
+            m_link.send(decidingInstance, makeReport(false));
+        return;
+    }
+    auto report = makeReport(false);
+    addUnreported(report);
+    m_link.sendTo(m_fleet.reportRecipients(Clock::now()), report);
+}
+
+void PlacementClient::onSummary(const FleetSummary& summary, TimePoint now)
+{
+    if (!m_fleet.onSummary(summary, now))
+        return;
+    m_dispatcher.ledger().setPeerLoads(summarisedInstances, summary.loads);
+    m_dispatcher.outcomes().onPeerOutcomes(summary.outcomes, now);
+    m_outputEstimator.onPeerLengthSums(summary.lengths);
+    m_targetLimits.onPeerLimits(summary.limits, now);
+    m_dispatcher.placeWaiting();
+}
+
+void PlacementClient::expireSummary(TimePoint now)
+{
+    if (!m_fleet.hasRecentSummary(now))
+        m_dispatcher.ledger().removePeer(summarisedInstances);
 }
 
 void PlacementClient::onLoadReport(const InstanceLoadReport& report, TimePoint now)
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessages.cpp
@@ -33,23 +33,58 @@
         TrialQuery,
         TrialResponse,
         TrialRelease,
+        FleetSummary,
+        BroadcastBatch,
     };
 
+    json fieldsOf(const TargetLoads& loads)
+    {
+        json fields = json::array();
+        for (const auto& [target, load] : loads)
+            fields.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.pendingPromptTokens) });
+        return fields;
+    }
+
+    json fieldsOf(const std::map<std::string, OutcomeCount>& outcomes)
+    {
+        json fields = json::array();
+        for (const auto& [address, count] : outcomes)
+            fields.push_back({ address, count.requests, count.failures });
+        return fields;
+    }
+
+    json fieldsOf(const LengthSumsByRoute& lengths)
+    {
+        json fields = json::array();
+        for (const auto& [route, sums] : lengths)
+            fields.push_back({ route, sums.generationCount, sums.lengthSum, sums.guessCount, sums.guessSum, sums.guessedLengthSum, sums.guessSquaredSum, sums.guessLengthProductSum });
+        return fields;
+    }
+
+    json fieldsOf(const StatedLimits& limits)
+    {
+        json fields = json::array();
+        for (const auto& [target, limit] : limits)
+            fields.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
+        return fields;
+    }
+
     json fieldsOf(const InstanceLoadReport& report)
     {
-        json loads = json::array();
-        for (const auto& [target, load] : report.loads)
-            loads.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.pendingPromptTokens) });
-        json outcomes = json::array();
-        for (const auto& [address, count] : report.outcomes)
-            outcomes.push_back({ address, count.requests, count.failures });
-        json lengths = json::array();
-        for (const auto& [route, sums] : report.lengths)
-            lengths.push_back({ route, sums.generationCount, sums.lengthSum, sums.guessCount, sums.guessSum, sums.guessedLengthSum, sums.guessSquaredSum, sums.guessLengthProductSum });
-        json limits = json::array();
-        for (const auto& [target, limit] : report.limits)
-            limits.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
-        return json::array({ report.instance, report.sequence, report.complete, loads, report.lastAcceptedGrants, outcomes, lengths, limits, report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion });
+        return json::array({ report.instance, report.sequence, report.complete, fieldsOf(report.loads), report.lastAcceptedGrants, fieldsOf(report.outcomes), fieldsOf(report.lengths), fieldsOf(report.limits), report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion, report.aggregators });
+    }
+
+    json fieldsOf(const FleetSummary& summary)
+    {
+        return json::array({ summary.aggregator, summary.sequence, summary.silentInstances, summary.instancesNotRelaying, summary.unreachableServices, fieldsOf(summary.loads), fieldsOf(summary.outcomes), fieldsOf(summary.lengths), fieldsOf(summary.limits), summary.configurationVersion, summary.configurationHolder });
+    }
+
+    json fieldsOf(const BroadcastBatch& batch)
+    {
+        json items = json::array();
+        for (const auto& item : batch.items)
+            items.push_back(json::array({ item.origin, item.number, json::binary({ item.message.begin(), item.message.end() }) }));
+        return json::array({ batch.toAggregator, std::move(items) });
     }
 
     json fieldsOf(const PlacementQuery& query)
@@ -178,21 +213,49 @@
         return limit;
     }
 
+    TargetLoads loadsFrom(const json& fields)
+    {
+        TargetLoads loads;
+        for (const auto& load : fields)
+            loads.emplace(load.at(0).get<std::string>(), TargetLoad { .requests = load.at(1).get<int>(), .tokens = load.at(2).get<double>(), .pendingPromptTokens = load.at(3).get<double>() });
+        return loads;
+    }
+
+    std::map<std::string, OutcomeCount> outcomesFrom(const json& fields)
+    {
+        std::map<std::string, OutcomeCount> outcomes;
+        for (const auto& count : fields)
+            outcomes.emplace(count.at(0).get<std::string>(), OutcomeCount { .requests = count.at(1).get<int>(), .failures = count.at(2).get<int>() });
+        return outcomes;
+    }
+
+    LengthSumsByRoute lengthsFrom(const json& fields)
+    {
+        LengthSumsByRoute lengths;
+        for (const auto& sums : fields)
+            lengths.emplace(sums.at(0).get<std::string>(), lengthSumsFrom(sums));
+        return lengths;
+    }
+
+    StatedLimits limitsFrom(const json& fields)
+    {
+        StatedLimits limits;
+        for (const auto& limit : fields)
+            limits.emplace(limit.at(0).get<std::string>(), statedLimitFrom(limit));
+        return limits;
+    }
+
     InstanceLoadReport loadReportFrom(const json& fields)
     {
         InstanceLoadReport report;
         report.instance = fields.at(0).get<std::string>();
         report.sequence = fields.at(1).get<std::int64_t>();
         report.complete = fields.at(2).get<bool>();
-        for (const auto& load : fields.at(3))
-            report.loads.emplace(load.at(0).get<std::string>(), TargetLoad { .requests = load.at(1).get<int>(), .tokens = load.at(2).get<double>(), .pendingPromptTokens = load.at(3).get<double>() });
+        report.loads = loadsFrom(fields.at(3));
         report.lastAcceptedGrants = fields.at(4).get<std::map<std::string, std::int64_t>>();
-        for (const auto& count : fields.at(5))
-            report.outcomes.emplace(count.at(0).get<std::string>(), OutcomeCount { .requests = count.at(1).get<int>(), .failures = count.at(2).get<int>() });
-        for (const auto& sums : fields.at(6))
-            report.lengths.emplace(sums.at(0).get<std::string>(), lengthSumsFrom(sums));
-        for (const auto& limit : fields.at(7))
-            report.limits.emplace(limit.at(0).get<std::string>(), statedLimitFrom(limit));
+        report.outcomes = outcomesFrom(fields.at(5));
+        report.lengths = lengthsFrom(fields.at(6));
+        report.limits = limitsFrom(fields.at(7));
         // Reports of older versions end here.
         if (fields.size() <= 8)
             return report;
@@ -202,9 +265,42 @@
             return report;
         report.storeEra = fields.at(10).get<std::int64_t>();
         report.configurationVersion = fields.at(11).get<std::int64_t>();
+        if (fields.size() > 12)
+            report.aggregators = fields.at(12).get<std::vector<std::string>>();
         return report;
     }
 
+    FleetSummary fleetSummaryFrom(const json& fields)
+    {
+        FleetSummary summary;
+        summary.aggregator = fields.at(0).get<std::string>();
+        summary.sequence = fields.at(1).get<std::int64_t>();
+        summary.silentInstances = fields.at(2).get<std::set<std::string>>();
+        summary.instancesNotRelaying = fields.at(3).get<std::set<std::string>>();
+        summary.unreachableServices = fields.at(4).get<std::map<std::string, std::set<std::string>>>();
+        summary.loads = loadsFrom(fields.at(5));
+        summary.outcomes = outcomesFrom(fields.at(6));
+        summary.lengths = lengthsFrom(fields.at(7));
+        summary.limits = limitsFrom(fields.at(8));
+        summary.configurationVersion = fields.at(9).get<std::int64_t>();
+        summary.configurationHolder = fields.at(10).get<std::string>();
+        return summary;
+    }
+
+    BroadcastItem broadcastItemFrom(const json& fields)
+    {
+        const auto& message = fields.at(2).get_binary();
+        return { .origin = fields.at(0).get<std::string>(), .number = fields.at(1).get<std::int64_t>(), .message = { message.begin(), message.end() } };
+    }
+
+    BroadcastBatch broadcastBatchFrom(const json& fields)
+    {
+        BroadcastBatch batch { .toAggregator = fields.at(0).get<bool>() };
+        for (const auto& item : fields.at(1))
+            batch.items.push_back(broadcastItemFrom(item));
+        return batch;
+    }
+
     PlacementQuery placementQueryFrom(const json& fields)
     {
         PlacementQuery query;
@@ -431,6 +527,10 @@
             return trialResponseFrom(fields);
         case MessageType::TrialRelease:
             return trialReleaseFrom(fields);
+        case MessageType::FleetSummary:
+            return fleetSummaryFrom(fields);
+        case MessageType::BroadcastBatch:
+            return broadcastBatchFrom(fields);
         }
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/placement/internal/promptguardlink.cpp
+++ b/src/placement/internal/promptguardlink.cpp
@@ -4,7 +4,7 @@
 
 void PromptGuardLink::sendToAll(const PromptGuardMessage& message)
 {
-    std::visit([this](const auto& concreteMessage) { m_link.sendToAll(concreteMessage); }, message);
+    std::visit([this](const auto& concreteMessage) { m_link.broadcast(concreteMessage); }, message);
 }
 
 void PromptGuardLink::send(const std::string& instance, const PromptGuardMessage& message)
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -46,11 +46,20 @@
     /// Tells peers, with the next load report, whether this instance serves requests that they relay to it.
     void setRelaysForPeers(bool relaysForPeers) { m_relaysForPeers = relaysForPeers; }
 
-    /// Sends peers the loads of all targets if `complete`, otherwise only of those whose load changed.
-    void sendLoadReport(bool complete);
+    /// Sends the loads of all targets to the peers that need them, and returns the report.
+    InstanceLoadReport sendLoadReport();
+
+    /// True if this instance has chosen aggregators that do not know it yet.
+    bool needsReport() const { return m_reportedAggregators != m_fleet.ownAggregators(); }
 
     void onLoadReport(const InstanceLoadReport&, TimePoint now);
 
+    /// Takes over what an aggregator tells about the other instances.
+    void onSummary(const FleetSummary&, TimePoint now);
+
+    /// Drops what the last summary told if no other one arrived in time.
+    void expireSummary(TimePoint now);
+
 private:
     struct PendingQuery {
         explicit PendingQuery(asio::io_context& io)
@@ -65,6 +74,9 @@
     Awaitable<std::optional<PlacementOutcome>> queryOwner(const std::string& owner, const PlacementRequest&);
     std::optional<PlacementOutcome> applyResponse(const std::string& owner, const PlacementRequest&, const PlacementResponse&, TimePoint queriedAt);
     std::set<std::string> unreachableOwners(TimePoint now);
+    InstanceLoadReport makeReport(bool complete);
+    void addUnreported(InstanceLoadReport&);
+    void reportChangedLoads(const std::string& decidingInstance);
 
     asio::io_context& m_io;
     std::string m_instance;
@@ -84,6 +96,8 @@
     std::unordered_map<WorkId, std::string> m_decidingInstances;
     std::map<std::string, std::int64_t> m_lastAcceptedGrants;
     std::map<std::string, TimePoint> m_unreachableUntil;
+    /// Aggregators that the last complete report named.
+    std::vector<std::string> m_reportedAggregators;
 };
 
 }
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleettypes.h"
+#include "placement/broadcastrelay.h"
 #include "placement/placementtypes.h"
 #include "quarantine/crashguardmessages.h"
 #include "quarantine/promptguardmessages.h"
@@ -126,7 +127,7 @@
 };
 
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
-using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction, TrialQuery, TrialResponse, TrialRelease>;
+using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction, TrialQuery, TrialResponse, TrialRelease, FleetSummary, BroadcastBatch>;
 
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -105,6 +105,8 @@
     set("retry_sharers", gauges.retrySharers);
     set("convicted_prompt_parts", gauges.convictedPromptParts);
     set("unreachable_services", gauges.unreachableServices);
+    set("summarised_instances", gauges.summarisedInstances);
+    set("silent_instances", gauges.silentInstances);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -29,6 +29,10 @@
     double retrySharers = 0;
     double convictedPromptParts = 0;
     double unreachableServices = 0;
+    /// Instances that take their summaries from this one.
+    double summarisedInstances = 0;
+    /// Instances that do not respond, as far as this one knows.
+    double silentInstances = 0;
 };
 
 /// Counters and histograms of the entry service.
