Acquit a request whose trials a later conviction explains

Ruled out: load (the order of events explains it), reports that were lost (all instances had them), the popular request's own breaks.

Change: a conviction explains the trials of others that ran on the same targets; a request whose trials are all explained is acquitted, and notices of its conviction are ignored. It goes on running on trial.

CrashGuard.requestOnTrialBesideOneThatIsConvictedLater_isAcquitted failed before. What remains: until the other one is convicted the sound request is refused; the wrong order of events, a lost answer taken for the crash, is not mended.

--- a/src/quarantine/crashcase.h
+++ b/src/quarantine/crashcase.h
@@ -40,4 +40,7 @@
 /// Number of targets that the request crashed on trial, so that nothing else explains their crashes.
 std::size_t crashesOnTrial(const CrashCases&, Fingerprint, TrialEvidence);
 
+/// True if each target that the request may have crashed on trial also ran a request that is convicted by now.
+bool isExplainedByConvictions(const CrashCases&, Fingerprint);
+
 }
--- a/src/quarantine/crashguard.h
+++ b/src/quarantine/crashguard.h
@@ -101,6 +101,7 @@
     void recordSuspicion(Fingerprint, TimePoint now);
     void logIfNotConvicted(Fingerprint) const;
     void convict(Fingerprint, TimePoint now);
+    void acquitExplained();
     void convictIfEvident(Fingerprint, TimePoint now);
     bool isSuspended(Fingerprint) const;
     bool isRetrialPossible(Fingerprint) const;
--- a/src/quarantine/internal/crashcase.cpp
+++ b/src/quarantine/internal/crashcase.cpp
@@ -19,6 +19,14 @@
         return other.sentAt < interruption.endedAt && std::chrono::abs(other.endedAt - interruption.endedAt) <= reportDelay;
     }
 
+    bool ranBesideConvicted(const CrashCases& cases, Fingerprint fingerprint, const Interruption& interruption)
+    {
+        return std::any_of(cases.begin(), cases.end(), [&](const auto& entry) {
+            const auto* other = entry.second.interruptions.find(interruption.target);
+            return entry.first != fingerprint && entry.second.convictedAt && other && ranTogether(interruption, *other);
+        });
+    }
+
     /// False if another suspect ran on the target too, with a trial or without, or if other targets were lost with it. A target on which another suspect was on
     /// trial may have been crashed by that one, so one such target proves nothing.
     bool wasCauseOnTrial(const CrashCases& cases, Fingerprint fingerprint, const Interruption& interruption)
@@ -29,7 +37,7 @@
         for (const auto& [other, otherCase] : cases) {
             if (other == fingerprint)
                 continue;
-            bool wasSuspected = otherCase.interruptions.possibleCrashesElsewhere(interruption.target, interruption.endedAt) >= crashesToSuspect;
+            bool wasSuspected = otherCase.convictedAt || otherCase.interruptions.possibleCrashesElsewhere(interruption.target, interruption.endedAt) >= crashesToSuspect;
             for (const auto& otherInterruption : otherCase.interruptions.entries()) {
                 if (otherInterruption.target == interruption.target) {
                     if (wasSuspected && ranTogether(interruption, otherInterruption))
@@ -64,4 +72,17 @@
     }));
 }
 
+bool isExplainedByConvictions(const CrashCases& cases, Fingerprint fingerprint)
+{
+    bool ranOnTrial = false;
+    for (const auto& interruption : cases.at(fingerprint).interruptions.entries()) {
+        if (!interruption.onTrial || !interruption.isEvidence())
+            continue;
+        ranOnTrial = true;
+        if (!ranBesideConvicted(cases, fingerprint, interruption))
+            return false;
+    }
+    return ranOnTrial;
+}
+
 }
--- a/src/quarantine/internal/crashguard.cpp
+++ b/src/quarantine/internal/crashguard.cpp
@@ -275,6 +275,18 @@
     logEvent(LogLevel::Warning, "request_convicted", { { "fingerprint", hexOf(fingerprint) }, { "crashes", std::int64_t(suspect.reports.size()) }, { "local", suspect.local } });
     if (suspect.local)
         m_record(ConvictionNotice { .fingerprint = fingerprint });
+    acquitExplained();
+}
+
+/// A request may seem to have crashed its target alone if the evidence against the one that did was incomplete at the time.
+void CrashGuard::acquitExplained()
+{
+    for (auto& [fingerprint, suspect] : m_cases) {
+        if (!suspect.convictedAt || !isExplainedByConvictions(m_cases, fingerprint))
+            continue;
+        suspect.convictedAt.reset();
+        logEvent(LogLevel::Info, "request_acquitted", { { "fingerprint", hexOf(fingerprint) }, { "cause", std::string("explained_by_conviction") } });
+    }
 }
 
 /// Discards the evidence from before the sending of a request that was answered; what ran at the same time may still crash.
@@ -321,7 +333,10 @@
 void CrashGuard::onConvictionNotice(const ConvictionNotice& notice, TimePoint now)
 {
     auto answeredFrom = m_completed.lastSentAt(notice.fingerprint);
-    bool refuted = answeredFrom && !m_cases.contains(notice.fingerprint);
+    auto known = m_cases.find(notice.fingerprint);
+    if (known != m_cases.end() && isExplainedByConvictions(m_cases, notice.fingerprint))
+        return;
+    bool refuted = answeredFrom && known == m_cases.end();
     if (!refuted)
         convict(notice.fingerprint, now);
     else if (m_notifiedAt.emplace(notice.fingerprint, now).second)
--- a/src/quarantine/tests/crashguardtrial_test.cpp
+++ b/src/quarantine/tests/crashguardtrial_test.cpp
@@ -4,6 +4,30 @@
 
 using namespace guavaspan;
 
+/// Guards against a popular request that is refused for ten seconds in place of the crashing one, of which a crash was not counted because
+/// its target had broken another request just before.
+Test(CrashGuard, requestOnTrialBesideOneThatIsConvictedLater_isAcquitted)
+{
+    GuardFixture f;
+    constexpr Fingerprint crashing = 7;
+    constexpr Fingerprint popular = 8;
+    f.crash(1, { popular });
+    f.crash(2, { popular, crashing });
+    f.crash(3, { popular, crashing });
+    cr_expect(f.refuses(f.localGuard, popular, f.now), "on trial, beside a request that was not suspected yet");
+    f.crash(4, { crashing });
+    for (auto* guard : { &f.localGuard, &f.peerGuard }) {
+        cr_expect(f.refuses(*guard, crashing, f.now));
+        cr_expect(!f.refuses(*guard, popular, f.now));
+        cr_expect(guard->needsTrial(popular));
+    }
+    f.now += Seconds(1);
+    for (auto* guard : { &f.localGuard, &f.peerGuard })
+        guard->onTick(f.now);
+    cr_expect(!f.refuses(f.localGuard, popular, f.now) && !f.refuses(f.peerGuard, popular, f.now), "repeated messages change nothing");
+    cr_expect(f.refuses(f.localGuard, crashing, f.now));
+}
+
 /// The users allow three further runs after the third crash. Trials keep the two apart from the third crash on.
 Test(CrashGuard, requestsThatCrashedTogether_areRefusedOnceEachHasCrashedATargetAlone)
 {
