--- a/src/bench/fleetexperiment.h
+++ b/src/bench/fleetexperiment.h
@@ -19,6 +19,12 @@
     HalfEnds,
     /// Nothing that the instances of a failure domain send arrives outside of it.
     DomainMuted,
+    /// All instances restart at once and know nothing.
+    AllRestart,
+    /// All instances restart one after the other.
+    RollingRestart,
+    /// Sixty instances are added at once.
+    SixtyAdded,
 };
 
 std::string_view toString(FleetFault);
@@ -45,8 +51,11 @@
     double mostMessagesPerSecond = 0;
     /// Messages that an instance sends and receives in a second, the busiest ones left out.
     double medianMessagesPerSecond = 0;
-    /// Time from the fault until all other instances know of it; negative if they do not in the time of the experiment.
+    /// Time from the fault until all other instances know of it and agree on the owner; negative if they do not in the time of the
+    /// experiment. From the end of a rolling restart.
     Milliseconds detectionTime { -1 };
+    /// Messages in the busiest second after the fault, in the whole fleet.
+    double peakMessagesPerSecond = 0;
     /// Instances that are taken to be silent though they are not, added up over checks, before the fault.
     int falselySilent = 0;
     /// Checks before the fault at which instances disagreed on the owner.
--- a/src/bench/tests/fleetexperiment_test.cpp
+++ b/src/bench/tests/fleetexperiment_test.cpp
@@ -54,6 +54,18 @@
     expectNoSlowerDetection(300, FleetFault::DomainMuted);
 }
 
+/// Guards against a stampede, or a fleet that does not find together again, after events that hit all instances.
+Test(FleetExperiment, wholeFleetEvent_allAgreeSoonAndMessagesStayNearTheUsual)
+{
+    for (auto fault : { FleetFault::AllRestart, FleetFault::RollingRestart, FleetFault::SixtyAdded }) {
+        constexpr int instances = 300;
+        auto result = runFleetExperiment({ .instances = instances, .fault = fault, .length = Milliseconds(22000) });
+        cr_expect_geq(result.detectionTime.count(), 0, "%s", toString(fault).data());
+        cr_expect_leq(result.detectionTime.count(), 3000, "%s: %lld ms", toString(fault).data(), static_cast<long long>(result.detectionTime.count()));
+        cr_expect_leq(result.peakMessagesPerSecond, 2 * result.messagesPerSecond, "%s: %.0f, before %.0f", toString(fault).data(), result.peakMessagesPerSecond, result.messagesPerSecond);
+    }
+}
+
 Test(FleetExperiment, calmFleet_noInstanceIsTakenToBeSilentAndAllAgreeOnTheOwner)
 {
     for (int instances : { 20, 60, 300 }) {
