--- a/src/bench/internal/fleetexperiment.cpp
+++ b/src/bench/internal/fleetexperiment.cpp
@@ -6,6 +6,7 @@
 #include "placement/reportaggregator.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <fmt/format.h>
 #include <memory>
 
@@ -352,6 +353,7 @@
     {
         auto result = runFleetExperiment({ .instances = instances, .summaries = summaries, .length = Milliseconds(5000) });
         fmt::print("{:>9}  {:<11} {:>12.0f} {:>12.1f} {:>14.1f} {:>14.1f}\n", instances, summaries ? "aggregators" : "all to all", result.messagesPerSecond, result.bytesPerSecond / instances / 1000, result.medianMessagesPerSecond, result.mostMessagesPerSecond);
+        std::fflush(stdout);
     }
 
     void printDetection(int instances, bool summaries)
@@ -362,6 +364,7 @@
             fmt::print(" {:>6} ms ({})", result.detectionTime.count(), toString(fault));
         }
         fmt::print("\n");
+        std::fflush(stdout);
     }
 
     void printRecovery(int instances)
