Split the registry of instances from the view of the fleet

FleetView kept registrations by key and by name, who responds, and who aggregates; the first is InstanceRegistry now. Registrations are back at a lease of 10 s, renewed every 3 s: the longer lease leaves more entries of earlier processes to list after restarts, which was not measured.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "fleet/aggregatorranking.h"
-#include "fleet/fleettypes.h"
+#include "fleet/instanceregistry.h"
 
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace guavaspan {
 
@@ -58,7 +60,7 @@
     std::vector<InstanceRecord> relayingPeers(const std::string& service, TimePoint now) const;
 
     /// True if the registry has this key.
-    bool isRegistered(const std::string& key) const { return m_namesByKey.count(key) > 0; }
+    bool isRegistered(const std::string& key) const { return m_registry.hasKey(key); }
 
     /// Number of registered instances, including this one.
     int instanceCount() const;
@@ -74,7 +76,7 @@
     /// rendezvous hashing selects one. Peers in `excluded` are skipped.
     std::string ownerOf(const std::string& service, const std::set<std::string>& excluded, TimePoint now) const;
 
-    const InstanceRecord* find(const std::string& name) const;
+    const InstanceRecord* find(const std::string& name) const { return m_registry.find(name); }
 
     /// True if the fleet is so large that instances report to aggregators only.
     bool usesSummaries() const;
@@ -114,13 +116,6 @@
         bool knowsStoreEra = false;
         std::vector<std::string> aggregators;
     };
-    struct RegisteredInstance {
-        /// By key; an instance that restarted has the key of its previous process, too, until that lease expires.
-        std::map<std::string, InstanceRecord> records;
-        TimePoint registeredAt;
-    };
-
-    void removeKey(const std::string& key);
     std::size_t storeReaderCount() const;
     std::vector<InstanceRecord> possibleStoreReaders(TimePoint now, bool storeStatesEras) const;
     std::vector<std::string> storeReadingAggregators(TimePoint now, bool storeStatesEras) const;
@@ -141,17 +136,11 @@
     std::string m_self;
     int m_cpuMillicores = 0;
     std::string m_failureDomain;
-    /// Until when instances may register again.
-    TimePoint m_lostKeysKeptUntil;
-    std::map<std::string, RegisteredInstance> m_instances;
-    std::map<std::string, std::string> m_namesByKey;
-    /// Keys of instances of older versions, which expect the reports of all others.
-    std::set<std::string> m_keysOfOlderVersions;
-    /// Keys that a restored store lacks.
-    std::set<std::string> m_lostKeys;
+    InstanceRegistry m_registry;
     std::map<std::string, LastReport> m_lastReports;
-    /// Computed when needed, after each change of the registrations.
+    /// Computed when needed for the current version of the registry.
     mutable std::optional<AggregatorRanking> m_ranking;
+    mutable std::int64_t m_rankedVersion = 0;
     std::optional<TimePoint> m_aggregatingSince;
     std::vector<std::string> m_ownAggregators;
     TimePoint m_aggregatorChosenAt;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -41,52 +41,22 @@
 
 void FleetView::onRegistered(const std::string& key, InstanceRecord record, TimePoint now)
 {
-    removeKey(key);
-    auto name = record.name;
-    m_namesByKey.emplace(key, name);
-    if (!record.readsSummaries)
-        m_keysOfOlderVersions.insert(key);
-    auto& instance = m_instances[name];
-    instance.records.insert_or_assign(key, std::move(record));
-    instance.registeredAt = now;
-    m_lostKeys.erase(key);
-    m_ranking.reset();
-}
-
-void FleetView::removeKey(const std::string& key)
-{
-    auto registered = m_namesByKey.find(key);
-    if (registered == m_namesByKey.end())
-        return;
-    auto instance = m_instances.find(registered->second);
-    instance->second.records.erase(key);
-    if (instance->second.records.empty())
-        m_instances.erase(instance);
-    m_namesByKey.erase(registered);
-    m_keysOfOlderVersions.erase(key);
-    m_ranking.reset();
+    m_registry.onRegistered(key, std::move(record), now);
 }
 
 void FleetView::onUnregistered(const std::string& key, TimePoint now)
 {
-    if (now < m_lostKeysKeptUntil)
-        m_lostKeys.insert(key);
-    else
-        removeKey(key);
+    m_registry.onUnregistered(key, now);
 }
 
 void FleetView::onStoreRestored(TimePoint now)
 {
-    m_lostKeysKeptUntil = now + rewriteSpread(instanceCount(), callsToRegisterAgain) + registrationTime;
+    m_registry.onStoreRestored(rewriteSpread(instanceCount(), callsToRegisterAgain) + registrationTime, now);
 }
 
 void FleetView::onTick(TimePoint now)
 {
-    if (!m_lostKeys.empty() && now >= m_lostKeysKeptUntil) {
-        for (const auto& key : m_lostKeys)
-            removeKey(key);
-        m_lostKeys.clear();
-    }
+    m_registry.onTick(now);
     updateRole(now);
 }
 
@@ -143,12 +113,8 @@
 
 std::vector<std::string> FleetView::peerNames() const
 {
-    std::vector<std::string> names;
-    names.reserve(m_instances.size());
-    for (const auto& [name, instance] : m_instances) {
-        if (name != m_self)
-            names.push_back(name);
-    }
+    auto names = m_registry.names();
+    std::erase(names, m_self);
     return names;
 }
 
@@ -165,13 +131,7 @@
 
 int FleetView::instanceCount() const
 {
-    return static_cast<int>(m_instances.size()) + (m_instances.contains(m_self) ? 0 : 1);
-}
-
-const InstanceRecord* FleetView::find(const std::string& name) const
-{
-    auto instance = m_instances.find(name);
-    return instance == m_instances.end() ? nullptr : &instance->second.records.rbegin()->second;
+    return static_cast<int>(m_registry.size()) + (m_registry.contains(m_self) ? 0 : 1);
 }
 
 int FleetView::cpuOf(const std::string& name) const
@@ -182,7 +142,7 @@
 
 bool FleetView::usesSummaries() const
 {
-    return m_keysOfOlderVersions.empty() && instanceCount() > maxMeshInstances;
+    return m_registry.allReadSummaries() && instanceCount() > maxMeshInstances;
 }
 
 bool FleetView::isRecentlyReported(const std::string& name, TimePoint now) const
@@ -202,8 +162,8 @@
 {
     if (now < *m_aggregatingSince + reportTimeout && !m_summary.silentInstances.contains(name))
         return true;
-    auto instance = m_instances.find(name);
-    return instance != m_instances.end() && now < instance->second.registeredAt + reportTimeout;
+    auto registeredAt = m_registry.registeredAt(name);
+    return registeredAt && now < *registeredAt + reportTimeout;
 }
 
 bool FleetView::isReachable(const std::string& name, TimePoint now) const
@@ -233,10 +193,11 @@
 
 const AggregatorRanking& FleetView::ranking() const
 {
-    if (!m_ranking) {
+    if (!m_ranking || m_rankedVersion != m_registry.version()) {
         auto instances = peers();
         instances.push_back({ .name = m_self, .failureDomain = m_failureDomain, .cpuMillicores = m_cpuMillicores });
         m_ranking.emplace(instances);
+        m_rankedVersion = m_registry.version();
     }
     return *m_ranking;
 }
@@ -345,8 +306,8 @@
 std::set<std::string> FleetView::silentInstances(TimePoint now) const
 {
     std::set<std::string> silent;
-    for (const auto& [name, instance] : m_instances) {
-        if (name != m_self && !isReachable(name, now))
+    for (const auto& name : peerNames()) {
+        if (!isReachable(name, now))
             silent.insert(name);
     }
     return silent;
--- a/src/fleet/internal/registration.cpp
+++ b/src/fleet/internal/registration.cpp
@@ -10,8 +10,8 @@
 
     /// Peers divide shared budgets by the number of registered instances, and an instance that died is counted
     /// until its lease expires.
-    constexpr Seconds leaseTtl { 20 };
-    constexpr auto renewInterval = Milliseconds(6000);
+    constexpr Seconds leaseTtl { 10 };
+    constexpr auto renewInterval = Milliseconds(3000);
     constexpr auto retryInterval = Milliseconds(700);
 
 }
--- a/src/fleet/tests/fleetbudget_test.cpp
+++ b/src/fleet/tests/fleetbudget_test.cpp
@@ -15,8 +15,8 @@
 constexpr auto step = Milliseconds(50);
 constexpr auto window = Milliseconds(10000);
 constexpr int fleetAllowance = 52;
-constexpr auto leaseTtl = Milliseconds(20000);
-constexpr auto renewInterval = Milliseconds(6000);
+constexpr auto leaseTtl = Milliseconds(10000);
+constexpr auto renewInterval = Milliseconds(3000);
 constexpr auto registrationRetryInterval = Milliseconds(700);
 constexpr auto viewInterval = Milliseconds(500);
 /// Time from a read of the registry until an instance that follows another one has its result.
