Let no aggregator that nobody reports to declare others silent

Cause, from the logs of all instances: an aggregator lost power at 8.3 s and was back at 11.5 s. The one that had stood in for it still suspected it for 3 s and went on; the others reported to the first one again. Without reports the stand-in took all to be silent and told those whose reports it still remembered, who believed it, found no aggregator in that summary, and went by it for ever.

Ruled out: owners that cannot be reached (owner_unreachable: none), placement without an owner (67 of 1,957 generations, all at owners).

Change: a new process of an instance is not suspected; a summary counts for 1.5 s only; an aggregator to which neither other aggregators nor its members report sends none; and one that calls an instance's aggregator silent is not believed if that one has just sent a summary.

Four tests of FleetViewAggregators failed on the code before. FleetExperiment.aggregatorEndsAndReturns_allAgreeAgain passes on both: there all read a registration at the same time.

--- a/src/bench/fleetexperiment.h
+++ b/src/bench/fleetexperiment.h
@@ -19,6 +19,8 @@
     HalfEnds,
     /// Nothing that the instances of a failure domain send arrives outside of it.
     DomainMuted,
+    /// The owner of the pool, an aggregator, ends and starts again three seconds later.
+    OwnerReturns,
     /// All instances restart at once and know nothing.
     AllRestart,
     /// All instances restart one after the other.
--- a/src/bench/internal/fleetexperiment.cpp
+++ b/src/bench/internal/fleetexperiment.cpp
@@ -18,6 +18,7 @@
     constexpr auto reportInterval = Milliseconds(500);
     /// Pause between two restarts of a rolling restart.
     constexpr auto restartInterval = Milliseconds(20);
+    constexpr auto returnDelay = Milliseconds(3000);
     constexpr int addedInstances = 60;
     /// Time for the instances to find each other, which is not measured.
     constexpr auto startTime = Milliseconds(3000);
@@ -199,7 +200,7 @@
         {
             m_measuredTraffic = measure();
             m_faultAt = m_now;
-            if (m_options.fault == FleetFault::OwnerEnds)
+            if (m_options.fault == FleetFault::OwnerEnds || m_options.fault == FleetFault::OwnerReturns)
                 m_affected.insert(owner());
             if (m_options.fault == FleetFault::OtherEnds)
                 m_affected.insert(m_instances.back()->record.name);
@@ -236,10 +237,23 @@
             bool rolling = m_options.fault == FleetFault::RollingRestart;
             for (auto due = static_cast<std::size_t>((m_now - *m_faultAt) / restartInterval) + 1; (all || (rolling && m_restarted < due)) && m_restarted < m_instances.size(); ++m_restarted)
                 m_instances[m_restarted]->restart(m_instances, m_now);
+            if (m_options.fault == FleetFault::OwnerReturns && !m_restartsEndedAt && m_now >= *m_faultAt + returnDelay)
+                returnOwner();
             auto second = static_cast<std::size_t>((m_now - *m_faultAt) / Seconds(1));
             m_messagesBySecond.resize(second + 1, messageCount());
         }
 
+        void returnOwner()
+        {
+            auto& owner = named(*m_affected.begin());
+            m_affected.clear();
+            m_restartsEndedAt = m_now;
+            owner.alive = true;
+            owner.restart(m_instances, m_now);
+            for (const auto& instance : m_instances)
+                instance->view.onRegistered(owner.record.name + "/2", owner.record, m_now);
+        }
+
         std::int64_t messageCount() const
         {
             std::int64_t messages = 0;
@@ -370,7 +384,7 @@
     void printRecovery(int instances)
     {
         fmt::print("{:>9}", instances);
-        for (auto fault : { FleetFault::AllRestart, FleetFault::RollingRestart, FleetFault::SixtyAdded }) {
+        for (auto fault : { FleetFault::OwnerReturns, FleetFault::AllRestart, FleetFault::RollingRestart, FleetFault::SixtyAdded }) {
             auto result = runFleetExperiment({ .instances = instances, .fault = fault, .length = Milliseconds(14000) + instances * restartInterval });
             fmt::print("  {}: {} ms, {:.0f} messages in the busiest second", toString(fault), result.detectionTime.count(), result.peakMessagesPerSecond);
         }
@@ -392,6 +406,8 @@
         return "half ends";
     case FleetFault::DomainMuted:
         return "domain muted";
+    case FleetFault::OwnerReturns:
+        return "owner returns";
     case FleetFault::AllRestart:
         return "all restart";
     case FleetFault::RollingRestart:
--- a/src/bench/tests/fleetexperiment_test.cpp
+++ b/src/bench/tests/fleetexperiment_test.cpp
@@ -66,6 +66,17 @@
     }
 }
 
+/// Guards against instances that find no aggregator any more, and against generations placed by two owners: the aggregator that had stood in
+/// for one that came back got no reports any more and declared all others silent.
+Test(FleetExperiment, aggregatorEndsAndReturns_allAgreeAgain)
+{
+    for (int instances : { 60, 300 }) {
+        auto result = runFleetExperiment({ .instances = instances, .fault = FleetFault::OwnerReturns, .length = Milliseconds(20000) });
+        cr_expect_geq(result.detectionTime.count(), 0, "%d instances", instances);
+        cr_expect_leq(result.detectionTime.count(), 2500, "%d instances: %lld ms", instances, static_cast<long long>(result.detectionTime.count()));
+    }
+}
+
 Test(FleetExperiment, calmFleet_noInstanceIsTakenToBeSilentAndAllAgreeOnTheOwner)
 {
     for (int instances : { 20, 60, 300 }) {
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -93,7 +93,7 @@
     /// Peers to which this instance sends its reports.
     std::vector<std::string> reportRecipients(TimePoint now) const;
 
-    /// Instances that take their summaries from this one.
+    /// Instances that take their summaries from this one; none if no other aggregator reports to it.
     std::vector<std::string> members(TimePoint now) const;
     /// Instances that take broadcasts from this one.
     std::vector<std::string> subscribers(TimePoint now) const;
@@ -123,6 +123,7 @@
     bool isRecentlyReported(const std::string& name, TimePoint now) const;
     bool isReachable(const std::string& name, TimePoint now) const;
     bool acceptsSummaryOf(const FleetSummary&, TimePoint now) const;
+    bool isUsedAsAggregator(TimePoint now) const;
     bool isMember(const std::vector<std::string>& aggregatorsOfInstance, TimePoint now) const;
     bool mayAggregate(const std::string& name, TimePoint now) const;
     bool awaitsFirstReport(const std::string& name, TimePoint now) const;
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -16,6 +16,8 @@
     constexpr auto aggregatedReportTimeout = Milliseconds(1350);
     /// Time without a summary after which an instance chooses another aggregator.
     constexpr auto summaryTimeout = Milliseconds(1500);
+    /// Time without a summary in which its aggregator may still be alive: two summaries, of which one is lost.
+    constexpr auto longestSummaryPause = Milliseconds(1100);
     /// Time for which an aggregator is passed over that sent no summary.
     constexpr auto suspicionTime = Milliseconds(3000);
     /// Largest fleet in which every instance reports to all others.
@@ -41,6 +43,7 @@
 
 void FleetView::onRegistered(const std::string& key, InstanceRecord record, TimePoint now)
 {
+    m_suspectedUntil.erase(record.name);
     m_registry.onRegistered(key, std::move(record), now);
 }
 
@@ -71,16 +74,20 @@
     return true;
 }
 
-/// Another aggregator than the first one counts if it tells that those before it are silent, which their members notice later. If all
-/// are silent, several others tell it; one of them is enough.
+/// Another aggregator than the first one counts if it tells that those before it are silent, which their members notice later, unless the
+/// one that it calls silent has just sent a summary. If all are silent, several others tell it; a member needs only one of them.
 bool FleetView::acceptsSummaryOf(const FleetSummary& summary, TimePoint now) const
 {
     if (m_ownAggregators.empty())
         return false;
     auto sender = std::find(m_ownAggregators.begin(), m_ownAggregators.end(), summary.aggregator);
     bool othersAreSilent = std::all_of(m_ownAggregators.begin(), sender, [&](const std::string& name) { return summary.silentInstances.contains(name); });
-    bool servedByAnother = sender == m_ownAggregators.end() && m_summary.aggregator != summary.aggregator && !contains(m_ownAggregators, m_summary.aggregator) && now < m_summaryReceivedAt + reportTimeout;
-    return othersAreSilent && !servedByAnother;
+    bool sourceIsSilent = summary.silentInstances.contains(m_summary.aggregator);
+    bool sourceResponds = m_summary.aggregator != summary.aggregator && now < m_summaryReceivedAt + longestSummaryPause;
+    bool neitherIsOwn = sender == m_ownAggregators.end() && !contains(m_ownAggregators, m_summary.aggregator);
+    if (sender == m_ownAggregators.begin() || !sourceResponds)
+        return othersAreSilent;
+    return othersAreSilent && !sourceIsSilent && (aggregates() || !neitherIsOwn);
 }
 
 bool FleetView::onSummary(const FleetSummary& summary, TimePoint now)
@@ -188,7 +195,7 @@
         return false;
     if (isRecentlyReported(name, now))
         return true;
-    return aggregates() ? awaitsFirstReport(name, now) : !m_summary.silentInstances.contains(name);
+    return aggregates() ? awaitsFirstReport(name, now) : !(hasRecentSummary(now) && m_summary.silentInstances.contains(name));
 }
 
 const AggregatorRanking& FleetView::ranking() const
@@ -283,9 +290,24 @@
     return first == aggregatorsOfInstance.end() || *first == m_self;
 }
 
+/// If neither other aggregators nor instances that chose this one report to it, the others have chosen another one in its place, or it is
+/// cut off.
+bool FleetView::isUsedAsAggregator(TimePoint now) const
+{
+    if (!aggregates())
+        return false;
+    bool awaitsReports = now < *m_aggregatingSince + reportTimeout;
+    return awaitsReports || std::any_of(m_lastReports.begin(), m_lastReports.end(), [&](const auto& entry) {
+        const auto& chosen = entry.second.aggregators;
+        return (chosen.empty() || chosen.front() == m_self) && isRecentlyReported(entry.first, now);
+    });
+}
+
 std::vector<std::string> FleetView::members(TimePoint now) const
 {
     std::vector<std::string> names;
+    if (!isUsedAsAggregator(now))
+        return names;
     for (const auto& [name, lastReport] : m_lastReports) {
         if (isRecentlyReported(name, now) && isMember(lastReport.aggregators, now))
             names.push_back(name);
--- a/src/fleet/tests/fleetviewaggregators_test.cpp
+++ b/src/fleet/tests/fleetviewaggregators_test.cpp
@@ -218,6 +218,9 @@
     f.summarise();
     auto own = f.view.ownAggregators();
     cr_expect(!f.view.onSummary({ .aggregator = own.back(), .sequence = 100 }, f.now));
+    f.now += Milliseconds(600);
+    cr_expect(!f.view.onSummary({ .aggregator = own.back(), .sequence = 100, .silentInstances = { own.front() } }, f.now), "the first one has just sent a summary");
+    f.now += Milliseconds(600);
     cr_expect(f.view.onSummary({ .aggregator = own.back(), .sequence = 101, .silentInstances = { own.front() } }, f.now));
     cr_expect(!f.reaches(own.front()));
     f.advance(Milliseconds(100));
@@ -239,12 +242,49 @@
     FleetViewFixture f(aggregatorNumber());
     auto self = f.record.name;
     f.advance(Milliseconds(5000));
+    f.view.onReport({ .instance = "entry-2", .sequence = 1 }, f.now);
     f.view.onReport({ .instance = "entry-30", .sequence = 1, .aggregators = { "entry-1", self } }, f.now);
     cr_expect(f.view.members(f.now) == std::vector<std::string> { "entry-30" });
     f.view.onReport({ .instance = "entry-1", .sequence = 1 }, f.now);
     cr_expect(f.view.members(f.now).empty());
 }
 
+/// Guards against an aggregator that gets no reports any more and tells its former members that all others are silent.
+Test(FleetViewAggregators, otherAggregatorsDoNotReport_noSummariesAreSent)
+{
+    FleetViewFixture f(aggregatorNumber());
+    f.advance(Milliseconds(5000));
+    f.view.onReport({ .instance = "entry-30", .sequence = 1, .aggregators = { "gone", f.record.name } }, f.now);
+    cr_expect(f.view.members(f.now).empty());
+    f.reportAll();
+    f.view.onReport({ .instance = "entry-30", .sequence = 100, .aggregators = { "gone", f.record.name } }, f.now);
+    cr_expect_eq(f.view.members(f.now).size(), 1u);
+}
+
+/// Guards against instances that go by an old summary for ever, according to which no aggregator responds.
+Test(FleetViewAggregators, oldSummaryNamedAllAggregatorsSilent_theyAreChosenAgain)
+{
+    FleetViewFixture f(weakInstance);
+    auto own = f.view.ownAggregators();
+    auto aggregators = f.view.aggregators(f.now);
+    f.view.onSummary({ .aggregator = own.front(), .sequence = 1, .silentInstances = { aggregators.begin(), aggregators.end() } }, f.now);
+    cr_expect(f.view.aggregators(f.now) != aggregators);
+    f.advance(Milliseconds(1600));
+    f.advance(Milliseconds(3100));
+    cr_expect(f.view.aggregators(f.now) == aggregators);
+}
+
+Test(FleetViewAggregators, newProcessOfASuspectedAggregator_isNoLongerSuspected)
+{
+    FleetViewFixture f(weakInstance);
+    auto first = f.view.ownAggregators().front();
+    f.advance(Milliseconds(1600));
+    cr_expect_neq(f.view.ownAggregators().front(), first);
+    f.view.onRegistered(first + "/2", *f.view.find(first), f.now);
+    f.advance(Milliseconds(100));
+    cr_expect_eq(f.view.ownAggregators().front(), first);
+}
+
 Test(FleetViewAggregators, relayingPeers_summaryNamesThoseThatCannot)
 {
     FleetViewFixture f(weakInstance);
