Split the messages' encoder and decoder, and mend what reading the change again showed

Cause, by reading the whole change: placementmessages.cpp held two jobs in 541 lines; the bench repeated SummaryServer's decisions; the dispatcher kept a state that each request can tell; outcome counts were added by hand in three places; each check for silent instances copied all names, ten times a second; PeerFeedClient decoded two answers with the same lines.

Change: an encoder and a decoder, with an assertion that both know all messages; SummaryRounds, a core that SummaryServer and the fleet experiment share; PlacementRequest::loadsAreShared; OutcomeCount += and -=; InstanceRegistry::forEachName; one decode() for peers' answers; StoreFollower::peerRetryDelay. No change of behaviour is meant, no bound, check or assertion is touched.

Ruled out: splitting FleetView further (445 lines, one view with two ways to learn of peers).

--- a/src/bench/internal/fleetexperiment.cpp
+++ b/src/bench/internal/fleetexperiment.cpp
@@ -3,12 +3,13 @@
 #include "common/random.h"
 #include "fleet/fleetview.h"
 #include "placement/placementmessages.h"
-#include "placement/reportaggregator.h"
+#include "placement/summaryrounds.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <fmt/format.h>
 #include <memory>
+#include <optional>
 
 namespace guavaspan::bench {
 
@@ -39,12 +40,9 @@
 
         InstanceRecord record;
         FleetView view;
-        ReportAggregator aggregator;
+        std::optional<SummaryRounds> rounds { std::in_place, view, 0 };
         std::int64_t sequence = 0;
-        std::int64_t summarySequence = 0;
-        std::set<std::string> knownSilent;
         std::vector<std::string> reportedAggregators;
-        std::set<std::string> members;
         /// Tick within the report interval at which this instance reports.
         int phase = 0;
         bool alive = true;
@@ -54,10 +52,8 @@
         void restart(const std::vector<std::unique_ptr<Instance>>& fleet, TimePoint now)
         {
             view = FleetView(record.name, record.cpuMillicores, record.failureDomain);
-            aggregator = {};
-            knownSilent.clear();
+            rounds.emplace(view, std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count());
             reportedAggregators.clear();
-            members.clear();
             for (const auto& peer : fleet)
                 view.onRegistered(peer->record.name, peer->record, now);
         }
@@ -132,7 +128,7 @@
             bool reports = tick % (reportInterval / tickInterval) == instance.phase;
             if (reports || instance.view.ownAggregators() != instance.reportedAggregators)
                 report(instance);
-            if (instance.view.aggregates() && (reports || instance.view.silentInstances(m_now) != instance.knownSilent))
+            if (reports || instance.rounds->isDue(m_now))
                 summarise(instance);
         }
 
@@ -150,19 +146,12 @@
                 count(receiver, bytes);
                 if (!receiver.view.onReport(report, m_now))
                     continue;
-                receiver.aggregator.onReport(report, m_now);
-                bool choosesReceiver = !report.aggregators.empty() && report.aggregators.front() == name;
-                if (receiver.view.aggregates() && choosesReceiver && receiver.members.insert(instance.record.name).second)
-                    sendSummary(receiver, instance, makeSummary(receiver));
+                if (auto summary = receiver.rounds->onReport(report, m_now))
+                    sendSummary(receiver, instance, *summary);
             }
             instance.reportedAggregators = report.aggregators;
         }
 
-        FleetSummary makeSummary(Instance& instance)
-        {
-            return { .aggregator = instance.record.name, .sequence = ++instance.summarySequence, .silentInstances = instance.view.silentInstances(m_now) };
-        }
-
         void sendSummary(Instance& sender, Instance& member, const FleetSummary& summary)
         {
             auto bytes = encodeFleetMessage(summary).size();
@@ -175,16 +164,8 @@
 
         void summarise(Instance& instance)
         {
-            instance.aggregator.beginRound(m_now);
-            auto common = makeSummary(instance);
-            instance.knownSilent = common.silentInstances;
-            auto members = instance.view.members(m_now);
-            for (const auto& name : members) {
-                auto summary = common;
-                instance.aggregator.addTo(summary, name, m_now);
+            for (const auto& [name, summary] : instance.rounds->begin(m_now))
                 sendSummary(instance, named(name), summary);
-            }
-            instance.members = { members.begin(), members.end() };
         }
 
         void resetTraffic()
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -58,9 +58,6 @@
     /// Chooses the engine to which a generation moves from a draining engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
 
-    /// The loads of peers come from summaries, which many instances get at the same time.
-    void setLoadsAreShared(bool shared) { m_loadsAreShared = shared; }
-
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
@@ -109,7 +106,6 @@
     std::unordered_map<WorkId, RunningWork> m_running;
     SaturationTracker m_saturation;
     WorkId m_lastId = 0;
-    bool m_loadsAreShared = false;
 };
 
 }
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -57,7 +57,7 @@
     auto candidates = m_directory.usableTargets(request.service);
     auto excluded = excludedTargets(request, candidates);
     auto now = Clock::now();
-    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request), .loadsAreShared = m_loadsAreShared && !request.engine }, m_random);
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request), .loadsAreShared = request.loadsAreShared }, m_random);
     if (!choice)
         m_saturation.onSaturated(request.service, now);
     else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
--- a/src/dispatch/internal/outcometracker.cpp
+++ b/src/dispatch/internal/outcometracker.cpp
@@ -47,9 +47,7 @@
 void OutcomeTracker::addLocalOutcomes(const std::string& address, const OutcomeCount& outcomes, TimePoint now)
 {
     addOutcomes(address, outcomes, now);
-    auto& unreported = m_unreported[address];
-    unreported.requests += outcomes.requests;
-    unreported.failures += outcomes.failures;
+    m_unreported[address] += outcomes;
 }
 
 void OutcomeTracker::onSuccess(const std::string& address, TimePoint now)
--- a/src/dispatch/outcometracker.h
+++ b/src/dispatch/outcometracker.h
@@ -12,6 +12,20 @@
     int requests = 0;
     int failures = 0;
 
+    OutcomeCount& operator+=(const OutcomeCount& other)
+    {
+        requests += other.requests;
+        failures += other.failures;
+        return *this;
+    }
+
+    OutcomeCount& operator-=(const OutcomeCount& other)
+    {
+        requests -= other.requests;
+        failures -= other.failures;
+        return *this;
+    }
+
     friend bool operator==(const OutcomeCount&, const OutcomeCount&) = default;
 };
 
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -116,6 +116,8 @@
         bool knowsStoreEra = false;
         std::vector<std::string> aggregators;
     };
+    template <typename Predicate>
+    std::vector<std::string> peerNamesIf(Predicate) const;
     std::size_t storeReaderCount() const;
     std::vector<InstanceRecord> possibleStoreReaders(TimePoint now, bool storeStatesEras) const;
     std::vector<std::string> storeReadingAggregators(TimePoint now, bool storeStatesEras) const;
--- a/src/fleet/instanceregistry.h
+++ b/src/fleet/instanceregistry.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace guavaspan {
 
@@ -30,7 +29,14 @@
     std::optional<TimePoint> registeredAt(const std::string& name) const;
 
     std::size_t size() const { return m_instances.size(); }
-    std::vector<std::string> names() const;
+
+    /// Calls the visitor with the name of each instance.
+    template <typename Visitor>
+    void forEachName(Visitor visitor) const
+    {
+        for (const auto& [name, instance] : m_instances)
+            visitor(name);
+    }
 
     /// False if an instance of an older version is registered, which expects the reports of all others.
     bool allReadSummaries() const { return m_keysOfOlderVersions.empty(); }
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -120,8 +120,17 @@
 
 std::vector<std::string> FleetView::peerNames() const
 {
-    auto names = m_registry.names();
-    std::erase(names, m_self);
+    return peerNamesIf([](const std::string&) { return true; });
+}
+
+template <typename Predicate>
+std::vector<std::string> FleetView::peerNamesIf(Predicate predicate) const
+{
+    std::vector<std::string> names;
+    m_registry.forEachName([&](const std::string& name) {
+        if (name != m_self && predicate(name))
+            names.push_back(name);
+    });
     return names;
 }
 
@@ -327,12 +336,8 @@
 
 std::set<std::string> FleetView::silentInstances(TimePoint now) const
 {
-    std::set<std::string> silent;
-    for (const auto& name : peerNames()) {
-        if (!isReachable(name, now))
-            silent.insert(name);
-    }
-    return silent;
+    auto names = peerNamesIf([&](const std::string& name) { return !isReachable(name, now); });
+    return { names.begin(), names.end() };
 }
 
 std::set<std::string> FleetView::instancesNotRelaying(TimePoint now) const
@@ -357,9 +362,7 @@
 
 std::vector<InstanceRecord> FleetView::reachablePeers(TimePoint now) const
 {
-    auto names = peerNames();
-    std::erase_if(names, [&](const std::string& name) { return !isReachable(name, now); });
-    return recordsOf(names);
+    return recordsOf(peerNamesIf([&](const std::string& name) { return isReachable(name, now); }));
 }
 
 std::vector<InstanceRecord> FleetView::relayingPeers(const std::string& service, TimePoint now) const
@@ -435,8 +438,7 @@
     if (usesSummaries()) {
         candidates = aggregators(now);
     } else {
-        candidates = peerNames();
-        std::erase_if(candidates, [&](const std::string& name) { return !isRecentlyReported(name, now); });
+        candidates = peerNamesIf([&](const std::string& name) { return isRecentlyReported(name, now); });
         candidates.push_back(m_self);
     }
     std::erase_if(candidates, [&](const std::string& name) { return name != m_self && excluded.contains(name); });
--- a/src/fleet/internal/instanceregistry.cpp
+++ b/src/fleet/internal/instanceregistry.cpp
@@ -64,13 +64,4 @@
     return instance == m_instances.end() ? std::nullopt : std::optional(instance->second.registeredAt);
 }
 
-std::vector<std::string> InstanceRegistry::names() const
-{
-    std::vector<std::string> names;
-    names.reserve(m_instances.size());
-    for (const auto& [name, instance] : m_instances)
-        names.push_back(name);
-    return names;
-}
-
 }
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -120,42 +120,37 @@
     co_return std::move(response->body());
 }
 
-Error PeerFeedClient::unreadableAnswer() const
+Error PeerFeedClient::unreadableAnswer(std::string detail) const
 {
-    return { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = "no CBOR document" };
+    return { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = std::move(detail) };
 }
 
-Awaitable<Result<StoreListing>> PeerFeedClient::listAll(std::string prefix)
+template <typename Answer>
+Result<Answer> PeerFeedClient::decode(const Result<std::string>& body, Answer (*answerFrom)(const json&)) const
 {
-    // Peers of older versions ignore the prefix.
-    std::string requestTarget = prefix.empty() ? "/fleet/entries" : "/fleet/entries?prefix=" + prefix;
-    auto body = co_await fetch(std::move(requestTarget), m_listTimeout);
     if (!body)
-        co_return body.error();
+        return body.error();
     auto document = parseCbor(*body);
     if (!document)
-        co_return unreadableAnswer();
+        return unreadableAnswer("no CBOR document");
     try {
-        co_return listingFrom(*document);
+        return answerFrom(*document);
     } catch (const json::exception& exception) {
-        co_return Error { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = exception.what() };
+        return unreadableAnswer(exception.what());
     }
 }
 
+Awaitable<Result<StoreListing>> PeerFeedClient::listAll(std::string prefix)
+{
+    // Peers of older versions ignore the prefix.
+    std::string requestTarget = prefix.empty() ? "/fleet/entries" : "/fleet/entries?prefix=" + prefix;
+    co_return decode(co_await fetch(std::move(requestTarget), m_listTimeout), listingFrom);
+}
+
 Awaitable<Result<StoreChanges>> PeerFeedClient::watch(std::string, StoreRevision after, Milliseconds wait)
 {
     auto requestTarget = fmt::format("/fleet/changes?after={}&era={}&wait_ms={}", after.number, after.era, wait.count());
-    auto body = co_await fetch(requestTarget, wait + watchTimeoutMargin);
-    if (!body)
-        co_return body.error();
-    auto document = parseCbor(*body);
-    if (!document)
-        co_return unreadableAnswer();
-    try {
-        co_return changesFrom(*document);
-    } catch (const json::exception& exception) {
-        co_return Error { .code = ErrorCode::BadReply, .step = Step::Peer, .peer = toString(m_peer), .detail = exception.what() };
-    }
+    co_return decode(co_await fetch(std::move(requestTarget), wait + watchTimeoutMargin), changesFrom);
 }
 
 Awaitable<StoreChanges> PeerFeedServer::waitForChanges(StoreRevision after, Milliseconds wait)
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -150,6 +150,12 @@
         onStoreRegained(std::nullopt);
 }
 
+Clock::duration StoreFollower::peerRetryDelay() const
+{
+    int factor = m_fleet.usesSummaries() ? std::clamp(m_consecutivePeerFailures, 1, maxPeerDelayFactor) : 1;
+    return factor * failedUpdateDelay;
+}
+
 Awaitable<StoreFollower::UpdateResult> StoreFollower::updateFrom(IWatchableStore& source, StoreSource kind, bool relist)
 {
     auto calledAt = BootClock::now();
@@ -288,7 +294,7 @@
             continue;
         auto next = startedAt + m_options.callInterval;
         if (result == UpdateResult::Failed)
-            next = std::max<TimePoint>(next, Clock::now() + (m_fleet.usesSummaries() ? std::clamp(m_consecutivePeerFailures, 1, maxPeerDelayFactor) : 1) * failedUpdateDelay);
+            next = std::max<TimePoint>(next, Clock::now() + peerRetryDelay());
         if (Clock::now() < next)
             co_await sleepFor(next - Clock::now());
     }
--- a/src/fleet/peerfeed.h
+++ b/src/fleet/peerfeed.h
@@ -4,6 +4,7 @@
 #include "net/httpexchange.h"
 
 #include <list>
+#include <nlohmann/json_fwd.hpp>
 
 namespace guavaspan {
 
@@ -23,7 +24,9 @@
 
 private:
     Awaitable<Result<std::string>> fetch(std::string requestTarget, Clock::duration timeout);
-    Error unreadableAnswer() const;
+    Error unreadableAnswer(std::string detail) const;
+    template <typename Answer>
+    Result<Answer> decode(const Result<std::string>& body, Answer (*answerFrom)(const nlohmann::json&)) const;
 
     Endpoint m_peer;
     Milliseconds m_listTimeout;
--- a/src/fleet/storefollower.h
+++ b/src/fleet/storefollower.h
@@ -93,6 +93,7 @@
     std::vector<InstanceRecord> possibleSources() const;
     Milliseconds watchWait() const;
     int fleetSizeFactor() const;
+    Clock::duration peerRetryDelay() const;
     void setReachable(bool reachable);
     void onStoreRegained(std::optional<BootTime> at);
 
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -74,9 +74,10 @@
 
 Awaitable<PlacementOutcome> PlacementClient::place(PlacementRequest request)
 {
-    m_dispatcher.setLoadsAreShared(m_fleet.usesSummaries());
-    if (!request.engine)
+    if (!request.engine) {
+        request.loadsAreShared = m_fleet.usesSummaries();
         co_return co_await m_dispatcher.place(std::move(request));
+    }
     auto decider = PlacementDecider::Here;
     for (int ownersTried = 0; ownersTried < OwnerQueryLimits::maxOwnersTried; ++ownersTried) {
         auto owner = ownerOf(request.service);
--- a/src/placement/internal/placementmessages.cpp
+++ b/src/placement/internal/placementmessagedecoder.cpp
@@ -1,7 +1,6 @@
 #include "placement/placementmessages.h"
 
 #include "common/cbor.h"
-#include "common/overloaded.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,6 +10,7 @@
 
     using nlohmann::json;
 
+    /// In the order of the alternatives of FleetMessage.
     enum class MessageType {
         LoadReport,
         PlacementQuery,
@@ -37,155 +37,7 @@
         BroadcastBatch,
     };
 
-    json fieldsOf(const TargetLoads& loads)
-    {
-        json fields = json::array();
-        for (const auto& [target, load] : loads)
-            fields.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.pendingPromptTokens) });
-        return fields;
-    }
-
-    json fieldsOf(const std::map<std::string, OutcomeCount>& outcomes)
-    {
-        json fields = json::array();
-        for (const auto& [address, count] : outcomes)
-            fields.push_back({ address, count.requests, count.failures });
-        return fields;
-    }
-
-    json fieldsOf(const LengthSumsByRoute& lengths)
-    {
-        json fields = json::array();
-        for (const auto& [route, sums] : lengths)
-            fields.push_back({ route, sums.generationCount, sums.lengthSum, sums.guessCount, sums.guessSum, sums.guessedLengthSum, sums.guessSquaredSum, sums.guessLengthProductSum });
-        return fields;
-    }
-
-    json fieldsOf(const StatedLimits& limits)
-    {
-        json fields = json::array();
-        for (const auto& [target, limit] : limits)
-            fields.push_back({ target, limit.targetStartedAt, limit.requestsPerSecond ? json(*limit.requestsPerSecond) : json(), limit.age.count() });
-        return fields;
-    }
-
-    json fieldsOf(const InstanceLoadReport& report)
-    {
-        return json::array({ report.instance, report.sequence, report.complete, fieldsOf(report.loads), report.lastAcceptedGrants, fieldsOf(report.outcomes), fieldsOf(report.lengths), fieldsOf(report.limits), report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion, report.aggregators });
-    }
-
-    json fieldsOf(const FleetSummary& summary)
-    {
-        return json::array({ summary.aggregator, summary.sequence, summary.silentInstances, summary.instancesNotRelaying, summary.unreachableServices, fieldsOf(summary.loads), fieldsOf(summary.outcomes), fieldsOf(summary.lengths), fieldsOf(summary.limits), summary.configurationVersion, summary.configurationHolder });
-    }
-
-    json fieldsOf(const BroadcastBatch& batch)
-    {
-        json items = json::array();
-        for (const auto& item : batch.items)
-            items.push_back(json::array({ item.origin, item.number, json::binary({ item.message.begin(), item.message.end() }) }));
-        return json::array({ batch.toAggregator, std::move(items) });
-    }
-
-    json fieldsOf(const PlacementQuery& query)
-    {
-        return json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.organisation, query.rank.priority, query.rank.late, query.estimate.promptTokens, query.estimate.outputTokens, query.excluded, query.contentHash, query.maxWait.count() });
-    }
-
-    json fieldsOf(const PlacementResponse& response)
-    {
-        return json::array({ response.owner, response.id, static_cast<int>(response.status), response.target, response.grantNumber, response.targetRequests, static_cast<std::int64_t>(response.targetTokens), response.late, response.retryAfter.count() });
-    }
-
-    json fieldsOf(const PlacementRelease& release)
-    {
-        return json::array({ release.requester, release.requesterIncarnation, release.id });
-    }
-
-    json fieldsOf(const MoveQuery& query)
-    {
-        return json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.source, query.sourceFailureDomain, query.tokensHeld, query.remainingTokens, query.excluded });
-    }
-
-    json fieldsOf(const MoveResponse& response)
-    {
-        return json::array({ response.owner, response.id, response.destination });
-    }
-
-    json fieldsOf(const MoveRelease& release)
-    {
-        return json::array({ release.requester, release.requesterIncarnation, release.id });
-    }
-
-    json fieldsOf(const ShutdownNotice& notice)
-    {
-        return json::array({ notice.target, notice.startedAt });
-    }
-
-    json fieldsOf(const CrashReport& report)
-    {
-        return json::array({ report.fingerprint, report.target, report.incarnation });
-    }
-
-    json fieldsOf(const CompletionReport& report)
-    {
-        return json::array({ report.fingerprint, report.sentAgo.count() });
-    }
-
-    json fieldsOf(const ConvictionNotice& notice)
-    {
-        return json::array({ notice.fingerprint });
-    }
-
-    json fieldsOf(const PardonNotice& notice)
-    {
-        return json::array({ notice.fingerprint });
-    }
-
-    json fieldsOf(const PriorCompletionNotice& notice)
-    {
-        return json::array({ notice.fingerprint, notice.sentAgo.count() });
-    }
-
-    json fieldsOf(const InterruptionReport& report)
-    {
-        return json::array({ report.fingerprint, report.target, report.targetStartedAt, report.sentAgo.count(), report.interruptedAgo.count(), report.onTrial });
-    }
-
-    json fieldsOf(const PromptInterruptionReport& report)
-    {
-        return json::array({ report.parts, report.target, report.targetStartedAt, report.sentAgo.count(), report.onTrial });
-    }
-
-    json fieldsOf(const TrialQuery& query)
-    {
-        return json::array({ query.id.instance, query.id.incarnation, query.id.number, query.trial.suspects, query.trial.target });
-    }
-
-    json fieldsOf(const TrialResponse& response)
-    {
-        return json::array({ response.number, static_cast<int>(response.decision) });
-    }
-
-    json fieldsOf(const TrialRelease& release)
-    {
-        return json::array({ release.id.instance, release.id.incarnation, release.id.number, static_cast<int>(release.end) });
-    }
-
-    json fieldsOf(const PromptPartInquiry& inquiry)
-    {
-        return json::array({ inquiry.instance, inquiry.part, inquiry.since.count() });
-    }
-
-    json fieldsOf(const PromptPartClearance& clearance)
-    {
-        return json::array({ clearance.part, clearance.age.count() });
-    }
-
-    json fieldsOf(const PromptPartConviction& conviction)
-    {
-        return json::array({ conviction.instance, conviction.part, conviction.since.count() });
-    }
+    static_assert(std::variant_size_v<FleetMessage> == static_cast<std::size_t>(MessageType::BroadcastBatch) + 1);
 
     // Members are assigned individually: if an aggregate initialiser throws, g++ 12 destroys
     // members that are not constructed yet.
@@ -469,14 +321,6 @@
 
 }
 
-std::string encodeFleetMessage(const FleetMessage& message)
-{
-    auto fields = std::visit([](const auto& alternative) { return fieldsOf(alternative); }, message);
-    std::string bytes;
-    json::to_cbor(json::array({ message.index(), std::move(fields) }), bytes);
-    return bytes;
-}
-
 std::optional<FleetMessage> decodeFleetMessage(const std::string& bytes)
 {
     try {
--- a/src/placement/internal/reportaggregator.cpp
+++ b/src/placement/internal/reportaggregator.cpp
@@ -11,19 +11,11 @@
     /// Time without a report that repeats a stated limit after which it is no longer passed on.
     constexpr auto limitMemory = Seconds(2);
 
-    void add(std::map<std::string, OutcomeCount>& sums, const std::map<std::string, OutcomeCount>& outcomes)
+    template <typename Sums>
+    void add(Sums& sums, const Sums& others)
     {
-        for (const auto& [address, outcome] : outcomes) {
-            auto& sum = sums[address];
-            sum.requests += outcome.requests;
-            sum.failures += outcome.failures;
-        }
-    }
-
-    void add(LengthSumsByRoute& sums, const LengthSumsByRoute& lengths)
-    {
-        for (const auto& [route, length] : lengths)
-            sums[route] += length;
+        for (const auto& [key, other] : others)
+            sums[key] += other;
     }
 
     /// The sums of a part are among those of the whole.
@@ -81,10 +73,8 @@
     const auto& own = found == m_roundByInstance.end() ? none : found->second;
     for (const auto& [address, outcome] : m_round.outcomes) {
         auto others = outcome;
-        if (auto ownOutcome = own.outcomes.find(address); ownOutcome != own.outcomes.end()) {
-            others.requests -= ownOutcome->second.requests;
-            others.failures -= ownOutcome->second.failures;
-        }
+        if (auto ownOutcome = own.outcomes.find(address); ownOutcome != own.outcomes.end())
+            others -= ownOutcome->second;
         if (others.requests > 0 && m_lastFailures.contains(address))
             summary.outcomes.emplace(address, others);
     }
--- a/src/placement/internal/summaryserver.cpp
+++ b/src/placement/internal/summaryserver.cpp
@@ -4,26 +4,14 @@
 
 SummaryServer::SummaryServer(SummaryServerOptions options)
     : m_options(options)
-    // Starts above the sequence numbers of the previous incarnation.
-    , m_sequence(unixMilliseconds())
+    , m_rounds(options.fleet, unixMilliseconds())
 {
 }
 
 void SummaryServer::onReport(const InstanceLoadReport& report, TimePoint now)
 {
-    const auto& fleet = m_options.fleet;
-    if (!fleet.aggregates())
-        return;
-    m_aggregator.onReport(report, now);
-    bool choosesThis = !report.aggregators.empty() && report.aggregators.front() == fleet.self();
-    if (choosesThis && m_members.insert(report.instance).second)
-        m_options.link.send(report.instance, makeSummary(now));
-}
-
-FleetSummary SummaryServer::makeSummary(TimePoint now)
-{
-    const auto& fleet = m_options.fleet;
-    return { .aggregator = fleet.self(), .sequence = ++m_sequence, .silentInstances = fleet.silentInstances(now), .instancesNotRelaying = fleet.instancesNotRelaying(now), .unreachableServices = fleet.unreachableServices(now) };
+    if (auto summary = m_rounds.onReport(report, now))
+        m_options.link.send(report.instance, *summary);
 }
 
 /// Engines are placed by the owners of their pools, which receive all reports.
@@ -60,28 +48,19 @@
 
 void SummaryServer::sendSummaries(TimePoint now)
 {
-    const auto& fleet = m_options.fleet;
-    if (!fleet.aggregates()) {
-        m_members.clear();
+    auto summaries = m_rounds.begin(now);
+    if (summaries.empty())
         return;
-    }
-    m_aggregator.beginRound(now);
-    auto common = makeSummary(now);
-    m_silentInstances = common.silentInstances;
     auto loads = plainLoads();
-    auto members = fleet.members(now);
-    for (const auto& member : members) {
-        auto summary = common;
+    for (auto& [member, summary] : summaries) {
         summary.loads = loadsOfOthers(loads, member);
-        m_aggregator.addTo(summary, member, now);
         m_options.link.send(member, summary);
     }
-    m_members = { members.begin(), members.end() };
 }
 
 void SummaryServer::onTick(TimePoint now)
 {
-    if (m_options.fleet.aggregates() && m_options.fleet.silentInstances(now) != m_silentInstances)
+    if (m_rounds.isDue(now))
         sendSummaries(now);
 }
 
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -23,6 +23,8 @@
     std::set<std::string> excluded;
     /// Hash of the request's content, which identifies repeats of a refused request; 0 if repeats are not tracked.
     std::uint64_t contentHash = 0;
+    /// The loads of peers come from a summary, which many instances get at the same time.
+    bool loadsAreShared = false;
     /// Deadline for the start; a request that starts later cannot finish in time.
     TimePoint latestStart;
 };
--- a/src/placement/summaryserver.h
+++ b/src/placement/summaryserver.h
@@ -2,13 +2,13 @@
 
 #include "dispatch/dispatcher.h"
 #include "placement/fleetlink.h"
-#include "placement/reportaggregator.h"
+#include "placement/summaryrounds.h"
 #include "routing/activeconfiguration.h"
 
 namespace guavaspan {
 
 struct SummaryServerOptions {
-    FleetView& fleet;
+    const FleetView& fleet;
     Dispatcher& dispatcher;
     const TargetDirectory& directory;
     const ActiveConfiguration& configuration;
@@ -20,7 +20,7 @@
 public:
     explicit SummaryServer(SummaryServerOptions);
 
-    /// A report of a peer or of this instance. A new member gets a summary at once.
+    /// A report of a peer or of this instance.
     void onReport(const InstanceLoadReport&, TimePoint now);
 
     void sendSummaries(TimePoint now);
@@ -29,15 +29,11 @@
     void onTick(TimePoint now);
 
 private:
-    FleetSummary makeSummary(TimePoint now);
     TargetLoads plainLoads() const;
     TargetLoads loadsOfOthers(const TargetLoads& plainLoads, const std::string& member) const;
 
     SummaryServerOptions m_options;
-    ReportAggregator m_aggregator;
-    std::int64_t m_sequence;
-    std::set<std::string> m_silentInstances;
-    std::set<std::string> m_members;
+    SummaryRounds m_rounds;
 };
 
 }
