--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -2,11 +2,15 @@
 // Everything runs on loopback addresses; the entry processes are real ones, started with the deploy file's command.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
+#include <cctype>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
+#include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <deque>
@@ -30,6 +34,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace review {
