review: case 1, independent of the kernel's limit for send buffers

Cause: with a large limit the whole body could leave the process, and the fault would not show. Done: the engine has a small receive buffer; without the disruption it ends its answer in order and reads on.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t requestBodyBytes = 4190000;
+/// A peer that does not read soon blocks the writer, whatever the kernel's limit for the sender's buffer is.
+constexpr int engineReceiveBuffer = 32768;
 constexpr std::size_t answerBytes = 8000;
 constexpr std::size_t eventCount = 8;
 constexpr int requestsOfEachKind = 5;
@@ -44,7 +46,7 @@
     Engine(std::string name, const std::string& address, Record& record)
         : m_name(std::move(name))
         , m_record(record)
-        , m_server(address, [this](int connection) { serve(connection); })
+        , m_server(address, [this](int connection) { serve(connection); }, engineReceiveBuffer)
     {
     }
 
@@ -79,9 +81,10 @@
             return;
         }
         sendAll(connection, whole.substr(firstPart.size()));
+        ::shutdown(connection, SHUT_WR);
+        m_record.line("engine " + m_name + " has sent all of " + id + ", ends its answer in order and reads on");
         std::string body;
         reader.readBody(*head, body, false, 2);
-        m_record.line("engine " + m_name + " has sent all of " + id + " and read a body of " + std::to_string(body.size()) + " bytes");
         ::close(connection);
     }
 
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -312,10 +312,14 @@
 public:
     using Handler = std::function<void(int connection)>;
 
-    Server(const std::string& address, Handler handler)
+    /// A receive buffer of 0 bytes leaves the kernel's default.
+    Server(const std::string& address, Handler handler, int receiveBufferBytes = 0)
         : m_handler(std::move(handler))
     {
         m_listener = listenOn(address, m_port);
+        // Accepted connections inherit it.
+        if (receiveBufferBytes > 0)
+            ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
         std::thread([this] {
             while (true) {
                 int connection = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
