--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -52,6 +52,8 @@
 
     int port() const { return m_server.port(); }
 
+    const std::int64_t born = unixMilliseconds();
+
 private:
     void serve(int connection)
     {
@@ -62,6 +64,11 @@
             ::close(connection);
             return;
         }
+        if (head->target() == "/report") {
+            sendAll(connection, reportAnswer(born, "ready"));
+            ::close(connection);
+            return;
+        }
         auto id = head->header("X-Attempt-Id");
         if (head->header("X-Expect-Instance") != m_name) {
             sendAll(connection, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " + m_name + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
@@ -128,8 +135,8 @@
     draft["sticky"] = true;
     json configuration { { "version", 7 }, { "routes", { plainRoute("release", "/release/", "unsafe", "taller-app", 800), draft } }, { "services", { modelService("modelero"), plainService("taller-app") } }, { "limits", defaultLimits() }, { "tenants", { { { "name", "tenant-1" }, { "api_keys", { "key-1" } }, { "priority", 1 } } } } };
     store.put("op/config", configuration.dump());
-    keepRegistered(store, "model-1", "modelero", address + ":" + std::to_string(model.port()), 24);
-    keepRegistered(store, "shop-1", "taller-app", address + ":" + std::to_string(shop.port()), 6);
+    keepRegistered(store, "model-1", "modelero", address + ":" + std::to_string(model.port()), 24, model.born);
+    keepRegistered(store, "shop-1", "taller-app", address + ":" + std::to_string(shop.port()), 6, shop.born);
 
     Deployment deployment(argv[1], address);
     auto& instance = deployment.add("frontend-1", "zone-a", store.port());
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -21,6 +21,8 @@
 
     int port() const { return m_server.port(); }
 
+    const std::int64_t born = unixMilliseconds();
+
     bool hasRun(const std::string& id)
     {
         std::lock_guard lock(m_mutex);
@@ -35,6 +37,10 @@
             std::string body;
             if (reader.readBody(*head, body, false) != BodyEnd::Complete)
                 break;
+            if (head->target() == "/report") {
+                sendAll(connection, reportAnswer(born, "ready"));
+                continue;
+            }
             auto id = head->header("X-Attempt-Id");
             m_record.line("engine runs " + id + ", X-Prompt-Prefix of " + std::to_string(head->header("X-Prompt-Prefix").size()) + " bytes");
             {
@@ -85,6 +91,7 @@
     Store store(address);
     Engine model(address, record);
     Engine shop(address, record);
+    Engine secondShop(address, record);
     json draftRoute = plainRoute("draft", "/draft/", "streaming", "modelero", 39000);
     draftRoute["goal_ms"] = 1800;
     draftRoute["gap_target_ms"] = 180;
@@ -97,9 +104,9 @@
         record.line("the store acknowledges version " + std::to_string(version) + ", max_header_bytes " + std::to_string(maxHeaderBytes));
     };
     configure(7, 16384);
-    keepRegistered(store, "model-1", "modelero", address + ":" + std::to_string(model.port()), 24);
-    keepRegistered(store, "shop-1", "taller-app", address + ":" + std::to_string(shop.port()), 6);
-    keepRegistered(store, "shop-2", "taller-app", address + ":" + std::to_string(shop.port()), 6);
+    keepRegistered(store, "model-1", "modelero", address + ":" + std::to_string(model.port()), 24, model.born);
+    keepRegistered(store, "shop-1", "taller-app", address + ":" + std::to_string(shop.port()), 6, shop.born);
+    keepRegistered(store, "shop-2", "taller-app", address + ":" + std::to_string(secondShop.port()), 6, secondShop.born);
 
     Deployment deployment(argv[1], address);
     std::vector<Instance*> instances;
@@ -156,7 +163,7 @@
                 auto id = "release-" + std::to_string(number) + suffix;
                 if (answered(clients[number])) {
                     ++served;
-                } else if (shop.hasRun(id)) {
+                } else if ((shop.hasRun(id) || secondShop.hasRun(id))) {
                     ++lost;
                     record.line("the connection ends without an answer to " + id + ", which the engine ran");
                 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -32,6 +32,10 @@
 
     void leave() { m_leaving = true; }
 
+    bool leaving() const { return m_leaving; }
+
+    const std::int64_t born = unixMilliseconds();
+
     bool hasSentAllOf(const std::string& id)
     {
         std::lock_guard lock(m_mutex);
@@ -52,8 +56,7 @@
     void answer(int connection, const Head& head)
     {
         if (head.target() == "/report") {
-            auto report = json { { "phase", "both" }, { "state", m_leaving ? "draining" : "ready" }, { "queued", 0 }, { "active", 1 }, { "kv_in_use", 1000 }, { "kv_capacity_total", 34256 }, { "sessions", 0 } }.dump();
-            sendAll(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report);
+            sendAll(connection, reportAnswer(born, m_leaving ? "draining" : "ready"));
             return;
         }
         if (head.target() == "/kv-move") {
@@ -106,11 +109,18 @@
         record.line("the store acknowledges version " + std::to_string(version));
     };
     configure(7, 39000);
-    auto born = unixMilliseconds();
-    auto writeEntry = [&](const char* state, int sequence) {
-        store.put("servers/model-1", json { { "service", "modelero" }, { "address", address + ":" + std::to_string(engine.port()) }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 24 }, { "state", state }, { "cold_remaining_ms", 0 }, { "born", born }, { "sequence", sequence } }.dump());
+    std::atomic<int> sequence = 0;
+    // Also the heartbeat of the engine's entry.
+    auto writeEntry = [&] {
+        store.put("servers/model-1", json { { "service", "modelero" }, { "address", address + ":" + std::to_string(engine.port()) }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 24 }, { "state", engine.leaving() ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", engine.born }, { "sequence", ++sequence } }.dump());
     };
-    writeEntry("ready", 1);
+    writeEntry();
+    std::thread([&] {
+        while (true) {
+            sleepSeconds(1.2);
+            writeEntry();
+        }
+    }).detach();
 
     Deployment deployment(argv[1], address);
     auto& instance = deployment.add("frontend-1", "zone-a", store.port());
@@ -160,7 +170,7 @@
     if (withTrouble()) {
         record.line("model-1 leaves: its entry says draining; it goes on serving");
         engine.leave();
-        writeEntry("draining", 2);
+        writeEntry();
     }
     for (auto& thread : threads)
         thread.join();
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -607,10 +607,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+/// The answer of a model engine to GET /report.
+inline std::string reportAnswer(std::int64_t born, const std::string& state)
+{
+    auto report = json { { "phase", "both" }, { "models", { { { "name", "m" }, { "version", 1 }, { "adapters", json::array() } } } }, { "busy", false }, { "sequence", 0 }, { "queued", 0 }, { "active", 1 }, { "kv_in_use", 1000 }, { "kv_capacity_total", 34256 }, { "sessions", 0 }, { "state", state }, { "next_token", 0 }, { "runs", json::array() }, { "born", born } }.dump();
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report;
+}
+
 /// Writes an engine's entry every heartbeat until the run ends.
-inline void keepRegistered(Store& store, const std::string& id, const std::string& service, const std::string& address, int slots)
+inline void keepRegistered(Store& store, const std::string& id, const std::string& service, const std::string& address, int slots, std::int64_t born = unixMilliseconds())
 {
-    auto born = unixMilliseconds();
     auto entry = [=](int sequence) {
         return json { { "service", service }, { "address", address }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "born", born }, { "sequence", sequence } }.dump();
     };
