Break answers without a length whose connection was reset during the send

Cause: the engine answers before it has read a long request. The kernel reports the reset to one operation only; the pending send took it, its error was dropped, and the read that followed got an ordinary end of file. Done: the send's error breaks a body that ends with its connection. A broken pipe does not: it means that the engine had ended its answer before. A counter tells how such answers end. Plain answers, streams, continued streams and peers' answers share this code.

--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -128,6 +128,7 @@
     if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Malformed)
         co_return finish(outcome, "status " + std::to_string(responseHead.status));
     auto body = co_await connection.readAll();
+    recordBodyEnd(m_context, request, connection, body);
     if (!body)
         co_return finish(outcomeOf(body.error()), describe(body.error()));
     attempt.response = withoutHopByHopHeaders(connection.header());
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -105,6 +105,17 @@
         path.onConnectFailed(target);
 }
 
+void recordBodyEnd(RelayContext& context, const RelayRequest& request, const TargetConnection& connection, const Result<std::string>& lastRead)
+{
+    bool endedByRelay = request.callerWatch.gone() || request.cut;
+    if (!connection.bodyEndsAtClose() || endedByRelay)
+        return;
+    if (lastRead)
+        context.metrics.recordUnframedAnswer("closed");
+    else if (lastRead.error().code == ErrorCode::LinkBroken)
+        context.metrics.recordUnframedAnswer("broken");
+}
+
 void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
 {
     if (responseHead.fromOtherTarget)
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -299,10 +299,13 @@
             co_return StreamOutcome::CallerGone;
         if (!chunk) {
             session.result.detail = describe(chunk.error());
+            recordBodyEnd(m_context, session.request, *connection, chunk);
             co_return session.request.cut ? StreamOutcome::DeadlineReached : outcomeOf(chunk.error());
         }
-        if (chunk->empty())
+        if (chunk->empty()) {
+            recordBodyEnd(m_context, session.request, *connection, chunk);
             break;
+        }
         onHeard(session, session.stream->target());
         session.frames.feed(*chunk);
         auto forwarded = co_await forwardFrames(session);
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -46,10 +46,18 @@
         deadlineTimer.cancel();
     }
 
+    /// The kernel reports a broken connection to one operation only; if that is the pending send, the next read gets an ordinary
+    /// end of file. A broken pipe is no such report: it means that the target had ended its answer before.
+    bool sendBroke() const
+    {
+        return sendError && sendError != asio::error::broken_pipe && sendError != asio::error::operation_aborted;
+    }
+
     asio::ip::tcp::socket socket;
     asio::steady_timer deadlineTimer;
     bool deadlineReached = false;
     HttpRequest request;
+    boost::system::error_code sendError;
     beast::flat_buffer buffer { maxUnparsedBytes };
     http::response_parser<http::buffer_body> parser;
     std::array<char, chunkBytes> chunk {};
@@ -104,8 +112,8 @@
         co_return Error { .code = ErrorCode::ConnectFailed, .step = Step::Connect, .peer = toString(m_endpoint), .detail = error.message(), .outcome = Outcome::NotRun };
     enableKeepAlive(state->socket);
     state->request = std::move(request);
-    http::async_write(state->socket, state->request, [state](boost::system::error_code, std::size_t) {
-        // A failed send also causes an error when the answer is read.
+    http::async_write(state->socket, state->request, [state](boost::system::error_code sendError, std::size_t) {
+        state->sendError = sendError;
     });
     co_return Result<void> {};
 }
@@ -143,6 +151,8 @@
         if (bytesRead > 0)
             co_return std::string(state->chunk.data(), bytesRead);
     }
+    if (bodyEndsAtClose() && state->sendBroke())
+        co_return Error { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = toString(m_endpoint), .detail = state->sendError.message() + " while the request was being sent", .outcome = Outcome::Unknown };
     co_return std::string();
 }
 
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -11,6 +11,7 @@
 #include "relay/relaymetrics.h"
 #include "relay/sendgate.h"
 #include "relay/stopschedule.h"
+#include "relay/targetconnection.h"
 #include "routing/activeconfiguration.h"
 #include "targets/targetlimits.h"
 #include "usage/usageledger.h"
@@ -137,6 +138,9 @@
 /// Takes note of whether a connection to a target was established.
 void recordConnection(RelayContext&, const RelayRequest&, const TargetEntry&, bool connected);
 
+/// Takes note of how a body ended that only the end of its connection marks.
+void recordBodyEnd(RelayContext&, const RelayRequest&, const TargetConnection&, const Result<std::string>& lastRead);
+
 /// Takes note of what a target's answer states about the target: its limit, or that it is shutting down.
 void recordTargetState(RelayContext&, const TargetEntry&, const TargetResponseHead&);
 
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -48,6 +48,7 @@
     void recordRetry(const std::string& service, const std::string& cause, bool allowed);
     void recordWait(double seconds);
     void recordResume(const std::string& result);
+    void recordUnframedAnswer(const std::string& end);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
 
