Let an exception end one connection instead of the process

Cause: an exception in a handler left io_context::run(); one in a coroutine that was started with asio::detached did the same. Evidence: EventLoop.handlerThrows_otherHandlersRunAndFailureIsCounted fails without the change. Done: runEventLoop() and reportFailedHandler() log and count the exception and go on, in the entry service, serve and the commands.

--- a/src/claims/internal/claimcommitter.cpp
+++ b/src/claims/internal/claimcommitter.cpp
@@ -1,6 +1,7 @@
 #include "claims/claimcommitter.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 #include <fmt/format.h>
 
@@ -38,7 +39,7 @@
     shard.pendingOperations.push_back(operation);
     if (!shard.committing) {
         shard.committing = true;
-        asio::co_spawn(m_context, commitLoop(index), asio::detached);
+        asio::co_spawn(m_context, commitLoop(index), reportFailedHandler);
     }
     while (!operation->done)
         co_await operation->completionTimer->async_wait(asTuple);
--- a/src/entry/internal/configurationcatchup.cpp
+++ b/src/entry/internal/configurationcatchup.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "fleet/peerfeed.h"
+#include "net/eventloop.h"
 
 #include <algorithm>
 
@@ -85,7 +86,7 @@
         return;
     m_behindSince = now;
     logEvent(LogLevel::Warning, "peer_has_newer_configuration", { { "peer", peer }, { "version", version }, { "in_force", configuration.version() } });
-    asio::co_spawn(m_options.io, takeFrom(*record), asio::detached);
+    asio::co_spawn(m_options.io, takeFrom(*record), reportFailedHandler);
 }
 
 Awaitable<> ConfigurationCatchUp::takeFrom(InstanceRecord peer)
--- a/src/entry/internal/drain.cpp
+++ b/src/entry/internal/drain.cpp
@@ -1,5 +1,7 @@
 #include "entry/drain.h"
 
+#include "net/eventloop.h"
+
 #include <algorithm>
 #include <memory>
 #include <optional>
@@ -46,8 +48,8 @@
         auto executor = co_await asio::this_coro::executor;
         auto written = std::make_shared<std::optional<bool>>();
         auto handedOver = std::make_shared<std::optional<bool>>();
-        asio::co_spawn(executor, runAndNotify(options.writeUsage, written), asio::detached);
-        asio::co_spawn(executor, runAndNotify(options.handOverUsage, handedOver), asio::detached);
+        asio::co_spawn(executor, runAndNotify(options.writeUsage, written), reportFailedHandler);
+        asio::co_spawn(executor, runAndNotify(options.handOverUsage, handedOver), reportFailedHandler);
         auto deadline = std::min<TimePoint>(Clock::now() + writeTimeout, options.schedule().processEndsAt());
         while ((!*written || !*handedOver) && Clock::now() < deadline)
             co_await sleepFor(checkInterval);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -4,6 +4,7 @@
 #include "common/overloaded.h"
 #include "common/stopsignals.h"
 #include "entry/drain.h"
+#include "net/eventloop.h"
 #include "net/logflusher.h"
 #include "net/persistenttask.h"
 #include "usage/usagehandover.h"
@@ -147,7 +148,7 @@
     runTask("custodian", [this] { return m_usageCustodian.run(); });
     runTask("crash_records", [this] { return m_crashRecordWriter.run(); });
     runTask("target_path", [this] { return m_targetPathProber.run(); });
-    m_io.run();
+    runEventLoop(m_io);
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance } });
     flushLog();
     return 0;
@@ -155,7 +156,7 @@
 
 void EntryInstance::runTask(const char* name, std::function<Awaitable<>()> task)
 {
-    asio::co_spawn(m_io, runPersistently(name, std::move(task)), asio::detached);
+    asio::co_spawn(m_io, runPersistently(name, std::move(task)), reportFailedHandler);
 }
 
 /// An entry that cannot be applied must not keep the others from being applied.
@@ -264,6 +265,7 @@
         .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
+        .failedHandlers = static_cast<double>(failedHandlers()),
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
         .countedCrashes = static_cast<double>(m_crashGuard.statistics().countedCrashes),
         .uncountedCrashes = static_cast<double>(m_crashGuard.statistics().uncountedCrashes),
@@ -413,7 +415,7 @@
     m_registration.stop();
     auto connections = m_callerServer.connectionCounts();
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
-    asio::co_spawn(m_io, drainAndStop(), asio::detached);
+    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
     while (true) {
         auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
         if (repeatError)
--- a/src/entry/internal/storerecovery.cpp
+++ b/src/entry/internal/storerecovery.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "fleet/storerewrite.h"
+#include "net/eventloop.h"
 
 namespace guavaspan {
 
@@ -23,7 +24,7 @@
     m_options.fleet.onStoreRestored(now);
     auto position = std::uniform_real_distribution<double>(0, 1)(m_options.random);
     logEvent(LogLevel::Warning, "store_restored", { { "from_era", event.from.era }, { "from_revision", event.from.number }, { "era", event.to.era }, { "revision", event.to.number }, { "age_ms", std::chrono::duration_cast<Milliseconds>(m_options.replica.age(BootClock::now())).count() }, { "rewrite_position", position } });
-    asio::co_spawn(m_options.io, writeRecordsAgain(position), asio::detached);
+    asio::co_spawn(m_options.io, writeRecordsAgain(position), reportFailedHandler);
 }
 
 /// Registrations come first, as peers divide budgets by them.
--- a/src/gateway/internal/generationrunner.cpp
+++ b/src/gateway/internal/generationrunner.cpp
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "gateway/problem.h"
+#include "net/eventloop.h"
 #include "scheduling/prefixblocks.h"
 
 namespace guavaspan {
@@ -299,7 +300,7 @@
     if (!m_engine || !identity)
         return;
     asio::co_spawn(
-        m_context.io, [engine = m_engine, identity = *identity, priority]() -> Awaitable<> { co_await engine->setPriority(identity, priority); }, asio::detached);
+        m_context.io, [engine = m_engine, identity = *identity, priority]() -> Awaitable<> { co_await engine->setPriority(identity, priority); }, reportFailedHandler);
 }
 
 /// Counts a crash if the link broke and the target then cannot be reached or no longer has the
@@ -331,7 +332,7 @@
     if (!m_engine || !identity)
         return;
     asio::co_spawn(
-        m_context.io, [engine = m_engine, identity = *identity]() -> Awaitable<> { co_await engine->cancel(identity); }, asio::detached);
+        m_context.io, [engine = m_engine, identity = *identity]() -> Awaitable<> { co_await engine->cancel(identity); }, reportFailedHandler);
 }
 
 Awaitable<Result<void>> GenerationRunner::beginResponse()
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -5,6 +5,7 @@
 #include "common/stopsignals.h"
 #include "instance/httpinstancelist.h"
 #include "keyvalue/etcdkeyvaluestore.h"
+#include "net/eventloop.h"
 #include "net/logflusher.h"
 
 #include <nlohmann/json.hpp>
@@ -81,13 +82,13 @@
     m_peerNetwork.onOwnersChanged([this] { m_permits.onOwnersChanged(); });
     m_schedulerHost.start();
     m_permits.start();
-    asio::co_spawn(m_io, flushLogPeriodically(), asio::detached);
-    asio::co_spawn(m_io, loadConfigurationLoop(), asio::detached);
-    asio::co_spawn(m_io, instanceListLoop(), asio::detached);
-    asio::co_spawn(m_io, handleStopSignals(), asio::detached);
-    asio::co_spawn(m_io, metricsLoop(), asio::detached);
-    asio::co_spawn(m_io, m_usageWriter.run(m_settings.usage.flushInterval), asio::detached);
-    m_io.run();
+    asio::co_spawn(m_io, flushLogPeriodically(), reportFailedHandler);
+    asio::co_spawn(m_io, loadConfigurationLoop(), reportFailedHandler);
+    asio::co_spawn(m_io, instanceListLoop(), reportFailedHandler);
+    asio::co_spawn(m_io, handleStopSignals(), reportFailedHandler);
+    asio::co_spawn(m_io, metricsLoop(), reportFailedHandler);
+    asio::co_spawn(m_io, m_usageWriter.run(m_settings.usage.flushInterval), reportFailedHandler);
+    runEventLoop(m_io);
     logEvent(LogLevel::Info, "stopped", { { "instance", m_settings.instance.name } });
     flushLog();
     return 0;
@@ -154,7 +155,7 @@
 {
     auto [error, signal] = co_await m_signals.async_wait(asTuple);
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
-    asio::co_spawn(m_io, drainAndStop(), asio::detached);
+    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
     StopSignals signals;
     signals.endsAtOnce(signal);
     while (true) {
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -1,5 +1,7 @@
 #include "net/httpexchange.h"
 
+#include "net/eventloop.h"
+
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
@@ -162,7 +164,7 @@
                 co_return;
             watch->disconnected = true;
             if (watch->callback)
-                watch->callback(); }, asio::detached);
+                watch->callback(); }, reportFailedHandler);
 }
 
 bool HttpExchange::callerDisconnected() const
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 #include <algorithm>
 #include <array>
@@ -160,7 +161,7 @@
         m_acceptor.listen(asio::socket_base::max_listen_connections, error);
     if (error)
         return Error { .code = ErrorCode::Unavailable, .step = Step::Settings, .peer = toString(endpoint), .detail = error.message() };
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    asio::co_spawn(m_context, acceptLoop(), reportFailedHandler);
     return Endpoint { .address = endpoint.address, .port = m_acceptor.local_endpoint().port() };
 }
 
@@ -182,7 +183,7 @@
             co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        asio::co_spawn(m_context, serve(std::move(socket)), reportFailedHandler);
     }
 }
 
--- a/src/peers/internal/peernetwork.cpp
+++ b/src/peers/internal/peernetwork.cpp
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "common/overloaded.h"
+#include "net/eventloop.h"
 
 #include <algorithm>
 
@@ -39,7 +40,7 @@
     auto processIncarnation = unixMilliseconds();
     Member self { .name = m_options.name, .incarnation = processIncarnation, .processIncarnation = processIncarnation, .peerEndpoint = bound, .callerEndpoint = callerEndpoint, .failureDomain = m_options.failureDomain };
     m_membership.emplace(m_options.membership, std::move(self), m_random);
-    asio::co_spawn(m_context, tickLoop(), asio::detached);
+    asio::co_spawn(m_context, tickLoop(), reportFailedHandler);
     return bound;
 }
 
--- a/src/permits/internal/permitclient.cpp
+++ b/src/permits/internal/permitclient.cpp
@@ -3,6 +3,7 @@
 #include "common/overloaded.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 namespace guavaspan {
 
@@ -108,7 +109,7 @@
 
 void PermitClient::start()
 {
-    asio::co_spawn(m_context, renewalLoop(), asio::detached);
+    asio::co_spawn(m_context, renewalLoop(), reportFailedHandler);
 }
 
 Awaitable<> PermitClient::renewalLoop()
--- a/src/permits/internal/poolschedulerhost.cpp
+++ b/src/permits/internal/poolschedulerhost.cpp
@@ -1,6 +1,7 @@
 #include "permits/poolschedulerhost.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 namespace guavaspan {
 
@@ -42,8 +43,8 @@
 
 void PoolSchedulerHost::start()
 {
-    asio::co_spawn(m_context, tickLoop(), asio::detached);
-    asio::co_spawn(m_context, pollLoop(), asio::detached);
+    asio::co_spawn(m_context, tickLoop(), reportFailedHandler);
+    asio::co_spawn(m_context, pollLoop(), reportFailedHandler);
 }
 
 PoolSchedulerHost::Pool& PoolSchedulerHost::poolFor(const std::string& model)
@@ -62,7 +63,7 @@
     // The engines of an idle pool are not polled, so their load reports are outdated.
     if (pool.lastUsed + idlePoolTimeout < Clock::now()) {
         for (const auto& engine : m_directory.enginesForModel(model))
-            asio::co_spawn(m_context, pollEngine(model, engine.name), asio::detached);
+            asio::co_spawn(m_context, pollEngine(model, engine.name), reportFailedHandler);
     }
     pool.lastUsed = Clock::now();
     return pool;
@@ -207,7 +208,7 @@
             if (pool.lastUsed + idlePoolTimeout < Clock::now())
                 continue;
             for (const auto& engine : m_directory.enginesForModel(model))
-                asio::co_spawn(m_context, pollEngine(model, engine.name), asio::detached);
+                asio::co_spawn(m_context, pollEngine(model, engine.name), reportFailedHandler);
         }
     }
 }
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -1,5 +1,7 @@
 #include "placement/placementserver.h"
 
+#include "net/eventloop.h"
+
 namespace guavaspan {
 
 namespace {
@@ -48,7 +50,7 @@
         .latestStart = now + query.maxWait,
     };
     m_queries.emplace(key, TrackedQuery { .workId = request.id, .response = { .owner = m_instance, .id = query.id }, .lastReceived = now });
-    asio::co_spawn(m_io, decide(std::move(key), std::move(request)), asio::detached);
+    asio::co_spawn(m_io, decide(std::move(key), std::move(request)), reportFailedHandler);
 }
 
 Awaitable<> PlacementServer::decide(QueryKey key, PlacementRequest request)
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -1,6 +1,7 @@
 #include "relay/engineshutdownpoller.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 namespace guavaspan {
 
@@ -24,7 +25,7 @@
             targetsInUse.insert(target);
     }
     for (const auto& target : m_pollSchedule.due(targetsInUse, m_context.storeView(), now))
-        asio::co_spawn(m_context.io, poll(*m_context.directory.find(target)), asio::detached);
+        asio::co_spawn(m_context.io, poll(*m_context.directory.find(target)), reportFailedHandler);
 }
 
 Awaitable<> EngineShutdownPoller::poll(TargetEntry target)
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -1,6 +1,7 @@
 #include "relay/handoverservice.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 namespace guavaspan {
 
@@ -61,7 +62,7 @@
     if (!movable)
         return;
     for (auto& stream : streams)
-        asio::co_spawn(m_context.io, evacuate(Move { .sourceShutdown = event, .stream = std::move(stream) }), asio::detached);
+        asio::co_spawn(m_context.io, evacuate(Move { .sourceShutdown = event, .stream = std::move(stream) }), reportFailedHandler);
 }
 
 Awaitable<> HandoverService::evacuate(Move move)
@@ -213,7 +214,7 @@
         // A generation that stopped without a copy resumes at the source, and may be moved again.
         bool copied = answer.result == HandoverResult::Done;
         stream.onMoved({ .destination = copied ? destination : source, .continuation = continuation, .source = source });
-        asio::co_spawn(m_context.io, interruptIfSilent(move.stream), asio::detached);
+        asio::co_spawn(m_context.io, interruptIfSilent(move.stream), reportFailedHandler);
     } else if (isStop && answer.result != HandoverResult::Unknown) {
         stream.onStopFailed();
     }
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -105,6 +105,7 @@
     set("older_store_entries", gauges.olderStoreEntries);
     set("limited_targets", gauges.limitedTargets);
     set("dropped_log_lines", gauges.droppedLogLines);
+    set("failed_handlers", gauges.failedHandlers);
     set("interrupted_answers", gauges.interruptedAnswers);
     set("counted_crashes", gauges.countedCrashes);
     set("uncounted_crashes", gauges.uncountedCrashes);
--- a/src/relay/internal/targetpathprober.cpp
+++ b/src/relay/internal/targetpathprober.cpp
@@ -1,6 +1,7 @@
 #include "relay/targetpathprober.h"
 
 #include "common/log.h"
+#include "net/eventloop.h"
 
 #include <algorithm>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -41,7 +42,7 @@
             continue;
         nextProbeAt = Clock::now() + probeInterval;
         for (const auto* target : targets)
-            asio::co_spawn(m_io, probe(*target), asio::detached);
+            asio::co_spawn(m_io, probe(*target), reportFailedHandler);
     }
 }
 
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -23,6 +23,8 @@
     double olderStoreEntries = 0;
     double limitedTargets = 0;
     double droppedLogLines = 0;
+    /// Exceptions that ended a connection or another part of the work.
+    double failedHandlers = 0;
     double interruptedAnswers = 0;
     double countedCrashes = 0;
     double uncountedCrashes = 0;
