Accept header fields of any length within the limit

Cause: Beast's container of fields has 16-bit lengths and throws beyond 65,533 bytes, whatever the limit of the header is. Evidence: without the change HttpServer.fieldBeyondTheContainersLength_isReceivedWhole and its like for names and trailers fail from 65,534 bytes on, and LongHeader.permittedField_isServedBesideOtherRequests fails. Done: HttpRequestParser keeps longer fields beside the container, and HttpRequest passes them on to engines and peers. Fields that the instance sets replace long ones as well, and all Connection fields count when hop-by-hop headers are removed.

--- a/soak/caller.h
+++ b/soak/caller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "common/random.h"
-#include "net/nettypes.h"
+#include "net/httprequest.h"
 #include "soak/record.h"
 
 #include <functional>
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -83,7 +83,7 @@
     Awaitable<> serve(asio::ip::tcp::socket);
     Awaitable<> serveRequests(Connection&);
     Awaitable<bool> waitForRequest(Connection&);
-    Awaitable<boost::system::error_code> readRequest(Connection&, http::request_parser<http::string_body>&);
+    Awaitable<boost::system::error_code> readRequest(Connection&, HttpRequestParser&);
 
     asio::io_context& m_context;
     HttpLimits m_limits;
--- a/src/net/internal/httpconnect.cpp
+++ b/src/net/internal/httpconnect.cpp
@@ -1,5 +1,10 @@
 #include "net/internal/httpconnect.h"
 
+#include "net/httprequest.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+
 namespace guavaspan {
 
 Error linkError(const boost::system::error_code& error, Step step, const Endpoint& endpoint)
@@ -29,13 +34,15 @@
     HttpRequest request { http::string_to_verb(call.method), call.target, 11 };
     request.set(http::field::host, toString(call.endpoint));
     for (const auto& [name, value] : call.headers)
-        request.set(name, value);
+        request.addField(name, value);
     if (!call.body.empty() && call.headers.count("Content-Type") == 0)
         request.set(http::field::content_type, "application/json");
     request.body() = call.body;
     request.prepare_payload();
     stream.expires_at(deadline);
-    auto [error, bytes] = co_await http::async_write(stream, request, asTuple);
+    auto header = serializeHeader(request);
+    std::array buffers { asio::buffer(header), asio::buffer(request.body()) };
+    auto [error, bytes] = co_await asio::async_write(stream, buffers, asTuple);
     if (error)
         co_return linkError(error, Step::SendRequest, call.endpoint);
     co_return Result<void> {};
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -73,8 +73,7 @@
 
 std::string HttpExchange::header(std::string_view name) const
 {
-    auto found = m_request.find(beast::string_view(name.data(), name.size()));
-    return found == m_request.end() ? std::string() : std::string(found->value());
+    return std::string(m_request.field(beast::string_view(name.data(), name.size())));
 }
 
 Awaitable<> HttpExchange::send(Reply reply)
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -188,7 +188,7 @@
 }
 
 /// Uses a separate timer, because the timer of tcp_stream closes the socket, and no error response could be sent.
-Awaitable<boost::system::error_code> HttpServer::readRequest(Connection& connection, http::request_parser<http::string_body>& parser)
+Awaitable<boost::system::error_code> HttpServer::readRequest(Connection& connection, HttpRequestParser& parser)
 {
     auto& stream = connection.stream;
     CancelTimer timer(m_context, stream.socket());
@@ -230,7 +230,7 @@
     while (firstRequest || co_await waitForRequest(connection)) {
         firstRequest = false;
         connection.state = ConnectionState::Reading;
-        http::request_parser<http::string_body> parser;
+        HttpRequestParser parser;
         parser.body_limit(m_limits.maxBodyBytes);
         parser.header_limit(m_limits.maxHeaderBytes);
         auto error = co_await readRequest(connection, parser);
@@ -244,7 +244,7 @@
             co_return;
         }
         connection.stream.expires_never();
-        HttpExchange exchange(connection.stream, parser.release(), connection.remote, m_limits.writeTimeout);
+        HttpExchange exchange(connection.stream, parser.releaseRequest(), connection.remote, m_limits.writeTimeout);
         co_await m_handler(exchange);
         connection.lingers = exchange.responseStarted();
         if (!exchange.responseStarted() || !exchange.keepAlive())
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -26,7 +26,6 @@
 template <typename T = void>
 using Awaitable = asio::awaitable<T>;
 
-using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
 /// Size limit of the header of a response.
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -1,6 +1,7 @@
 #include "relay/targetconnection.h"
 
 #include <array>
+#include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 
 namespace guavaspan {
@@ -57,6 +58,7 @@
     asio::steady_timer deadlineTimer;
     bool deadlineReached = false;
     HttpRequest request;
+    std::string requestHeader;
     boost::system::error_code sendError;
     beast::flat_buffer buffer { maxUnparsedBytes };
     http::response_parser<http::buffer_body> parser;
@@ -112,7 +114,9 @@
         co_return Error { .code = ErrorCode::ConnectFailed, .step = Step::Connect, .peer = toString(m_endpoint), .detail = error.message(), .outcome = Outcome::NotRun };
     enableKeepAlive(state->socket);
     state->request = std::move(request);
-    http::async_write(state->socket, state->request, [state](boost::system::error_code sendError, std::size_t) {
+    state->requestHeader = serializeHeader(state->request);
+    std::array buffers { asio::buffer(state->requestHeader), asio::buffer(state->request.body()) };
+    asio::async_write(state->socket, buffers, [state](boost::system::error_code sendError, std::size_t) {
         state->sendError = sendError;
     });
     co_return Result<void> {};
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/nettypes.h"
+#include "net/httprequest.h"
 #include "quarantine/promptpart.h"
 #include "targets/targettypes.h"
 
--- a/src/relay/targetconnection.h
+++ b/src/relay/targetconnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/nettypes.h"
+#include "net/httprequest.h"
 
 #include <memory>
 
@@ -14,7 +14,7 @@
     TargetConnection(const TargetConnection&) = delete;
     TargetConnection& operator=(const TargetConnection&) = delete;
 
-    /// Connects and starts sending. Sending continues while the answer is read,
+    /// Connects and starts sending a request that states its length or has no body. Sending continues while the answer is read,
     /// since a target may answer before it has read the whole body.
     Awaitable<Result<void>> open(Endpoint, HttpRequest, Clock::duration connectTimeout);
 
