--- /dev/null
+++ b/src/relay/generationsession.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "relay/eventframeparser.h"
+#include "relay/relaycontext.h"
+
+namespace guavaspan {
+
+/// State of one request across all engines that it is sent to.
+struct GenerationSession {
+    RelayRequest& request;
+    SendGate gate;
+    RelayResult result;
+    WorkId id = 0;
+    std::shared_ptr<LiveStream> stream;
+    std::unique_ptr<TargetConnection> connection;
+    EventFrameParser frames;
+    bool headerSent = false;
+    bool mayHaveRun = false;
+    /// Time until the deadline, as stated to the current engine.
+    Milliseconds timeLeft { 0 };
+    /// The current engine sent bytes that are no answer.
+    bool malformed = false;
+    /// When the current engine received the request.
+    TimePoint sentAt;
+    /// When the current engine last sent a part of its answer; at least sentAt.
+    TimePoint lastHeardAt;
+    TimePoint lastEventAt;
+    /// Tokens of events that were written to the caller.
+    int deliveredTokens = 0;
+    std::optional<std::int64_t> lastEventNumber;
+    TargetResponseHead responseHead;
+    /// Retry delay suggested by the placement that refused the request.
+    Clock::duration retryAfter {};
+    /// Set if the request is refused for another reason than missing capacity.
+    std::optional<SendRefusal> refusal;
+};
+
+}
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -1,6 +1,5 @@
 #include "relay/streamrelay.h"
 
-#include "common/hash.h"
 #include "common/log.h"
 #include "relay/streamend.h"
 
@@ -10,11 +9,6 @@
 
 namespace {
 
-    constexpr auto connectTimeout = Milliseconds(400);
-    /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
-    constexpr int maxSends = 3;
-    /// Time that an engine needs from a request to its first event, to process a prompt of some thousand tokens.
-    constexpr auto timeToFirstEvent = Milliseconds(450);
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
     constexpr auto moveTimeout = Milliseconds(4500);
 
@@ -29,37 +23,6 @@
 
 }
 
-/// State of one request across all engines that it is sent to.
-struct StreamRelay::Session {
-    RelayRequest& request;
-    SendGate gate;
-    RelayResult result;
-    WorkId id = 0;
-    std::shared_ptr<LiveStream> stream;
-    std::unique_ptr<TargetConnection> connection;
-    EventFrameParser frames;
-    bool headerSent = false;
-    bool answered = false;
-    bool mayHaveRun = false;
-    /// Time until the deadline, as stated to the current engine.
-    Milliseconds timeLeft { 0 };
-    /// The current engine sent bytes that are no answer.
-    bool malformed = false;
-    /// When the current engine received the request.
-    TimePoint sentAt;
-    /// When the current engine last sent a part of its answer; at least sentAt.
-    TimePoint lastHeardAt;
-    TimePoint lastEventAt;
-    /// Tokens of events that were written to the caller.
-    int deliveredTokens = 0;
-    std::optional<std::int64_t> lastEventNumber;
-    TargetResponseHead responseHead;
-    /// Retry delay suggested by the placement that refused the request.
-    Clock::duration retryAfter {};
-    /// Set if the request is refused for another reason than missing capacity.
-    std::optional<SendRefusal> refusal;
-};
-
 std::string StreamRelay::reasonFor(StreamOutcome outcome)
 {
     switch (outcome) {
@@ -86,153 +49,7 @@
     return error.code == ErrorCode::BadReply ? StreamOutcome::Malformed : StreamOutcome::Interrupted;
 }
 
-WorkEstimate StreamRelay::estimateOf(const RelayRequest& request) const
-{
-    int output = m_context.outputEstimator.expectedTokens(request.route.name, request.caller.guessedOutputTokens, request.caller.maxOutputTokens);
-    return { .promptTokens = request.caller.promptTokens, .outputTokens = output };
-}
-
-/// Sends the request to an engine and reads the header of its answer. True if the engine accepted it.
-Awaitable<bool> StreamRelay::open(Session& session, const TargetEntry& target, std::optional<Continuation> continuation)
-{
-    auto& request = session.request;
-    session.connection = std::make_unique<TargetConnection>(m_context.io.get_executor());
-    auto* connection = session.connection.get();
-    request.callerWatch.setCancelAction([connection] { connection->cancel(); });
-    session.responseHead = {};
-    session.malformed = false;
-    session.timeLeft = timeLeft(request);
-    auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = session.timeLeft, .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
-    auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
-    session.sentAt = Clock::now();
-    session.lastHeardAt = session.sentAt;
-    auto opened = co_await connection->open(target.endpoint, std::move(message), attemptConnectTimeout);
-    recordConnection(m_context, request, target, bool(opened));
-    if (!opened) {
-        session.result.detail = describe(opened.error());
-        session.responseHead.notRun = true;
-        co_return false;
-    }
-    connection->setDeadline(request.deadline);
-    auto read = co_await connection->readHeader();
-    if (!read) {
-        session.mayHaveRun = true;
-        session.malformed = read.error().code == ErrorCode::BadReply;
-        session.result.detail = describe(read.error());
-        co_return false;
-    }
-    session.responseHead = readResponseHead(m_context, request, target, connection->header());
-    onHeard(session, target);
-    recordTargetState(m_context, target, session.responseHead);
-    session.result.detail = "status " + std::to_string(session.responseHead.status);
-    if (session.responseHead.notRun)
-        co_return false;
-    session.mayHaveRun = true;
-    bool matchesRequest = request.caller.requestId.empty() || session.responseHead.requestId == request.caller.requestId;
-    bool accepted = session.responseHead.status == 200 && session.responseHead.sealed && !session.responseHead.encoded && matchesRequest;
-    if (accepted)
-        session.frames = {};
-    co_return accepted;
-}
-
-void StreamRelay::recordStartFailure(const std::string& address, const Session& session)
-{
-    auto& outcomes = m_context.dispatcher.outcomes();
-    if (session.responseHead.status == 0 && !session.malformed)
-        outcomes.onUnreachable(address, Clock::now());
-    else
-        outcomes.onFailure(address, Clock::now());
-}
-
-void StreamRelay::onHeard(Session& session, const TargetEntry& target)
-{
-    session.lastHeardAt = Clock::now();
-    m_context.crashGuard.onTargetAnswered(target, session.sentAt);
-    m_context.promptGuard.onTargetAnswered(target, session.sentAt);
-}
-
-/// Ends the trial if there is one.
-void StreamRelay::reportUnanswered(Session& session, const TargetEntry& target, bool abandoned)
-{
-    // Connections of an instance that has lost its path break without a fault of the target; only its end confirms one.
-    bool pathLost = m_context.dispatcher.targetPath().isLost(target.service);
-    bool interrupted = !abandoned && !pathLost && !session.headerSent && !session.stream->isStopping();
-    if (interrupted)
-        m_context.promptGuard.onInterrupted({ .parts = session.request.caller.sharedParts, .target = target, .sentAt = session.sentAt, .onTrial = session.gate.onTrial() }, Clock::now());
-    m_context.crashGuard.onUnanswered({ .fingerprint = session.request.fingerprint, .target = target, .sentAt = session.sentAt, .lastHeardAt = session.lastHeardAt, .abandoned = abandoned, .pathLost = pathLost, .onTrial = session.gate.onTrial() }, Clock::now());
-    session.gate.endTrial(abandoned ? trialEndAfterSilence(Clock::now() - session.lastHeardAt) : TrialEnd::Broken);
-}
-
-/// Finds an engine that starts the request. False if none did; session.responseHead may then hold an engine's error.
-Awaitable<bool> StreamRelay::start(Session& session)
-{
-    auto& request = session.request;
-    m_retryGate.onRequest(request);
-    auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
-    PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
-    auto& gate = session.gate;
-    while (session.result.sends < maxSends && !m_context.dispatcher.targetPath().isLost(request.service.name)) {
-        session.refusal = gate.refusal();
-        if (session.refusal)
-            co_return false;
-        session.id = m_context.dispatcher.nextId();
-        placementRequest.id = session.id;
-        placementRequest.excluded = gate.excludedTargets();
-        auto id = session.id;
-        request.callerWatch.setCancelAction([this, id] { m_context.placement.cancel(id); });
-        auto placement = co_await m_context.placement.place(placementRequest);
-        if (request.callerWatch.gone() || !placement) {
-            session.result.detail = placement ? "" : placement.error().detail;
-            if (!placement)
-                session.retryAfter = placement.error().retryAfter;
-            co_return false;
-        }
-        if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
-            m_context.placement.release(session.id);
-            session.id = 0;
-            co_await sleepFor(SendGate::trialRetryInterval);
-            continue;
-        }
-        if (!gate.tryClaim(placement->target)) {
-            gate.endTrial(TrialEnd::Answered);
-            m_context.placement.release(session.id);
-            session.id = 0;
-            continue;
-        }
-        m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
-        ++session.result.sends;
-        session.result.waitTime += placement->waited;
-        session.result.target = placement->target.id;
-        auto target = placement->target;
-        auto address = toString(target.endpoint);
-        session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, placementRequest.estimate);
-        m_context.streams.add(session.stream);
-        bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "prompt_parts", describe(request.caller.sharedParts) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "time_left_ms", session.timeLeft.count() }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
-        if (accepted) {
-            m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
-            co_return true;
-        }
-        m_context.streams.remove(session.id);
-        if (!request.callerWatch.gone())
-            recordStartFailure(address, session);
-        bool unanswered = session.mayHaveRun && session.responseHead.status == 0 && !session.malformed;
-        if (unanswered)
-            reportUnanswered(session, target, request.callerWatch.gone() || Clock::now() >= request.deadline);
-        else
-            gate.endTrial(TrialEnd::Answered);
-        if (request.callerWatch.gone() || !session.responseHead.notRun)
-            co_return false;
-        m_context.placement.release(session.id);
-        session.id = 0;
-        gate.exclude(target.id);
-        if (!m_retryGate.tryTake(request, RetryCause::NotRun))
-            co_return false;
-    }
-    co_return false;
-}
-
-Awaitable<StreamRelay::StreamOutcome> StreamRelay::forwardFrames(Session& session)
+Awaitable<StreamRelay::StreamOutcome> StreamRelay::forwardFrames(GenerationSession& session)
 {
     std::string bytes;
     int newTokens = 0;
@@ -288,7 +105,7 @@
 }
 
 /// Forwards one engine's events until its stream ends.
-Awaitable<StreamRelay::StreamOutcome> StreamRelay::relayEvents(Session& session)
+Awaitable<StreamRelay::StreamOutcome> StreamRelay::relayEvents(GenerationSession& session)
 {
     auto& callerWatch = session.request.callerWatch;
     auto* connection = session.connection.get();
@@ -306,7 +123,7 @@
             recordBodyEnd(m_context, session.request, *connection, chunk);
             break;
         }
-        onHeard(session, session.stream->target());
+        m_starter.onHeard(session, session.stream->target());
         session.frames.feed(*chunk);
         auto forwarded = co_await forwardFrames(session);
         if (forwarded != StreamOutcome::Complete)
@@ -321,7 +138,7 @@
 }
 
 /// Resumes the generation at the engine that has its copy, or else at the engine that stopped it. False if neither resumes it.
-Awaitable<bool> StreamRelay::resume(Session& session)
+Awaitable<bool> StreamRelay::resume(GenerationSession& session)
 {
     auto interruptedAt = Clock::now();
     session.stream->setInterruptHandler(nullptr);
@@ -340,14 +157,14 @@
     session.stream->setTarget(move->destination);
     m_context.placement.setTarget(session.id, move->destination.id);
     m_context.targetLimits.take(move->destination, Clock::now());
-    bool accepted = co_await open(session, move->destination, continuation);
+    bool accepted = co_await m_starter.open(session, move->destination, continuation);
     logMove(move->destination, accepted);
     bool mayTrySource = !accepted && session.responseHead.notRun && move->destination.id != move->source.id && !session.request.callerWatch.gone();
     if (mayTrySource) {
         session.stream->setTarget(move->source);
         m_context.placement.setTarget(session.id, move->source.id);
         m_context.targetLimits.take(move->source, Clock::now());
-        accepted = co_await open(session, move->source, continuation);
+        accepted = co_await m_starter.open(session, move->source, continuation);
         logMove(move->source, accepted);
     }
     session.result.target = session.stream->target().id;
@@ -355,7 +172,7 @@
     co_return accepted;
 }
 
-Awaitable<> StreamRelay::respondUnstarted(Session& session)
+Awaitable<> StreamRelay::respondUnstarted(GenerationSession& session)
 {
     auto& request = session.request;
     auto& result = session.result;
@@ -372,7 +189,7 @@
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
-        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), estimateOf(request)));
+        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), m_starter.estimateOf(request)));
         co_await sendRefusal(request.exchange, result.status, result.reason, retryAfter);
         co_return;
     }
@@ -398,7 +215,7 @@
     co_await sendFailure(request.exchange, result.status, result.reason);
 }
 
-Awaitable<> StreamRelay::finish(Session& session, StreamOutcome outcome)
+Awaitable<> StreamRelay::finish(GenerationSession& session, StreamOutcome outcome)
 {
     auto& exchange = session.request.exchange;
     session.result.reason = session.request.cut && outcome == StreamOutcome::DeadlineReached ? "stopping" : reasonFor(outcome);
@@ -422,8 +239,8 @@
 
 Awaitable<RelayResult> StreamRelay::run(RelayRequest& request)
 {
-    Session session { .request = request, .gate = makeSendGate(m_context, request) };
-    bool started = co_await start(session);
+    GenerationSession session { .request = request, .gate = makeSendGate(m_context, request) };
+    bool started = co_await m_starter.start(session);
     bool mayRelayToPeer = !started && !session.mayHaveRun && !session.refusal && !request.callerWatch.gone();
     if (mayRelayToPeer && m_context.dispatcher.targetPath().isLost(request.service.name)) {
         session.result = co_await m_peerRelay.run(request);
@@ -439,7 +256,7 @@
         if (outcome == StreamOutcome::Complete)
             m_context.crashGuard.onCompleted(request.fingerprint, session.sentAt, Clock::now());
         else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
-            reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
+            m_starter.reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
         session.gate.endTrial(TrialEnd::Answered);
         bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
         if (failed)
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "relay/eventframeparser.h"
+#include "relay/generationstarter.h"
 #include "relay/peerrelay.h"
-#include "relay/retrygate.h"
-#include "relay/targetconnection.h"
 
 namespace guavaspan {
 
@@ -12,7 +10,7 @@
 public:
     explicit StreamRelay(RelayContext& context)
         : m_context(context)
-        , m_retryGate(context)
+        , m_starter(context)
         , m_peerRelay(context)
     {
     }
@@ -20,7 +18,6 @@
     Awaitable<RelayResult> run(RelayRequest&);
 
 private:
-    struct Session;
     enum class StreamOutcome {
         Complete,
         /// The engine's stream broke or ended before the generation was complete.
@@ -32,22 +29,16 @@
         Malformed,
     };
 
-    Awaitable<bool> start(Session&);
-    Awaitable<bool> open(Session&, const TargetEntry&, std::optional<Continuation>);
-    Awaitable<bool> resume(Session&);
-    Awaitable<StreamOutcome> relayEvents(Session&);
-    Awaitable<StreamOutcome> forwardFrames(Session&);
-    Awaitable<> finish(Session&, StreamOutcome);
-    Awaitable<> respondUnstarted(Session&);
-    void onHeard(Session&, const TargetEntry&);
-    void reportUnanswered(Session&, const TargetEntry&, bool abandoned);
-    void recordStartFailure(const std::string& address, const Session&);
-    WorkEstimate estimateOf(const RelayRequest&) const;
+    Awaitable<bool> resume(GenerationSession&);
+    Awaitable<StreamOutcome> relayEvents(GenerationSession&);
+    Awaitable<StreamOutcome> forwardFrames(GenerationSession&);
+    Awaitable<> finish(GenerationSession&, StreamOutcome);
+    Awaitable<> respondUnstarted(GenerationSession&);
     static std::string reasonFor(StreamOutcome);
     static StreamOutcome outcomeOf(const Error&);
 
     RelayContext& m_context;
-    RetryGate m_retryGate;
+    GenerationStarter m_starter;
     PeerRelay m_peerRelay;
 };
 
