Ask a leaving engine whether a stream without an explicit end is whole

Cause: an end at close counted as a cut if the engine had said that it leaves, or if a stop of the generation was under way. Done: such an end is ambiguous, and the engine's report decides: the stream is whole if the same incarnation no longer lists the run, and no stop is unanswered. Else it is cut, as before (isCutByLeavingEngine_looksIncompleteToTheCaller). isComplete() of StreamEnd became judge() with three results; each assertion maps to one as strict. stream_end_checked and a counter tell what the report said.

--- a/src/handover/itargetoperations.h
+++ b/src/handover/itargetoperations.h
@@ -29,6 +29,8 @@
     bool draining = false;
     /// Time until the engine shuts down, if it reports one.
     std::optional<Milliseconds> timeToShutdown;
+    /// Ids of the requests whose generations run there, if it lists them. The list may be some hundred ms old.
+    std::optional<std::vector<std::string>> runs;
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -215,6 +215,8 @@
         bool copied = answer.result == HandoverResult::Done;
         stream.onMoved({ .destination = copied ? destination : source, .continuation = continuation, .source = source });
         asio::co_spawn(m_context.io, interruptIfSilent(move.stream), reportFailedHandler);
+    } else if (isStop && (answer.result == HandoverResult::NoSuchRun || answer.result == HandoverResult::Busy)) {
+        stream.onStopRejected();
     } else if (isStop && answer.result != HandoverResult::Unknown) {
         stream.onStopFailed();
     }
--- a/src/relay/internal/livestream.cpp
+++ b/src/relay/internal/livestream.cpp
@@ -36,6 +36,13 @@
 void LiveStream::onStopRequested()
 {
     m_stopping = true;
+    ++m_unresolvedStops;
+}
+
+void LiveStream::onStopRejected()
+{
+    --m_unresolvedStops;
+    onStopFailed();
 }
 
 void LiveStream::onStopFailed()
@@ -47,6 +54,7 @@
 void LiveStream::onMoved(StreamMove move)
 {
     m_stopping = false;
+    m_unresolvedStops = 0;
     m_move = std::move(move);
     m_stopResolved.cancel();
 }
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -1,7 +1,7 @@
 #include "relay/streamrelay.h"
 
 #include "common/log.h"
-#include "relay/streamend.h"
+#include "relay/runinquiry.h"
 
 #include <charconv>
 
@@ -29,6 +29,7 @@
     case StreamOutcome::Complete:
         return "answered";
     case StreamOutcome::Interrupted:
+    case StreamOutcome::Ambiguous:
         return "stream_broke";
     case StreamOutcome::CallerGone:
         return "caller_gone";
@@ -133,21 +134,36 @@
             co_return StreamOutcome::Malformed;
         }
     }
-    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .isStopping = session.stream->isStopping(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
-    co_return isComplete(end) ? StreamOutcome::Complete : StreamOutcome::Interrupted;
+    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
+    co_return outcomeOf(judge(end));
 }
 
-/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it. False if neither resumes it.
-Awaitable<bool> StreamRelay::resume(GenerationSession& session)
+StreamRelay::StreamOutcome StreamRelay::outcomeOf(StreamVerdict verdict)
+{
+    switch (verdict) {
+    case StreamVerdict::Complete:
+        return StreamOutcome::Complete;
+    case StreamVerdict::Ambiguous:
+        return StreamOutcome::Ambiguous;
+    case StreamVerdict::Incomplete:
+        return StreamOutcome::Interrupted;
+    }
+    return StreamOutcome::Interrupted;
+}
+
+/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it.
+Awaitable<StreamRelay::ResumeResult> StreamRelay::resume(GenerationSession& session)
 {
     auto interruptedAt = Clock::now();
     session.stream->setInterruptHandler(nullptr);
     session.request.callerWatch.setCancelAction([stream = session.stream] { stream->onStopFailed(); });
     auto move = co_await session.stream->awaitMove(moveTimeout);
-    if (!move || session.request.callerWatch.gone() || session.request.cut)
-        co_return false;
+    if (!move)
+        co_return ResumeResult::NoMove;
+    if (session.request.callerWatch.gone() || session.request.cut)
+        co_return ResumeResult::Failed;
     if (!session.headerSent && session.gate.crashRefusal())
-        co_return false;
+        co_return ResumeResult::Failed;
     auto continuation = move->continuation;
     continuation.lastEventId = session.stream->lastEventId();
     auto logMove = [&](const TargetEntry& target, bool accepted) {
@@ -169,7 +185,26 @@
     }
     session.result.target = session.stream->target().id;
     ++session.result.moves;
-    co_return accepted;
+    co_return accepted ? ResumeResult::Resumed : ResumeResult::Failed;
+}
+
+/// Relays the generation, wherever it moves, until it ends.
+Awaitable<StreamRelay::StreamOutcome> StreamRelay::relayGeneration(GenerationSession& session)
+{
+    while (true) {
+        auto outcome = co_await relayEvents(session);
+        if (outcome != StreamOutcome::Interrupted && outcome != StreamOutcome::Ambiguous)
+            co_return outcome;
+        auto resumed = co_await resume(session);
+        if (outcome == StreamOutcome::Ambiguous && resumed == ResumeResult::NoMove) {
+            if (co_await isRunOver(m_context, session.request, *session.stream))
+                co_return StreamOutcome::Complete;
+            // The move may have been made while the engine was asked.
+            resumed = co_await resume(session);
+        }
+        if (resumed != ResumeResult::Resumed)
+            co_return StreamOutcome::Interrupted;
+    }
 }
 
 Awaitable<> StreamRelay::respondUnstarted(GenerationSession& session)
@@ -247,9 +282,7 @@
     } else if (!started) {
         co_await respondUnstarted(session);
     } else {
-        auto outcome = co_await relayEvents(session);
-        while (outcome == StreamOutcome::Interrupted && co_await resume(session))
-            outcome = co_await relayEvents(session);
+        auto outcome = co_await relayGeneration(session);
         if (request.cut && outcome == StreamOutcome::Interrupted)
             outcome = StreamOutcome::DeadlineReached;
         const auto& lastTarget = session.stream->target();
--- a/src/relay/livestream.h
+++ b/src/relay/livestream.h
@@ -39,10 +39,14 @@
     void onStopRequested();
     /// The generation did not stop, or it is unknown whether it did.
     void onStopFailed();
+    /// The engine did not act on the last request to stop the generation.
+    void onStopRejected();
     /// The generation stopped and can be resumed with the continuation of the move.
     void onMoved(StreamMove);
 
     bool isStopping() const { return m_stopping; }
+    /// True if the engine was requested to stop the generation and has not said whether it did.
+    bool mayHaveStopped() const { return m_unresolvedStops > 0; }
     /// True from onMoved() until the relay takes the move.
     bool hasPendingMove() const { return m_move.has_value(); }
 
@@ -62,6 +66,7 @@
     std::int64_t m_eventCount = 0;
     std::string m_lastEventId;
     bool m_stopping = false;
+    int m_unresolvedStops = 0;
     std::optional<StreamMove> m_move;
     asio::steady_timer m_stopResolved;
     std::function<void()> m_interruptHandler;
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -4,6 +4,7 @@
 #include "dispatch/outputestimator.h"
 #include "dispatch/retrybudget.h"
 #include "fleet/fleetcensus.h"
+#include "handover/itargetoperations.h"
 #include "net/httpexchange.h"
 #include "placement/placementclient.h"
 #include "quarantine/crashguard.h"
@@ -28,6 +29,7 @@
     TargetDirectory& directory;
     Dispatcher& dispatcher;
     PlacementClient& placement;
+    ITargetOperations& operations;
     LiveStreams& streams;
     RetryBudget& retryBudget;
     OutputEstimator& outputEstimator;
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -51,6 +51,7 @@
     void recordWait(double seconds);
     void recordResume(const std::string& result);
     void recordUnframedAnswer(const std::string& end);
+    void recordStreamEnd(const std::string& runState);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -2,6 +2,7 @@
 
 #include "relay/generationstarter.h"
 #include "relay/peerrelay.h"
+#include "relay/streamend.h"
 
 namespace guavaspan {
 
@@ -22,6 +23,8 @@
         Complete,
         /// The engine's stream broke or ended before the generation was complete.
         Interrupted,
+        /// The engine's stream ended, and only the engine knows whether the generation was complete.
+        Ambiguous,
         CallerGone,
         DeadlineReached,
         OutOfOrder,
@@ -29,13 +32,23 @@
         Malformed,
     };
 
-    Awaitable<bool> resume(GenerationSession&);
+    enum class ResumeResult {
+        Resumed,
+        /// The generation was not stopped for a move.
+        NoMove,
+        /// No engine resumed the generation.
+        Failed,
+    };
+
+    Awaitable<ResumeResult> resume(GenerationSession&);
+    Awaitable<StreamOutcome> relayGeneration(GenerationSession&);
     Awaitable<StreamOutcome> relayEvents(GenerationSession&);
     Awaitable<StreamOutcome> forwardFrames(GenerationSession&);
     Awaitable<> finish(GenerationSession&, StreamOutcome);
     Awaitable<> respondUnstarted(GenerationSession&);
     static std::string reasonFor(StreamOutcome);
     static StreamOutcome outcomeOf(const Error&);
+    static StreamOutcome outcomeOf(StreamVerdict);
 
     RelayContext& m_context;
     GenerationStarter m_starter;
--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -6,6 +6,7 @@
 #include "quarantine/tests/trialsstub.h"
 #include "relay/activerequests.h"
 #include "relay/requesthandler.h"
+#include "relay/tests/scriptedoperations.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -133,6 +134,7 @@
     TargetLimits targetLimits { "self" };
     OutputEstimator outputEstimator;
     PlacementClient placement { io, "self", fleet, dispatcher, directory, targetLimits, outputEstimator, link };
+    ScriptedOperations operations;
     LiveStreams streams;
     FleetCensus census { "self", Seconds(10) };
     RetryBudget retryBudget { { .ratio = 100 } };
@@ -143,7 +145,7 @@
     PromptGuard promptGuard { "self", promptGuardTransport, [](const PromptPartRecord&) {} };
     RelayMetrics metrics;
     Random random { 5 };
-    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .promptGuard = promptGuard, .trials = trials, .census = census, .fleet = fleet, .failureDomain = "north", .metrics = metrics, .random = random, .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {}, .activeRequests = std::make_shared<ActiveRequests>() };
+    RelayContext context { .io = io, .wireFormat = wireFormat, .configuration = configuration, .directory = directory, .dispatcher = dispatcher, .placement = placement, .operations = operations, .streams = streams, .retryBudget = retryBudget, .outputEstimator = outputEstimator, .usage = usage, .crashGuard = crashGuard, .promptGuard = promptGuard, .trials = trials, .census = census, .fleet = fleet, .failureDomain = "north", .metrics = metrics, .random = random, .targetLimits = targetLimits, .onTargetDraining = [](const TargetEntry&) {}, .activeRequests = std::make_shared<ActiveRequests>() };
     RequestHandler handler { context };
     HttpServer server { io, {}, [this](HttpExchange& exchange) { return handler.handle(exchange); } };
     Endpoint relayEndpoint = *server.listen({ .address = "127.0.0.1" });
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -1,6 +1,7 @@
 #include "net/tests/runcoroutine.h"
 #include "relay/engineshutdownpoller.h"
 #include "relay/handoverservice.h"
+#include "relay/tests/scriptedoperations.h"
 
 #include <criterion/criterion.h>
 
@@ -8,40 +9,6 @@
 
 namespace {
 
-/// Returns scripted answers and records each call.
-class FakeOperations : public ITargetOperations {
-public:
-    Awaitable<CopyAnswer> copyGeneration(CopyOptions options) override
-    {
-        calls.push_back(options);
-        if (onCall)
-            onCall();
-        auto answer = nextAnswer < answers.size() ? answers[nextAnswer++] : CopyAnswer { .result = HandoverResult::Done, .handle = options.stop ? "handle" : "" };
-        co_return answer;
-    }
-
-    Awaitable<std::optional<TargetReport>> readReport(Endpoint target, Clock::duration) override
-    {
-        polledEndpoints.push_back(target);
-        co_return report;
-    }
-
-    Awaitable<> freeCopy(Endpoint holder, std::string handle) override
-    {
-        freedCopies.emplace_back(std::move(holder), std::move(handle));
-        co_return;
-    }
-
-    std::vector<Endpoint> polledEndpoints;
-    std::vector<std::pair<Endpoint, std::string>> freedCopies;
-    std::optional<TargetReport> report;
-
-    std::function<void()> onCall;
-    std::vector<CopyOptions> calls;
-    std::vector<CopyAnswer> answers;
-    std::size_t nextAnswer = 0;
-};
-
 class CountingObserver : public IHandoverObserver {
 public:
     void onHandoverStep(HandoverPhase, HandoverResult) override { ++steps; }
@@ -61,7 +28,7 @@
     PlacementClient placement { io, "self", fleet, dispatcher, directory, targetLimits, outputEstimator, link };
     MoveServer moveServer { "self", dispatcher, configuration, link };
     LiveStreams streams;
-    FakeOperations operations;
+    ScriptedOperations operations;
     CountingObserver observer;
     HandoverService handoverService { { .io = io, .instance = "self", .placement = placement, .moveServer = moveServer, .link = link, .streams = streams, .configuration = configuration, .directory = directory, .targetLimits = targetLimits, .operations = operations, .observer = observer } };
     std::shared_ptr<LiveStream> stream;
@@ -201,6 +168,53 @@
 
 namespace {
 
+/// Stops a generation until the engine answers that there is none, which also ends the stream.
+void stopUntilNoRunIsFound(HandoverFixture& f, std::vector<CopyAnswer> answersBefore)
+{
+    f.operations.answers = { { .result = HandoverResult::Done, .handle = "copy" } };
+    f.operations.answers.insert(f.operations.answers.end(), answersBefore.begin(), answersBefore.end());
+    f.operations.answers.push_back({ .result = HandoverResult::NoSuchRun });
+    auto lastCall = f.operations.answers.size();
+    f.operations.onCall = [&f, lastCall] {
+        if (f.operations.calls.size() == lastCall)
+            f.streams.remove(f.stream->id());
+    };
+    f.announceShutdown();
+    f.run(Milliseconds(200));
+    cr_assert(f.operations.calls.size() == lastCall);
+}
+
+}
+
+/// Guards against LOST: a whole stream counted as stopped although the engine had no such generation any more.
+Test(HandoverService, stopFindsNoRun_generationHasNotStopped)
+{
+    HandoverFixture f(1);
+    stopUntilNoRunIsFound(f, {});
+    cr_expect(!f.stream->mayHaveStopped() && !f.stream->isStopping());
+}
+
+/// Guards against ORDER: the first call may have stopped the generation, and the engine has forgotten it since.
+Test(HandoverService, stopAnswerIsLostThenNoRunIsFound_generationMayHaveStopped)
+{
+    HandoverFixture f(1);
+    stopUntilNoRunIsFound(f, { { .result = HandoverResult::Unknown } });
+    cr_expect(f.stream->mayHaveStopped() && !f.stream->isStopping());
+}
+
+/// Guards against ORDER: the stream of a generation that was stopped by a lost call counted as complete.
+Test(HandoverService, stopAnswersAreLost_generationMayHaveStopped)
+{
+    HandoverFixture f(1);
+    f.operations.answers = { { .result = HandoverResult::Done, .handle = "copy" } };
+    f.operations.answers.resize(8, { .result = HandoverResult::Unknown });
+    f.announceShutdown();
+    f.run(Milliseconds(200));
+    cr_expect(f.stream->mayHaveStopped() && !f.stream->isStopping());
+}
+
+namespace {
+
 /// A HandoverFixture whose view of the store is outdated.
 struct PollerFixture : HandoverFixture {
     StoreView view { .reachable = false, .age = Seconds(3) };
