Take no successor of an engine for the one that a stream comes from

Cause: whether the engine was still usable was asked by its id, which the engine that starts after it has as well. Done: the incarnation is compared.

--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -134,7 +134,7 @@
             co_return StreamOutcome::Malformed;
         }
     }
-    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetUsable = m_context.directory.isUsable(session.stream->target().id) };
+    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetUsable = m_context.directory.isIncarnationUsable(session.stream->target()) };
     co_return outcomeOf(judge(end));
 }
 
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -165,6 +165,12 @@
     return entry && entry->state == TargetState::Ready;
 }
 
+bool TargetDirectory::isIncarnationUsable(const TargetEntry& incarnation) const
+{
+    const auto* entry = find(incarnation.id);
+    return entry && entry->startedAt == incarnation.startedAt && entry->state == TargetState::Ready;
+}
+
 void TargetDirectory::removeTarget(std::map<std::string, KnownTarget>::iterator target, UnavailableReason reason, TimePoint now)
 {
     auto entry = std::move(target->second.entry);
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -58,6 +58,18 @@
     cr_expect(f.unavailable[0].second == UnavailableReason::Restarted);
 }
 
+Test(TargetDirectory, sameIdWithNewStart_onlyNewIncarnationIsUsable)
+{
+    DirectoryFixture f;
+    auto earlier = f.entry("a");
+    auto later = f.entry("a", TargetState::Ready, 2);
+    f.write(earlier);
+    cr_expect(f.directory.isIncarnationUsable(earlier));
+    f.write(later);
+    cr_expect(f.directory.isIncarnationUsable(later));
+    cr_expect(!f.directory.isIncarnationUsable(earlier));
+}
+
 Test(TargetDirectory, unreadableEntry_removesOnlyItsTarget)
 {
     DirectoryFixture f;
