Let no sound prompt of the soak hold a part that crashes engines

A fault of the soak, not of the service. Done: the last part begins with another digit; engine_crash names the request that ends an engine. The check is as strict as before; SoakChecks.promptPartsOfManySoundRequests_... guards it.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/eventframeparser.h"
 #include "soak/constants.h"
+#include "soak/crashtrigger.h"
 
 #include <algorithm>
 #include <array>
@@ -107,7 +108,7 @@
     if (spec.type == RequestType::Stream) {
         request.set("X-Token-Count", fmt::format("500,{}", spec.outputTokenLimit > 0 ? spec.outputTokenLimit : 4 * spec.eventCount));
         if (!spec.promptPart.empty())
-            request.set(promptPartsHeader, fmt::format("{}:79,{}:350,{:x}:71", commonPromptPart, spec.promptPart, m_random()));
+            request.set(promptPartsHeader, listPromptParts(spec.promptPart, m_random));
         request.body() = std::to_string(spec.eventCount);
     } else {
         request.body() = std::string(spec.bodyBytes, 'b');
--- a/soak/crashtrigger.cpp
+++ b/soak/crashtrigger.cpp
@@ -1,5 +1,7 @@
 #include "soak/crashtrigger.h"
 
+#include "soak/constants.h"
+
 #include <fmt/format.h>
 #include <regex>
 
@@ -19,4 +21,15 @@
     return CrashTrigger { .number = std::stoll(match[2]), .from = std::stoll(match[3]), .delay = Milliseconds(std::stoll(match[4])), .silent = match[1].matched };
 }
 
+std::string listPromptParts(const std::string& part, Random& random)
+{
+    // The first digit keeps the last part from being taken for a crashing one.
+    return fmt::format("{}:79,{}:350,1{:015x}:71", commonPromptPart, part, random() >> 4);
+}
+
+bool hasCrashingPart(const std::string& promptParts)
+{
+    return promptParts.find(fmt::format(",{}", crashingPromptPart)) != std::string::npos;
+}
+
 }
--- a/soak/crashtrigger.h
+++ b/soak/crashtrigger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/random.h"
 #include "common/time.h"
 #include "soak/record.h"
 
@@ -27,4 +28,10 @@
 /// Empty if the path states none.
 std::optional<CrashTrigger> parseCrashTrigger(const std::string& path);
 
+/// Lists the parts of a prompt with this part, the last of which no other prompt has.
+std::string listPromptParts(const std::string& part, Random&);
+
+/// True if a listed part ends the engines that begin to answer a request with it.
+bool hasCrashingPart(const std::string& promptParts);
+
 }
--- a/soak/engine.cpp
+++ b/soak/engine.cpp
@@ -1,5 +1,6 @@
 #include "soak/engine.h"
 
+#include "common/log.h"
 #include "net/httpclient.h"
 #include "soak/constants.h"
 #include "soak/crashtrigger.h"
@@ -133,8 +134,9 @@
 }
 
 /// Ends the process as a crash would, or leaves all connections open and silent until then.
-Awaitable<> Engine::crash(bool silently)
+Awaitable<> Engine::crash(const HttpExchange& exchange, bool silently)
 {
+    logEvent(LogLevel::Warning, "engine_crash", { { "request", exchange.header(attemptIdHeader) }, { "prompt_parts", exchange.header(promptPartsHeader) }, { "silent", silently } });
     if (!silently)
         ::_exit(EXIT_FAILURE);
     m_silent = true;
@@ -195,7 +197,7 @@
     if (trigger && soakNow() >= trigger->from) {
         recordEvent(EngineRecord::Event::Run, exchange);
         co_await sleepFor(trigger->delay);
-        co_await crash(trigger->silent);
+        co_await crash(exchange, trigger->silent);
         co_return;
     }
     auto attemptId = exchange.header(attemptIdHeader);
@@ -241,7 +243,7 @@
     m_rejections.push_back(now);
     if (m_rejections.size() > survivedRejections) {
         recordEvent(EngineRecord::Event::Overwhelmed, exchange);
-        co_await crash(false);
+        co_await crash(exchange, false);
     }
     co_await sendEmptyReply(exchange, 503, true);
 }
@@ -308,9 +310,9 @@
         responseHead.set(name, value);
     if (!co_await exchange.beginResponse(std::move(responseHead)))
         co_return;
-    if (exchange.header(promptPartsHeader).find(fmt::format(",{}", crashingPromptPart)) != std::string::npos) {
+    if (hasCrashingPart(exchange.header(promptPartsHeader))) {
         co_await sleepFor(eventInterval);
-        co_await crash(false);
+        co_await crash(exchange, false);
     }
     for (int eventId = lastEventId + 1; eventId <= generation->totalEvents; ++eventId) {
         if (eventId > generation->producedEvents)
--- a/soak/engine.h
+++ b/soak/engine.h
@@ -53,7 +53,7 @@
     Awaitable<> publishEntryPeriodically();
     Awaitable<> publishEntry();
     Awaitable<> drainOnSignal();
-    Awaitable<> crash(bool silently);
+    Awaitable<> crash(const HttpExchange&, bool silently);
     Awaitable<> toggleLimitOnSignal();
     Awaitable<> toggleFailuresOnSignal();
     Awaitable<bool> failRequest(HttpExchange&);
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -452,3 +452,14 @@
     cr_assert(records.size() == 2);
     cr_expect(records[0] == arrival && records[1] == breakOff);
 }
+
+/// Guards against sound requests that ended engines, and were refused for it: their last part began like a crashing one by chance.
+Test(SoakChecks, promptPartsOfManySoundRequests_holdNoCrashingPart)
+{
+    guavaspan::Random random(1);
+    for (int request = 0; request < 100000; ++request) {
+        auto promptParts = listPromptParts("50d1", random);
+        cr_assert(!hasCrashingPart(promptParts), "%s", promptParts.c_str());
+    }
+    cr_expect(hasCrashingPart(listPromptParts(crashingPromptPart + std::string("1"), random)));
+}
