Leave time without a processor out of the event loop's measured delay

What was seen: StreamRelay.answerWithoutEnd_eventLoopStaysResponsive failed in 13 of 49 runs at a load of 18 to 33. Cause: the machine's load counted as the loop's: of 0.703 s of delay the thread had waited 0.703 s for a processor. Done: the kernel's count of that wait is subtracted; the bound is unchanged, and EndlessEnginesFixture.eventLoopIsHeldUp_delayIsMeasured shows that work and blocking calls of the loop still count.

--- a/src/relay/tests/endlessenginesfixture.h
+++ b/src/relay/tests/endlessenginesfixture.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <fstream>
 
 namespace guavaspan {
 
@@ -100,17 +101,30 @@
         callerDone = true;
     }
 
-    /// Measures how late the event loop gets to a timer.
+    /// Measures how late the event loop gets to a timer because of what it does. Time in which other threads have the processor does
+    /// not count: the kernel lets a thread wait for seconds on a machine that is busy enough.
     Awaitable<> measureDelay()
     {
         constexpr auto interval = Milliseconds(5);
         while (!callerDone) {
             auto dueAt = Clock::now() + interval;
+            auto waitedBefore = waitForProcessor();
             co_await sleepFor(interval);
-            longestDelay = std::max<Clock::duration>(longestDelay, Clock::now() - dueAt);
+            auto waited = waitForProcessor() - waitedBefore;
+            longestDelay = std::max<Clock::duration>(longestDelay, Clock::now() - dueAt - waited);
         }
     }
 
+    /// Time that this thread was ready to run and had no processor since it began; zero if the kernel does not tell.
+    static std::chrono::nanoseconds waitForProcessor()
+    {
+        std::ifstream statistics("/proc/thread-self/schedstat");
+        std::int64_t ran = 0;
+        std::int64_t waited = 0;
+        statistics >> ran >> waited;
+        return std::chrono::nanoseconds(waited);
+    }
+
     /// Answers that the crash guard takes for possible crashes.
     std::uint64_t interruptedAnswers() const { return crashGuard.statistics().interruptedAnswers; }
 
--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -1,11 +1,17 @@
 #include "relay/tests/endlessenginesfixture.h"
 
 #include <criterion/criterion.h>
+#include <ctime>
+#include <functional>
+#include <thread>
 
 using namespace guavaspan;
 
 namespace {
 
+/// Shortest time that a request waits for anything in the relay.
+constexpr auto maxDelay = Milliseconds(300);
+
 /// Largest event of a stream.
 constexpr std::uint64_t maxEventBytes = 1 << 20;
 
@@ -65,8 +71,6 @@
 /// Guards against an engine that takes the event loop from the other requests.
 Test(StreamRelay, answerWithoutEnd_eventLoopStaysResponsive)
 {
-    /// Shortest time that a request waits for anything in the relay.
-    constexpr auto maxDelay = Milliseconds(300);
     auto answers = endlessAnswers(sealedHeader);
     answers.push_back({ .name = "events", .start = sealedHeader + "\r\n", .repeated = "data: a\n\n" });
     answers.push_back({ .name = "line", .start = sealedHeader + "\r\nid: 1\ndata: ", .repeated = "a" });
@@ -86,3 +90,25 @@
     cr_expect(f.memoryGrowth <= maxMemoryGrowth(maxEventBytes), "memory grew by %lu bytes", static_cast<unsigned long>(f.memoryGrowth));
     cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "the connection was not closed");
 }
+
+/// The measurement that answerWithoutEnd_eventLoopStaysResponsive relies on.
+Test(EndlessEnginesFixture, eventLoopIsHeldUp_delayIsMeasured)
+{
+    auto processorTime = [] {
+        timespec time {};
+        ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    };
+    auto spin = [&] {
+        for (auto startedAt = processorTime(); processorTime() - startedAt < 2 * maxDelay;) { }
+    };
+    auto sleep = [] { std::this_thread::sleep_for(2 * maxDelay); };
+    for (const auto& holdUp : std::initializer_list<std::function<void()>> { spin, sleep }) {
+        EndlessEnginesFixture f(endlessAnswers(sealedHeader).front());
+        asio::co_spawn(f.io, f.measureDelay(), asio::detached);
+        asio::post(f.io, holdUp);
+        while (f.longestDelay == Clock::duration::zero())
+            f.io.run_one();
+        cr_expect(f.longestDelay > maxDelay);
+    }
+}
