End requests that outlast their time although bytes keep arriving

What callers saw: nothing directly; a caller that sends a header, or the header of a chunk, byte by byte could keep its connection and buffer beyond header_timeout_ms. Cause: the timer cancels what is pending on the socket. A read that has completed is not pending, and Beast's read operation then starts the next one without asking the timer. Done: one read at a time, and the timer is asked after each; the bytes after a refused request are discarded until a deadline.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -83,6 +83,7 @@
     Awaitable<> serve(asio::ip::tcp::socket);
     Awaitable<> serveRequests(Connection&);
     Awaitable<bool> waitForRequest(Connection&);
+    Awaitable<boost::system::error_code> receiveSome(Connection&);
     Awaitable<boost::system::error_code> readRequest(Connection&, HttpRequestParser&);
 
     asio::io_context& m_context;
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/beast/core/read_size.hpp>
 #include <fmt/format.h>
 
 namespace guavaspan {
@@ -81,8 +82,10 @@
         constexpr auto maxTime = Milliseconds(2000);
         constexpr std::size_t maxBytes = 4 << 20;
         std::array<char, 4096> chunk {};
-        stream.expires_after(maxTime);
-        for (std::size_t discarded = 0; discarded < maxBytes;) {
+        auto deadline = Clock::now() + maxTime;
+        stream.expires_at(deadline);
+        // The timer of tcp_stream does not end a read whose bytes have already arrived.
+        for (std::size_t discarded = 0; discarded < maxBytes && Clock::now() < deadline;) {
             auto [error, count] = co_await stream.async_read_some(asio::buffer(chunk), asTuple);
             if (error)
                 co_return;
@@ -187,6 +190,18 @@
     }
 }
 
+/// Reads what the caller has sent, as far as the buffer has room.
+Awaitable<boost::system::error_code> HttpServer::receiveSome(Connection& connection)
+{
+    constexpr std::size_t maxBytesPerRead = 64 << 10;
+    auto size = beast::read_size(connection.buffer, maxBytesPerRead);
+    if (size == 0)
+        co_return http::error::buffer_overflow;
+    auto [error, count] = co_await connection.stream.async_read_some(connection.buffer.prepare(size), asTuple);
+    connection.buffer.commit(count);
+    co_return error;
+}
+
 /// Uses a separate timer, because the timer of tcp_stream closes the socket, and no error response could be sent.
 Awaitable<boost::system::error_code> HttpServer::readRequest(Connection& connection, HttpRequestParser& parser)
 {
@@ -196,15 +211,24 @@
     // The parser limits header and body, but not a chunk header or trailer fields that have no end.
     connection.buffer.max_size(std::max<std::size_t>({ maxUnparsedBytes, m_limits.maxHeaderBytes, connection.buffer.size() }));
     timer.start(m_limits.headerTimeout);
-    auto [headerError, headerBytes] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
-    auto error = headerError;
-    if (!error) {
+    boost::system::error_code error;
+    bool headerIsRead = false;
+    bool needsBytes = connection.buffer.size() == 0;
+    // Cancelling does not end a read that has completed, so the timer is checked after each. The reads of Beast check nothing until
+    // a header or the header of a chunk is complete.
+    while (!error && !parser.is_done() && !timer.expired()) {
+        if (needsBytes)
+            error = co_await receiveSome(connection);
+        if (error)
+            break;
+        connection.buffer.consume(parser.put(connection.buffer.data(), error));
+        needsBytes = error == http::error::need_more || connection.buffer.size() == 0;
+        if (error == http::error::need_more)
+            error = {};
+        if (headerIsRead || !parser.is_header_done())
+            continue;
+        headerIsRead = true;
         timer.start(m_limits.headerTimeout);
-        // Cancelling does not end a read that has completed, so a caller that sends fast enough outlasts the timer.
-        while (!error && !parser.is_done() && !timer.expired()) {
-            auto [bodyError, bodyBytes] = co_await http::async_read_some(stream, connection.buffer, parser, asTuple);
-            error = bodyError;
-        }
     }
     if (timer.expired())
         error = beast::error::timeout;
--- a/src/net/tests/httpserverendless_test.cpp
+++ b/src/net/tests/httpserverendless_test.cpp
@@ -83,3 +83,44 @@
         cr_expect(f.memoryGrowth <= maxMemoryGrowth(f.maxBodyBytes), "%s: memory grew by %lu bytes", name, static_cast<unsigned long>(f.memoryGrowth));
     }
 }
+
+namespace {
+
+/// Sends this, then one byte again and again, so fast that the server always finds more to read. True if the server ends the connection
+/// in time.
+bool isClosedInTime(const Endpoint& server, const std::string& start, Clock::duration maxTime)
+{
+    asio::io_context callerContext;
+    asio::ip::tcp::socket socket(callerContext);
+    boost::system::error_code error;
+    socket.connect({ asio::ip::make_address(server.address), server.port }, error);
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    asio::write(socket, asio::buffer(start), error);
+    auto startedAt = Clock::now();
+    while (!error && Clock::now() - startedAt < maxTime)
+        asio::write(socket, asio::buffer("a", 1), error);
+    return error.failed();
+}
+
+}
+
+/// Guards against callers that outlast the time for a request, as the server's cancellation met a read that had just completed.
+Test(HttpServer, bytesAlwaysAvailable_connectionIsClosedWithinTime)
+{
+    constexpr auto headerTimeout = Milliseconds(400);
+    for (const char* start : { "GET /", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" }) {
+        asio::io_context io;
+        HttpServer server { io, HttpLimits { .maxHeaderBytes = 256 << 20, .headerTimeout = headerTimeout }, sendEmptyReply };
+        auto endpoint = *server.listen({ .address = "127.0.0.1" });
+        std::atomic<bool> done = false;
+        bool closed = false;
+        std::thread caller([&] {
+            closed = isClosedInTime(endpoint, start, EndlessCallerFixture::maxTime);
+            done = true;
+        });
+        while (!done)
+            io.run_for(Milliseconds(20));
+        caller.join();
+        cr_expect(closed, "%s: the connection was not closed", start);
+    }
+}
