Mend what reading the change again showed

Cause: where a field is kept was decided in two functions; the end of a stream's body was recorded in two branches; a point in time was called a timeout; the loop that serves a test's caller stood twice; the coroutine behind the operator's commands still dropped an exception. Done: one function, one place, another name, one loop, and the handler that reports exceptions. No bound, check or assertion changed.

--- a/src/app/internal/operatorclient.cpp
+++ b/src/app/internal/operatorclient.cpp
@@ -1,5 +1,7 @@
 #include "app/operatorclient.h"
 
+#include "net/eventloop.h"
+
 namespace guavaspan {
 
 Result<HttpResponse> callInstance(const InstanceAccess& access, const std::string& method, const std::string& target, const std::string& body)
@@ -9,7 +11,7 @@
     call.headers["Authorization"] = "Bearer " + access.key;
     Result<HttpResponse> result = Error {};
     asio::co_spawn(
-        context, [&]() -> Awaitable<> { result = co_await callHttp(std::move(call)); }, asio::detached);
+        context, [&]() -> Awaitable<> { result = co_await callHttp(std::move(call)); }, reportFailedHandler);
     context.run();
     return result;
 }
--- a/src/net/internal/httprequest.cpp
+++ b/src/net/internal/httprequest.cpp
@@ -24,9 +24,12 @@
         return std::none_of(longFields.begin(), longFields.end(), [&](const auto& field) { return hasName(field, name); });
     }
 
-    LongField makeLongField(beast::string_view name, beast::string_view value)
+    void addTo(HttpRequest::Message& message, std::vector<LongField>& longFields, http::field knownName, beast::string_view name, beast::string_view value)
     {
-        return { .name = std::string(name), .value = std::string(value) };
+        if (isContainable(longFields, name, value))
+            message.insert(knownName, name, value);
+        else
+            longFields.push_back({ .name = std::string(name), .value = std::string(value) });
     }
 
 }
@@ -39,10 +42,7 @@
 
 void HttpRequest::addField(beast::string_view name, beast::string_view value)
 {
-    if (isContainable(m_longFields, name, value))
-        insert(name, value);
-    else
-        m_longFields.push_back(makeLongField(name, value));
+    addTo(*this, m_longFields, http::string_to_field(name), name, value);
 }
 
 void HttpRequest::setField(beast::string_view name, beast::string_view value)
@@ -63,10 +63,7 @@
 
 void HttpRequestParser::on_field_impl(http::field knownName, beast::string_view name, beast::string_view value, beast::error_code&)
 {
-    if (isContainable(m_longFields, name, value))
-        get().insert(knownName, name, value);
-    else
-        m_longFields.push_back(makeLongField(name, value));
+    addTo(get(), m_longFields, knownName, name, value);
 }
 
 HttpRequest HttpRequestParser::releaseRequest()
--- a/src/net/tests/httpserverendless_test.cpp
+++ b/src/net/tests/httpserverendless_test.cpp
@@ -2,6 +2,7 @@
 #include "net/tests/endlessserver.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 
 using namespace guavaspan;
 
@@ -13,6 +14,19 @@
     co_await exchange.send(std::move(reply));
 }
 
+/// Runs the server until the caller, which has a thread of its own, is done.
+void serveUntilDone(asio::io_context& io, const std::function<void()>& call)
+{
+    std::atomic<bool> done = false;
+    std::thread caller([&] {
+        call();
+        done = true;
+    });
+    while (!done)
+        io.run_for(Milliseconds(20));
+    caller.join();
+}
+
 /// A server and a caller whose request has no end.
 struct EndlessCallerFixture {
     static constexpr auto headerTimeout = Milliseconds(400);
@@ -24,14 +38,7 @@
     explicit EndlessCallerFixture(const EndlessAnswer& request)
     {
         PeakMemory memory;
-        std::atomic<bool> done = false;
-        std::thread caller([&] {
-            send(request);
-            done = true;
-        });
-        while (!done)
-            io.run_for(Milliseconds(20));
-        caller.join();
+        serveUntilDone(io, [&] { send(request); });
         memoryGrowth = memory.growth();
     }
 
@@ -112,15 +119,8 @@
         asio::io_context io;
         HttpServer server { io, HttpLimits { .maxHeaderBytes = 256 << 20, .headerTimeout = headerTimeout }, sendEmptyReply };
         auto endpoint = *server.listen({ .address = "127.0.0.1" });
-        std::atomic<bool> done = false;
         bool closed = false;
-        std::thread caller([&] {
-            closed = isClosedInTime(endpoint, start, EndlessCallerFixture::maxTime);
-            done = true;
-        });
-        while (!done)
-            io.run_for(Milliseconds(20));
-        caller.join();
+        serveUntilDone(io, [&] { closed = isClosedInTime(endpoint, start, EndlessCallerFixture::maxTime); });
         cr_expect(closed, "%s: the connection was not closed", start);
     }
 }
--- a/src/relay/internal/runinquiry.cpp
+++ b/src/relay/internal/runinquiry.cpp
@@ -20,12 +20,12 @@
 {
     auto target = stream.target();
     auto askedAt = Clock::now();
-    auto timeout = std::min<TimePoint>(request.deadline, askedAt + inquiryTimeout);
+    auto latest = std::min<TimePoint>(request.deadline, askedAt + inquiryTimeout);
     auto state = RunState::Unknown;
     int reports = 0;
     int unknownReports = 0;
     auto isUndecided = [&] { return state != RunState::Over && unknownReports < maxUnknownReports && !stream.hasPendingMove(); };
-    while (isUndecided() && Clock::now() < timeout && !request.callerWatch.gone() && !request.cut) {
+    while (isUndecided() && Clock::now() < latest && !request.callerWatch.gone() && !request.cut) {
         if (reports > 0)
             co_await sleepFor(reportInterval);
         if (stream.isStopping()) {
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -115,15 +115,14 @@
         auto chunk = co_await connection->readSome();
         if (callerWatch.gone())
             co_return StreamOutcome::CallerGone;
+        if (!chunk || chunk->empty())
+            recordBodyEnd(m_context, session.request, *connection, chunk);
         if (!chunk) {
             session.result.detail = describe(chunk.error());
-            recordBodyEnd(m_context, session.request, *connection, chunk);
             co_return session.request.cut ? StreamOutcome::DeadlineReached : outcomeOf(chunk.error());
         }
-        if (chunk->empty()) {
-            recordBodyEnd(m_context, session.request, *connection, chunk);
+        if (chunk->empty())
             break;
-        }
         m_starter.onHeard(session, session.stream->target());
         session.frames.feed(*chunk);
         auto forwarded = co_await forwardFrames(session);
