Ask engines whose entry is missing whether they are leaving

Change: EngineShutdownPoller also polls engines in use whose entry is missing, at the interval that it already uses while the store is not reachable.

--- a/src/handover/internal/shutdownpollschedule.cpp
+++ b/src/handover/internal/shutdownpollschedule.cpp
@@ -15,14 +15,19 @@
 
 }
 
-std::vector<std::string> ShutdownPollSchedule::due(const std::set<std::string>& enginesInUse, const StoreView& view, TimePoint now)
+/// An engine that removes its entry while the store is unavailable gives no other notice: its entry is taken for one that expired, for longer
+/// than such an engine still serves.
+std::vector<std::string> ShutdownPollSchedule::due(const std::set<std::string>& enginesInUse, const std::set<std::string>& withoutEntry, const StoreView& view, TimePoint now)
 {
     std::erase_if(m_polledAt, [&](const auto& entry) { return enginesInUse.count(entry.first) == 0; });
     auto maxAge = view.reachable ? maxAgeWithStore : maxAgeWithoutStore;
-    if (view.age <= maxAge)
+    bool pollsAll = view.age > maxAge;
+    if (!pollsAll && withoutEntry.empty())
         return {};
     std::vector<std::string> engines;
     for (const auto& engine : enginesInUse) {
+        if (!pollsAll && !withoutEntry.contains(engine))
+            continue;
         auto lastPoll = m_polledAt.find(engine);
         if (lastPoll != m_polledAt.end() && now < lastPoll->second + pollInterval)
             continue;
--- a/src/handover/shutdownpollschedule.h
+++ b/src/handover/shutdownpollschedule.h
@@ -19,11 +19,12 @@
 };
 
 /// Decides which engines to poll for a shutdown notice: those that run generations of this
-/// instance, and only while the copy of the shared store is too old to show the notice in time.
+/// instance, while the copy of the shared store is too old to show the notice in time, or the engine's entry is missing from it.
 class ShutdownPollSchedule {
 public:
-    /// Returns the engines in use that are to be polled now.
-    std::vector<std::string> due(const std::set<std::string>& enginesInUse, const StoreView&, TimePoint now);
+    /// Returns the engines in use that are to be polled now. `withoutEntry` are those whose entries are missing, although it is not known
+    /// whether they are leaving.
+    std::vector<std::string> due(const std::set<std::string>& enginesInUse, const std::set<std::string>& withoutEntry, const StoreView&, TimePoint now);
 
 private:
     std::map<std::string, TimePoint> m_polledAt;
--- a/src/handover/tests/shutdownpollschedule_test.cpp
+++ b/src/handover/tests/shutdownpollschedule_test.cpp
@@ -11,8 +11,9 @@
     TimePoint now { Seconds(10) };
     StoreView view;
     std::set<std::string> enginesInUse { "a", "b" };
+    std::set<std::string> withoutEntry;
 
-    std::vector<std::string> due() { return schedule.due(enginesInUse, view, now); }
+    std::vector<std::string> due() { return schedule.due(enginesInUse, withoutEntry, view, now); }
 };
 
 }
@@ -58,3 +59,15 @@
     f.now += Seconds(1);
     cr_expect(f.due().empty());
 }
+
+// Guards against streams that break because an engine's last notice, the removal of its entry, coincides with an outage of the store.
+Test(ShutdownPollSchedule, entryMissingAfterOutage_pollsOnlyThisEngine)
+{
+    PollFixture f;
+    f.view = { .reachable = true, .age = Milliseconds(100) };
+    f.withoutEntry = { "b" };
+    cr_expect(f.due() == std::vector<std::string> { "b" });
+    cr_expect(f.due().empty(), "polled twice at once");
+    f.now += Milliseconds(400);
+    cr_expect(f.due() == std::vector<std::string> { "b" });
+}
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -20,11 +20,16 @@
 void EngineShutdownPoller::onTick(TimePoint now)
 {
     std::set<std::string> targetsInUse;
+    std::set<std::string> withoutEntry;
     for (const auto& target : m_context.streams.targets()) {
-        if (m_context.directory.isUsable(target))
-            targetsInUse.insert(target);
+        const auto* entry = m_context.directory.find(target);
+        if (!entry || entry->state != TargetState::Ready)
+            continue;
+        targetsInUse.insert(target);
+        if (m_context.directory.isEntryMissing(target))
+            withoutEntry.insert(target);
     }
-    for (const auto& target : m_pollSchedule.due(targetsInUse, m_context.storeView(), now))
+    for (const auto& target : m_pollSchedule.due(targetsInUse, withoutEntry, m_context.storeView(), now))
         asio::co_spawn(m_context.io, poll(*m_context.directory.find(target)), reportFailedHandler);
 }
 
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -165,6 +165,12 @@
     return entry && entry->state == TargetState::Ready;
 }
 
+bool TargetDirectory::isEntryMissing(const std::string& id) const
+{
+    auto target = m_targets.find(id);
+    return target != m_targets.end() && target->second.rewriteDeadline.has_value();
+}
+
 bool TargetDirectory::isIncarnationUsable(const TargetEntry& incarnation) const
 {
     const auto* entry = find(incarnation.id);
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -66,6 +66,8 @@
     std::vector<const TargetEntry*> usableTargets() const;
     const TargetEntry* find(const std::string& id) const;
     bool isUsable(const std::string& id) const;
+    /// True if the target's entry is missing and may have expired during an outage of the store, or may have been removed by the target.
+    bool isEntryMissing(const std::string& id) const;
     /// True if this incarnation of a target takes new requests.
     bool isIncarnationUsable(const TargetEntry&) const;
     std::size_t size() const { return m_targets.size(); }
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -172,3 +172,18 @@
     f.directory.onDrainingReported("a", 1, f.now);
     cr_expect(f.directory.isUsable("a"));
 }
+
+// Guards against a target that removed its entry and is not asked whether it is leaving.
+Test(TargetDirectory, entryRemovedDuringOutage_isMissingUntilWrittenAgain)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.write(f.entry("b"));
+    f.directory.onStoreLost(f.now);
+    f.directory.onEntryRemoved("a", f.now);
+    cr_expect(f.directory.isEntryMissing("a"));
+    cr_expect(f.directory.isUsable("a"));
+    cr_expect(!f.directory.isEntryMissing("b"));
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isEntryMissing("a"));
+}
