Let aggregators of both sides of a healed partition learn of each other

Aggregators report to the aggregators that they know, so the ones that a cut-off group had chosen never heard of the others: generations were placed without the other's load, and two moves at a time were granted off one engine, whose link then delayed the stop of one of them by 100 to 340 ms. Change: an aggregator also reports to the instances in whose place it was chosen, and to those that aggregate for another side. Without a partition nothing more is sent.

--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -131,6 +131,7 @@
     bool awaitsFirstReport(const std::string& name, TimePoint now) const;
     const AggregatorRanking& ranking() const;
     std::vector<std::string> preferredAggregators(TimePoint now) const;
+    std::vector<std::string> otherAggregators(TimePoint now) const;
     void updateRole(TimePoint now);
     void chooseAggregators(std::vector<std::string> chosen, TimePoint now);
     void suspectSilentAggregator(TimePoint now);
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -286,10 +286,28 @@
     if (!usesSummaries())
         return peerNames();
     auto recipients = aggregators(now);
+    for (auto& name : otherAggregators(now)) {
+        if (!contains(recipients, name))
+            recipients.push_back(std::move(name));
+    }
     std::erase(recipients, m_self);
     return recipients;
 }
 
+/// After a partition each side has aggregators of its own, which know of the others only if one side reports to the other. So an
+/// aggregator also reports to those in whose place it was chosen, and to those that aggregate for another side.
+std::vector<std::string> FleetView::otherAggregators(TimePoint now) const
+{
+    if (!aggregates())
+        return {};
+    auto names = ranking().choose([](const std::string&) { return true; });
+    for (const auto& [name, lastReport] : m_lastReports) {
+        if (lastReport.aggregators.empty() && isRecentlyReported(name, now))
+            names.push_back(name);
+    }
+    return names;
+}
+
 /// The first of an instance's aggregators that responds sends it summaries; if none does, all that receive its reports.
 bool FleetView::isMember(const std::vector<std::string>& aggregatorsOfInstance, TimePoint now) const
 {
