Keep requests to cold targets within their service's limit

Cause: a service states how many requests a second a target tolerates after its start (cold_per_s). Instances did not read it, so the whole fleet could send at once to a target that had just started.

Change: TargetLimits has the limit of cold targets as one more source; the stricter applies to every send. Entries and the answer header state until when a target is cold. ColdBudget divides the bound (cold_per_s x cold_overrun + cold_slack) into bursts of one request and a refill. FleetCensus tells which instances share; a process without a settled view has no share, and one whose view is outdated has one of a reserve only. An entry by which a target becomes cold again reaches followers. Resumed generations wait up to 1.5 s for a share.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -68,6 +68,7 @@
     StoreView storeView() const;
     void updateGauges();
     void countInstances();
+    std::optional<ColdSharers> coldSharers() const;
 
     EntrySettings m_settings;
     EntryPlatform m_platform;
@@ -78,6 +79,8 @@
     TargetLimits m_targetLimits;
     FleetView m_fleet;
     FleetCensus m_census;
+    /// Instances that share the limits of cold targets.
+    FleetCensus m_coldCensus;
     StoreReplica m_replica;
     StoreFollower m_follower;
     Dispatcher m_dispatcher;
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -31,6 +31,10 @@
     /// Additional retries allowed in each window, shared by the whole fleet.
     int retryAllowance = 0;
     Milliseconds retryWindow { 10000 };
+    /// In any second a cold target gets at most `coldOverrun` times the rate that it tolerates, and `coldSlack` more. If the
+    /// settings do not state them, it gets no more than it tolerates.
+    double coldOverrun = 1;
+    double coldSlack = 0;
 
     friend bool operator==(const EntrySettings&, const EntrySettings&) = default;
 };
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -29,6 +29,10 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
+    /// Requests to cold targets are limited in each second. The window also has to exceed the distance between views that count as
+    /// current, or the census takes each distance for a gap.
+    constexpr auto coldCensusWindow = Milliseconds(3500);
+
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -49,9 +53,10 @@
     , m_platform(std::move(platform))
     , m_random(randomFromSystem())
     , m_configuration(m_settings.keyLifetimeAfterRevocation - revocationMargin)
-    , m_targetLimits(m_settings.instance)
+    , m_targetLimits(m_settings.instance, { .overrun = m_settings.coldOverrun, .slack = m_settings.coldSlack })
     , m_fleet(m_settings.instance, m_settings.capacity, m_settings.failureDomain)
     , m_census(m_settings.instance, m_settings.retryWindow)
+    , m_coldCensus(m_settings.instance, coldCensusWindow)
     , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsFor(m_settings.configurationTime, m_settings.failureDomain), peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
@@ -178,10 +183,13 @@
             onConfiguration(*value);
     } else if (key.starts_with(schema.targetPrefix)) {
         auto id = key.substr(schema.targetPrefix.size());
+        auto entry = value ? schema.decodeTarget(id, *value) : std::nullopt;
         if (value)
-            m_directory.onEntryWritten(id, schema.decodeTarget(id, *value), now);
+            m_directory.onEntryWritten(id, entry, now);
         else
             m_directory.onEntryRemoved(id, now);
+        if (entry)
+            m_targetLimits.onEntry(*entry, now);
         m_dispatcher.placeWaiting();
     } else if (key.starts_with(schema.instancePrefix)) {
         auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
@@ -219,6 +227,12 @@
         return;
     }
     m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
+    std::map<std::string, double> coldServices;
+    for (const auto& service : m_configuration.table()->services()) {
+        if (service.coldRequestsPerSecond > 0)
+            coldServices.emplace(service.name, service.coldRequestsPerSecond);
+    }
+    m_targetLimits.setColdServices(std::move(coldServices), Clock::now());
     logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() } });
 }
 
@@ -264,6 +278,7 @@
         .rejectedStoreListings = static_cast<double>(m_follower.rejectedListings()),
         .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
+        .coldTargets = static_cast<double>(m_targetLimits.coldTargets(Clock::now())),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
         .failedHandlers = static_cast<double>(failedHandlers()),
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
@@ -324,7 +339,10 @@
     m_targetLimits.onInstances(names, Clock::now());
     m_dispatcher.brittleServices().setInstances(names.size() + 1);
     auto now = BootClock::now();
-    m_census.onView({ .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() }, now);
+    RegistrationView view { .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() };
+    m_census.onView(view, now);
+    m_coldCensus.onView(view, now);
+    m_targetLimits.onColdSharers(coldSharers(), Clock::now());
     auto sharers = m_census.sharers(now);
     if (sharers == m_retrySharers)
         return;
@@ -332,6 +350,14 @@
     logEvent(LogLevel::Info, "retry_share_changed", { { "sharers", std::int64_t(sharers.value_or(0)) }, { "instances_seen", std::int64_t(m_census.instancesSeen()) }, { "registered", m_fleet.isRegistered(m_registration.key()) }, { "view_age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(now)).count() } });
 }
 
+std::optional<ColdSharers> EntryInstance::coldSharers() const
+{
+    auto state = m_coldCensus.state(BootClock::now());
+    if (state == CensusState::Unknown)
+        return std::nullopt;
+    return ColdSharers { .instances = m_coldCensus.instances(), .outdated = state == CensusState::Outdated };
+}
+
 void EntryInstance::sendReport()
 {
     m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
--- a/src/entry/internal/storeschema.cpp
+++ b/src/entry/internal/storeschema.cpp
@@ -32,9 +32,12 @@
     if (!oldTarget || !newTarget)
         return true;
     bool warmUpEnds = oldTarget->warmUpRemaining.count() > 0 && newTarget->warmUpRemaining.count() <= 0;
+    // The time counts down, and peers count along, so one that did not shrink shows that the target became cold again.
+    bool warmUpRestarts = newTarget->warmUpRemaining.count() > 0 && newTarget->warmUpRemaining >= oldTarget->warmUpRemaining;
+    if (warmUpEnds || warmUpRestarts)
+        return true;
     oldTarget->sequence = newTarget->sequence;
-    if (!warmUpEnds)
-        oldTarget->warmUpRemaining = newTarget->warmUpRemaining;
+    oldTarget->warmUpRemaining = newTarget->warmUpRemaining;
     return *oldTarget != *newTarget;
 }
 
--- a/src/entry/tests/storeschema_test.cpp
+++ b/src/entry/tests/storeschema_test.cpp
@@ -43,6 +43,15 @@
     cr_expect(f.isNews("nothing", "1 r 0"));
 }
 
+/// Guards against COLD: an instance that reads the store through a peer sends a target that became cold again as much as before.
+Test(StoreSchema, targetBecomesColdAgain_isNews)
+{
+    StoreSchemaFixture f;
+    cr_expect(f.isNews("1 r 0", "2 r 900"));
+    cr_expect(f.isNews("1 r 200", "2 r 900"));
+    cr_expect(f.isNews("1 r 900", "2 r 900"));
+}
+
 Test(StoreSchema, otherKeys_eachChangeIsNews)
 {
     StoreSchemaFixture f;
--- a/src/fleet/internal/fleetcensus.cpp
+++ b/src/fleet/internal/fleetcensus.cpp
@@ -30,17 +30,38 @@
         m_registeredSince.reset();
     if (view.includesSelf && !m_registeredSince)
         m_registeredSince = now;
+    m_wasCurrent = view.includesSelf && (m_wasCurrent || isCurrent(now));
     m_lastSeen[m_self] = now;
     for (const auto& instance : view.instances)
         m_lastSeen[instance] = now;
     std::erase_if(m_lastSeen, [&](const auto& entry) { return now - entry.second > m_budgetWindow + 2 * settleTime; });
 }
 
+bool FleetCensus::isCurrent(BootTime now) const
+{
+    return m_registeredSince && now - *m_confirmedAt <= maxViewAge && now - *m_registeredSince >= m_budgetWindow + settleTime;
+}
+
 std::optional<int> FleetCensus::sharers(BootTime now) const
 {
-    if (!m_registeredSince || now - *m_confirmedAt > maxViewAge || now - *m_registeredSince < m_budgetWindow + settleTime)
+    if (!isCurrent(now))
         return std::nullopt;
     return instancesSeen();
 }
 
+CensusState FleetCensus::state(BootTime now) const
+{
+    if (isCurrent(now))
+        return CensusState::Current;
+    return m_wasCurrent ? CensusState::Outdated : CensusState::Unknown;
+}
+
+std::vector<std::string> FleetCensus::instances() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, seenAt] : m_lastSeen)
+        names.push_back(name);
+    return names;
+}
+
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -135,6 +135,10 @@
         context.targetLimits.onPauseRequested(target, fromSeconds(std::min(*responseHead.retryAfterSeconds, maxPauseSeconds)), Clock::now());
     else if (responseHead.retryAfterUnreadable)
         logEvent(LogLevel::Warning, "target_retry_after_unreadable", { { "target", target.id } });
+    if (responseHead.warmUpRemainingUnreadable)
+        logEvent(LogLevel::Warning, "target_warm_up_unreadable", { { "target", target.id } });
+    else if (responseHead.warmUpRemaining)
+        context.targetLimits.onWarmUpAnswer(target, *responseHead.warmUpRemaining, Clock::now());
     if (responseHead.requestLimitUnreadable)
         logEvent(LogLevel::Warning, "target_limit_unreadable", { { "target", target.id } });
     else
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -110,6 +110,7 @@
     set("rejected_store_listings", gauges.rejectedStoreListings);
     set("older_store_entries", gauges.olderStoreEntries);
     set("limited_targets", gauges.limitedTargets);
+    set("cold_targets", gauges.coldTargets);
     set("dropped_log_lines", gauges.droppedLogLines);
     set("failed_handlers", gauges.failedHandlers);
     set("interrupted_answers", gauges.interruptedAnswers);
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -11,6 +11,10 @@
 
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
     constexpr auto moveTimeout = Milliseconds(4500);
+    /// Longest time for which a stopped generation waits for this instance's share of a cold target. After that it is resumed
+    /// without one, since its engine may be gone.
+    constexpr auto maxShareWait = Milliseconds(1500);
+    constexpr auto shareRecheckInterval = Milliseconds(20);
 
     std::optional<std::int64_t> parseEventNumber(const std::string& text)
     {
@@ -150,6 +154,22 @@
     return StreamOutcome::Interrupted;
 }
 
+/// Takes one request from this instance's share. Several generations may have been moved to one cold target at a time.
+Awaitable<> StreamRelay::takeShare(const GenerationSession& session, const TargetEntry& target)
+{
+    auto& limits = m_context.targetLimits;
+    auto waitsUntil = std::min<TimePoint>(Clock::now() + maxShareWait, session.request.deadline);
+    while (!session.request.callerWatch.gone() && !session.request.cut) {
+        auto now = Clock::now();
+        auto wait = limits.coldWaitTime(target.id, now);
+        if (wait <= Clock::duration::zero() || now + wait > waitsUntil)
+            break;
+        // Another generation may take the request that becomes available.
+        co_await sleepFor(std::min<Clock::duration>(wait + Milliseconds(1), shareRecheckInterval));
+    }
+    limits.take(target, Clock::now());
+}
+
 /// Resumes the generation at the engine that has its copy, or else at the engine that stopped it.
 Awaitable<StreamRelay::ResumeResult> StreamRelay::resume(GenerationSession& session)
 {
@@ -171,14 +191,16 @@
     };
     session.stream->setTarget(move->destination);
     m_context.placement.setTarget(session.id, move->destination.id);
-    m_context.targetLimits.take(move->destination, Clock::now());
+    co_await takeShare(session, move->destination);
+    if (session.request.callerWatch.gone() || session.request.cut)
+        co_return ResumeResult::Failed;
     bool accepted = co_await m_starter.open(session, move->destination, continuation);
     logMove(move->destination, accepted);
     bool mayTrySource = !accepted && session.responseHead.notRun && move->destination.id != move->source.id && !session.request.callerWatch.gone();
     if (mayTrySource) {
         session.stream->setTarget(move->source);
         m_context.placement.setTarget(session.id, move->source.id);
-        m_context.targetLimits.take(move->source, Clock::now());
+        co_await takeShare(session, move->source);
         accepted = co_await m_starter.open(session, move->source, continuation);
         logMove(move->source, accepted);
     }
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -74,6 +74,9 @@
     /// Requests per second that the target takes from all instances together, if it states a limit.
     std::optional<double> requestLimit;
     bool requestLimitUnreadable = false;
+    /// Time for which the target stays cold, if the answer states it.
+    std::optional<Milliseconds> warmUpRemaining;
+    bool warmUpRemainingUnreadable = false;
     /// Rejections per second for lack of room that the target survives, if it states that it is brittle.
     std::optional<double> survivedRejections;
     bool survivedRejectionsUnreadable = false;
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -2,8 +2,10 @@
 
 #include "relay/handoverservice.h"
 
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace guavaspan {
 
@@ -22,6 +24,8 @@
     double rejectedStoreListings = 0;
     double olderStoreEntries = 0;
     double limitedTargets = 0;
+    /// Targets that are limited because they are cold.
+    double coldTargets = 0;
     double droppedLogLines = 0;
     /// Exceptions that ended a connection or another part of the work.
     double failedHandlers = 0;
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -40,6 +40,7 @@
         Failed,
     };
 
+    Awaitable<> takeShare(const GenerationSession&, const TargetEntry&);
     Awaitable<ResumeResult> resume(GenerationSession&);
     Awaitable<StreamOutcome> relayGeneration(GenerationSession&);
     Awaitable<StreamOutcome> relayEvents(GenerationSession&);
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -89,6 +89,25 @@
     cr_expect(refusal->retryAfter > Milliseconds(4900));
 }
 
+/// Guards against COLD: a cold target without a share here counts as a place for requests.
+Test(SendGate, coldTargetWithoutShare_isPassedOverAndRefusedIfAllAre)
+{
+    SendGateFixture f;
+    auto now = Clock::now();
+    f.targetLimits.setColdServices({ { "shop", 31 } }, now);
+    f.targetLimits.onWarmUpAnswer(f.first(), Seconds(60), now);
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    cr_expect(gate.excludedTargets() == std::set<std::string> { "first" });
+    cr_expect(!gate.tryClaim(f.first()));
+    cr_expect(gate.tryClaim(f.second()));
+    f.targetLimits.onWarmUpAnswer(f.second(), Milliseconds(300), now);
+    auto refusal = gate.refusal();
+    cr_assert(refusal.has_value());
+    cr_expect(std::string(refusal->reason) == "targets_limited");
+    cr_expect(refusal->retryAfter < Seconds(1), "the second target is warm soon");
+}
+
 Test(SendGate, shareTakenWhileRequestsWait_isRefusedInTheEnd)
 {
     SendGateFixture f;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -64,6 +64,10 @@
 struct ServiceInfo {
     std::string name;
     int maxConnections = 0;
+    /// Requests per second that a cold target tolerates; 0 if it tolerates any number.
+    double coldRequestsPerSecond = 0;
+    /// Time for which a target is cold after its start.
+    Milliseconds coldStart { 0 };
     /// Absent for services that do not generate.
     std::optional<EngineTraits> engine;
 
--- a/src/targets/internal/targetlimits.cpp
+++ b/src/targets/internal/targetlimits.cpp
@@ -19,10 +19,20 @@
     constexpr auto instanceLifetime = Seconds(10);
     /// Lowest rate that is kept to, in requests per second. Only an answer shows that a limit has ended.
     constexpr double minRequestsPerSecond = 0.5;
-    /// Requests that an instance may send at once after it was idle.
-    constexpr double maxTokens = 1;
     /// Time until a target is asked about again by an instance without a share.
     constexpr auto waitWithoutShare = Seconds(2);
+    /// An entry takes at most this time to reach an instance, so an answer may be more recent than an entry that arrives
+    /// within this time after it.
+    constexpr auto maxEntryDelay = Seconds(2);
+
+    /// Number of the given instances that precede this one in the order of those that get a share.
+    template <typename Instances, typename NameOf>
+    std::size_t instancesAhead(const std::string& self, const std::string& target, const Instances& instances, NameOf nameOf)
+    {
+        auto ownWeight = rendezvousWeight(self, target);
+        auto ahead = std::count_if(instances.begin(), instances.end(), [&](const auto& instance) { return rendezvousWeight(nameOf(instance), target) > ownWeight; });
+        return static_cast<std::size_t>(ahead);
+    }
 
     /// Number of instances that share a limit. Each may send one request at once, so a small limit
     /// is shared by few instances.
@@ -35,8 +45,9 @@
 
 }
 
-TargetLimits::TargetLimits(std::string self)
+TargetLimits::TargetLimits(std::string self, ColdBounds coldBounds)
     : m_self(std::move(self))
+    , m_coldBounds(coldBounds)
 {
 }
 
@@ -51,13 +62,14 @@
     removeExpired(now);
     for (auto& [target, limit] : m_limits) {
         if (changed && refilledLimit(target, now))
-            limit.share = shareOf(target, *limit.requestsPerSecond);
+            limit.bucket.share = shareOf(target, *limit.requestsPerSecond);
     }
 }
 
 void TargetLimits::removeExpired(TimePoint now)
 {
     std::erase_if(m_pausedUntil, [&](const auto& entry) { return entry.second <= now; });
+    std::erase_if(m_coldTargets, [&](const auto& entry) { return entry.second.until <= now; });
     std::erase_if(m_limits, [&](const auto& entry) {
         auto lifetime = entry.second.requestsPerSecond ? limitLifetime : endedLifetime;
         return entry.second.statedAt + lifetime < now;
@@ -75,15 +87,15 @@
     bool sameIncarnation = known && found->second.targetStartedAt == limit.targetStartedAt;
     bool changed = !sameIncarnation || found->second.requestsPerSecond != limit.requestsPerSecond;
     if (!changed)
-        limit.share = found->second.share;
+        limit.bucket.share = found->second.bucket.share;
     else if (limit.requestsPerSecond)
-        limit.share = shareOf(target, *limit.requestsPerSecond);
+        limit.bucket.share = shareOf(target, *limit.requestsPerSecond);
     if (changed) {
-        logEvent(LogLevel::Info, limit.requestsPerSecond ? "target_limit_stated" : "target_limit_ended", { { "target", target }, { "requests_per_s", limit.requestsPerSecond.value_or(0) }, { "share", limit.share }, { "own", limit.own }, { "age_ms", std::chrono::duration_cast<Milliseconds>(now - limit.statedAt).count() } });
+        logEvent(LogLevel::Info, limit.requestsPerSecond ? "target_limit_stated" : "target_limit_ended", { { "target", target }, { "requests_per_s", limit.requestsPerSecond.value_or(0) }, { "share", limit.bucket.share }, { "own", limit.own }, { "age_ms", std::chrono::duration_cast<Milliseconds>(now - limit.statedAt).count() } });
     }
-    limit.refilledAt = now;
+    limit.bucket.refilledAt = now;
     if (sameIncarnation && found->second.requestsPerSecond) {
-        limit.tokens = refilledLimit(target, now)->tokens;
+        limit.bucket.tokens = refilledLimit(target, now)->bucket.tokens;
         limit.own = limit.own || found->second.own;
     }
     m_limits.insert_or_assign(target, limit);
@@ -118,12 +130,8 @@
     auto instances = m_instancesSeenAt.size();
     // A process that knows no instances yet is not alone; it expects as many as may share the limit.
     auto sharers = instances == 0 ? maxSharers(requestsPerSecond) : std::min(instances, maxSharers(requestsPerSecond));
-    if (sharers < instances) {
-        auto ownWeight = rendezvousWeight(m_self, target);
-        auto ahead = std::count_if(m_instancesSeenAt.begin(), m_instancesSeenAt.end(), [&](const auto& entry) { return rendezvousWeight(entry.first, target) > ownWeight; });
-        if (static_cast<std::size_t>(ahead) >= sharers)
-            return 0;
-    }
+    if (sharers < instances && instancesAhead(m_self, target, m_instancesSeenAt, [](const auto& entry) -> const std::string& { return entry.first; }) >= sharers)
+        return 0;
     return rate / static_cast<double>(sharers);
 }
 
@@ -132,10 +140,116 @@
     auto found = m_limits.find(target);
     if (found == m_limits.end() || !found->second.requestsPerSecond)
         return nullptr;
-    auto& limit = found->second;
-    limit.tokens = std::min(maxTokens, limit.tokens + limit.share * secondsBetween(limit.refilledAt, now));
-    limit.refilledAt = now;
-    return &limit;
+    found->second.bucket.refill(now);
+    return &found->second;
+}
+
+void TargetLimits::setColdServices(std::map<std::string, double> requestsPerSecond, TimePoint now)
+{
+    m_coldServices = std::move(requestsPerSecond);
+    updateColdShares(now);
+}
+
+void TargetLimits::onColdSharers(std::optional<ColdSharers> sharers, TimePoint now)
+{
+    removeExpired(now);
+    if (sharers == m_coldSharers)
+        return;
+    m_coldSharers = std::move(sharers);
+    updateColdShares(now);
+}
+
+void TargetLimits::updateColdShares(TimePoint now)
+{
+    for (auto& [target, cold] : m_coldTargets) {
+        cold.bucket.refill(now);
+        updateColdShare(target, cold);
+    }
+}
+
+// Instances with current views are in each other's views. Each one with a share has fewer names ahead of it than there are shares, so
+// no more instances than shares have one, however the views differ. Additional names only make shares smaller.
+void TargetLimits::updateColdShare(const std::string& target, ColdTarget& cold) const
+{
+    cold.bucket.share = 0;
+    auto service = m_coldServices.find(cold.service);
+    cold.limited = service != m_coldServices.end();
+    if (!cold.limited || !m_coldSharers)
+        return;
+    ColdBudget budget(service->second, m_coldBounds);
+    auto instances = m_coldSharers->instances.size();
+    auto shares = m_coldSharers->outdated ? budget.reserveSharers() : budget.sharers(instances);
+    auto ahead = instancesAhead(m_self, target, m_coldSharers->instances, [](const std::string& name) -> const std::string& { return name; });
+    if (ahead < shares)
+        cold.bucket.share = m_coldSharers->outdated ? budget.reserveShare() : budget.share(instances);
+}
+
+void TargetLimits::onEntry(const TargetEntry& target, TimePoint now)
+{
+    auto found = m_coldTargets.find(target.id);
+    bool sameIncarnation = found != m_coldTargets.end() && found->second.targetStartedAt == target.startedAt;
+    if (sameIncarnation) {
+        auto& cold = found->second;
+        if (target.sequence < cold.sequence || (target.sequence == cold.sequence && cold.answeredAt))
+            return;
+        bool answerMayBeNewer = cold.answeredAt && now < *cold.answeredAt + maxEntryDelay && now + target.warmUpRemaining < cold.until;
+        if (answerMayBeNewer)
+            return;
+    }
+    setCold(target, target.warmUpRemaining, false, now);
+}
+
+void TargetLimits::onWarmUpAnswer(const TargetEntry& target, Milliseconds remaining, TimePoint now)
+{
+    setCold(target, remaining, true, now);
+}
+
+/// A target that has just become cold starts with an empty bucket, so it does not matter what was sent before.
+void TargetLimits::setCold(const TargetEntry& target, Milliseconds remaining, bool answered, TimePoint now)
+{
+    auto found = m_coldTargets.find(target.id);
+    if (found != m_coldTargets.end() && target.startedAt < found->second.targetStartedAt)
+        return;
+    if (remaining.count() <= 0) {
+        if (found != m_coldTargets.end())
+            m_coldTargets.erase(found);
+        return;
+    }
+    bool isNew = found == m_coldTargets.end() || found->second.targetStartedAt != target.startedAt || found->second.until <= now;
+    auto& cold = m_coldTargets[target.id];
+    if (isNew) {
+        cold = { .service = target.service, .targetStartedAt = target.startedAt, .sequence = target.sequence, .bucket = { .refilledAt = now } };
+        updateColdShare(target.id, cold);
+        if (cold.limited)
+            logEvent(LogLevel::Info, "target_cold", { { "target", target.id }, { "remaining_ms", remaining.count() }, { "share", cold.bucket.share }, { "from_answer", answered } });
+    }
+    cold.sequence = std::max(cold.sequence, target.sequence);
+    cold.until = now + remaining;
+    if (answered)
+        cold.answeredAt = now;
+}
+
+TargetLimits::ColdTarget* TargetLimits::refilledColdTarget(const std::string& target, TimePoint now)
+{
+    auto found = m_coldTargets.find(target);
+    if (found == m_coldTargets.end() || !found->second.limited || found->second.until <= now)
+        return nullptr;
+    found->second.bucket.refill(now);
+    return &found->second;
+}
+
+Clock::duration TargetLimits::coldWaitTime(const std::string& target, TimePoint now)
+{
+    auto* cold = refilledColdTarget(target, now);
+    if (!cold)
+        return Clock::duration::zero();
+    return std::min(cold->bucket.waitTime().value_or(waitWithoutShare), cold->until - now);
+}
+
+std::size_t TargetLimits::coldTargets(TimePoint now) const
+{
+    auto count = std::count_if(m_coldTargets.begin(), m_coldTargets.end(), [&](const auto& entry) { return entry.second.limited && entry.second.until > now; });
+    return static_cast<std::size_t>(count);
 }
 
 void TargetLimits::onPauseRequested(const TargetEntry& target, Clock::duration duration, TimePoint now)
@@ -150,6 +264,7 @@
 void TargetLimits::onTargetGone(const std::string& target)
 {
     m_limits.erase(target);
+    m_coldTargets.erase(target);
     m_pausedUntil.erase(target);
 }
 
@@ -158,10 +273,9 @@
     auto paused = m_pausedUntil.find(target);
     if (paused != m_pausedUntil.end() && paused->second > now)
         return paused->second - now;
+    auto coldWait = coldWaitTime(target, now);
     auto* limit = refilledLimit(target, now);
-    if (!limit || limit->tokens >= 1)
-        return Clock::duration::zero();
-    return limit->share > 0 ? fromSeconds((1 - limit->tokens) / limit->share) : Clock::duration(waitWithoutShare);
+    return limit ? std::max(coldWait, limit->bucket.waitTime().value_or(waitWithoutShare)) : coldWait;
 }
 
 bool TargetLimits::tryTake(const TargetEntry& target, TimePoint now)
@@ -175,7 +289,9 @@
 void TargetLimits::take(const TargetEntry& target, TimePoint now)
 {
     if (auto* limit = refilledLimit(target.id, now))
-        limit->tokens -= 1;
+        limit->bucket.tokens -= 1;
+    if (auto* cold = refilledColdTarget(target.id, now))
+        cold->bucket.tokens -= 1;
 }
 
 std::set<std::string> TargetLimits::exhaustedTargets(TimePoint now)
@@ -185,6 +301,10 @@
         if (waitTime(target, now) > Clock::duration::zero())
             exhausted.insert(target);
     }
+    for (const auto& [target, cold] : m_coldTargets) {
+        if (coldWaitTime(target, now) > Clock::duration::zero())
+            exhausted.insert(target);
+    }
     for (const auto& [target, until] : m_pausedUntil) {
         if (until > now)
             exhausted.insert(target);
--- /dev/null
+++ b/src/targets/requestbucket.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <optional>
+
+namespace guavaspan {
+
+/// Token bucket for the requests that one instance sends to a target. It holds one request at most.
+struct RequestBucket {
+    /// Requests per second; zero if other instances have the whole limit.
+    double share = 0;
+    /// Requests that may be sent now; negative if more were sent.
+    double tokens = 0;
+    TimePoint refilledAt;
+
+    void refill(TimePoint now);
+
+    /// Time until a request may be sent; empty if the share is zero and no request is left.
+    std::optional<Clock::duration> waitTime() const;
+};
+
+}
--- a/src/targets/targetlimits.h
+++ b/src/targets/targetlimits.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "targets/coldbudget.h"
+#include "targets/requestbucket.h"
 #include "targets/targettypes.h"
 
 #include <map>
@@ -23,12 +25,22 @@
 
 using StatedLimits = std::map<std::string, StatedLimit>;
 
-/// Keeps requests to a target within what the target states in its answers: a limit for the requests of all
-/// instances together, and pauses for this instance. Each
-/// instance spends a share of the limit without asking others; the shares of all instances add up to it.
+/// Instances that share the limits of cold targets, as this one sees them.
+struct ColdSharers {
+    /// With this one.
+    std::vector<std::string> instances;
+    /// The view was complete once, but other instances may share the limits by now.
+    bool outdated = false;
+
+    friend bool operator==(const ColdSharers&, const ColdSharers&) = default;
+};
+
+/// Keeps requests to a target within its limits: the one that it states in its answers and the one of its service for cold
+/// targets, both for the requests of all instances together, and pauses for this instance. Each
+/// instance spends a share of a limit without asking others; the shares of all instances add up to it.
 class TargetLimits {
 public:
-    explicit TargetLimits(std::string self);
+    explicit TargetLimits(std::string self, ColdBounds = {});
 
     /// Names of the instances that share the limits, with or without this one.
     void onInstances(const std::vector<std::string>& names, TimePoint now);
@@ -43,6 +55,25 @@
     /// The target refused a request and wants no other from this instance for some time.
     void onPauseRequested(const TargetEntry&, Clock::duration, TimePoint now);
 
+    /// Requests per second that cold targets tolerate, by service; those of other services tolerate any number.
+    void setColdServices(std::map<std::string, double>, TimePoint now);
+
+    /// Without a value this instance must not send requests to cold targets, since others may not count it or it may not
+    /// know them.
+    void onColdSharers(std::optional<ColdSharers>, TimePoint now);
+
+    /// The target's entry was written.
+    void onEntry(const TargetEntry&, TimePoint now);
+
+    /// An answer states for how long the target stays cold.
+    void onWarmUpAnswer(const TargetEntry&, Milliseconds remaining, TimePoint now);
+
+    /// The part of waitTime() that is due to the limit of a cold target.
+    Clock::duration coldWaitTime(const std::string& target, TimePoint now);
+
+    /// Targets that are cold now and limited for this reason.
+    std::size_t coldTargets(TimePoint now) const;
+
     /// The target has left or restarted, so what it stated does not hold any more.
     void onTargetGone(const std::string& target);
 
@@ -60,7 +91,7 @@
 
     /// Number of targets that stated a limit or requested a pause.
     std::size_t size() const { return m_limits.size() + m_pausedUntil.size(); }
-    bool empty() const { return m_limits.empty() && m_pausedUntil.empty(); }
+    bool empty() const { return m_limits.empty() && m_pausedUntil.empty() && m_coldTargets.empty(); }
 
 private:
     struct Limit {
@@ -69,19 +100,35 @@
         TimePoint statedAt;
         /// Stated to this instance, not reported by a peer.
         bool own = false;
-        /// This instance's share in requests per second; zero if others have the whole limit.
-        double share = 0;
-        /// Requests that may be sent now; negative after take().
-        double tokens = 0;
-        TimePoint refilledAt;
+        RequestBucket bucket;
+    };
+    struct ColdTarget {
+        std::string service;
+        std::int64_t targetStartedAt = 0;
+        /// Number of the last entry that was taken into account.
+        std::int64_t sequence = 0;
+        TimePoint until;
+        /// When an answer last stated it.
+        std::optional<TimePoint> answeredAt;
+        /// The service states a limit.
+        bool limited = false;
+        RequestBucket bucket;
     };
 
     void update(const std::string& target, Limit, TimePoint now);
     double shareOf(const std::string& target, double requestsPerSecond) const;
+    void setCold(const TargetEntry&, Milliseconds remaining, bool answered, TimePoint now);
+    void updateColdShares(TimePoint now);
+    void updateColdShare(const std::string& target, ColdTarget&) const;
+    ColdTarget* refilledColdTarget(const std::string& target, TimePoint now);
     Limit* refilledLimit(const std::string& target, TimePoint now);
     void removeExpired(TimePoint now);
 
     std::string m_self;
+    ColdBounds m_coldBounds;
+    std::map<std::string, double> m_coldServices;
+    std::optional<ColdSharers> m_coldSharers;
+    std::map<std::string, ColdTarget> m_coldTargets;
     std::map<std::string, TimePoint> m_instancesSeenAt;
     std::map<std::string, Limit> m_limits;
     /// Targets that get no request from this instance until then.
