Return grants that the requester cannot use to the pool's owner

Cause: the owner of a pool may grant a target that the requester does not know, knows as draining or evacuated, or must not send to now.

Change: the requester excludes the target and repeats its query under the same id. The owner takes a query that excludes the granted target as the return of the grant, releases it at once and places the request again. After 4 returned grants the requester decides by itself. Log line grant_returned, counter guavaspan_entry_unusable_grants_total{reason}.

No fleet was measured.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -103,6 +103,7 @@
             m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
     });
+    m_placementClient.setUnusableGrantListener([this](std::string_view reason) { m_metrics.recordUnusableGrant(std::string(reason)); });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.setStoreLostListener([this] { m_directory.onStoreLost(Clock::now()); });
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -11,6 +11,9 @@
     constexpr auto waitingQueryInterval = Milliseconds(200);
     /// Time for which an unreachable owner is not queried.
     constexpr auto ownerRetryDelay = Milliseconds(1500);
+    /// Grants of one request that are returned to its owner. An owner whose view of the targets differs more than that does
+    /// not know them; this instance then decides itself.
+    constexpr std::size_t maxReturnedGrants = 4;
     /// Stands for all other instances among those whose loads are known.
     constexpr const char* summarisedInstances = "";
 
@@ -87,6 +90,9 @@
         if (outcome)
             co_return *outcome;
         decider = PlacementDecider::HereWithoutOwner;
+        // An owner that responded stays the owner.
+        if (ownerOf(request.service) == owner)
+            break;
     }
     m_decidingInstances.insert_or_assign(request.id, m_instance);
     auto outcome = co_await m_dispatcher.place(std::move(request));
@@ -96,9 +102,10 @@
     co_return outcome;
 }
 
-Awaitable<std::optional<PlacementOutcome>> PlacementClient::queryOwner(const std::string& owner, const PlacementRequest& request)
+Awaitable<std::optional<PlacementOutcome>> PlacementClient::queryOwner(const std::string& owner, PlacementRequest& request)
 {
     auto queriedAt = Clock::now();
+    auto lastPlacedAt = queriedAt;
     auto pending = std::make_shared<PendingQuery>(m_io);
     m_pendingQueries.insert_or_assign(request.id, pending);
     m_decidingInstances.insert_or_assign(request.id, owner);
@@ -110,7 +117,7 @@
         PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait };
         m_link.send(owner, query);
         pending->response.reset();
-        pending->wakeUp.expires_after(unansweredQueries == 0 && now - queriedAt > OwnerQueryLimits::responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(OwnerQueryLimits::responseTimeout));
+        pending->wakeUp.expires_after(unansweredQueries == 0 && now - lastPlacedAt > OwnerQueryLimits::responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(OwnerQueryLimits::responseTimeout));
         co_await pending->wakeUp.async_wait(asTuple);
         if (pending->cancelled) {
             outcome = PlacementOutcome(PlacementRefusal { .cause = RefusalCause::Cancelled, .detail = "the caller disconnected" });
@@ -123,15 +130,20 @@
             break;
         }
         unansweredQueries = 0;
-        outcome = applyResponse(owner, request, *pending->response, queriedAt);
-        if (!outcome) {
+        auto effect = applyResponse(owner, request, *pending, queriedAt, outcome);
+        if (effect == ResponseEffect::Waiting) {
             // The owner queued the request and responds again when it has decided.
             pending->response.reset();
             pending->wakeUp.expires_after(waitingQueryInterval);
             co_await pending->wakeUp.async_wait(asTuple);
             if (pending->response)
-                outcome = applyResponse(owner, request, *pending->response, queriedAt);
+                effect = applyResponse(owner, request, *pending, queriedAt, outcome);
         }
+        if (effect != ResponseEffect::GrantReturned)
+            continue;
+        if (pending->returnedTargets.size() >= maxReturnedGrants)
+            break;
+        lastPlacedAt = Clock::now();
     }
     m_pendingQueries.erase(request.id);
     bool granted = outcome && *outcome;
@@ -140,27 +152,54 @@
     co_return outcome;
 }
 
-std::optional<PlacementOutcome> PlacementClient::applyResponse(const std::string& owner, const PlacementRequest& request, const PlacementResponse& response, TimePoint queriedAt)
+/// The reason why this instance cannot use a target that the owner granted; empty if it can.
+std::optional<std::string_view> PlacementClient::whyUnusable(const std::string& target, TimePoint now)
+{
+    const auto* entry = m_directory.find(target);
+    if (!entry)
+        return "unknown";
+    if (entry->state != TargetState::Ready)
+        return "draining";
+    if (!m_directory.isUsable(target))
+        return "evacuated";
+    if (m_targetLimits.waitTime(target, now) > Clock::duration::zero())
+        return "limited";
+    return std::nullopt;
+}
+
+// The next query excludes the target of a returned grant, from which the owner sees that it is returned. A release message
+// of its own could arrive after that query.
+PlacementClient::ResponseEffect PlacementClient::applyResponse(const std::string& owner, PlacementRequest& request, PendingQuery& pending, TimePoint queriedAt, std::optional<PlacementOutcome>& outcome)
 {
+    const auto& response = *pending.response;
     if (response.status == PlacementStatus::Waiting)
-        return std::nullopt;
-    if (response.status == PlacementStatus::Refused)
-        return PlacementOutcome(PlacementRefusal { .retryAfter = response.retryAfter, .detail = "the owner expects no capacity before the deadline" });
+        return ResponseEffect::Waiting;
+    if (response.status == PlacementStatus::Refused) {
+        outcome = PlacementOutcome(PlacementRefusal { .retryAfter = response.retryAfter, .detail = "the owner expects no capacity before the deadline" });
+        return ResponseEffect::Decided;
+    }
+    auto now = Clock::now();
+    if (auto reason = whyUnusable(response.target, now)) {
+        pending.returnedTargets.insert(response.target);
+        request.excluded.insert(response.target);
+        logEvent(LogLevel::Info, "grant_returned", { { "owner", owner }, { "service", request.service }, { "target", response.target }, { "reason", std::string(*reason) }, { "returned", std::int64_t(pending.returnedTargets.size()) }, { "since_query_ms", std::chrono::duration_cast<Milliseconds>(now - queriedAt).count() }, { "time_left_ms", std::chrono::duration_cast<Milliseconds>(request.latestStart - now).count() } });
+        if (m_unusableGrantListener)
+            m_unusableGrantListener(*reason);
+        return ResponseEffect::GrantReturned;
+    }
     auto& lastAccepted = m_lastAcceptedGrants[owner];
     lastAccepted = std::max(lastAccepted, response.grantNumber);
     m_dispatcher.onGrantedByOwner(request, response.target);
     // The owner of a large fleet's pool counts its grants until the next complete report.
     reportChangedLoads(m_instance);
-    const auto* target = m_directory.find(response.target);
-    if (!target || !m_directory.isUsable(response.target))
-        return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = "the granted target is missing or unavailable in the target directory of this instance" });
-    return PlacementOutcome(Placement { .target = *target, .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .waited = Clock::now() - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
+    outcome = PlacementOutcome(Placement { .target = *m_directory.find(response.target), .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .waited = now - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
+    return ResponseEffect::Decided;
 }
 
 void PlacementClient::onResponse(const PlacementResponse& response)
 {
     auto found = m_pendingQueries.find(response.id);
-    if (found == m_pendingQueries.end())
+    if (found == m_pendingQueries.end() || found->second->returnedTargets.contains(response.target))
         return;
     found->second->response = response;
     found->second->wakeUp.cancel();
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -2,6 +2,8 @@
 
 #include "net/eventloop.h"
 
+#include <algorithm>
+
 namespace guavaspan {
 
 namespace {
@@ -23,11 +25,22 @@
 {
 }
 
+/// A requester that cannot use its grant repeats the query and excludes the target.
+bool PlacementServer::returnsGrant(const PlacementQuery& query, const TrackedQuery& tracked)
+{
+    bool excludesTarget = std::find(query.excluded.begin(), query.excluded.end(), tracked.response.target) != query.excluded.end();
+    return tracked.response.status == PlacementStatus::Granted && excludesTarget;
+}
+
 void PlacementServer::onQuery(const PlacementQuery& query)
 {
     auto now = Clock::now();
     QueryKey key { .requester = query.requester, .incarnation = query.requesterIncarnation, .id = query.id };
     auto existing = m_queries.find(key);
+    if (existing != m_queries.end() && returnsGrant(query, existing->second)) {
+        removeQuery(existing);
+        existing = m_queries.end();
+    }
     if (existing != m_queries.end()) {
         existing->second.lastReceived = now;
         m_link.send(query.requester, existing->second.response);
--- a/src/placement/placementclient.h
+++ b/src/placement/placementclient.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatcher.h"
 #include "placement/fleetlink.h"
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -13,10 +14,15 @@
 /// if no owner can be reached.
 class PlacementClient {
 public:
+    using UnusableGrantListener = std::function<void(std::string_view reason)>;
+
     PlacementClient(asio::io_context&, std::string instance, FleetView&, Dispatcher&, TargetDirectory&, TargetLimits&, OutputEstimator&, FleetLink&);
 
     Awaitable<PlacementOutcome> place(PlacementRequest);
 
+    /// Called for each grant that this instance returns to an owner.
+    void setUnusableGrantListener(UnusableGrantListener listener) { m_unusableGrantListener = std::move(listener); }
+
     /// Cancels a waiting request whose caller disconnected.
     void cancel(WorkId);
 
@@ -68,11 +74,20 @@
         }
         asio::steady_timer wakeUp;
         std::optional<PlacementResponse> response;
+        /// Targets of the grants that were returned; a response that names one of them was sent before the return arrived.
+        std::set<std::string> returnedTargets;
         bool cancelled = false;
     };
+    /// What an owner's response means for the request.
+    enum class ResponseEffect {
+        Waiting,
+        Decided,
+        GrantReturned,
+    };
 
-    Awaitable<std::optional<PlacementOutcome>> queryOwner(const std::string& owner, const PlacementRequest&);
-    std::optional<PlacementOutcome> applyResponse(const std::string& owner, const PlacementRequest&, const PlacementResponse&, TimePoint queriedAt);
+    Awaitable<std::optional<PlacementOutcome>> queryOwner(const std::string& owner, PlacementRequest&);
+    ResponseEffect applyResponse(const std::string& owner, PlacementRequest&, PendingQuery&, TimePoint queriedAt, std::optional<PlacementOutcome>&);
+    std::optional<std::string_view> whyUnusable(const std::string& target, TimePoint now);
     std::set<std::string> unreachableOwners(TimePoint now);
     InstanceLoadReport makeReport(bool complete);
     void addUnreported(InstanceLoadReport&);
@@ -87,6 +102,7 @@
     TargetLimits& m_targetLimits;
     OutputEstimator& m_outputEstimator;
     FleetLink& m_link;
+    UnusableGrantListener m_unusableGrantListener;
     std::int64_t m_sequence;
     bool m_relaysForPeers = false;
     std::int64_t m_storeEra = 0;
--- a/src/placement/placementserver.h
+++ b/src/placement/placementserver.h
@@ -40,6 +40,7 @@
         bool reported = false;
     };
 
+    static bool returnsGrant(const PlacementQuery&, const TrackedQuery&);
     Awaitable<> decide(QueryKey, PlacementRequest);
     void removeQuery(std::map<QueryKey, TrackedQuery>::iterator);
 
--- a/src/placement/tests/trialclient_test.cpp
+++ b/src/placement/tests/trialclient_test.cpp
@@ -1,9 +1,9 @@
 #include "placement/trialclient.h"
 
 #include "net/tests/runcoroutine.h"
+#include "placement/tests/loopbackaddress.h"
 
 #include <criterion/criterion.h>
-#include <unistd.h>
 
 using namespace guavaspan;
 
@@ -11,20 +11,6 @@
 
 constexpr const char* service = "shop";
 
-/// A loopback address of this process's own.
-std::string ownAddress()
-{
-    auto number = ::getpid();
-    return "127.77." + std::to_string((number >> 8) % 256) + "." + std::to_string(1 + number % 250);
-}
-
-Endpoint freeEndpoint(asio::io_context& io)
-{
-    auto address = asio::ip::make_address(ownAddress());
-    asio::ip::udp::socket socket(io, { address, 0 });
-    return { .address = ownAddress(), .port = socket.local_endpoint().port() };
-}
-
 struct Node {
     Node(asio::io_context& io, std::string nodeName, int cpuMillicores)
         : name(std::move(nodeName))
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -56,6 +56,7 @@
     void recordResume(const std::string& result);
     void recordUnframedAnswer(const std::string& end);
     void recordStreamEnd(const std::string& runState);
+    void recordUnusableGrant(const std::string& reason);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
 
