Count the bytes sent to other instances by kind of message

Cause: the bytes that the busiest instance sends grow with the number of instances to the power 1.5, and nothing shows which messages they belong to.

Change: FleetLink counts the bytes of the datagrams that it sent by the type of their message, and the metrics have them as guavaspan_fleet_bytes_sent{kind}.

No fleet was measured.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -265,6 +265,7 @@
 
 void EntryInstance::updateGauges()
 {
+    m_metrics.setFleetBytesSent(m_link.bytesSent());
     m_metrics.setGauges({
         .liveStreams = static_cast<double>(m_liveStreams.size()),
         .waitingRequests = static_cast<double>(m_dispatcher.waitingCount()),
--- a/src/placement/fleetlink.h
+++ b/src/placement/fleetlink.h
@@ -29,12 +29,14 @@
     /// Sends a message to all instances, in a large fleet by way of the aggregators.
     void broadcast(const FleetMessage&);
 
+    /// Bytes of the datagrams that were sent, by kind of message. Broadcasts in batches count as batches.
+    std::map<std::string_view, std::uint64_t> bytesSent() const;
+
     /// Passes on the broadcasts of others and repeats those of this instance.
     void onTick(TimePoint now);
 
 private:
-    bool transmit(const InstanceRecord&, const std::string& bytes);
-    void transmitTo(const std::vector<std::string>& instances, const std::string& bytes);
+    bool transmit(const InstanceRecord&, const FleetMessage&, const std::string& bytes);
     void sendBroadcasts(TimePoint now);
     void onDatagram(const std::string& bytes, const asio::ip::udp::endpoint& sender);
     void deliver(const BroadcastBatch&);
@@ -46,6 +48,8 @@
     std::array<char, maxDatagramBytes> m_buffer {};
     MessageHandler m_messageHandler;
     BroadcastRelay m_broadcasts;
+    /// By the index of the message's type.
+    std::array<std::uint64_t, std::variant_size_v<FleetMessage>> m_bytesSent {};
 };
 
 }
--- a/src/placement/internal/fleetlink.cpp
+++ b/src/placement/internal/fleetlink.cpp
@@ -26,35 +26,42 @@
     return {};
 }
 
-bool FleetLink::transmit(const InstanceRecord& peer, const std::string& bytes)
+bool FleetLink::transmit(const InstanceRecord& peer, const FleetMessage& message, const std::string& bytes)
 {
     boost::system::error_code error;
     asio::ip::udp::endpoint remote { asio::ip::make_address(peer.peerEndpoint.address, error), peer.peerEndpoint.port };
     if (!error)
         m_socket.send_to(asio::buffer(bytes), remote, 0, error);
+    if (!error)
+        m_bytesSent.at(message.index()) += bytes.size();
     return !error;
 }
 
 bool FleetLink::send(const std::string& instance, const FleetMessage& message)
 {
     const auto* peer = m_fleet.find(instance);
-    return peer && transmit(*peer, encodeFleetMessage(message));
+    return peer && transmit(*peer, message, encodeFleetMessage(message));
 }
 
 void FleetLink::sendTo(const std::vector<std::string>& instances, const FleetMessage& message)
 {
-    if (!instances.empty())
-        transmitTo(instances, encodeFleetMessage(message));
-}
-
-void FleetLink::transmitTo(const std::vector<std::string>& instances, const std::string& bytes)
-{
+    if (instances.empty())
+        return;
+    auto bytes = encodeFleetMessage(message);
     for (const auto& instance : instances) {
         if (const auto* peer = m_fleet.find(instance))
-            transmit(*peer, bytes);
+            transmit(*peer, message, bytes);
     }
 }
 
+std::map<std::string_view, std::uint64_t> FleetLink::bytesSent() const
+{
+    std::map<std::string_view, std::uint64_t> bytesByKind;
+    for (std::size_t kind = 0; kind < m_bytesSent.size(); ++kind)
+        bytesByKind.emplace(fleetMessageKinds.at(kind), m_bytesSent[kind]);
+    return bytesByKind;
+}
+
 void FleetLink::broadcast(const FleetMessage& message)
 {
     if (!m_fleet.usesSummaries()) {
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -7,7 +7,9 @@
 #include "quarantine/promptguardmessages.h"
 #include "quarantine/trialledger.h"
 
+#include <array>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace guavaspan {
@@ -129,6 +131,9 @@
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
 using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction, TrialQuery, TrialResponse, TrialRelease, FleetSummary, BroadcastBatch>;
 
+/// Names of the messages by the index of their types.
+inline constexpr std::array<std::string_view, std::variant_size_v<FleetMessage>> fleetMessageKinds { "load_report", "placement_query", "placement_response", "placement_release", "move_query", "move_response", "move_release", "shutdown_notice", "crash_report", "completion_report", "conviction_notice", "pardon_notice", "interruption_report", "prior_completion_notice", "prompt_interruption_report", "prompt_part_inquiry", "prompt_part_clearance", "prompt_part_conviction", "trial_query", "trial_response", "trial_release", "summary", "broadcast_batch" };
+
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
 
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -34,6 +34,7 @@
     prometheus::Family<prometheus::Counter>& unframedAnswers = family(prometheus::BuildCounter(), "guavaspan_entry_unframed_answers_total", "Answers of targets that end with their connections, by how these ended", registry);
     prometheus::Family<prometheus::Counter>& streamEnds = family(prometheus::BuildCounter(), "guavaspan_entry_checked_stream_ends_total", "Streams without an explicit end at engines that leave or were asked to stop them, by the state of their runs", registry);
     prometheus::Family<prometheus::Counter>& unusableGrants = family(prometheus::BuildCounter(), "guavaspan_entry_unusable_grants_total", "Grants of pools' owners that this instance could not use and returned, by reason", registry);
+    prometheus::Family<prometheus::Counter>& fleetBytesSent = family(prometheus::BuildCounter(), "guavaspan_fleet_bytes_sent", "Bytes of datagrams sent to other instances, by kind of message", registry);
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
 };
 
@@ -95,6 +96,14 @@
     m_families->unusableGrants.Add({ { "reason", reason } }).Increment();
 }
 
+void RelayMetrics::setFleetBytesSent(const std::map<std::string_view, std::uint64_t>& bytesByKind)
+{
+    for (const auto& [kind, bytes] : bytesByKind) {
+        auto& counter = m_families->fleetBytesSent.Add({ { "kind", std::string(kind) } });
+        counter.Increment(static_cast<double>(bytes) - counter.Value());
+    }
+}
+
 void RelayMetrics::onHandoverStep(HandoverPhase phase, HandoverResult result)
 {
     m_families->steps.Add({ { "phase", std::string(toString(phase)) }, { "result", std::string(toString(result)) } }).Increment();
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -57,6 +57,8 @@
     void recordUnframedAnswer(const std::string& end);
     void recordStreamEnd(const std::string& runState);
     void recordUnusableGrant(const std::string& reason);
+    /// Bytes sent to other instances since the start, by kind of message.
+    void setFleetBytesSent(const std::map<std::string_view, std::uint64_t>&);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
 
