Let a census of a short window settle in 6 seconds

Cause: a process has no share of the limits of cold targets until its census has settled. Views may be some seconds apart, and the census took a distance above its window for a gap, so the window had to be 3.5 s although these limits hold for one second.

Change: views up to 3.5 s apart leave no gap, whatever the window; no instance can register, settle and spend in between. The window of cold targets is 1 s.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -29,9 +29,8 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
-    /// Requests to cold targets are limited in each second. The window also has to exceed the distance between views that count as
-    /// current, or the census takes each distance for a gap.
-    constexpr auto coldCensusWindow = Milliseconds(3500);
+    /// Requests to cold targets are limited in each second.
+    constexpr auto coldCensusWindow = Milliseconds(1000);
 
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
--- a/src/fleet/internal/fleetcensus.cpp
+++ b/src/fleet/internal/fleetcensus.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleetcensus.h"
 
+#include <algorithm>
+
 namespace guavaspan {
 
 namespace {
@@ -9,6 +11,8 @@
     /// Longest time from a change of the registrations until no instance spends by an older view: its age, the
     /// interval between views, and the time to read and pass one on.
     constexpr auto settleTime = Milliseconds(5000);
+    /// Views this far apart are normal. An instance cannot register, settle and spend a share in between.
+    constexpr auto maxViewDistance = Milliseconds(3500);
 
 }
 
@@ -24,7 +28,7 @@
 void FleetCensus::onView(const RegistrationView& view, BootTime now)
 {
     // Another instance may have registered, spent a share and left between two views this far apart.
-    bool gap = m_confirmedAt && view.confirmedAt - *m_confirmedAt > m_budgetWindow;
+    bool gap = m_confirmedAt && view.confirmedAt - *m_confirmedAt > std::max(m_budgetWindow, maxViewDistance);
     m_confirmedAt = view.confirmedAt;
     if (!view.includesSelf || gap)
         m_registeredSince.reset();
--- a/src/fleet/tests/fleetcensus_test.cpp
+++ b/src/fleet/tests/fleetcensus_test.cpp
@@ -88,3 +88,20 @@
         f.census.onView(withoutPeer(), f.now);
     cr_expect(f.census.sharers(f.now - Seconds(1)) == 2);
 }
+
+/// Guards against COLD: with a budget of one second each distance between views counts as a gap, so that no instance ever has a share.
+Test(FleetCensus, shortWindowAndViewsSomeSecondsApart_hasAShare)
+{
+    FleetCensus census("self", Milliseconds(1000));
+    BootTime now { Seconds(100) };
+    for (int view = 0; view < 6; ++view, now += Milliseconds(2500))
+        census.onView({ .instances = { "self", "peer" }, .includesSelf = true, .confirmedAt = now }, now);
+    cr_expect(census.state(now) == CensusState::Current);
+    cr_expect(census.sharers(now) == 2);
+    now += Seconds(10);
+    cr_expect(census.state(now) == CensusState::Outdated);
+    census.onView({ .instances = { "self", "peer", "other" }, .includesSelf = true, .confirmedAt = now }, now);
+    cr_expect(census.state(now) == CensusState::Outdated, "others may have joined and left in between");
+    census.onView({ .instances = { "peer", "other" }, .includesSelf = false, .confirmedAt = now }, now);
+    cr_expect(census.state(now) == CensusState::Unknown, "the others do not know this instance");
+}
