--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -2,8 +2,10 @@
 
 #include "relay/handoverservice.h"
 
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace guavaspan {
 
@@ -22,6 +24,8 @@
     double rejectedStoreListings = 0;
     double olderStoreEntries = 0;
     double limitedTargets = 0;
+    /// Targets that are limited because they are cold.
+    double coldTargets = 0;
     double droppedLogLines = 0;
     /// Exceptions that ended a connection or another part of the work.
     double failedHandlers = 0;
@@ -52,6 +56,9 @@
     void recordResume(const std::string& result);
     void recordUnframedAnswer(const std::string& end);
     void recordStreamEnd(const std::string& runState);
+    void recordUnusableGrant(const std::string& reason);
+    /// Bytes sent to other instances since the start, by kind of message.
+    void setFleetBytesSent(const std::map<std::string_view, std::uint64_t>&);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
 
