Spend the limit of a cold engine where a request is placed

Change: for services with a pool the owner spends the limit when it places a request or grants a move; what the reserve leaves is divided between two owners, as one may not know yet that another took over. Instances without an owner place nothing on cold engines; plain services keep their shares.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include "placement/placementtypes.h"
 #include "targets/brittleservices.h"
 #include "targets/targetdirectory.h"
+#include "targets/targetlimits.h"
 
 #include <unordered_map>
 
@@ -28,6 +29,9 @@
     /// Places a request of a peer and counts its load on this instance until the peer's load reports include it.
     Awaitable<PlacementOutcome> placeForPeer(PlacementRequest);
 
+    /// Limits that targets of pools have; without them a pool's targets take any number of requests.
+    void setPlacementLimits(TargetLimits& limits) { m_limits = &limits; }
+
     /// A peer's load reports now include this work.
     void onReportedByPeer(WorkId id) { m_ledger.end(id); }
 
@@ -42,6 +46,9 @@
     /// Releases the reservation of work that ended or never started.
     void release(WorkId);
 
+    /// A generation of a peer moves to this target.
+    void onMoveGranted(WorkId, const std::string& target, const WorkEstimate&);
+
     /// Reserves memory for a copy on a destination until release() is called.
     void reserve(WorkId, const std::string& target, const WorkEstimate&);
 
@@ -85,6 +92,7 @@
 
     std::optional<TargetChoice> chooseTarget(const PlacementRequest&);
     std::set<std::string> excludedTargets(const PlacementRequest&, const std::vector<const TargetEntry*>& candidates) const;
+    void onPlaced(const std::string& target);
     void start(const PlacementRequest&, const std::string& target, bool forPeer);
     static void deductEarlierWait(PlacementRequest&, TimePoint firstAttemptAt, TimePoint now);
     Awaitable<PlacementOutcome> placeOrEnqueue(PlacementRequest, bool forPeer);
@@ -99,6 +107,7 @@
     OutcomeTracker m_outcomes;
     TargetPath m_targetPath;
     BrittleServices m_brittleServices;
+    TargetLimits* m_limits = nullptr;
     WaitingQueue m_queue;
     RefusalHistory m_refusals;
     std::unordered_map<WorkId, PlacementRequest> m_requests;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -43,6 +43,8 @@
 std::set<std::string> Dispatcher::excludedTargets(const PlacementRequest& request, const std::vector<const TargetEntry*>& candidates) const
 {
     auto excluded = request.excluded;
+    if (request.engine && m_limits)
+        excluded.merge(m_limits->exhaustedForPlacement(Clock::now()));
     if (request.engine || !m_brittleServices.isBrittle(request.service))
         return excluded;
     for (const auto* target : candidates) {
@@ -83,6 +85,18 @@
     m_running.insert_or_assign(request.id, RunningWork { .organisation = request.organisation, .estimate = request.estimate });
 }
 
+void Dispatcher::onPlaced(const std::string& target)
+{
+    if (m_limits)
+        m_limits->onPlaced(target, Clock::now());
+}
+
+void Dispatcher::onMoveGranted(WorkId id, const std::string& target, const WorkEstimate& estimate)
+{
+    m_ledger.beginForPeer(id, target, estimate);
+    onPlaced(target);
+}
+
 void Dispatcher::onGrantedByOwner(const PlacementRequest& request, const std::string& target)
 {
     start(request, target, false);
@@ -133,6 +147,7 @@
     if (m_queue.size() == 0) {
         if (auto choice = chooseTarget(request)) {
             start(request, choice->target, forPeer);
+            onPlaced(choice->target);
             co_return makePlacement(request, *choice, {});
         }
     }
@@ -172,6 +187,7 @@
             return;
         auto& waiter = *m_waiters.at(next->id);
         start(m_requests.at(next->id), choice->target, waiter.forPeer);
+        onPlaced(choice->target);
         waiter.choice = choice;
         waiter.wakeUp.cancel();
     }
@@ -223,6 +239,8 @@
     auto candidates = m_directory.usableTargets(source.service);
     auto excludedTargets = excluded;
     excludedTargets.insert(source.id);
+    if (m_limits)
+        excludedTargets.merge(m_limits->exhaustedForPlacement(Clock::now()));
     SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
     // Output lengths are estimates, and losing a running generation costs more than crowding an engine.
     inputs.memoryShare = movedMemoryShare;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -102,6 +102,7 @@
             m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
     });
+    m_dispatcher.setPlacementLimits(m_targetLimits);
     m_placementClient.setUnusableGrantListener([this](std::string_view reason) { m_metrics.recordUnusableGrant(std::string(reason)); });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
@@ -233,6 +234,12 @@
             coldServices.emplace(service.name, service.coldRequestsPerSecond);
     }
     m_targetLimits.setColdServices(std::move(coldServices), Clock::now());
+    std::set<std::string> pooledServices;
+    for (const auto& service : m_configuration.table()->services()) {
+        if (service.engine)
+            pooledServices.insert(service.name);
+    }
+    m_targetLimits.setPooledServices(std::move(pooledServices), Clock::now());
     logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() } });
 }
 
@@ -356,7 +363,13 @@
     auto state = m_coldCensus.state(BootClock::now());
     if (state == CensusState::Unknown)
         return std::nullopt;
-    return ColdSharers { .instances = m_coldCensus.instances(), .outdated = state == CensusState::Outdated };
+    ColdSharers sharers { .instances = m_coldCensus.instances(), .outdated = state == CensusState::Outdated };
+    auto table = m_configuration.table();
+    for (const auto& service : table ? table->services() : std::vector<ServiceInfo>()) {
+        if (service.engine && m_fleet.ownsPool(service.name, Clock::now()))
+            sharers.ownedPools.insert(service.name);
+    }
+    return sharers;
 }
 
 void EntryInstance::sendReport()
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -76,6 +76,9 @@
     /// rendezvous hashing selects one. Peers in `excluded` are skipped.
     std::string ownerOf(const std::string& service, const std::set<std::string>& excluded, TimePoint now) const;
 
+    /// True if this instance owns the service's pool and most instances report to it, so that no other one can own it for long.
+    bool ownsPool(const std::string& service, TimePoint now) const;
+
     const InstanceRecord* find(const std::string& name) const { return m_registry.find(name); }
 
     /// True if the fleet is so large that instances report to aggregators only.
--- a/src/fleet/internal/fleetview.cpp
+++ b/src/fleet/internal/fleetview.cpp
@@ -464,4 +464,10 @@
     return owner == candidates.end() ? m_self : *owner;
 }
 
+bool FleetView::ownsPool(const std::string& service, TimePoint now) const
+{
+    auto responding = std::count_if(m_lastReports.begin(), m_lastReports.end(), [&](const auto& entry) { return isRecentlyReported(entry.first, now); });
+    return 2 * (responding + 1) > instanceCount() && ownerOf(service, {}, now) == m_self;
+}
+
 }
--- a/src/handover/internal/moveserver.cpp
+++ b/src/handover/internal/moveserver.cpp
@@ -42,7 +42,7 @@
     for (const auto& move : m_scheduler.schedule(choose, now)) {
         auto& tracked = m_trackedMoves.at(move.key);
         tracked.reservation = m_dispatcher.nextId();
-        m_dispatcher.ledger().beginForPeer(tracked.reservation, move.destination, { .copiedTokens = tracked.query.tokensHeld, .outputTokens = tracked.query.remainingTokens });
+        m_dispatcher.onMoveGranted(tracked.reservation, move.destination, { .copiedTokens = tracked.query.tokensHeld, .outputTokens = tracked.query.remainingTokens });
         respond(tracked.query, move.destination);
     }
 }
--- a/src/targets/coldbudget.h
+++ b/src/targets/coldbudget.h
@@ -25,6 +25,12 @@
     /// Requests per second of one of these sharers.
     double share(std::size_t instances) const;
 
+    /// Requests per second that the owner of a service's pool places on the target. For a short time two instances may each take
+    /// themselves for the owner.
+    double placementRate() const;
+    /// Requests that an owner may place at once.
+    double placementBurst() const;
+
     /// Number of instances with an outdated view of the fleet that have a share of the reserve.
     std::size_t reserveSharers() const { return m_reserveSharers; }
     double reserveShare() const;
--- a/src/targets/internal/requestbucket.cpp
+++ b/src/targets/internal/requestbucket.cpp
@@ -4,16 +4,9 @@
 
 namespace guavaspan {
 
-namespace {
-
-    /// Requests that an instance may send at once after it was idle.
-    constexpr double maxTokens = 1;
-
-}
-
 void RequestBucket::refill(TimePoint now)
 {
-    tokens = std::min(maxTokens, tokens + share * secondsBetween(refilledAt, now));
+    tokens = std::min(capacity, tokens + share * secondsBetween(refilledAt, now));
     refilledAt = now;
 }
 
--- a/src/targets/internal/targetlimits.cpp
+++ b/src/targets/internal/targetlimits.cpp
@@ -150,6 +150,12 @@
     updateColdShares(now);
 }
 
+void TargetLimits::setPooledServices(std::set<std::string> services, TimePoint now)
+{
+    m_pooledServices = std::move(services);
+    updateColdShares(now);
+}
+
 void TargetLimits::onColdSharers(std::optional<ColdSharers> sharers, TimePoint now)
 {
     removeExpired(now);
@@ -174,9 +180,19 @@
     cold.bucket.share = 0;
     auto service = m_coldServices.find(cold.service);
     cold.limited = service != m_coldServices.end();
+    cold.pooled = m_pooledServices.contains(cold.service);
+    cold.bucket.capacity = 1;
     if (!cold.limited || !m_coldSharers)
         return;
     ColdBudget budget(service->second, m_coldBounds);
+    if (cold.pooled && !m_coldSharers->outdated) {
+        // An instance that cannot reach the owner leaves cold targets to it.
+        if (m_coldSharers->ownedPools.contains(cold.service)) {
+            cold.bucket.share = budget.placementRate();
+            cold.bucket.capacity = budget.placementBurst();
+        }
+        return;
+    }
     auto instances = m_coldSharers->instances.size();
     auto shares = m_coldSharers->outdated ? budget.reserveSharers() : budget.sharers(instances);
     auto ahead = instancesAhead(m_self, target, m_coldSharers->instances, [](const std::string& name) -> const std::string& { return name; });
@@ -229,10 +245,15 @@
         cold.answeredAt = now;
 }
 
-TargetLimits::ColdTarget* TargetLimits::refilledColdTarget(const std::string& target, TimePoint now)
+bool TargetLimits::applies(const ColdTarget& cold, TimePoint now)
+{
+    return cold.limited && cold.until > now;
+}
+
+TargetLimits::ColdTarget* TargetLimits::refilledColdTarget(const std::string& target, bool pooled, TimePoint now)
 {
     auto found = m_coldTargets.find(target);
-    if (found == m_coldTargets.end() || !found->second.limited || found->second.until <= now)
+    if (found == m_coldTargets.end() || !applies(found->second, now) || found->second.pooled != pooled)
         return nullptr;
     found->second.bucket.refill(now);
     return &found->second;
@@ -240,7 +261,7 @@
 
 Clock::duration TargetLimits::coldWaitTime(const std::string& target, TimePoint now)
 {
-    auto* cold = refilledColdTarget(target, now);
+    auto* cold = refilledColdTarget(target, false, now);
     if (!cold)
         return Clock::duration::zero();
     return std::min(cold->bucket.waitTime().value_or(waitWithoutShare), cold->until - now);
@@ -248,7 +269,7 @@
 
 std::size_t TargetLimits::coldTargets(TimePoint now) const
 {
-    auto count = std::count_if(m_coldTargets.begin(), m_coldTargets.end(), [&](const auto& entry) { return entry.second.limited && entry.second.until > now; });
+    auto count = std::count_if(m_coldTargets.begin(), m_coldTargets.end(), [&](const auto& entry) { return applies(entry.second, now); });
     return static_cast<std::size_t>(count);
 }
 
@@ -290,7 +311,24 @@
 {
     if (auto* limit = refilledLimit(target.id, now))
         limit->bucket.tokens -= 1;
-    if (auto* cold = refilledColdTarget(target.id, now))
+    if (auto* cold = refilledColdTarget(target.id, false, now))
+        cold->bucket.tokens -= 1;
+}
+
+std::set<std::string> TargetLimits::exhaustedForPlacement(TimePoint now)
+{
+    std::set<std::string> exhausted;
+    for (const auto& [target, entry] : m_coldTargets) {
+        auto* cold = refilledColdTarget(target, true, now);
+        if (cold && cold->bucket.tokens < 1)
+            exhausted.insert(target);
+    }
+    return exhausted;
+}
+
+void TargetLimits::onPlaced(const std::string& target, TimePoint now)
+{
+    if (auto* cold = refilledColdTarget(target, true, now))
         cold->bucket.tokens -= 1;
 }
 
--- a/src/targets/requestbucket.h
+++ b/src/targets/requestbucket.h
@@ -6,12 +6,14 @@
 
 namespace guavaspan {
 
-/// Token bucket for the requests that one instance sends to a target. It holds one request at most.
+/// Token bucket for the requests that one instance sends to a target.
 struct RequestBucket {
     /// Requests per second; zero if other instances have the whole limit.
     double share = 0;
     /// Requests that may be sent now; negative if more were sent.
     double tokens = 0;
+    /// Requests that may be sent at once after a pause.
+    double capacity = 1;
     TimePoint refilledAt;
 
     void refill(TimePoint now);
--- a/src/targets/targetlimits.h
+++ b/src/targets/targetlimits.h
@@ -31,13 +31,16 @@
     std::vector<std::string> instances;
     /// The view was complete once, but other instances may share the limits by now.
     bool outdated = false;
+    /// Services whose pools this instance owns.
+    std::set<std::string> ownedPools;
 
     friend bool operator==(const ColdSharers&, const ColdSharers&) = default;
 };
 
 /// Keeps requests to a target within its limits: the one that it states in its answers and the one of its service for cold
 /// targets, both for the requests of all instances together, and pauses for this instance. Each
-/// instance spends a share of a limit without asking others; the shares of all instances add up to it.
+/// instance spends a share of a limit without asking others; the shares of all instances add up to it. For services with a pool
+/// the pool's owner spends the limit of a cold target when it places a request, and instances that send it need no share.
 class TargetLimits {
 public:
     explicit TargetLimits(std::string self, ColdBounds = {});
@@ -58,6 +61,9 @@
     /// Requests per second that cold targets tolerate, by service; those of other services tolerate any number.
     void setColdServices(std::map<std::string, double>, TimePoint now);
 
+    /// Services with a pool, whose owner places all requests.
+    void setPooledServices(std::set<std::string>, TimePoint now);
+
     /// Without a value this instance must not send requests to cold targets, since others may not count it or it may not
     /// know them.
     void onColdSharers(std::optional<ColdSharers>, TimePoint now);
@@ -68,6 +74,12 @@
     /// An answer states for how long the target stays cold.
     void onWarmUpAnswer(const TargetEntry&, Milliseconds remaining, TimePoint now);
 
+    /// Targets on which this instance must place no request of a pool now, since they are cold.
+    std::set<std::string> exhaustedForPlacement(TimePoint now);
+
+    /// This instance placed a request of a pool on the target.
+    void onPlaced(const std::string& target, TimePoint now);
+
     /// The part of waitTime() that is due to the limit of a cold target.
     Clock::duration coldWaitTime(const std::string& target, TimePoint now);
 
@@ -112,6 +124,8 @@
         std::optional<TimePoint> answeredAt;
         /// The service states a limit.
         bool limited = false;
+        /// The limit is spent when a request is placed, not when it is sent.
+        bool pooled = false;
         RequestBucket bucket;
     };
 
@@ -120,13 +134,15 @@
     void setCold(const TargetEntry&, Milliseconds remaining, bool answered, TimePoint now);
     void updateColdShares(TimePoint now);
     void updateColdShare(const std::string& target, ColdTarget&) const;
-    ColdTarget* refilledColdTarget(const std::string& target, TimePoint now);
+    static bool applies(const ColdTarget&, TimePoint now);
+    ColdTarget* refilledColdTarget(const std::string& target, bool pooled, TimePoint now);
     Limit* refilledLimit(const std::string& target, TimePoint now);
     void removeExpired(TimePoint now);
 
     std::string m_self;
     ColdBounds m_coldBounds;
     std::map<std::string, double> m_coldServices;
+    std::set<std::string> m_pooledServices;
     std::optional<ColdSharers> m_coldSharers;
     std::map<std::string, ColdTarget> m_coldTargets;
     std::map<std::string, TimePoint> m_instancesSeenAt;
--- a/src/targets/tests/coldfleet_test.cpp
+++ b/src/targets/tests/coldfleet_test.cpp
@@ -259,3 +259,55 @@
         cr_expect(f.processes.front().sent >= 3, "%d instances: the one without the store sent %d in 5 s", count, f.processes.front().sent);
     }
 }
+
+/// Guards against COLD: two instances that both take themselves for the owner of a pool, and those with an outdated view, place more on a
+/// cold engine than it tolerates.
+Test(ColdFleet, twoOwnersAndInstancesWithOutdatedViews_stayWithinTheBound)
+{
+    TimePoint now { Seconds(100) };
+    std::vector<std::string> names;
+    for (int number = 0; number < 70; ++number)
+        names.push_back("instance-" + std::to_string(number));
+    std::vector<TargetLimits> instances;
+    for (std::size_t number = 0; number < names.size(); ++number) {
+        auto& limits = instances.emplace_back(names[number], bounds);
+        limits.setColdServices({ { coldTarget.service, coldRequestsPerSecond } }, now);
+        limits.setPooledServices({ coldTarget.service }, now);
+        bool owner = number < 2;
+        bool outdated = number >= 40;
+        limits.onColdSharers(ColdSharers { .instances = names, .outdated = outdated, .ownedPools = owner ? std::set { coldTarget.service } : std::set<std::string> {} }, now);
+        limits.onEntry(coldTarget, now);
+    }
+    std::deque<TimePoint> placed;
+    std::size_t mostInOneSecond = 0;
+    std::size_t total = 0;
+    for (auto end = now + Seconds(10); now < end; now += step) {
+        for (auto& limits : instances) {
+            if (limits.exhaustedForPlacement(now).contains(coldTarget.id))
+                continue;
+            limits.onPlaced(coldTarget.id, now);
+            placed.push_back(now);
+            ++total;
+        }
+        while (!placed.empty() && placed.front() <= now - Seconds(1))
+            placed.pop_front();
+        mostInOneSecond = std::max(mostInOneSecond, placed.size());
+    }
+    cr_expect(static_cast<double>(mostInOneSecond) <= maxInOneSecond, "%zu in 1 s", mostInOneSecond);
+    cr_expect(total >= 10 * coldRequestsPerSecond, "%zu in 10 s", total);
+}
+
+/// Guards against grants that are useless because the requester has no share of a cold engine.
+Test(ColdFleet, requestPlacedByTheOwner_needsNoShareWhereItIsSent)
+{
+    TimePoint now { Seconds(100) };
+    TargetLimits requester("requester", bounds);
+    requester.setColdServices({ { coldTarget.service, coldRequestsPerSecond } }, now);
+    requester.setPooledServices({ coldTarget.service }, now);
+    requester.onColdSharers(ColdSharers { .instances = { "owner", "requester" } }, now);
+    requester.onEntry(coldTarget, now);
+    now += Seconds(10);
+    cr_expect(requester.tryTake(coldTarget, now));
+    cr_expect(requester.exhaustedTargets(now).empty());
+    cr_expect(requester.exhaustedForPlacement(now).contains(coldTarget.id), "only the owner places requests there");
+}
