Keep new requests away from evacuated failure domains

Cause: an operator who takes a failure domain out of use had to drain each of its targets, which moves their generations and has to be repeated for each target that starts there.

Change: while the key op/evacuate/DOMAIN exists, no target of the domain is chosen. DomainEvacuations is the core, owned by TargetDirectory; usableTargets, isUsable and isIncarnationUsable leave evacuated targets out, isReady and isIncarnationReady tell whether a target still runs. SendGate, the moves, the resumption of generations and the path prober check again directly before a send. If all ready targets of a service are evacuated, new and waiting requests are refused with 503 domains_evacuated and a constant Retry-After with jitter. The stand-in for the store can reject the clients of one address.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -48,6 +48,9 @@
     /// Places the waiting requests that can start now; called whenever capacity may have changed.
     void placeWaiting();
 
+    /// Targets came, left or were evacuated: places the waiting requests again, and refuses those whose targets are all evacuated.
+    void onTargetsChanged();
+
     /// Time after which the caller of a refused request should retry.
     Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
 
@@ -55,6 +58,9 @@
     /// not return together.
     Clock::duration jitteredRetryDelay(Clock::duration expectedWait);
 
+    /// The retry delay while all targets of a service are evacuated.
+    Clock::duration retryAfterEvacuation();
+
     /// Chooses the engine to which a generation moves from a draining engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
 
@@ -77,6 +83,7 @@
         bool forPeer = false;
         std::optional<TargetChoice> choice;
         bool cancelled = false;
+        bool evacuated = false;
     };
     struct RunningWork {
         std::string organisation;
@@ -90,6 +97,8 @@
     Awaitable<PlacementOutcome> placeOrEnqueue(PlacementRequest, bool forPeer);
     PlacementOutcome makePlacement(const PlacementRequest&, const TargetChoice&, Clock::duration waited);
     PlacementRefusal makeRefusal(const PlacementRequest&, RefusalCause, std::string detail);
+    PlacementRefusal makeEvacuationRefusal();
+    void refuseEvacuated();
 
     asio::io_context& m_io;
     TargetDirectory& m_directory;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -14,6 +14,9 @@
     /// Time that a request may wait if it is late already. Callers of streams disconnect after some seconds
     /// without an event.
     constexpr auto lateWaitLimit = Milliseconds(2000);
+    /// Nothing tells when an operator ends an evacuation, so this is no estimate: callers of generations return several times
+    /// before they give up, and an evacuation that has ended is noticed soon.
+    constexpr auto evacuationRetryDelay = Seconds(4);
 
     double memoryShareFor(const PlacementRequest& request)
     {
@@ -136,6 +139,8 @@
             co_return makePlacement(request, *choice, {});
         }
     }
+    if (m_directory.allEvacuated(request.service))
+        co_return makeEvacuationRefusal();
     auto enqueued = m_queue.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
     if (!enqueued.accepted) {
         m_refusals.onRefused(request.contentHash, firstAttemptAt, arrivedAt);
@@ -147,7 +152,7 @@
     m_requests.insert_or_assign(request.id, request);
     m_waiters.insert_or_assign(request.id, waiter);
     placeWaiting();
-    if (!waiter->choice && !waiter->cancelled)
+    if (!waiter->choice && !waiter->cancelled && !waiter->evacuated)
         co_await waiter->wakeUp.async_wait(asTuple);
     m_waiters.erase(request.id);
     m_requests.erase(request.id);
@@ -156,6 +161,8 @@
     m_queue.remove(request.id);
     if (waiter->cancelled)
         co_return makeRefusal(request, RefusalCause::Cancelled, "the caller disconnected");
+    if (waiter->evacuated)
+        co_return makeEvacuationRefusal();
     m_refusals.onRefused(request.contentHash, firstAttemptAt, Clock::now());
     co_return makeRefusal(request, RefusalCause::NoRoom, "no target had capacity in time");
 }
@@ -177,6 +184,42 @@
     }
 }
 
+/// Waiting for room makes no sense where the end of an evacuation decides.
+void Dispatcher::refuseEvacuated()
+{
+    if (m_directory.evacuations().empty())
+        return;
+    std::map<std::string, bool> evacuatedServices;
+    for (const auto& [id, request] : m_requests) {
+        auto [service, isNew] = evacuatedServices.try_emplace(request.service, false);
+        if (isNew)
+            service->second = m_directory.allEvacuated(request.service);
+        auto& waiter = *m_waiters.at(id);
+        if (!service->second || waiter.choice || waiter.cancelled)
+            continue;
+        // The queue must not start a request whose refusal is under way.
+        m_queue.remove(id);
+        waiter.evacuated = true;
+        waiter.wakeUp.cancel();
+    }
+}
+
+void Dispatcher::onTargetsChanged()
+{
+    refuseEvacuated();
+    placeWaiting();
+}
+
+PlacementRefusal Dispatcher::makeEvacuationRefusal()
+{
+    return { .cause = RefusalCause::Evacuated, .retryAfter = retryAfterEvacuation(), .detail = "all targets of the service are evacuated" };
+}
+
+Clock::duration Dispatcher::retryAfterEvacuation()
+{
+    return jitteredRetryDelay(evacuationRetryDelay);
+}
+
 void Dispatcher::cancel(WorkId id)
 {
     auto found = m_waiters.find(id);
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -50,6 +50,7 @@
     void runTask(const char* name, std::function<Awaitable<>()> task);
     void onStoreChange(const std::string& key, const std::optional<std::string>& value);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
+    void onEvacuationChanged(const EvacuationChanged&);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
     Awaitable<> serveReadiness(HttpExchange&);
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -2,6 +2,7 @@
 
 #include "net/nettypes.h"
 
+#include <optional>
 #include <string>
 
 namespace guavaspan {
@@ -25,6 +26,8 @@
     Milliseconds keyLifetimeAfterRevocation { 5000 };
     /// Time from the store's acknowledgement of a configuration until it must be in force.
     Milliseconds configurationTime { 2000 };
+    /// Time from the store's acknowledgement of an evacuation until it must be in force, if the deployment states one.
+    std::optional<Milliseconds> evacuationTime;
     Milliseconds minLeaseTtl { 1000 };
     /// Retries allowed per request that arrived within the window.
     double retryRatio = 0.2;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -37,6 +37,14 @@
         return { .maxBodyBytes = limits.maxBodyBytes, .maxHeaderBytes = limits.maxHeaderBytes, .headerTimeout = limits.headerTimeout, .writeTimeout = callerWriteTimeout, .idleTimeout = limits.idleTimeout };
     }
 
+    /// A change is in force in time if it reaches this instance within the shorter of the times that the deployment states. Of an
+    /// evacuation's time half is left for sends that are under way and for hosts that are short of time.
+    StoreFollowerOptions followerOptionsOf(const EntrySettings& settings)
+    {
+        auto time = settings.evacuationTime ? std::min(settings.configurationTime, *settings.evacuationTime / 2) : settings.configurationTime;
+        return followerOptionsFor(time, settings.failureDomain);
+    }
+
     StoreFollower::PeerStoreFactory peerStoreFactory()
     {
         return [](const InstanceRecord& peer) { return std::make_unique<PeerFeedClient>(peer.peerEndpoint); };
@@ -52,7 +60,7 @@
     , m_targetLimits(m_settings.instance)
     , m_fleet(m_settings.instance, m_settings.capacity, m_settings.failureDomain)
     , m_census(m_settings.instance, m_settings.retryWindow)
-    , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsFor(m_settings.configurationTime, m_settings.failureDomain), peerStoreFactory())
+    , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsOf(m_settings), peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
@@ -83,7 +91,7 @@
     , m_reloadSignals(m_io, SIGHUP)
 {
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
-        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
+        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix) || key.starts_with(schema.evacuationPrefix);
     });
     m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { onStoreChange(key, value); });
     m_replica.setChangeFilter([&schema = m_platform.storeSchema](const std::string& key, const std::string& oldValue, const std::string& newValue) { return schema.changesMoreThanHeartbeat(key, oldValue, newValue); });
@@ -98,6 +106,7 @@
             m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
     });
+    m_directory.evacuations().setListener([this](const EvacuationChanged& event) { onEvacuationChanged(event); });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.setStoreLostListener([this] { m_directory.onStoreLost(Clock::now()); });
@@ -182,7 +191,13 @@
             m_directory.onEntryWritten(id, schema.decodeTarget(id, *value), now);
         else
             m_directory.onEntryRemoved(id, now);
-        m_dispatcher.placeWaiting();
+        m_dispatcher.onTargetsChanged();
+    } else if (key.starts_with(schema.evacuationPrefix)) {
+        auto domain = key.substr(schema.evacuationPrefix.size());
+        if (value && !domain.empty())
+            m_directory.evacuations().onEvacuated(domain, now);
+        else
+            m_directory.evacuations().onEnded(domain, now);
     } else if (key.starts_with(schema.instancePrefix)) {
         auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
         if (record)
@@ -195,6 +210,12 @@
     }
 }
 
+void EntryInstance::onEvacuationChanged(const EvacuationChanged& event)
+{
+    logEvent(LogLevel::Warning, event.evacuated ? "evacuation_started" : "evacuation_ended", { { "domain", event.domain }, { "targets", std::int64_t(m_directory.targetsIn(event.domain)) }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "waiting", std::int64_t(m_dispatcher.waitingCount()) } });
+    m_dispatcher.onTargetsChanged();
+}
+
 void EntryInstance::onCrashRecord(const StoredCrashRecord& record, TimePoint now)
 {
     std::visit(Overloaded {
@@ -250,6 +271,7 @@
 
 void EntryInstance::updateGauges()
 {
+    m_metrics.setEvacuatedDomains(m_directory.evacuations().domains());
     m_metrics.setGauges({
         .liveStreams = static_cast<double>(m_liveStreams.size()),
         .waitingRequests = static_cast<double>(m_dispatcher.waitingCount()),
--- a/src/entry/storeschema.h
+++ b/src/entry/storeschema.h
@@ -17,6 +17,8 @@
     std::string instancePrefix;
     std::string usagePrefix;
     std::string crashPrefix;
+    /// A key below it names a failure domain that is evacuated while the key exists, whatever its value.
+    std::string evacuationPrefix;
     std::function<std::optional<RoutingConfiguration>(const std::string&)> decodeConfiguration;
     std::function<std::optional<TargetEntry>(const std::string& id, const std::string&)> decodeTarget;
 
--- a/src/fleet/internal/storefollower.cpp
+++ b/src/fleet/internal/storefollower.cpp
@@ -133,6 +133,7 @@
 /// learns of an outage from its source only.
 void StoreFollower::onSourceAnswered(const SourceState& state)
 {
+    m_source = state.source;
     auto now = BootClock::now();
     if (state.source == StoreSource::Store) {
         setReachable(true);
@@ -219,7 +220,6 @@
         co_return result;
     }
     m_consecutiveFailures = 0;
-    m_source = StoreSource::Store;
     co_return result;
 }
 
@@ -253,7 +253,6 @@
         ++m_nextPeer;
         ++m_consecutivePeerFailures;
     } else {
-        m_source = StoreSource::Peer;
         m_consecutivePeerFailures = 0;
     }
     co_return result;
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -58,6 +58,8 @@
     NoRoom,
     /// The caller disconnected while the request waited.
     Cancelled,
+    /// All targets of the service are in evacuated failure domains.
+    Evacuated,
 };
 
 /// The reason why a request gets no target, and when to retry.
--- a/src/relay/handoverservice.h
+++ b/src/relay/handoverservice.h
@@ -41,7 +41,7 @@
     struct Move;
     struct PendingGrant;
 
-    Awaitable<> evacuate(Move);
+    Awaitable<> moveAway(Move);
     Awaitable<std::optional<std::string>> acquireGrant(const Move&, TimePoint deadline);
     void releaseGrant(const Move&, const std::string& owner);
     void send(const std::string& owner, const MoveQuery&);
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -21,7 +21,8 @@
 {
     std::set<std::string> targetsInUse;
     for (const auto& target : m_context.streams.targets()) {
-        if (m_context.directory.isUsable(target))
+        // Generations of an evacuated target have to move as well when it shuts down.
+        if (m_context.directory.isReady(target))
             targetsInUse.insert(target);
     }
     for (const auto& target : m_pollSchedule.due(targetsInUse, m_context.storeView(), now))
--- a/src/relay/internal/generationstarter.cpp
+++ b/src/relay/internal/generationstarter.cpp
@@ -109,8 +109,10 @@
         auto placement = co_await m_context.placement.place(placementRequest);
         if (request.callerWatch.gone() || !placement) {
             session.result.detail = placement ? "" : placement.error().detail;
-            if (!placement)
+            if (!placement) {
                 session.retryAfter = placement.error().retryAfter;
+                session.refusal = gate.evacuationRefusal();
+            }
             co_return false;
         }
         if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -8,13 +8,13 @@
 namespace {
 
     /// An engine serves for a few seconds at most after it announced its shutdown.
-    constexpr auto maxEvacuationTime = Seconds(12);
+    constexpr auto maxMoveTime = Seconds(12);
     /// Interval at which a generation that cannot move yet is checked again.
     constexpr auto recheckInterval = Milliseconds(20);
     /// A query for a grant is repeated at this interval, which also keeps it from expiring at the owner.
     constexpr auto requestInterval = Milliseconds(150);
     /// Time without a response after which the pool's owner is considered unreachable and this instance
-    /// grants its moves itself; most evacuations end earlier.
+    /// grants its moves itself; most moves end earlier.
     constexpr auto ownerTimeout = Milliseconds(600);
     /// A copy over an idle link takes a few hundred ms.
     constexpr auto copyTimeout = Milliseconds(3000);
@@ -27,7 +27,7 @@
 
 }
 
-/// Evacuation of one generation from an engine that shuts down.
+/// Move of one generation away from an engine that shuts down.
 struct HandoverService::Move {
     TargetUnavailable sourceShutdown;
     std::shared_ptr<LiveStream> stream;
@@ -62,12 +62,12 @@
     if (!movable)
         return;
     for (auto& stream : streams)
-        asio::co_spawn(m_context.io, evacuate(Move { .sourceShutdown = event, .stream = std::move(stream) }), reportFailedHandler);
+        asio::co_spawn(m_context.io, moveAway(Move { .sourceShutdown = event, .stream = std::move(stream) }), reportFailedHandler);
 }
 
-Awaitable<> HandoverService::evacuate(Move move)
+Awaitable<> HandoverService::moveAway(Move move)
 {
-    auto deadline = move.sourceShutdown.at + maxEvacuationTime;
+    auto deadline = move.sourceShutdown.at + maxMoveTime;
     while (Clock::now() < deadline && m_context.streams.find(move.stream->id()) && move.isAtSource()) {
         bool movable = move.stream->eventCount() > 0 && move.stream->expectedRemainingTokens() >= minTokensToMove;
         if (!movable || move.stream->hasPendingMove()) {
@@ -169,6 +169,12 @@
     auto destination = *destinationEntry;
     auto phase = HandoverPhase::Copy;
     while (m_context.streams.find(move.stream->id()) && move.unknownResults < maxUnknownResults) {
+        // The destination may have been evacuated, or have left, while it received the copy. A generation that may have stopped
+        // already is stopped again in any case, since only the answer has its handle.
+        if (!move.stream->mayHaveStopped() && !m_context.directory.isIncarnationUsable(destination)) {
+            move.excludedDestinations.insert(destinationId);
+            co_return false;
+        }
         auto answer = co_await callSource(move, phase, destination);
         switch (answer.result) {
         case HandoverResult::Done:
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -253,6 +253,8 @@
         if (!placement) {
             m_context.placement.release(id);
             result.detail = placement.error().detail;
+            if (auto refusal = gate.evacuationRefusal())
+                co_return co_await refuse(request, std::move(result), *refusal, mayHaveRun);
             break;
         }
         if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaymetrics.h"
 
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -34,6 +35,8 @@
     prometheus::Family<prometheus::Counter>& unframedAnswers = family(prometheus::BuildCounter(), "guavaspan_entry_unframed_answers_total", "Answers of targets that end with their connections, by how these ended", registry);
     prometheus::Family<prometheus::Counter>& streamEnds = family(prometheus::BuildCounter(), "guavaspan_entry_checked_stream_ends_total", "Streams without an explicit end at engines that leave or were asked to stop them, by the state of their runs", registry);
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
+    prometheus::Family<prometheus::Gauge>& evacuations = family(prometheus::BuildGauge(), "guavaspan_domain_evacuated", "1 while the failure domain gets no new requests, 0 from the end of its evacuation", registry);
+    std::map<std::string, prometheus::Gauge*> evacuationsByDomain;
 };
 
 RelayMetrics::RelayMetrics()
@@ -122,6 +125,17 @@
     set("silent_instances", gauges.silentInstances);
 }
 
+void RelayMetrics::setEvacuatedDomains(const std::set<std::string>& domains)
+{
+    for (const auto& domain : domains) {
+        auto [gauge, isNew] = m_families->evacuationsByDomain.try_emplace(domain, nullptr);
+        if (isNew)
+            gauge->second = &m_families->evacuations.Add({ { "domain", domain } });
+    }
+    for (const auto& [domain, gauge] : m_families->evacuationsByDomain)
+        gauge->Set(domains.contains(domain) ? 1 : 0);
+}
+
 std::string RelayMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/relay/internal/sendgate.cpp
+++ b/src/relay/internal/sendgate.cpp
@@ -54,6 +54,13 @@
     return std::nullopt;
 }
 
+std::optional<SendRefusal> SendGate::evacuationRefusal() const
+{
+    if (!m_context.directory.allEvacuated(m_service))
+        return std::nullopt;
+    return SendRefusal { .reason = "domains_evacuated", .retryAfter = m_context.dispatcher.retryAfterEvacuation() };
+}
+
 std::optional<SendRefusal> SendGate::refusal()
 {
     auto now = Clock::now();
@@ -61,6 +68,8 @@
         if (auto refused = crashRefusal())
             return refused;
     }
+    if (auto refused = evacuationRefusal())
+        return refused;
     if (m_waitsForTrialSince && *m_waitsForTrialSince + m_maxTrialWait < now && needsTrial())
         return SendRefusal { .reason = "suspect_on_trial", .retryAfter = m_context.dispatcher.jitteredRetryDelay(retryDelayTrial) };
     if (auto wait = waitIfAllLimited(now))
@@ -70,8 +79,11 @@
 
 std::set<std::string> SendGate::excludedTargets()
 {
-    auto excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
+    auto now = Clock::now();
+    auto excluded = m_context.targetLimits.exhaustedTargets(now);
     excluded.insert(m_triedTargets.begin(), m_triedTargets.end());
+    // The pool's owner may not know of an evacuation yet. Later on it does, and queries need not name all targets of the domain.
+    excluded.merge(m_context.directory.lateEvacuatedTargets(m_service, now));
     auto targetOnTrial = std::exchange(m_targetOnTrial, std::nullopt);
     if (!targetOnTrial)
         return excluded;
@@ -132,7 +144,7 @@
 
 bool SendGate::tryClaim(const TargetEntry& target)
 {
-    if (crashRefusal() || (!m_trial && needsTrial()))
+    if (crashRefusal() || (!m_trial && needsTrial()) || m_context.directory.isEvacuated(target))
         return false;
     if (m_context.targetLimits.tryTake(target, Clock::now()))
         return true;
--- a/src/relay/internal/streamend.cpp
+++ b/src/relay/internal/streamend.cpp
@@ -10,7 +10,7 @@
         return StreamVerdict::Incomplete;
     // An engine that stops a generation, or shuts down, closes its stream without the end. Without a length or chunks this looks like
     // the end of a complete one.
-    bool mayBeClosedEarly = end.mayHaveStopped || !end.isTargetUsable;
+    bool mayBeClosedEarly = end.mayHaveStopped || !end.isTargetReady;
     return end.endsAtClose && mayBeClosedEarly ? StreamVerdict::Ambiguous : StreamVerdict::Complete;
 }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -1,6 +1,7 @@
 #include "relay/streamrelay.h"
 
 #include "common/log.h"
+#include "relay/resumetargets.h"
 #include "relay/runinquiry.h"
 
 #include <charconv>
@@ -133,7 +134,7 @@
             co_return StreamOutcome::Malformed;
         }
     }
-    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetUsable = m_context.directory.isIncarnationUsable(session.stream->target()) };
+    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetReady = m_context.directory.isIncarnationReady(session.stream->target()) };
     co_return outcomeOf(judge(end));
 }
 
@@ -150,7 +151,7 @@
     return StreamOutcome::Interrupted;
 }
 
-/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it.
+/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it, as far as evacuations allow it.
 Awaitable<StreamRelay::ResumeResult> StreamRelay::resume(GenerationSession& session)
 {
     auto interruptedAt = Clock::now();
@@ -169,18 +170,20 @@
         m_context.metrics.recordResume(accepted ? "resumed" : "refused");
         logEvent(LogLevel::Info, "stream_moved", { { "request", session.request.caller.requestId }, { "source", move->source.id }, { "destination", target.id }, { "service", session.request.service.name }, { "last_event", continuation.lastEventId }, { "time_left_ms", session.timeLeft.count() }, { "accepted", accepted }, { "detail", session.result.detail }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - interruptedAt).count() } });
     };
-    session.stream->setTarget(move->destination);
-    m_context.placement.setTarget(session.id, move->destination.id);
-    m_context.targetLimits.take(move->destination, Clock::now());
-    bool accepted = co_await m_starter.open(session, move->destination, continuation);
-    logMove(move->destination, accepted);
-    bool mayTrySource = !accepted && session.responseHead.notRun && move->destination.id != move->source.id && !session.request.callerWatch.gone();
-    if (mayTrySource) {
-        session.stream->setTarget(move->source);
-        m_context.placement.setTarget(session.id, move->source.id);
-        m_context.targetLimits.take(move->source, Clock::now());
-        accepted = co_await m_starter.open(session, move->source, continuation);
-        logMove(move->source, accepted);
+    auto targets = resumeTargets(*move, m_context.directory.evacuations(), Clock::now());
+    if (targets.empty()) {
+        session.result.detail = "the engines that have the generation are evacuated";
+        logMove(move->destination, false);
+    }
+    bool accepted = false;
+    bool mayTry = true;
+    for (auto target = targets.begin(); target != targets.end() && mayTry; ++target) {
+        session.stream->setTarget(*target);
+        m_context.placement.setTarget(session.id, target->id);
+        m_context.targetLimits.take(*target, Clock::now());
+        accepted = co_await m_starter.open(session, *target, continuation);
+        logMove(*target, accepted);
+        mayTry = !accepted && session.responseHead.notRun && !session.request.callerWatch.gone();
     }
     session.result.target = session.stream->target().id;
     ++session.result.moves;
@@ -290,7 +293,7 @@
         else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
             m_starter.reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
         session.gate.endTrial(TrialEnd::Answered);
-        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
+        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isReady(lastTarget.id));
         if (failed)
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
         if (request.callerWatch.gone())
--- a/src/relay/internal/targetpathprober.cpp
+++ b/src/relay/internal/targetpathprober.cpp
@@ -59,6 +59,9 @@
 
 Awaitable<> TargetPathProber::probe(TargetEntry target)
 {
+    // An evacuation may have begun since the target was chosen.
+    if (m_directory.isEvacuated(target))
+        co_return;
     beast::tcp_stream stream(m_io);
     boost::system::error_code error;
     asio::ip::tcp::endpoint remote { asio::ip::make_address(target.endpoint.address, error), target.endpoint.port };
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -3,6 +3,7 @@
 #include "relay/handoverservice.h"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace guavaspan {
@@ -54,6 +55,7 @@
     void recordStreamEnd(const std::string& runState);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
+    void setEvacuatedDomains(const std::set<std::string>&);
 
     /// Returns the metrics in the Prometheus text format.
     std::string serialize() const;
--- a/src/relay/sendgate.h
+++ b/src/relay/sendgate.h
@@ -36,6 +36,9 @@
     /// The refusal of a request that crashes targets, whichever takes it.
     std::optional<SendRefusal> crashRefusal() const;
 
+    /// The refusal of a request whose targets are all in evacuated failure domains.
+    std::optional<SendRefusal> evacuationRefusal() const;
+
     /// Targets that the request must not be placed on.
     std::set<std::string> excludedTargets();
 
--- a/src/relay/streamend.h
+++ b/src/relay/streamend.h
@@ -18,8 +18,8 @@
     bool hasPendingMove = false;
     /// The engine was requested to stop the generation, and has not answered that there is none.
     bool mayHaveStopped = false;
-    /// The engine takes new requests, so it has not ended and does not shut down.
-    bool isTargetUsable = true;
+    /// The engine has not ended and does not shut down.
+    bool isTargetReady = true;
 };
 
 enum class StreamVerdict {
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -168,6 +168,25 @@
     cr_expect(f.operations.calls.empty());
 }
 
+/// Guards against generations that move to an evacuated domain: the evacuation began while the copy was made.
+Test(HandoverService, destinationEvacuatedDuringCopy_runIsNotStoppedForItAndMovesElsewhere)
+{
+    HandoverFixture f(1);
+    auto other = f.entry(7);
+    other.failureDomain = "south";
+    f.directory.onEntryWritten(other.id, other, Clock::now());
+    f.operations.answers = { { .result = HandoverResult::Done, .handle = "unused" } };
+    f.operations.onCall = [&f] { f.directory.evacuations().onEvacuated("north", Clock::now()); };
+    f.announceShutdown();
+    f.run(Milliseconds(200));
+    cr_assert(f.operations.calls.size() == 3);
+    cr_expect(!f.operations.calls[0].stop && !f.operations.calls[1].stop && f.operations.calls[2].stop);
+    auto move = f.move();
+    cr_expect(move && move->destination.id == "engine-7");
+    cr_assert(f.operations.freedCopies.size() == 1);
+    cr_expect(f.operations.freedCopies[0].second == "unused");
+}
+
 namespace {
 
 /// Stops a generation until the engine answers that there is none, which also ends the stream.
@@ -283,3 +302,21 @@
     f.poller.onDrainingAnswer(f.entry(0));
     cr_expect(f.directory.isUsable("engine-0"), "a late answer of the earlier incarnation changes nothing");
 }
+
+/// Guards against LOST: the generations of an evacuated engine that shuts down did not move, since the engine was not asked.
+Test(EngineShutdownPoller, evacuatedEngineShutsDownWhileStoreUnreachable_runIsMoved)
+{
+    PollerFixture f;
+    auto outside = f.entry(1);
+    outside.failureDomain = "south";
+    f.directory.onEntryWritten(outside.id, outside, Clock::now());
+    f.directory.evacuations().onEvacuated("north", Clock::now());
+    f.run(Milliseconds(50));
+    cr_expect(f.operations.calls.empty(), "an evacuation moves nothing");
+    f.operations.report = TargetReport { .startedAt = 1, .draining = true, .timeToShutdown = Milliseconds(1500) };
+    f.poller.onTick(Clock::now());
+    f.io.restart();
+    f.run(Milliseconds(100));
+    auto move = f.move();
+    cr_expect(move && move->destination.id == "engine-1");
+}
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -207,3 +207,29 @@
     cr_expect(f.trials.trials.empty());
     cr_expect(runCoroutine(f.io, gate.startTrial(2, f.second())));
 }
+
+/// Guards against a request that is sent to a domain whose evacuation began after it was placed there.
+Test(SendGate, targetEvacuatedAfterPlacement_isNotClaimed)
+{
+    SendGateFixture f;
+    auto evacuated = f.first();
+    evacuated.failureDomain = "north";
+    f.directory.onEntryWritten(evacuated.id, evacuated, Clock::now());
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    f.directory.evacuations().onEvacuated("north", Clock::now());
+    cr_expect(!gate.tryClaim(evacuated));
+    cr_expect(gate.excludedTargets() == std::set<std::string> { "first" }, "the owner may not know of it yet");
+    cr_expect(!gate.refusal(), "the other target is usable");
+    cr_expect(gate.tryClaim(f.second()));
+}
+
+Test(SendGate, allTargetsEvacuated_requestIsRefusedWithAConstantDelay)
+{
+    SendGateFixture f;
+    f.directory.evacuations().onEvacuated(f.first().failureDomain, Clock::now());
+    auto refusal = f.gate().refusal();
+    cr_assert(refusal.has_value());
+    cr_expect(std::string(refusal->reason) == "domains_evacuated");
+    cr_expect(refusal->retryAfter >= Seconds(4) && refusal->retryAfter <= Seconds(7));
+}
--- a/src/relay/tests/streamend_test.cpp
+++ b/src/relay/tests/streamend_test.cpp
@@ -19,7 +19,7 @@
 Test(StreamEnd, explicitEndWhileStopIsUnderWay_isComplete)
 {
     cr_expect(judge({ .mayHaveStopped = true }) == StreamVerdict::Complete);
-    cr_expect(judge({ .mayHaveStopped = true, .isTargetUsable = false }) == StreamVerdict::Complete);
+    cr_expect(judge({ .mayHaveStopped = true, .isTargetReady = false }) == StreamVerdict::Complete);
 }
 
 /// Guards against ORDER and LOST: an early close and a complete body without a length look the same.
@@ -27,12 +27,12 @@
 {
     cr_expect(judge({ .endsAtClose = true }) == StreamVerdict::Complete);
     cr_expect(judge({ .endsAtClose = true, .mayHaveStopped = true }) == StreamVerdict::Ambiguous, "the engine closes a stopped generation");
-    cr_expect(judge({ .endsAtClose = true, .isTargetUsable = false }) == StreamVerdict::Ambiguous, "the engine may have shut down");
+    cr_expect(judge({ .endsAtClose = true, .isTargetReady = false }) == StreamVerdict::Ambiguous, "the engine may have shut down");
 }
 
 Test(StreamEnd, explicitEndAtLeavingEngine_isComplete)
 {
-    cr_expect(judge({ .isTargetUsable = false }) == StreamVerdict::Complete);
+    cr_expect(judge({ .isTargetReady = false }) == StreamVerdict::Complete);
 }
 
 Test(StreamEnd, partialEventOrPendingMove_isIncomplete)
--- a/src/standins/internal/metadataserver.cpp
+++ b/src/standins/internal/metadataserver.cpp
@@ -49,6 +49,7 @@
 
 MetadataServer::MetadataServer(asio::io_context& context)
     : m_server(context, HttpLimits { .maxBodyBytes = 8 << 20 }, [this](HttpExchange& exchange) { return handle(exchange); })
+    , m_rejectableServer(context, HttpLimits { .maxBodyBytes = 8 << 20 }, [this](HttpExchange& exchange) { return handleRejectable(exchange); })
 {
 }
 
@@ -57,6 +58,21 @@
     return m_server.listen(endpoint);
 }
 
+Result<Endpoint> MetadataServer::listenRejectably(const Endpoint& endpoint)
+{
+    return m_rejectableServer.listen(endpoint);
+}
+
+Awaitable<> MetadataServer::handleRejectable(HttpExchange& exchange)
+{
+    if (!m_faults.rejecting) {
+        co_await handle(exchange);
+        co_return;
+    }
+    Reply rejection { .status = 503, .body = "{}" };
+    co_await exchange.send(std::move(rejection));
+}
+
 void MetadataServer::rememberReplacedItem(const std::string& key)
 {
     auto now = Clock::now();
--- a/src/standins/metadataserver.h
+++ b/src/standins/metadataserver.h
@@ -14,6 +14,8 @@
     bool silent = false;
     /// Responds to every call with status 503 without executing it.
     bool refusing = false;
+    /// Does so for the clients of the address that listenRejectably() returned.
+    bool rejecting = false;
     Milliseconds delay { 0 };
     /// Number of writes that are executed but whose connection is closed before the response.
     int responsesToDrop = 0;
@@ -24,6 +26,8 @@
 public:
     explicit MetadataServer(asio::io_context&);
     Result<Endpoint> listen(const Endpoint&);
+    /// Serves the same store at another address, whose clients can be rejected while others are served.
+    Result<Endpoint> listenRejectably(const Endpoint&);
 
     /// Unconditional writes that simulate those of operators and targets.
     void put(const std::string& key, const std::string& value);
@@ -65,6 +69,7 @@
     };
 
     Awaitable<> handle(HttpExchange&);
+    Awaitable<> handleRejectable(HttpExchange&);
     Awaitable<Reply> watch(HttpExchange&);
     Reply get(HttpExchange&);
     Reply range(HttpExchange&);
@@ -80,6 +85,7 @@
     void expireLeases();
 
     HttpServer m_server;
+    HttpServer m_rejectableServer;
     MetadataFaults m_faults;
     std::map<std::string, Item> m_items;
     std::map<LeaseId, Lease> m_leases;
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -11,6 +11,9 @@
     /// platform's discovery contract requires.
     constexpr auto rewriteTimeout = Milliseconds(2000);
 
+    /// Time within which every instance knows of an evacuation.
+    constexpr auto evacuationSpreadTime = Seconds(5);
+
 }
 
 std::strong_ordering compareWriteOrder(const TargetEntry& left, const TargetEntry& right)
@@ -122,10 +125,12 @@
 {
     m_storeReachable = true;
     m_storeRegainedAt = now;
+    m_evacuations.onStoreRestored(now);
 }
 
 void TargetDirectory::onTick(TimePoint now)
 {
+    m_evacuations.onTick(now);
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         auto current = target++;
         if (current->second.rewriteDeadline && *current->second.rewriteDeadline <= now)
@@ -137,7 +142,7 @@
 {
     std::vector<const TargetEntry*> entries;
     for (const auto& [id, target] : m_targets) {
-        if (target.entry.service == service && target.entry.state == TargetState::Ready)
+        if (target.entry.service == service && takesRequests(target))
             entries.push_back(&target.entry);
     }
     return entries;
@@ -147,7 +152,7 @@
 {
     std::vector<const TargetEntry*> entries;
     for (const auto& [id, target] : m_targets) {
-        if (target.entry.state == TargetState::Ready)
+        if (takesRequests(target))
             entries.push_back(&target.entry);
     }
     return entries;
@@ -159,18 +164,63 @@
     return target == m_targets.end() ? nullptr : &target->second.entry;
 }
 
-bool TargetDirectory::isUsable(const std::string& id) const
+bool TargetDirectory::allEvacuated(const std::string& service) const
+{
+    if (m_evacuations.empty())
+        return false;
+    bool anyEvacuated = false;
+    for (const auto& [id, target] : m_targets) {
+        if (target.entry.service != service || target.entry.state != TargetState::Ready)
+            continue;
+        if (!isEvacuated(target.entry))
+            return false;
+        anyEvacuated = true;
+    }
+    return anyEvacuated;
+}
+
+std::set<std::string> TargetDirectory::lateEvacuatedTargets(const std::string& service, TimePoint now) const
+{
+    std::set<std::string> ids;
+    if (m_evacuations.empty())
+        return ids;
+    for (const auto& [id, target] : m_targets) {
+        auto since = m_evacuations.evacuatedSince(target.entry.failureDomain);
+        if (since && now < *since + evacuationSpreadTime && target.entry.service == service && target.entry.state == TargetState::Ready)
+            ids.insert(id);
+    }
+    return ids;
+}
+
+std::size_t TargetDirectory::targetsIn(const std::string& failureDomain) const
+{
+    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(), [&](const auto& known) { return known.second.entry.failureDomain == failureDomain; }));
+}
+
+bool TargetDirectory::isReady(const std::string& id) const
 {
     const auto* entry = find(id);
     return entry && entry->state == TargetState::Ready;
 }
 
-bool TargetDirectory::isIncarnationUsable(const TargetEntry& incarnation) const
+bool TargetDirectory::isIncarnationReady(const TargetEntry& incarnation) const
 {
     const auto* entry = find(incarnation.id);
     return entry && entry->startedAt == incarnation.startedAt && entry->state == TargetState::Ready;
 }
 
+bool TargetDirectory::isUsable(const std::string& id) const
+{
+    const auto* entry = find(id);
+    return entry && isReady(id) && !isEvacuated(*entry);
+}
+
+bool TargetDirectory::isIncarnationUsable(const TargetEntry& incarnation) const
+{
+    const auto* entry = find(incarnation.id);
+    return entry && isIncarnationReady(incarnation) && !isEvacuated(*entry);
+}
+
 void TargetDirectory::removeTarget(std::map<std::string, KnownTarget>::iterator target, UnavailableReason reason, TimePoint now)
 {
     auto entry = std::move(target->second.entry);
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "targets/domainevacuations.h"
 #include "targets/targettypes.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace guavaspan {
@@ -57,9 +59,23 @@
     /// write them again.
     void onStoreRestored(TimePoint now);
 
-    /// Removes expired entries that were not written again before their deadline.
+    /// Removes expired entries that were not written again before their deadline, and ends evacuations alike.
     void onTick(TimePoint now);
 
+    /// An evacuation takes new requests away from the targets of its domain. They stay ready, so their generations do not move.
+    DomainEvacuations& evacuations() { return m_evacuations; }
+    const DomainEvacuations& evacuations() const { return m_evacuations; }
+    bool isEvacuated(const TargetEntry& target) const { return m_evacuations.isEvacuated(target.failureDomain); }
+    /// True if the service has ready targets and all of them are evacuated.
+    bool allEvacuated(const std::string& service) const;
+    /// Ready targets of a service whose evacuation began lately, so that other instances may not know of it yet.
+    std::set<std::string> lateEvacuatedTargets(const std::string& service, TimePoint now) const;
+    std::size_t targetsIn(const std::string& failureDomain) const;
+
+    /// True if the target neither drains nor is gone, whether it is evacuated or not.
+    bool isReady(const std::string& id) const;
+    bool isIncarnationReady(const TargetEntry&) const;
+
     /// Targets of a service that take new requests.
     std::vector<const TargetEntry*> usableTargets(const std::string& service) const;
     /// Targets of all services that take new requests.
@@ -77,10 +93,12 @@
         bool drainingReported = false;
     };
 
+    bool takesRequests(const KnownTarget& target) const { return target.entry.state == TargetState::Ready && !isEvacuated(target.entry); }
     void removeTarget(std::map<std::string, KnownTarget>::iterator, UnavailableReason, TimePoint now);
     bool mayBeLeaseExpiry(TimePoint now) const;
 
     std::map<std::string, KnownTarget> m_targets;
+    DomainEvacuations m_evacuations;
     bool m_storeReachable = true;
     std::optional<TimePoint> m_storeRegainedAt;
     UnavailableListener m_listener;
