Evacuate failure domains in the soak

Cause: that an evacuation is in force on every instance within 5 s was checked with two instances and one fault at a time only.

Only faults of the store itself excuse one; instances may be killed, paused, restarted or cut off from the store.

--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -62,6 +62,7 @@
             checkCrashingPromptParts();
             checkBrittleEngines();
             checkStatedLimits();
+            checkEvacuations();
             addViolations(findStopViolations(m_record));
             addViolations(findBudgetViolations(m_record));
             return std::move(m_violations);
@@ -245,6 +246,27 @@
             }
         }
 
+        /// Instances may be cut off from the store, end or start meanwhile; only what is wrong with the store itself excuses a late request.
+        void checkEvacuations()
+        {
+            std::map<std::string, const Attempt*> attempts;
+            for (const auto& attempt : m_record.attempts)
+                attempts.emplace(attempt.id, &attempt);
+            for (const auto& evacuation : m_record.evacuations) {
+                auto inForceAt = evacuation.acknowledgedAt + maxEvacuationDelay.count() + schedulingSlack.count();
+                if (!isUndisturbed(storeSubject, evacuation.acknowledgedAt, inForceAt))
+                    continue;
+                for (const auto& engineRecord : m_record.engineRecords) {
+                    auto engine = m_record.domainByEngine.find(engineRecord.engineId);
+                    bool inDomain = engine != m_record.domainByEngine.end() && engine->second == evacuation.failureDomain;
+                    bool isNew = engineRecord.event == EngineRecord::Event::Arrival && engineRecord.recordedAt > inForceAt && engineRecord.recordedAt < evacuation.endedAt;
+                    auto attempt = attempts.find(engineRecord.attemptId);
+                    if (inDomain && isNew && attempt != attempts.end() && isUndisturbed(storeSubject, attempt->second->sentAt, engineRecord.recordedAt))
+                        reportViolation("an engine of an evacuated domain receives no new requests", *attempt->second, fmt::format("{} of {} evacuated from {} to {}, received at {}", engineRecord.engineId, evacuation.failureDomain, evacuation.acknowledgedAt, evacuation.endedAt, engineRecord.recordedAt));
+                }
+            }
+        }
+
         void checkCrashRefusal(const Attempt& attempt)
         {
             if (attempt.refusedAsCrashing && !crashesEngines(attempt))
--- a/soak/constants.h
+++ b/soak/constants.h
@@ -53,6 +53,8 @@
 inline constexpr auto maxRevocationDelay = Milliseconds(5000);
 /// Time after which a draining engine must receive no new requests.
 inline constexpr auto maxDrainDelay = Milliseconds(2000);
+/// Time after which an engine of an evacuated failure domain must receive no new requests.
+inline constexpr auto maxEvacuationDelay = Milliseconds(5000);
 /// Time after a disturbance of an instance or the store before time limits apply to it again.
 inline constexpr auto recoveryAllowance = Milliseconds(3000);
 /// Time from SIGTERM to SIGKILL.
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -81,10 +81,34 @@
     return json { { "version", m_configurationVersion }, { "routes", routes }, { "services", services }, { "tenants", tenants }, { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 1 << 20 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } }.dump();
 }
 
-Awaitable<> Deployment::postToStore(std::string path, std::string body)
+Awaitable<bool> Deployment::postToStore(std::string path, std::string body)
 {
     HttpCall call { .endpoint = m_storeEndpoint, .method = "POST", .target = "/standin/" + path, .body = std::move(body), .timeout = Seconds(10) };
-    co_await callHttp(std::move(call));
+    auto response = co_await callHttp(std::move(call));
+    co_return response && response->result_int() == 200;
+}
+
+Awaitable<bool> Deployment::startEvacuation(const std::string& failureDomain)
+{
+    m_evacuations[failureDomain] = true;
+    json put { { "key", "op/evacuate/" + failureDomain }, { "value", "{}" } };
+    co_return co_await postToStore("put", put.dump());
+}
+
+Awaitable<> Deployment::endEvacuation(const std::string& failureDomain)
+{
+    m_evacuations[failureDomain] = false;
+    json removal { { "key", "op/evacuate/" + failureDomain } };
+    while (!co_await postToStore("remove", removal.dump()))
+        co_await sleepFor(Milliseconds(100));
+}
+
+Awaitable<> Deployment::writeEvacuationsAgain()
+{
+    for (const auto& [failureDomain, inForce] : std::map(m_evacuations)) {
+        json change { { "key", "op/evacuate/" + failureDomain }, { "value", "{}" } };
+        co_await postToStore(inForce ? "put" : "remove", change.dump());
+    }
 }
 
 Awaitable<> Deployment::publishConfiguration()
@@ -152,6 +176,7 @@
     engine.id = fmt::format("e{}", ++m_lastEngineNumber);
     engine.requestLimit = 2 + static_cast<double>(m_random() % 60) / 10;
     engine.statesLimit = false;
+    m_record.domainByEngine[engine.id] = engine.failureDomain;
     auto listenEndpoint = allocateEndpoint();
     engine.link->setTarget(listenEndpoint);
     std::vector<std::string> command { m_options.soakProgram, "engine", "--id", engine.id, "--service", engine.generates ? modelService : plainService, "--zone", engine.failureDomain, "--listen", toString(listenEndpoint), "--announced", toString(engine.advertisedEndpoint), "--store", toString(m_storeEndpoint), "--records", m_options.folder + "/records", "--seed", std::to_string(m_random() % 100000), "--limit", fmt::format("{:.1f}", engine.requestLimit), engine.generates ? "--generates" : "--plain" };
@@ -167,7 +192,8 @@
     bool started = m_processes.start("store", { m_options.soakProgram, "store", "--listen", toString(m_storeEndpoint) });
     for (int i = 0; i < m_options.engines; ++i) {
         auto engine = std::make_unique<ManagedEngine>();
-        engine->failureDomain = fmt::format("d{}", i % 3);
+        // Each evacuated domain has engines of both services, so that others remain.
+        engine->failureDomain = fmt::format("d{}", (m_options.evacuations ? i / 3 : i) % 3);
         engine->generates = i % 3 != 2;
         engine->link = std::make_unique<Proxy>(m_io, Endpoint {});
         engine->advertisedEndpoint = engine->link->listen();
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -50,11 +50,17 @@
     /// Starts the first or the next process of the engine, with a new id.
     bool startEngine(ManagedEngine&);
 
-    Awaitable<> postToStore(std::string path, std::string body);
+    /// True if the store acknowledged it.
+    Awaitable<bool> postToStore(std::string path, std::string body);
     Awaitable<> publishConfiguration();
     Awaitable<> changeConfiguration();
     /// Writes the configuration to a store that may have lost it.
     Awaitable<> publishConfigurationAgain();
+    Awaitable<bool> startEvacuation(const std::string& failureDomain);
+    /// Repeats the removal of the key until the store acknowledges it.
+    Awaitable<> endEvacuation(const std::string& failureDomain);
+    /// Writes the evacuations in force to a store that may have lost them.
+    Awaitable<> writeEvacuationsAgain();
     Awaitable<> removeEngineEntry(const std::string& id);
     /// Removes entries that a store may have brought back.
     Awaitable<> removeEngineEntriesAgain();
@@ -83,6 +89,8 @@
     std::vector<std::unique_ptr<Instance>> m_instances;
     std::vector<std::unique_ptr<ManagedEngine>> m_engines;
     std::vector<std::string> m_removedEngines;
+    /// True for each failure domain whose evacuation is in force, false once it has ended.
+    std::map<std::string, bool> m_evacuations;
     std::int64_t m_configurationVersion = 1;
     int m_lastPathNumber = 0;
     int m_lastEngineNumber = 0;
--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -46,6 +46,8 @@
         asio::co_spawn(m_io, failRequestsPeriodically(), asio::detached);
     if (m_options.restoredStore)
         asio::co_spawn(m_io, restoreStorePeriodically(), asio::detached);
+    if (m_options.evacuations)
+        asio::co_spawn(m_io, evacuatePeriodically(), asio::detached);
     if (m_options.oddEntries)
         asio::co_spawn(m_io, writeOddEntriesPeriodically(), asio::detached);
     if (m_options.rolling)
@@ -325,6 +327,7 @@
     auto operatorDelay = randomDuration(0, 1000);
     co_await sleepFor(operatorDelay);
     co_await m_deployment.publishConfigurationAgain();
+    co_await m_deployment.writeEvacuationsAgain();
     co_await sleepFor(entryExpiryTime);
     co_await m_deployment.removeEngineEntriesAgain();
     recordDisturbance(storeSubject, startedAt, soakNow());
@@ -339,6 +342,37 @@
     }
 }
 
+/// An evacuation is no disturbance: what it takes away are targets only, and at times all of them.
+Awaitable<> FaultInjector::evacuate(std::string failureDomain)
+{
+    ++m_faultCounts["failure domain evacuated"];
+    bool acknowledged = co_await m_deployment.startEvacuation(failureDomain);
+    auto acknowledgedAt = soakNow();
+    auto endsAt = acknowledgedAt + randomDuration(500, 12000).count();
+    while (m_injecting && soakNow() < endsAt)
+        co_await sleepFor(Milliseconds(50));
+    if (acknowledged)
+        m_record.evacuations.push_back({ .failureDomain = failureDomain, .acknowledgedAt = acknowledgedAt, .endedAt = soakNow() });
+    co_await m_deployment.endEvacuation(failureDomain);
+}
+
+/// Two domains may be evacuated at once, and one again while it already is.
+Awaitable<> FaultInjector::evacuatePeriodically()
+{
+    while (m_injecting) {
+        auto failureDomain = m_deployment.randomEngine().failureDomain;
+        if (m_random() % 3 == 0) {
+            co_await m_deployment.startEvacuation(failureDomain);
+            auto second = m_deployment.randomEngine().failureDomain;
+            if (second != failureDomain)
+                co_await evacuate(std::move(second));
+        }
+        co_await evacuate(std::move(failureDomain));
+        auto pause = randomDuration(200, 4000);
+        co_await sleepFor(pause);
+    }
+}
+
 /// The entries look like those of an engine at an address that nobody listens on, with one field that no engine writes.
 std::string FaultInjector::oddEntry()
 {
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -44,6 +44,8 @@
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
     Awaitable<> restoreStore();
     Awaitable<> restoreStorePeriodically();
+    Awaitable<> evacuate(std::string failureDomain);
+    Awaitable<> evacuatePeriodically();
     std::string oddEntry();
     Awaitable<> writeOddEntriesPeriodically();
     Awaitable<> injectStoreFault(std::string fault);
--- a/soak/record.h
+++ b/soak/record.h
@@ -113,6 +113,13 @@
     SoakTime endedAt = 0;
 };
 
+/// Period from the store's acknowledgement of an evacuation until the operator began to end it.
+struct Evacuation {
+    std::string failureDomain;
+    SoakTime acknowledgedAt = 0;
+    SoakTime endedAt = 0;
+};
+
 /// Disturbances that excuse a violated guarantee.
 enum class Excuse {
     AnyDisturbance,
@@ -135,6 +142,8 @@
     /// For each engine id, the time by which the store lists the engine as draining.
     std::map<std::string, SoakTime> drainingEngines;
     std::vector<StatedLimit> statedLimits;
+    std::map<std::string, std::string> domainByEngine;
+    std::vector<Evacuation> evacuations;
     /// Number of engines that are brittle at a time.
     int brittleEngines = 0;
     /// For each organisation, the number of requests in its usage records, read after all instances have stopped.
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -41,6 +41,8 @@
     bool silentStore = false;
     /// The store comes back from copies that are some seconds old.
     bool restoredStore = false;
+    /// Failure domains are evacuated for some seconds at a time.
+    bool evacuations = false;
     /// Another writer leaves odd entries among those of the engines.
     bool oddEntries = false;
     /// Engines of plain requests fail or refuse many of them for some seconds at a time.
--- a/soak/tests/checks_test.cpp
+++ b/soak/tests/checks_test.cpp
@@ -463,3 +463,18 @@
     }
     cr_expect(hasCrashingPart(listPromptParts(crashingPromptPart + std::string("1"), random)));
 }
+
+/// Guards against a check that misses requests to an evacuated domain, or counts those sent in time or after its end.
+Test(SoakChecks, findViolations_requestToEvacuatedDomain_isReportedOnlyWhileItHasToBeInForce)
+{
+    constexpr const char* guarantee = "an engine of an evacuated domain receives no new requests";
+    ChecksFixture f;
+    f.record.domainByEngine["e"] = "north";
+    f.record.engineRecords.push_back({ .event = EngineRecord::Event::Arrival, .attemptId = "a", .engineId = "e", .organisation = "org", .recordedAt = 100010 });
+    f.record.evacuations = { { .failureDomain = "south", .acknowledgedAt = 90000, .endedAt = 110000 }, { .failureDomain = "north", .acknowledgedAt = 96000, .endedAt = 110000 }, { .failureDomain = "north", .acknowledgedAt = 90000, .endedAt = 100000 } };
+    cr_expect(!f.reports(guarantee));
+    f.record.evacuations.push_back({ .failureDomain = "north", .acknowledgedAt = 94000, .endedAt = 110000 });
+    cr_expect(f.reports(guarantee));
+    f.record.disturbances.push_back({ .subject = storeSubject, .startedAt = 95000, .endedAt = 95500 });
+    cr_expect(!f.reports(guarantee));
+}
