--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -22,8 +22,8 @@
     std::set<std::string> targetsInUse;
     std::set<std::string> withoutEntry;
     for (const auto& target : m_context.streams.targets()) {
-        const auto* entry = m_context.directory.find(target);
-        if (!entry || entry->state != TargetState::Ready)
+        // Generations of an evacuated target have to move as well when it shuts down.
+        if (!m_context.directory.isReady(target))
             continue;
         targetsInUse.insert(target);
         if (m_context.directory.isEntryMissing(target))
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaymetrics.h"
 
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -36,6 +37,8 @@
     prometheus::Family<prometheus::Counter>& unusableGrants = family(prometheus::BuildCounter(), "guavaspan_entry_unusable_grants_total", "Grants of pools' owners that this instance could not use and returned, by reason", registry);
     prometheus::Family<prometheus::Counter>& fleetBytesSent = family(prometheus::BuildCounter(), "guavaspan_fleet_bytes_sent", "Bytes of datagrams sent to other instances, by kind of message", registry);
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
+    prometheus::Family<prometheus::Gauge>& evacuations = family(prometheus::BuildGauge(), "guavaspan_domain_evacuated", "1 while the failure domain gets no new requests, 0 from the end of its evacuation", registry);
+    std::map<std::string, prometheus::Gauge*> evacuationsByDomain;
 };
 
 RelayMetrics::RelayMetrics()
@@ -138,6 +141,17 @@
     set("silent_instances", gauges.silentInstances);
 }
 
+void RelayMetrics::setEvacuatedDomains(const std::set<std::string>& domains)
+{
+    for (const auto& domain : domains) {
+        auto [gauge, isNew] = m_families->evacuationsByDomain.try_emplace(domain, nullptr);
+        if (isNew)
+            gauge->second = &m_families->evacuations.Add({ { "domain", domain } });
+    }
+    for (const auto& [domain, gauge] : m_families->evacuationsByDomain)
+        gauge->Set(domains.contains(domain) ? 1 : 0);
+}
+
 std::string RelayMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -61,6 +62,7 @@
     void setFleetBytesSent(const std::map<std::string_view, std::uint64_t>&);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
+    void setEvacuatedDomains(const std::set<std::string>&);
 
     /// Returns the metrics in the Prometheus text format.
     std::string serialize() const;
