Choose targets by expected time, with the pace of each engine

In a deployment where a third of the engines needs 2.4 times as long, 52 of 90 streams on slow engines had a pause over 180 ms: loads alone do not tell these engines apart.

PaceTracker learns milliseconds per event from the streams that an instance relays. Load reports and summaries share the values, as appended fields that earlier releases ignore. expectedTime gives one score in milliseconds; the ratios of the earlier penalties are kept, and what depends on the load is multiplied by the engine's pace relative to the service's median. forecastGap limits the requests and prompts at clearly slower engines by the route's objective for the time between events, which PlacementQuery now carries. Plain targets whose answers are clearly slower count as more loaded.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include "common/random.h"
 #include "dispatch/loadledger.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/pacetracker.h"
 #include "dispatch/refusalhistory.h"
 #include "dispatch/saturationtracker.h"
 #include "dispatch/targetpath.h"
@@ -61,6 +62,7 @@
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
+    PaceTracker& paces() { return m_paces; }
     /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
     void forgetOutcomes(const std::string& service);
     BrittleServices& brittleServices() { return m_brittleServices; }
@@ -97,6 +99,7 @@
     Random m_random;
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
+    PaceTracker m_paces;
     TargetPath m_targetPath;
     BrittleServices m_brittleServices;
     WaitingQueue m_queue;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -23,10 +23,10 @@
         return urgent ? urgentMemoryShare : plannedMemoryShare;
     }
 
-    /// Score penalty for moving a generation to another failure domain. Such a move takes twice as long, which
+    /// Milliseconds by which an engine of another failure domain scores worse as the destination of a move. Such a move takes twice as long, which
     /// may leave too little time for the generations that still have to move, so only crowded engines of the
     /// source's domain are passed over.
-    constexpr double moveDomainPenalty = 0.7;
+    constexpr double moveDomainMs = 0.7 * fullLoadMs;
 
 }
 
@@ -57,7 +57,7 @@
     auto candidates = m_directory.usableTargets(request.service);
     auto excluded = excludedTargets(request, candidates);
     auto now = Clock::now();
-    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request), .loadsAreShared = request.loadsAreShared }, m_random);
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request), .loadsAreShared = request.loadsAreShared, .paces = &m_paces, .eventGapObjective = request.eventGapObjective }, m_random);
     if (!choice)
         m_saturation.onSaturated(request.service, now);
     else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
@@ -98,7 +98,7 @@
     const auto* target = m_directory.find(choice.target);
     if (!target)
         return makeRefusal(request, RefusalCause::NoRoom, "the chosen target was removed");
-    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited, .late = request.rank.late };
+    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .time = choice.time, .waited = waited, .late = request.rank.late };
 }
 
 Awaitable<PlacementOutcome> Dispatcher::place(PlacementRequest request)
@@ -223,7 +223,7 @@
     auto candidates = m_directory.usableTargets(source.service);
     auto excludedTargets = excluded;
     excludedTargets.insert(source.id);
-    SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
+    SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainMs = moveDomainMs, .paces = &m_paces };
     // Output lengths are estimates, and losing a running generation costs more than crowding an engine.
     inputs.memoryShare = movedMemoryShare;
     inputs.allowsProbes = false;
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "common/random.h"
+#include "dispatch/expectedtime.h"
 #include "dispatch/loadledger.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/pacetracker.h"
 #include "routing/routingtypes.h"
 #include "targets/targettypes.h"
 
@@ -10,8 +12,8 @@
 
 namespace guavaspan {
 
-/// Score penalty of a target in another failure domain, whose round trip takes some ms longer.
-inline constexpr double defaultDomainPenalty = 0.02;
+/// Milliseconds by which a target in another failure domain scores worse. Its round trip takes some ms longer, several times for each request.
+inline constexpr double defaultDomainMs = 0.02 * fullLoadMs;
 
 /// Share of an engine's memory that may be reserved; the rest covers wrong length estimates.
 inline constexpr double plannedMemoryShare = 0.92;
@@ -33,14 +35,18 @@
     const std::set<std::string>& excluded;
     WorkEstimate estimate;
     TimePoint now;
-    /// Added to the score of a target in another failure domain, as a share of an engine's memory or of a target's slots.
-    double otherDomainPenalty = defaultDomainPenalty;
+    /// Milliseconds by which a target in another failure domain scores worse.
+    double otherDomainMs = defaultDomainMs;
     /// Share of an engine's memory that may be reserved.
     double memoryShare = plannedMemoryShare;
     /// False for work that must not be lost, such as moves of running generations.
     bool allowsProbes = true;
     /// Many instances see the same loads of their peers, for some time, so that the least loaded target would get the requests of all.
     bool loadsAreShared = false;
+    /// Without it all targets count as equally fast.
+    const PaceTracker* paces = nullptr;
+    /// Limits the requests at slow engines; 0 for work that must not be lost and routes without an objective.
+    Milliseconds eventGapObjective { 0 };
 };
 
 /// The selected target and the figures that led to its selection.
@@ -48,13 +54,16 @@
     std::string target;
     /// The target is suspect, and this request probes whether it has recovered.
     bool isProbe = false;
+    /// Milliseconds; the lowest one is chosen.
     double score = 0;
     int requests = 0;
     double tokens = 0;
+    /// Without a value for plain services.
+    std::optional<ExpectedTime> time;
 };
 
-/// Selects the least loaded target that has capacity for the whole expected generation, if there is one; if loads are shared, the less
-/// loaded one of two at random.
+/// Selects the target with the lowest expected time among those that have capacity for the whole expected generation, if there is one; if
+/// loads are shared, the better one of two at random.
 std::optional<TargetChoice> selectTarget(const SelectionInputs&, Random&);
 
 /// True if the engine has enough free memory and a free slot for this estimate.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -353,6 +353,7 @@
             m_dispatcher.ledger().removePeer(name);
         }
         m_placementClient.expireSummary(now);
+        m_dispatcher.paces().onTick(now);
         m_summaryServer.sendSummaries(now);
         co_await sleepFor(reportInterval);
     }
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -3,6 +3,7 @@
 #include "dispatch/dispatchtypes.h"
 #include "dispatch/outcometracker.h"
 #include "dispatch/outputestimator.h"
+#include "dispatch/targetpace.h"
 #include "net/nettypes.h"
 #include "targets/targetlimits.h"
 
@@ -58,6 +59,8 @@
     std::int64_t configurationVersion = 0;
     /// Aggregators of the instance in order of preference; the first one sends it summaries, all of them broadcasts.
     std::vector<std::string> aggregators;
+    /// Paces that the instance observed and that changed since its last reports; empty in the reports of older versions.
+    ReportedPaces paces;
 
     friend bool operator==(const InstanceLoadReport&, const InstanceLoadReport&) = default;
 };
@@ -83,6 +86,8 @@
     /// Newest version of the configuration in force at any instance, and the instance.
     std::int64_t configurationVersion = 0;
     std::string configurationHolder;
+    /// Paces that changed since the last summary; empty in the summaries of older versions.
+    ReportedPaces paces;
 
     friend bool operator==(const FleetSummary&, const FleetSummary&) = default;
 };
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -107,7 +107,7 @@
     while (!outcome) {
         auto now = Clock::now();
         auto maxWait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(request.latestStart - now));
-        PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait };
+        PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait, .eventGapObjective = request.eventGapObjective };
         m_link.send(owner, query);
         pending->response.reset();
         pending->wakeUp.expires_after(unansweredQueries == 0 && now - queriedAt > OwnerQueryLimits::responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(OwnerQueryLimits::responseTimeout));
@@ -217,6 +217,10 @@
 {
     auto report = makeReport(true);
     addUnreported(report);
+    if (needsReport())
+        m_dispatcher.paces().onRecipientsChanged();
+    // Changes of load are reported with each request, paces only here: they change more slowly.
+    report.paces = m_dispatcher.paces().takeUnreported(Clock::now());
     m_link.sendTo(m_fleet.reportRecipients(Clock::now()), report);
     m_reportedAggregators = report.aggregators;
     return report;
@@ -245,6 +249,7 @@
     m_dispatcher.outcomes().onPeerOutcomes(summary.outcomes, now);
     m_outputEstimator.onPeerLengthSums(summary.lengths);
     m_targetLimits.onPeerLimits(summary.limits, now);
+    m_dispatcher.paces().onPeerPaces(summary.aggregator, summary.paces, now);
     m_dispatcher.placeWaiting();
 }
 
@@ -265,6 +270,7 @@
     m_dispatcher.outcomes().onPeerOutcomes(report.outcomes, now);
     m_outputEstimator.onPeerLengthSums(report.lengths);
     m_targetLimits.onPeerLimits(report.limits, now);
+    m_dispatcher.paces().onPeerPaces(report.instance, report.paces, now);
     m_dispatcher.placeWaiting();
 }
 
--- a/src/placement/internal/placementmessagedecoder.cpp
+++ b/src/placement/internal/placementmessagedecoder.cpp
@@ -73,6 +73,17 @@
         return loads;
     }
 
+    ReportedPaces pacesFrom(const json& fields, const json& loads)
+    {
+        ReportedPaces paces;
+        for (const auto& pace : fields) {
+            const auto& name = pace.at(0);
+            const auto& target = name.is_string() ? name : loads.at(name.get<std::size_t>()).at(0);
+            paces.emplace(target.get<std::string>(), ReportedPace { .incarnation = pace.at(1).get<std::uint16_t>(), .halfMsPerEvent = pace.at(2).get<int>(), .promptTokensPer10Ms = pace.at(3).get<int>() });
+        }
+        return paces;
+    }
+
     std::map<std::string, OutcomeCount> outcomesFrom(const json& fields)
     {
         std::map<std::string, OutcomeCount> outcomes;
@@ -119,6 +130,8 @@
         report.configurationVersion = fields.at(11).get<std::int64_t>();
         if (fields.size() > 12)
             report.aggregators = fields.at(12).get<std::vector<std::string>>();
+        if (fields.size() > 13)
+            report.paces = pacesFrom(fields.at(13), fields.at(3));
         return report;
     }
 
@@ -136,6 +149,8 @@
         summary.limits = limitsFrom(fields.at(8));
         summary.configurationVersion = fields.at(9).get<std::int64_t>();
         summary.configurationHolder = fields.at(10).get<std::string>();
+        if (fields.size() > 11)
+            summary.paces = pacesFrom(fields.at(11), fields.at(5));
         return summary;
     }
 
@@ -168,6 +183,8 @@
         query.excluded = fields.at(9).get<std::vector<std::string>>();
         query.contentHash = fields.at(10).get<std::uint64_t>();
         query.maxWait = Milliseconds(fields.at(11).get<std::int64_t>());
+        if (fields.size() > 12)
+            query.eventGapObjective = Milliseconds(fields.at(12).get<std::int64_t>());
         return query;
     }
 
--- a/src/placement/internal/placementmessageencoder.cpp
+++ b/src/placement/internal/placementmessageencoder.cpp
@@ -40,14 +40,26 @@
         return fields;
     }
 
+    /// Most targets are among those whose loads the message has, so their places there stand for their names.
+    json fieldsOf(const ReportedPaces& paces, const TargetLoads& loads)
+    {
+        json fields = json::array();
+        for (const auto& [target, pace] : paces) {
+            auto load = loads.find(target);
+            auto name = load == loads.end() ? json(target) : json(std::distance(loads.begin(), load));
+            fields.push_back({ std::move(name), pace.incarnation, pace.halfMsPerEvent, pace.promptTokensPer10Ms });
+        }
+        return fields;
+    }
+
     json fieldsOf(const InstanceLoadReport& report)
     {
-        return json::array({ report.instance, report.sequence, report.complete, fieldsOf(report.loads), report.lastAcceptedGrants, fieldsOf(report.outcomes), fieldsOf(report.lengths), fieldsOf(report.limits), report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion, report.aggregators });
+        return json::array({ report.instance, report.sequence, report.complete, fieldsOf(report.loads), report.lastAcceptedGrants, fieldsOf(report.outcomes), fieldsOf(report.lengths), fieldsOf(report.limits), report.relaysForPeers, report.unreachableServices, report.storeEra, report.configurationVersion, report.aggregators, fieldsOf(report.paces, report.loads) });
     }
 
     json fieldsOf(const FleetSummary& summary)
     {
-        return json::array({ summary.aggregator, summary.sequence, summary.silentInstances, summary.instancesNotRelaying, summary.unreachableServices, fieldsOf(summary.loads), fieldsOf(summary.outcomes), fieldsOf(summary.lengths), fieldsOf(summary.limits), summary.configurationVersion, summary.configurationHolder });
+        return json::array({ summary.aggregator, summary.sequence, summary.silentInstances, summary.instancesNotRelaying, summary.unreachableServices, fieldsOf(summary.loads), fieldsOf(summary.outcomes), fieldsOf(summary.lengths), fieldsOf(summary.limits), summary.configurationVersion, summary.configurationHolder, fieldsOf(summary.paces, summary.loads) });
     }
 
     json fieldsOf(const BroadcastBatch& batch)
@@ -60,7 +72,7 @@
 
     json fieldsOf(const PlacementQuery& query)
     {
-        return json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.organisation, query.rank.priority, query.rank.late, query.estimate.promptTokens, query.estimate.outputTokens, query.excluded, query.contentHash, query.maxWait.count() });
+        return json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.organisation, query.rank.priority, query.rank.late, query.estimate.promptTokens, query.estimate.outputTokens, query.excluded, query.contentHash, query.maxWait.count(), query.eventGapObjective.count() });
     }
 
     json fieldsOf(const PlacementResponse& response)
--- a/src/placement/internal/summaryserver.cpp
+++ b/src/placement/internal/summaryserver.cpp
@@ -52,8 +52,10 @@
     if (summaries.empty())
         return;
     auto loads = plainLoads();
+    auto paces = m_options.dispatcher.paces().takeUnannounced(now);
     for (auto& [member, summary] : summaries) {
         summary.loads = loadsOfOthers(loads, member);
+        summary.paces = paces;
         m_options.link.send(member, summary);
     }
 }
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -25,6 +25,8 @@
     std::vector<std::string> excluded;
     std::uint64_t contentHash = 0;
     Milliseconds maxWait { 0 };
+    /// Objective for the time between events; 0 for none, and in the queries of older versions.
+    Milliseconds eventGapObjective { 0 };
 
     friend bool operator==(const PlacementQuery&, const PlacementQuery&) = default;
 };
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchtypes.h"
+#include "dispatch/expectedtime.h"
 #include "routing/routingtypes.h"
 #include "targets/targettypes.h"
 
@@ -25,6 +26,8 @@
     std::uint64_t contentHash = 0;
     /// The loads of peers come from a summary, which many instances get at the same time.
     bool loadsAreShared = false;
+    /// Objective for the time between events; 0 for none.
+    Milliseconds eventGapObjective { 0 };
     /// Deadline for the start; a request that starts later cannot finish in time.
     TimePoint latestStart;
 };
@@ -47,6 +50,8 @@
     int targetRequests = 0;
     double targetTokens = 0;
     double score = 0;
+    /// What the deciding instance expects; absent if that is another one, and for plain services.
+    std::optional<ExpectedTime> time;
     Clock::duration waited {};
     /// The request was refused before and can no longer finish in time.
     bool late = false;
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -18,8 +18,8 @@
 
 Test(FleetMessage, everyMessageType_encodedAndDecoded_isUnchanged)
 {
-    cr_expect(roundTrips(InstanceLoadReport { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .lastAcceptedGrants = { { "o", 9 } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5, .guessCount = 1, .guessSum = 4, .guessedLengthSum = 5, .guessSquaredSum = 16, .guessLengthProductSum = 20 } } }, .limits = { { "t", { .targetStartedAt = 1LL << 41, .requestsPerSecond = 4.1, .age = Milliseconds(7) } }, { "u", { .targetStartedAt = 2 } } }, .relaysForPeers = true, .unreachableServices = { "s" }, .storeEra = 4, .configurationVersion = 17, .aggregators = { "x", "y" } }));
-    cr_expect(roundTrips(PlacementQuery { .requester = "n", .requesterIncarnation = 5, .id = ~0ULL, .service = "s", .organisation = "c", .rank = { .priority = 2, .late = true }, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .contentHash = 99, .maxWait = Milliseconds(90) }));
+    cr_expect(roundTrips(InstanceLoadReport { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .lastAcceptedGrants = { { "o", 9 } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5, .guessCount = 1, .guessSum = 4, .guessedLengthSum = 5, .guessSquaredSum = 16, .guessLengthProductSum = 20 } } }, .limits = { { "t", { .targetStartedAt = 1LL << 41, .requestsPerSecond = 4.1, .age = Milliseconds(7) } }, { "u", { .targetStartedAt = 2 } } }, .relaysForPeers = true, .unreachableServices = { "s" }, .storeEra = 4, .configurationVersion = 17, .aggregators = { "x", "y" }, .paces = { { "gone", { .incarnation = 65535, .halfMsPerEvent = 120, .promptTokensPer10Ms = 70 } }, { "t", { .incarnation = 3, .halfMsPerEvent = 49 } } } }));
+    cr_expect(roundTrips(PlacementQuery { .requester = "n", .requesterIncarnation = 5, .id = ~0ULL, .service = "s", .organisation = "c", .rank = { .priority = 2, .late = true }, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .contentHash = 99, .maxWait = Milliseconds(90), .eventGapObjective = Milliseconds(180) }));
     cr_expect(roundTrips(PlacementResponse { .owner = "o", .id = 3, .status = PlacementStatus::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .late = true, .retryAfter = Milliseconds(70) }));
     cr_expect(roundTrips(PlacementRelease { .requester = "n", .requesterIncarnation = 5, .id = 6 }));
     cr_expect(roundTrips(MoveQuery { .requester = "n", .requesterIncarnation = 5, .id = 6, .service = "s", .source = "a", .sourceFailureDomain = "d", .tokensHeld = 10, .remainingTokens = 11, .excluded = { "x" } }));
@@ -39,7 +39,7 @@
     cr_expect(roundTrips(PromptPartInquiry { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
     cr_expect(roundTrips(PromptPartClearance { .part = ~0ULL, .age = Milliseconds(30) }));
     cr_expect(roundTrips(PromptPartConviction { .instance = "n", .part = ~0ULL, .since = Milliseconds(30) }));
-    cr_expect(roundTrips(FleetSummary { .aggregator = "x", .sequence = 1LL << 40, .silentInstances = { "s" }, .instancesNotRelaying = { "n" }, .unreachableServices = { { "u", { "shop" } } }, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5 } } }, .limits = { { "t", { .targetStartedAt = 1, .requestsPerSecond = 4.1, .age = Milliseconds(7) } } }, .configurationVersion = 17, .configurationHolder = "h" }));
+    cr_expect(roundTrips(FleetSummary { .aggregator = "x", .sequence = 1LL << 40, .silentInstances = { "s" }, .instancesNotRelaying = { "n" }, .unreachableServices = { { "u", { "shop" } } }, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5 } } }, .limits = { { "t", { .targetStartedAt = 1, .requestsPerSecond = 4.1, .age = Milliseconds(7) } } }, .configurationVersion = 17, .configurationHolder = "h", .paces = { { "e", { .incarnation = 3, .halfMsPerEvent = 49 } } } }));
     cr_expect(roundTrips(BroadcastBatch { .toAggregator = true, .items = { { .origin = "o", .number = 1LL << 41, .message = std::string("\0\xff", 2) } } }));
     cr_expect(roundTrips(ShutdownNotice { .target = "t", .startedAt = 1LL << 41 }));
 }
@@ -74,3 +74,58 @@
         cr_expect(std::get<InstanceLoadReport>(*decoded) == InstanceLoadReport({ .instance = "n", .sequence = 3, .relaysForPeers = fieldCount == fieldsWithoutEra }));
     }
 }
+
+namespace {
+
+/// Encodes a message with a different number of fields; further ones are of a kind that this version does not know.
+template <typename Message>
+std::string withFieldCount(const Message& message, std::size_t fieldCount)
+{
+    auto document = nlohmann::json::from_cbor(encodeFleetMessage(message));
+    auto& fields = document.at(1);
+    while (fields.size() > fieldCount)
+        fields.erase(fields.size() - 1);
+    while (fields.size() < fieldCount)
+        fields.push_back({ "unknown", 1 });
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    return bytes;
+}
+
+}
+
+/// Guards against lost messages during an upgrade: those of the release before have no paces, and those of later ones have further fields.
+Test(FleetMessage, messagesOfReleasesBeforeAndAfter_areRead)
+{
+    InstanceLoadReport report { .instance = "n", .sequence = 3, .loads = { { "t", { .requests = 1 } } }, .aggregators = { "x" }, .paces = { { "t", { .incarnation = 3, .halfMsPerEvent = 49 } } } };
+    FleetSummary summary { .aggregator = "x", .sequence = 4, .configurationHolder = "h", .paces = report.paces };
+    PlacementQuery query { .requester = "n", .service = "s", .maxWait = Milliseconds(90), .eventGapObjective = Milliseconds(180) };
+    constexpr std::size_t fieldsOfLaterReleases = 20;
+    cr_expect(std::get<InstanceLoadReport>(*decodeFleetMessage(withFieldCount(report, fieldsOfLaterReleases))) == report);
+    cr_expect(std::get<FleetSummary>(*decodeFleetMessage(withFieldCount(summary, fieldsOfLaterReleases))) == summary);
+    cr_expect(std::get<PlacementQuery>(*decodeFleetMessage(withFieldCount(query, fieldsOfLaterReleases))) == query);
+    report.paces.clear();
+    summary.paces.clear();
+    query.eventGapObjective = Milliseconds(0);
+    cr_expect(std::get<InstanceLoadReport>(*decodeFleetMessage(withFieldCount(report, 13))) == report);
+    cr_expect(std::get<FleetSummary>(*decodeFleetMessage(withFieldCount(summary, 11))) == summary);
+    cr_expect(std::get<PlacementQuery>(*decodeFleetMessage(withFieldCount(query, 12))) == query);
+}
+
+/// Guards against reports that grow with names: a pace of a target whose load is reported costs ten bytes at most.
+Test(FleetMessage, pacesOfTargetsWithLoads_takeTenBytesEach)
+{
+    InstanceLoadReport report { .instance = "entry-17" };
+    for (int i = 0; i < 10; ++i)
+        report.loads.emplace("engine-" + std::to_string(i) + "-7f3a", TargetLoad { .requests = 2, .tokens = 1500, .pendingPromptTokens = 300 });
+    auto before = encodeFleetMessage(report).size();
+    for (const auto& [target, load] : report.loads)
+        report.paces.emplace(target, ReportedPace { .incarnation = 40000, .halfMsPerEvent = 118, .promptTokensPer10Ms = 70 });
+    auto after = encodeFleetMessage(report).size();
+    cr_log_info("a load report of ten targets has %zu bytes without and %zu with paces", before, after);
+    cr_expect_leq(after - before, 10 * report.paces.size());
+    FleetSummary summary { .aggregator = "entry-17", .paces = report.paces };
+    auto withNames = encodeFleetMessage(summary).size();
+    summary.paces.clear();
+    cr_log_info("a summary has %zu bytes without and %zu with these paces", encodeFleetMessage(summary).size(), withNames);
+}
--- a/src/relay/generationsession.h
+++ b/src/relay/generationsession.h
@@ -25,6 +25,16 @@
     /// When the current engine last sent a part of its answer; at least sentAt.
     TimePoint lastHeardAt;
     TimePoint lastEventAt;
+    /// Events and time for the engine's pace that are not recorded yet.
+    int pacedEvents = 0;
+    Clock::duration pacedTime {};
+    bool pacedBesidePrompts = false;
+    /// Absent if the time to the next event says nothing about the engine: before its first event, and after a slow write to the caller.
+    std::optional<TimePoint> pacedSince;
+    /// The engine processes the prompt first.
+    bool awaitsPrompt = false;
+    /// Requests at the engine when it was chosen.
+    int requestsBeside = 0;
     /// Tokens of events that were written to the caller.
     int deliveredTokens = 0;
     std::optional<std::int64_t> lastEventNumber;
--- a/src/relay/internal/generationstarter.cpp
+++ b/src/relay/internal/generationstarter.cpp
@@ -58,8 +58,13 @@
     session.mayHaveRun = true;
     bool matchesRequest = request.caller.requestId.empty() || session.responseHead.requestId == request.caller.requestId;
     bool accepted = session.responseHead.status == 200 && session.responseHead.sealed && !session.responseHead.encoded && matchesRequest;
-    if (accepted)
+    if (accepted) {
         session.frames = {};
+        session.pacedEvents = 0;
+        session.pacedTime = {};
+        session.pacedBesidePrompts = false;
+        session.pacedSince.reset();
+    }
     co_return accepted;
 }
 
@@ -95,7 +100,7 @@
     auto& request = session.request;
     m_retryGate.onRequest(request);
     auto startTimeout = std::max<Clock::duration>(Milliseconds(0), request.route.latencyObjective - timeToFirstEvent);
-    PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
+    PlacementRequest placementRequest { .service = request.service.name, .engine = request.service.engine, .organisation = request.organisation, .rank = request.rank(), .estimate = estimateOf(request), .contentHash = request.caller.contentHash, .eventGapObjective = request.route.eventGapObjective, .latestStart = std::min<TimePoint>(request.deadline, request.arrivedAt + startTimeout) };
     auto& gate = session.gate;
     while (session.result.sends < maxSends && !m_context.dispatcher.targetPath().isLost(request.service.name)) {
         session.refusal = gate.refusal();
@@ -133,8 +138,10 @@
         auto address = toString(target.endpoint);
         session.stream = std::make_shared<LiveStream>(m_context.io, session.id, request.caller.requestId, target, placementRequest.estimate);
         m_context.streams.add(session.stream);
+        session.requestsBeside = placement->targetRequests;
+        session.awaitsPrompt = true;
         bool accepted = co_await open(session, target, std::nullopt);
-        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "prompt_parts", describe(request.caller.sharedParts) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "time_left_ms", session.timeLeft.count() }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
+        logEvent(LogLevel::Info, "attempt", { { "request", request.caller.requestId }, { "fingerprint", hexOf(request.fingerprint) }, { "prompt_parts", describe(request.caller.sharedParts) }, { "target", target.id }, { "send", std::int64_t(session.result.sends) }, { "accepted", accepted }, { "detail", session.result.detail }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(placement->waited).count() }, { "target_requests", std::int64_t(placement->targetRequests) }, { "target_tokens", placement->targetTokens }, { "expected_first_ms", std::int64_t(placement->time ? placement->time->toFirstEventMs : 0) }, { "expected_end_ms", std::int64_t(placement->time ? placement->time->toEndMs : 0) }, { "decider", std::string(toString(placement->decider)) }, { "own_tokens", std::int64_t(placementRequest.estimate.totalTokens()) }, { "output_bound", std::int64_t(request.caller.maxOutputTokens) }, { "guessed_tokens", std::int64_t(request.caller.guessedOutputTokens.value_or(0)) }, { "late", placement->late }, { "time_left_ms", session.timeLeft.count() }, { "caller_time_ms", request.caller.timeLeft.value_or(Milliseconds(0)).count() }, { "configuration", request.table->version() } });
         if (accepted) {
             m_context.dispatcher.outcomes().onSuccess(address, Clock::now());
             co_return true;
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -282,6 +282,7 @@
             co_return result;
         case AttemptOutcome::Answered:
             m_context.dispatcher.outcomes().onSuccess(address, now);
+            m_context.dispatcher.paces().onPlainAnswer(placement->target, now - attempt.sentAt, now);
             co_return co_await deliverAnswer(request, std::move(attempt), std::move(result));
         case AttemptOutcome::FailedAnswer:
             mayHaveRun = true;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -12,6 +12,12 @@
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
     constexpr auto moveTimeout = Milliseconds(4500);
 
+    /// Events of one sample of an engine's pace. An instance whose CPU quota is used up reads several events late and at once, which cancels
+    /// out over some events.
+    constexpr int eventsPerPaceSample = 3;
+    /// A caller that reads slowly blocks a write for longer than this, and the events that arrive meanwhile are read late.
+    constexpr auto slowWrite = Milliseconds(20);
+
     std::optional<std::int64_t> parseEventNumber(const std::string& text)
     {
         std::int64_t eventNumber = 0;
@@ -50,10 +56,37 @@
     return error.code == ErrorCode::BadReply ? StreamOutcome::Malformed : StreamOutcome::Interrupted;
 }
 
+/// Takes note of the time that the engine needed for the events that have just arrived.
+void StreamRelay::recordPace(GenerationSession& session, int events, TimePoint now)
+{
+    if (events == 0 || !session.request.service.engine)
+        return;
+    auto& paces = m_context.dispatcher.paces();
+    const auto& target = session.stream->target();
+    if (session.awaitsPrompt)
+        paces.onFirstEvent(target, session.request.caller.promptTokens, now - session.sentAt, now);
+    session.awaitsPrompt = false;
+    auto load = m_context.dispatcher.ledger().totalLoad(target.id);
+    if (session.pacedSince) {
+        session.pacedEvents += events;
+        session.pacedTime += now - *session.pacedSince;
+        session.pacedBesidePrompts = session.pacedBesidePrompts || load.pendingPromptTokens > 0;
+    }
+    session.pacedSince = now;
+    if (session.pacedEvents < eventsPerPaceSample)
+        return;
+    // Prompts beside the stream double the time of its events, which would make a target that got many at once look slow.
+    if (!session.pacedBesidePrompts)
+        paces.onEventGap(target, session.pacedEvents, session.pacedTime, std::max(load.requests, session.requestsBeside + 1), now);
+    session.pacedEvents = 0;
+    session.pacedTime = {};
+    session.pacedBesidePrompts = false;
+}
+
 Awaitable<StreamRelay::StreamOutcome> StreamRelay::forwardFrames(GenerationSession& session)
 {
     std::string bytes;
-    int newTokens = 0;
+    int newEvents = 0;
     int tokensPerEvent = session.request.service.engine ? session.request.service.engine->tokensPerEvent : 1;
     while (auto frame = session.frames.next()) {
         auto eventNumber = parseEventNumber(frame->id);
@@ -70,11 +103,12 @@
         if (!frame->hasData && frame->id.empty())
             continue;
         session.stream->onEvent(frame->id, tokensPerEvent);
-        newTokens += tokensPerEvent;
+        ++newEvents;
     }
     if (bytes.empty())
         co_return StreamOutcome::Complete;
     auto now = Clock::now();
+    recordPace(session, newEvents, now);
     if (!session.headerSent) {
         auto header = withoutHopByHopHeaders(session.connection->header());
         http::response<http::empty_body> head { std::move(header.base()) };
@@ -101,7 +135,9 @@
     auto written = co_await session.request.exchange.writeEvents(std::move(bytes));
     if (!written)
         co_return StreamOutcome::CallerGone;
-    session.deliveredTokens += newTokens;
+    if (Clock::now() - now > slowWrite)
+        session.pacedSince.reset();
+    session.deliveredTokens += newEvents * tokensPerEvent;
     co_return StreamOutcome::Complete;
 }
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -44,6 +44,7 @@
     Awaitable<StreamOutcome> relayGeneration(GenerationSession&);
     Awaitable<StreamOutcome> relayEvents(GenerationSession&);
     Awaitable<StreamOutcome> forwardFrames(GenerationSession&);
+    void recordPace(GenerationSession&, int events, TimePoint now);
     Awaitable<> finish(GenerationSession&, StreamOutcome);
     Awaitable<> respondUnstarted(GenerationSession&);
     static std::string reasonFor(StreamOutcome);
