Show expected times and pauses at slow engines

The log line of an attempt told the loads behind a choice but not the times that were expected, and nothing told whether pauses beyond the objective come from slow engines.

PlacementResponse carries the owner's expected times to the first and last event, as appended fields, and `attempt` logs them. A counter has the pauses beyond a route's objective by the pace of the engine, and a gauge the number of targets known to be slow.

Ran: dispatch 64, placement 20, relay 56, entry 10, handover 12, fleet 86 and platform 72 tests, all pass.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/outcometracker.h"
 #include "dispatch/pacetracker.h"
 #include "dispatch/refusalhistory.h"
+#include "dispatch/relativepaces.h"
 #include "dispatch/saturationtracker.h"
 #include "dispatch/targetpath.h"
 #include "dispatch/targetselector.h"
@@ -64,6 +65,8 @@
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
     PaceTracker& paces() { return m_paces; }
+    /// Targets of a service that are slower than usual, as far as this instance knows.
+    std::set<std::string> slowTargets(const std::string& service, PaceKind) const;
     KeptPrompts& keptPrompts() { return m_keptPrompts; }
     /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
     void forgetOutcomes(const std::string& service);
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -73,6 +73,18 @@
         m_outcomes.forget(toString(target->endpoint));
 }
 
+std::set<std::string> Dispatcher::slowTargets(const std::string& service, PaceKind kind) const
+{
+    auto targets = m_directory.usableTargets(service);
+    RelativePaces paces(&m_paces, kind, targets);
+    std::set<std::string> slow;
+    for (const auto* target : targets) {
+        if (paces.of(*target) > 1)
+            slow.insert(target->id);
+    }
+    return slow;
+}
+
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
 {
     if (forPeer)
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -66,6 +66,7 @@
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
+    std::size_t countSlowTargets() const;
     void updateGauges();
     void countInstances();
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -248,6 +248,21 @@
     co_await exchange.send(std::move(reply));
 }
 
+std::size_t EntryInstance::countSlowTargets() const
+{
+    std::size_t count = 0;
+    std::set<std::string> services;
+    for (const auto* target : m_directory.usableTargets())
+        services.insert(target->service);
+    auto table = m_configuration.table();
+    for (const auto& name : services) {
+        const auto* service = table ? table->service(name) : nullptr;
+        if (service)
+            count += m_dispatcher.slowTargets(name, service->engine ? PaceKind::Events : PaceKind::PlainAnswers).size();
+    }
+    return count;
+}
+
 void EntryInstance::updateGauges()
 {
     m_metrics.setGauges({
@@ -274,6 +289,7 @@
         .unreachableServices = static_cast<double>(m_dispatcher.targetPath().lostServices().size()),
         .summarisedInstances = static_cast<double>(m_fleet.members(Clock::now()).size()),
         .silentInstances = static_cast<double>(m_fleet.silentInstances(Clock::now()).size()),
+        .slowTargets = static_cast<double>(countSlowTargets()),
     });
 }
 
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -154,7 +154,7 @@
     const auto* target = m_directory.find(response.target);
     if (!target || !m_directory.isUsable(response.target))
         return PlacementOutcome(PlacementRefusal { .retryAfter = m_dispatcher.retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = "the granted target is missing or unavailable in the target directory of this instance" });
-    return PlacementOutcome(Placement { .target = *target, .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .waited = Clock::now() - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
+    return PlacementOutcome(Placement { .target = *target, .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .time = ExpectedTime { .toFirstEventMs = static_cast<double>(response.expectedFirstEvent.count()), .toEndMs = static_cast<double>(response.expectedEnd.count()) }, .waited = Clock::now() - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
 }
 
 void PlacementClient::onResponse(const PlacementResponse& response)
--- a/src/placement/internal/placementmessagedecoder.cpp
+++ b/src/placement/internal/placementmessagedecoder.cpp
@@ -206,6 +206,10 @@
         response.targetTokens = fields.at(6).get<double>();
         response.late = fields.at(7).get<bool>();
         response.retryAfter = Milliseconds(fields.at(8).get<std::int64_t>());
+        if (fields.size() > 10) {
+            response.expectedFirstEvent = Milliseconds(fields.at(9).get<std::int64_t>());
+            response.expectedEnd = Milliseconds(fields.at(10).get<std::int64_t>());
+        }
         return response;
     }
 
--- a/src/placement/internal/placementmessageencoder.cpp
+++ b/src/placement/internal/placementmessageencoder.cpp
@@ -87,7 +87,7 @@
 
     json fieldsOf(const PlacementResponse& response)
     {
-        return json::array({ response.owner, response.id, static_cast<int>(response.status), response.target, response.grantNumber, response.targetRequests, static_cast<std::int64_t>(response.targetTokens), response.late, response.retryAfter.count() });
+        return json::array({ response.owner, response.id, static_cast<int>(response.status), response.target, response.grantNumber, response.targetRequests, static_cast<std::int64_t>(response.targetTokens), response.late, response.retryAfter.count(), response.expectedFirstEvent.count(), response.expectedEnd.count() });
     }
 
     json fieldsOf(const PlacementRelease& release)
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -2,6 +2,8 @@
 
 #include "net/eventloop.h"
 
+#include <cmath>
+
 namespace guavaspan {
 
 namespace {
@@ -77,6 +79,10 @@
         response.targetRequests = outcome->targetRequests;
         response.targetTokens = outcome->targetTokens;
         response.late = outcome->late;
+        if (outcome->time) {
+            response.expectedFirstEvent = Milliseconds(std::llround(outcome->time->toFirstEventMs));
+            response.expectedEnd = Milliseconds(std::llround(outcome->time->toEndMs));
+        }
     } else {
         response.status = PlacementStatus::Refused;
         response.retryAfter = std::chrono::duration_cast<Milliseconds>(outcome.error().retryAfter);
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -50,6 +50,9 @@
     double targetTokens = 0;
     bool late = false;
     Milliseconds retryAfter { 0 };
+    /// Times that the owner expects to the first and last event; 0 in the responses of older versions.
+    Milliseconds expectedFirstEvent { 0 };
+    Milliseconds expectedEnd { 0 };
 
     friend bool operator==(const PlacementResponse&, const PlacementResponse&) = default;
 };
--- a/src/placement/placementtypes.h
+++ b/src/placement/placementtypes.h
@@ -53,7 +53,7 @@
     int targetRequests = 0;
     double targetTokens = 0;
     double score = 0;
-    /// What the deciding instance expects; absent if that is another one, and for plain services.
+    /// What the deciding instance expects; absent for plain services.
     std::optional<ExpectedTime> time;
     Clock::duration waited {};
     /// The request was refused before and can no longer finish in time.
--- a/src/placement/tests/placementmessages_test.cpp
+++ b/src/placement/tests/placementmessages_test.cpp
@@ -20,7 +20,7 @@
 {
     cr_expect(roundTrips(InstanceLoadReport { .instance = "n", .sequence = 1LL << 40, .complete = false, .loads = { { "t", { .requests = 2, .tokens = 7, .pendingPromptTokens = 3 } } }, .lastAcceptedGrants = { { "o", 9 } }, .outcomes = { { "10.0.0.1:80", { .requests = 4, .failures = 1 } } }, .lengths = { { "r", { .generationCount = 2, .lengthSum = 9.5, .guessCount = 1, .guessSum = 4, .guessedLengthSum = 5, .guessSquaredSum = 16, .guessLengthProductSum = 20 } } }, .limits = { { "t", { .targetStartedAt = 1LL << 41, .requestsPerSecond = 4.1, .age = Milliseconds(7) } }, { "u", { .targetStartedAt = 2 } } }, .relaysForPeers = true, .unreachableServices = { "s" }, .storeEra = 4, .configurationVersion = 17, .aggregators = { "x", "y" }, .paces = { { "gone", { .incarnation = 65535, .halfMsPerEvent = 120, .promptTokensPer10Ms = 70 } }, { "t", { .incarnation = 3, .halfMsPerEvent = 49 } } } }));
     cr_expect(roundTrips(PlacementQuery { .requester = "n", .requesterIncarnation = 5, .id = ~0ULL, .service = "s", .organisation = "c", .rank = { .priority = 2, .late = true }, .estimate = { .promptTokens = 3, .outputTokens = 4 }, .excluded = { "t" }, .contentHash = 99, .maxWait = Milliseconds(90), .eventGapObjective = Milliseconds(180), .promptParts = { { .chain = ~0U, .tokens = 340 }, { .chain = 7, .tokens = 80 } } }));
-    cr_expect(roundTrips(PlacementResponse { .owner = "o", .id = 3, .status = PlacementStatus::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .late = true, .retryAfter = Milliseconds(70) }));
+    cr_expect(roundTrips(PlacementResponse { .owner = "o", .id = 3, .status = PlacementStatus::Refused, .target = "t", .grantNumber = 8, .targetRequests = 1, .targetTokens = 2, .late = true, .retryAfter = Milliseconds(70), .expectedFirstEvent = Milliseconds(140), .expectedEnd = Milliseconds(5000) }));
     cr_expect(roundTrips(PlacementRelease { .requester = "n", .requesterIncarnation = 5, .id = 6 }));
     cr_expect(roundTrips(MoveQuery { .requester = "n", .requesterIncarnation = 5, .id = 6, .service = "s", .source = "a", .sourceFailureDomain = "d", .tokensHeld = 10, .remainingTokens = 11, .excluded = { "x" } }));
     cr_expect(roundTrips(MoveResponse { .owner = "o", .id = 6, .destination = "b" }));
@@ -104,6 +104,9 @@
     cr_expect(std::get<InstanceLoadReport>(*decodeFleetMessage(withFieldCount(report, fieldsOfLaterReleases))) == report);
     cr_expect(std::get<FleetSummary>(*decodeFleetMessage(withFieldCount(summary, fieldsOfLaterReleases))) == summary);
     cr_expect(std::get<PlacementQuery>(*decodeFleetMessage(withFieldCount(query, fieldsOfLaterReleases))) == query);
+    PlacementResponse response { .owner = "o", .expectedFirstEvent = Milliseconds(140), .expectedEnd = Milliseconds(5000) };
+    cr_expect(std::get<PlacementResponse>(*decodeFleetMessage(withFieldCount(response, fieldsOfLaterReleases))) == response);
+    cr_expect(std::get<PlacementResponse>(*decodeFleetMessage(withFieldCount(response, 9))) == PlacementResponse({ .owner = "o" }));
     report.paces.clear();
     summary.paces.clear();
     query.eventGapObjective = Milliseconds(0);
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -27,6 +27,7 @@
     prometheus::Family<prometheus::Histogram>& durations = family(prometheus::BuildHistogram(), "guavaspan_entry_request_seconds", "Time from a request to the end of its answer", registry);
     prometheus::Family<prometheus::Histogram>& firstEvents = family(prometheus::BuildHistogram(), "guavaspan_entry_first_event_seconds", "Time from a request to its first event", registry);
     prometheus::Family<prometheus::Histogram>& pauses = family(prometheus::BuildHistogram(), "guavaspan_entry_pause_seconds", "Time between events of one stream", registry);
+    prometheus::Family<prometheus::Counter>& longPauses = family(prometheus::BuildCounter(), "guavaspan_entry_long_pauses_total", "Pauses of streams beyond the objectives of their routes, by the paces of their targets", registry);
     prometheus::Family<prometheus::Histogram>& waits = family(prometheus::BuildHistogram(), "guavaspan_entry_wait_seconds", "Time that requests waited for room", registry);
     prometheus::Family<prometheus::Counter>& retries = family(prometheus::BuildCounter(), "guavaspan_entry_retries_total", "Repeats by service and cause; denied ones had no budget left", registry);
     prometheus::Family<prometheus::Counter>& resumes = family(prometheus::BuildCounter(), "guavaspan_entry_stream_moves_total", "Streams that went on elsewhere, by result", registry);
@@ -64,6 +65,11 @@
     m_families->pauses.Add({}, secondsBuckets).Observe(seconds);
 }
 
+void RelayMetrics::recordLongPause(const std::string& route, bool slowTarget)
+{
+    m_families->longPauses.Add({ { "route", route }, { "pace", slowTarget ? "slow" : "usual" } }).Increment();
+}
+
 void RelayMetrics::recordRetry(const std::string& service, const std::string& cause, bool allowed)
 {
     m_families->retries.Add({ { "service", service }, { "cause", cause }, { "allowed", allowed ? "yes" : "no" } }).Increment();
@@ -120,6 +126,7 @@
     set("unreachable_services", gauges.unreachableServices);
     set("summarised_instances", gauges.summarisedInstances);
     set("silent_instances", gauges.silentInstances);
+    set("slow_targets", gauges.slowTargets);
 }
 
 std::string RelayMetrics::serialize() const
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -125,6 +125,9 @@
     } else {
         session.result.longestPause = std::max<Clock::duration>(session.result.longestPause, now - session.lastEventAt);
         m_context.metrics.recordPause(secondsBetween(session.lastEventAt, now));
+        auto objective = session.request.route.eventGapObjective;
+        if (objective > Milliseconds(0) && now - session.lastEventAt > objective)
+            m_context.metrics.recordLongPause(session.request.route.name, m_context.dispatcher.slowTargets(session.request.service.name, PaceKind::Events).contains(session.stream->target().id));
     }
     session.lastEventAt = now;
     if (session.gate.onTrial() && m_context.crashGuard.outlives(session.request.fingerprint, session.sentAt, now)) {
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -35,6 +35,8 @@
     double summarisedInstances = 0;
     /// Instances that do not respond, as far as this one knows.
     double silentInstances = 0;
+    /// Targets that are slower than those of their service usually are, as far as this instance knows.
+    double slowTargets = 0;
 };
 
 /// Counters and histograms of the entry service.
@@ -47,6 +49,8 @@
     void recordCutRequest(const std::string& route);
     void recordFirstEvent(const std::string& route, double seconds);
     void recordPause(double seconds);
+    /// A pause of a stream was longer than its route's objective; `slowTarget` if its engine is slower than usual.
+    void recordLongPause(const std::string& route, bool slowTarget);
     void recordRetry(const std::string& service, const std::string& cause, bool allowed);
     void recordWait(double seconds);
     void recordResume(const std::string& result);
