Test that paces are learned from relayed streams

The tests of PaceTracker feed it directly, so a relay that no longer tells it what its streams show would pass them. A stream with events every 20 ms through the relay now has to give a pace.

--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -91,6 +91,20 @@
     cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "the connection was not closed");
 }
 
+/// Guards against paces that are never learned, because the relay does not tell them what its streams show.
+Test(StreamRelay, eventsAtIntervals_paceOfTheEngineIsLearned)
+{
+    EndlessEnginesFixture f({ .start = sealedHeader + "\r\n", .repeated = "data: a\n\n", .pause = Milliseconds(20) });
+    auto engine = *f.directory.find("writer-0");
+    f.directory.onEntryRemoved("writer-1", Clock::now());
+    for (int stream = 0; stream < 3; ++stream)
+        f.ask("/stream");
+    const auto* pace = f.dispatcher.paces().pace(engine);
+    cr_assert(pace && pace->sources > 0, "nothing was learned");
+    // A machine that is busy makes events late, never early.
+    cr_expect(pace->minEventMs > 15, "%g ms per event", pace->minEventMs);
+}
+
 /// The measurement that answerWithoutEnd_eventLoopStaysResponsive relies on.
 Test(EndlessEnginesFixture, eventLoopIsHeldUp_delayIsMeasured)
 {
