--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "common/random.h"
+#include "dispatch/keptprompts.h"
 #include "dispatch/loadledger.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/pacetracker.h"
 #include "dispatch/refusalhistory.h"
+#include "dispatch/relativepaces.h"
 #include "dispatch/saturationtracker.h"
 #include "dispatch/targetpath.h"
 #include "dispatch/targetselector.h"
@@ -74,6 +77,10 @@
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
+    PaceTracker& paces() { return m_paces; }
+    /// Targets of a service that are slower than usual, as far as this instance knows.
+    std::set<std::string> slowTargets(const std::string& service, PaceKind) const;
+    KeptPrompts& keptPrompts() { return m_keptPrompts; }
     /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
     void forgetOutcomes(const std::string& service);
     BrittleServices& brittleServices() { return m_brittleServices; }
@@ -114,6 +121,8 @@
     Random m_random;
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
+    PaceTracker m_paces;
+    KeptPrompts m_keptPrompts;
     TargetPath m_targetPath;
     BrittleServices m_brittleServices;
     TargetLimits* m_limits = nullptr;
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -67,6 +67,7 @@
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
+    std::size_t countSlowTargets() const;
     void updateGauges();
     void countInstances();
     std::optional<ColdSharers> coldSharers() const;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -290,6 +290,21 @@
     co_await exchange.send(std::move(reply));
 }
 
+std::size_t EntryInstance::countSlowTargets() const
+{
+    std::size_t count = 0;
+    std::set<std::string> services;
+    for (const auto* target : m_directory.usableTargets())
+        services.insert(target->service);
+    auto table = m_configuration.table();
+    for (const auto& name : services) {
+        const auto* service = table ? table->service(name) : nullptr;
+        if (service)
+            count += m_dispatcher.slowTargets(name, service->engine ? PaceKind::Events : PaceKind::PlainAnswers).size();
+    }
+    return count;
+}
+
 void EntryInstance::updateGauges()
 {
     m_metrics.setFleetBytesSent(m_link.bytesSent());
@@ -319,6 +334,7 @@
         .unreachableServices = static_cast<double>(m_dispatcher.targetPath().lostServices().size()),
         .summarisedInstances = static_cast<double>(m_fleet.members(Clock::now()).size()),
         .silentInstances = static_cast<double>(m_fleet.silentInstances(Clock::now()).size()),
+        .slowTargets = static_cast<double>(countSlowTargets()),
     });
 }
 
@@ -415,6 +431,8 @@
             m_dispatcher.ledger().removePeer(name);
         }
         m_placementClient.expireSummary(now);
+        m_dispatcher.paces().onTick(now);
+        m_dispatcher.keptPrompts().onTick(now);
         m_summaryServer.sendSummaries(now);
         co_await sleepFor(reportInterval);
     }
--- a/src/placement/internal/placementclient.cpp
+++ b/src/placement/internal/placementclient.cpp
@@ -114,7 +114,7 @@
     while (!outcome) {
         auto now = Clock::now();
         auto maxWait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(request.latestStart - now));
-        PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait };
+        PlacementQuery query { .requester = m_instance, .requesterIncarnation = m_incarnation, .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .excluded = { request.excluded.begin(), request.excluded.end() }, .contentHash = request.contentHash, .maxWait = maxWait, .eventGapObjective = request.eventGapObjective, .promptParts = request.promptParts };
         m_link.send(owner, query);
         pending->response.reset();
         pending->wakeUp.expires_after(unansweredQueries == 0 && now - lastPlacedAt > OwnerQueryLimits::responseTimeout ? Clock::duration(waitingQueryInterval) : Clock::duration(OwnerQueryLimits::responseTimeout));
@@ -192,7 +192,7 @@
     m_dispatcher.onGrantedByOwner(request, response.target);
     // The owner of a large fleet's pool counts its grants until the next complete report.
     reportChangedLoads(m_instance);
-    outcome = PlacementOutcome(Placement { .target = *m_directory.find(response.target), .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .waited = now - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
+    outcome = PlacementOutcome(Placement { .target = *m_directory.find(response.target), .targetRequests = response.targetRequests, .targetTokens = response.targetTokens, .time = ExpectedTime { .toFirstEventMs = static_cast<double>(response.expectedFirstEvent.count()), .toEndMs = static_cast<double>(response.expectedEnd.count()) }, .waited = now - queriedAt, .late = response.late, .decider = PlacementDecider::Owner });
     return ResponseEffect::Decided;
 }
 
@@ -256,6 +256,10 @@
 {
     auto report = makeReport(true);
     addUnreported(report);
+    if (needsReport())
+        m_dispatcher.paces().onRecipientsChanged();
+    // Changes of load are reported with each request, paces only here: they change more slowly.
+    report.paces = m_dispatcher.paces().takeUnreported(Clock::now());
     m_link.sendTo(m_fleet.reportRecipients(Clock::now()), report);
     m_reportedAggregators = report.aggregators;
     return report;
@@ -284,6 +288,7 @@
     m_dispatcher.outcomes().onPeerOutcomes(summary.outcomes, now);
     m_outputEstimator.onPeerLengthSums(summary.lengths);
     m_targetLimits.onPeerLimits(summary.limits, now);
+    m_dispatcher.paces().onPeerPaces(summary.aggregator, summary.paces, now);
     m_dispatcher.placeWaiting();
 }
 
@@ -304,6 +309,7 @@
     m_dispatcher.outcomes().onPeerOutcomes(report.outcomes, now);
     m_outputEstimator.onPeerLengthSums(report.lengths);
     m_targetLimits.onPeerLimits(report.limits, now);
+    m_dispatcher.paces().onPeerPaces(report.instance, report.paces, now);
     m_dispatcher.placeWaiting();
 }
 
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -3,6 +3,7 @@
 #include "net/eventloop.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace guavaspan {
 
@@ -60,6 +61,8 @@
         .estimate = query.estimate,
         .excluded = { query.excluded.begin(), query.excluded.end() },
         .contentHash = query.contentHash,
+        .eventGapObjective = query.eventGapObjective,
+        .promptParts = query.promptParts,
         .latestStart = now + query.maxWait,
     };
     m_queries.emplace(key, TrackedQuery { .workId = request.id, .response = { .owner = m_instance, .id = query.id }, .lastReceived = now });
@@ -88,6 +91,10 @@
         response.targetRequests = outcome->targetRequests;
         response.targetTokens = outcome->targetTokens;
         response.late = outcome->late;
+        if (outcome->time) {
+            response.expectedFirstEvent = Milliseconds(std::llround(outcome->time->toFirstEventMs));
+            response.expectedEnd = Milliseconds(std::llround(outcome->time->toEndMs));
+        }
     } else {
         response.status = PlacementStatus::Refused;
         response.retryAfter = std::chrono::duration_cast<Milliseconds>(outcome.error().retryAfter);
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -27,6 +27,10 @@
     std::vector<std::string> excluded;
     std::uint64_t contentHash = 0;
     Milliseconds maxWait { 0 };
+    /// Objective for the time between events; 0 for none, and in the queries of older versions.
+    Milliseconds eventGapObjective { 0 };
+    /// Empty in the queries of older versions.
+    std::vector<LeadingPart> promptParts;
 
     friend bool operator==(const PlacementQuery&, const PlacementQuery&) = default;
 };
@@ -48,6 +52,9 @@
     double targetTokens = 0;
     bool late = false;
     Milliseconds retryAfter { 0 };
+    /// Times that the owner expects to the first and last event; 0 in the responses of older versions.
+    Milliseconds expectedFirstEvent { 0 };
+    Milliseconds expectedEnd { 0 };
 
     friend bool operator==(const PlacementResponse&, const PlacementResponse&) = default;
 };
