Bound the memory and descriptors of callers' connections together

Cause: bodies and answers were limited one by one, and connections not at all. 48 clients with bodies of 4 MiB took 212 MB on a host with 64 MB.

HttpServer counts requests as they arrive, PlainRelay and PeerRelay count answers as they are read, and HttpExchange keeps up to 256 KiB of a stream whose caller reads slowly, so that the engine is read on. Blocks from 128 KiB on are mapped one by one, so that their memory returns to the system. Without a stated memory there is no budget and no account. Held bytes, held descriptors and shed connections are metrics; connection_shed is the log line.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -46,6 +46,7 @@
     int run();
 
 private:
+    void limitMemory();
     bool listen();
     void runTask(const char* name, std::function<Awaitable<>()> task);
     void onStoreChange(const std::string& key, const std::optional<std::string>& value);
@@ -107,6 +108,8 @@
     TargetPathProber m_targetPathProber;
     RequestHandler m_requestHandler;
     PeerFeedServer m_peerFeed;
+    /// What callers' connections may hold; null without a stated memory. Shared with the coroutines that serve them.
+    std::shared_ptr<MemoryBudget> m_memoryBudget;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_peerServer;
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/memorybudget.h"
 #include "net/nettypes.h"
 
 #include <string>
@@ -19,6 +20,8 @@
     Endpoint store;
     /// CPU time that this instance may use, in thousandths of a core.
     int capacity = 1000;
+    /// Memory and descriptors of the host, as far as they are stated.
+    HostLimits host;
     /// Time from SIGTERM until the host kills the process.
     Milliseconds stopLimit { 8000 };
     /// Maximum time for which a revoked key may still be accepted.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <malloc.h>
 
 namespace guavaspan {
 
@@ -82,6 +83,7 @@
     , m_stopSignals(m_io, SIGTERM, SIGINT)
     , m_reloadSignals(m_io, SIGHUP)
 {
+    limitMemory();
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
         return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
     });
@@ -110,6 +112,22 @@
     m_peerFeed.setOutageEnd([this] { return m_follower.outageEnd(); });
 }
 
+/// Peers and readiness probes are not part of the budget, so that callers cannot shut them out. Their needs are part of its reserve.
+void EntryInstance::limitMemory()
+{
+    // Larger blocks are mapped one by one, so that their memory returns to the system when a body or an answer is released. By default
+    // the threshold grows with the largest block, and a small block behind a large one keeps the heap from shrinking.
+    constexpr int minMappedBytes = 128 << 10;
+    if (m_settings.host.memoryBytes == 0)
+        return;
+    ::mallopt(M_MMAP_THRESHOLD, minMappedBytes);
+    ::mallopt(M_TRIM_THRESHOLD, minMappedBytes);
+    auto limits = connectionLimitsFor(m_settings.host);
+    m_memoryBudget = std::make_shared<MemoryBudget>(limits);
+    m_callerServer.setBudget(m_memoryBudget);
+    logEvent(LogLevel::Info, "memory_budget", { { "host_bytes", std::int64_t(m_settings.host.memoryBytes) }, { "budget_bytes", std::int64_t(limits.bytes) }, { "host_descriptors", std::int64_t(m_settings.host.descriptors) }, { "budget_descriptors", std::int64_t(limits.descriptors) } });
+}
+
 bool EntryInstance::listen()
 {
     auto reportListenFailure = [](const char* listener, const Error& error) {
@@ -250,6 +268,8 @@
 
 void EntryInstance::updateGauges()
 {
+    if (m_memoryBudget)
+        m_metrics.setMemory(*m_memoryBudget);
     m_metrics.setGauges({
         .liveStreams = static_cast<double>(m_liveStreams.size()),
         .waitingRequests = static_cast<double>(m_dispatcher.waitingCount()),
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/httprequest.h"
+#include "net/memorybudget.h"
 
 #include <functional>
 #include <map>
@@ -21,7 +22,7 @@
 /// A received request and the operations to answer it, in one piece or as a stream of events.
 class HttpExchange {
 public:
-    HttpExchange(beast::tcp_stream&, HttpRequest, Endpoint remote, Clock::duration writeTimeout);
+    HttpExchange(beast::tcp_stream&, HttpRequest, Endpoint remote, Clock::duration writeTimeout, MemoryAccount* account = nullptr);
     ~HttpExchange();
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
@@ -37,6 +38,9 @@
     /// Closes the connection after the response and announces this in its Connection header.
     void closeAfterResponse() { m_keepAlive = false; }
 
+    /// Counts an answer of this size, which is read before it is sent, as held for the caller. False if there is no room for it.
+    bool holdAnswer(std::size_t bytes);
+
     Awaitable<> send(Reply);
 
     /// Sends a response unchanged except for the headers on connection and body length.
@@ -45,6 +49,7 @@
     /// Sends the header of a response; the body follows through writeEvents().
     Awaitable<Result<void>> beginResponse(http::response<http::empty_body>);
     Awaitable<Result<void>> beginEvents(HttpHeaders);
+    /// With a memory budget, what a slow caller does not take yet is kept up to a bound, beyond which this waits.
     Awaitable<Result<void>> writeEvents(std::string);
     Awaitable<> endEvents();
 
@@ -57,12 +62,21 @@
 
 private:
     struct DisconnectWatch;
+    struct Backlog;
+
+    Awaitable<Result<void>> writeOrKeep(std::string);
+    Awaitable<> sendBacklog(std::size_t maxBytesLeft);
+    Error callerError(const boost::system::error_code&);
 
     beast::tcp_stream& m_stream;
     HttpRequest m_request;
     Endpoint m_remote;
     Clock::duration m_writeTimeout;
+    /// The connection's share of the memory budget; null without one.
+    MemoryAccount* m_account;
+    std::size_t m_heldAnswer = 0;
     std::shared_ptr<DisconnectWatch> m_watch;
+    std::shared_ptr<Backlog> m_backlog;
     bool m_responseStarted = false;
     bool m_keepAlive = true;
 };
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/random.h"
 #include "net/httpexchange.h"
 
 #include <functional>
@@ -66,6 +67,9 @@
     /// The limits apply to requests that the server starts to read after this call.
     void setLimits(HttpLimits limits) { m_limits = limits; }
 
+    /// Connections accepted from now on share the budget.
+    void setBudget(std::shared_ptr<MemoryBudget> budget) { m_budget = std::move(budget); }
+
     /// Stops accepting connections; open connections are kept.
     void close();
 
@@ -85,6 +89,7 @@
     Awaitable<bool> waitForRequest(Connection&);
     Awaitable<boost::system::error_code> receiveSome(Connection&);
     Awaitable<boost::system::error_code> readRequest(Connection&, HttpRequestParser&);
+    Awaitable<> refuseUnread(Connection&, const boost::system::error_code&);
 
     asio::io_context& m_context;
     HttpLimits m_limits;
@@ -92,6 +97,8 @@
     asio::ip::tcp::acceptor m_acceptor;
     /// Shared with the coroutines that serve them, which the context destroys after this object.
     std::shared_ptr<Connections> m_connections = std::make_shared<Connections>();
+    std::shared_ptr<MemoryBudget> m_budget;
+    Random m_random = randomFromSystem();
     bool m_keepsConnections = true;
 };
 
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -14,8 +14,35 @@
     bool active = true;
 };
 
+/// Chunks that the caller has not taken yet. Shared with the coroutine that sends them, which can resume once after the exchange is
+/// destroyed.
+struct HttpExchange::Backlog {
+    explicit Backlog(const asio::any_io_executor& executor)
+        : sent(executor)
+    {
+    }
+
+    std::string bytes;
+    /// Bytes at the front that are sent.
+    std::size_t taken = 0;
+    boost::system::error_code error;
+    /// Cancelled whenever the caller has taken some bytes.
+    asio::steady_timer sent;
+    bool sending = false;
+    bool active = true;
+
+    std::size_t size() const { return bytes.size() - taken; }
+};
+
 namespace {
 
+    /// Answers are counted in steps; smaller ones are part of what a connection is counted for.
+    constexpr std::size_t answerStepBytes = 16 << 10;
+    /// A whole generation of some thousand tokens, so that an engine is not kept waiting by a caller that reads slowly.
+    constexpr std::size_t maxBacklogBytes = 256 << 10;
+    /// Bytes that are sent are removed from the front in steps, since the rest is moved each time.
+    constexpr std::size_t maxTakenBytes = 64 << 10;
+
     bool callerHasClosed(asio::ip::tcp::socket& socket)
     {
         char byte = 0;
@@ -27,22 +54,27 @@
 
 }
 
-HttpExchange::HttpExchange(beast::tcp_stream& stream, HttpRequest request, Endpoint remote, Clock::duration writeTimeout)
+HttpExchange::HttpExchange(beast::tcp_stream& stream, HttpRequest request, Endpoint remote, Clock::duration writeTimeout, MemoryAccount* account)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_remote(std::move(remote))
     , m_writeTimeout(writeTimeout)
+    , m_account(account)
     , m_keepAlive(m_request.keep_alive())
 {
 }
 
 HttpExchange::~HttpExchange()
 {
-    if (!m_watch)
-        return;
-    m_watch->active = false;
-    m_watch->callback = nullptr;
-    m_stream.socket().cancel();
+    if (m_backlog)
+        m_backlog->active = false;
+    if (m_watch) {
+        m_watch->active = false;
+        m_watch->callback = nullptr;
+    }
+    boost::system::error_code ignored;
+    if (m_watch || m_backlog)
+        m_stream.socket().cancel(ignored);
 }
 
 std::string HttpExchange::path() const
@@ -76,6 +108,17 @@
     return std::string(m_request.field(beast::string_view(name.data(), name.size())));
 }
 
+bool HttpExchange::holdAnswer(std::size_t bytes)
+{
+    if (!m_account || bytes < answerStepBytes)
+        return true;
+    auto held = bytes / answerStepBytes * answerStepBytes;
+    if (held == m_heldAnswer)
+        return !m_account->isShed();
+    m_heldAnswer = held;
+    return m_account->hold(MemoryUse::Answer, held, Clock::now());
+}
+
 Awaitable<> HttpExchange::send(Reply reply)
 {
     HttpResponse response { static_cast<http::status>(reply.status), 11 };
@@ -91,10 +134,18 @@
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
     m_responseStarted = true;
+    if (m_account) {
+        // The answer is complete, so the request is not sent again.
+        std::string().swap(m_request.body());
+        m_account->hold(MemoryUse::Request, 0, Clock::now());
+        m_account->setState(HolderState::Answering, Clock::now());
+    }
     m_stream.expires_after(m_writeTimeout);
     auto [error, written] = co_await http::async_write(m_stream, response, asTuple);
     if (error)
         m_keepAlive = false;
+    if (m_account)
+        m_account->setState(HolderState::Handling, Clock::now());
 }
 
 Awaitable<Result<void>> HttpExchange::beginEvents(HttpHeaders headers)
@@ -122,18 +173,106 @@
 
 Awaitable<Result<void>> HttpExchange::writeEvents(std::string text)
 {
+    if (m_account)
+        co_return co_await writeOrKeep(std::move(text));
     m_stream.expires_after(m_writeTimeout);
     auto chunk = http::make_chunk(asio::buffer(text));
     auto [error, written] = co_await asio::async_write(m_stream, chunk, asTuple);
-    if (error) {
-        m_keepAlive = false;
-        co_return Error { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = "caller", .detail = error.message() };
+    if (error)
+        co_return callerError(error);
+    co_return Result<void> {};
+}
+
+Error HttpExchange::callerError(const boost::system::error_code& error)
+{
+    m_keepAlive = false;
+    return { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = "caller", .detail = error.message() };
+}
+
+/// Writes what the socket takes at once and leaves the rest to a coroutine.
+Awaitable<Result<void>> HttpExchange::writeOrKeep(std::string text)
+{
+    if (!m_backlog)
+        m_backlog = std::make_shared<Backlog>(m_stream.get_executor());
+    auto& backlog = *m_backlog;
+    auto chunk = http::make_chunk(asio::buffer(text));
+    std::size_t written = 0;
+    if (backlog.size() == 0 && !backlog.error) {
+        boost::system::error_code error;
+        written = m_stream.socket().write_some(chunk, error);
+        if (error && error != asio::error::would_block)
+            backlog.error = error;
     }
+    if (backlog.error)
+        co_return callerError(backlog.error);
+    auto size = beast::buffer_bytes(chunk);
+    if (written == size)
+        co_return Result<void> {};
+    auto start = backlog.bytes.size();
+    backlog.bytes.resize(start + size - written);
+    beast::buffers_suffix rest(chunk);
+    rest.consume(written);
+    asio::buffer_copy(asio::buffer(backlog.bytes) + start, rest);
+    if (!m_account->hold(MemoryUse::Answer, backlog.bytes.size(), Clock::now())) {
+        backlog.error = asio::error::no_memory;
+        abort();
+        co_return callerError(backlog.error);
+    }
+    if (!backlog.sending) {
+        backlog.sending = true;
+        m_account->setState(HolderState::Answering, Clock::now());
+        // The exchange may be destroyed while the coroutine waits; it touches nothing else then.
+        asio::co_spawn(
+            m_stream.get_executor(), [this, kept = m_backlog]() -> Awaitable<> {
+                while (kept->active && !kept->error && kept->size() > 0) {
+                    m_stream.expires_after(m_writeTimeout);
+                    // Bytes may be appended meanwhile, so a copy is sent.
+                    std::string part = kept->bytes.substr(kept->taken, answerStepBytes);
+                    auto [error, count] = co_await m_stream.async_write_some(asio::buffer(part), asTuple);
+                    if (!kept->active)
+                        co_return;
+                    kept->error = error;
+                    kept->taken += count;
+                    if (kept->taken >= maxTakenBytes) {
+                        kept->bytes.erase(0, kept->taken);
+                        kept->taken = 0;
+                    }
+                    if (count > 0)
+                        m_account->onProgress(Clock::now());
+                    kept->sent.cancel();
+                }
+                kept->sending = false;
+                if (kept->active) {
+                    kept->bytes.clear();
+                    kept->bytes.shrink_to_fit();
+                    kept->taken = 0;
+                    m_account->hold(MemoryUse::Answer, 0, Clock::now());
+                    m_account->setState(HolderState::Handling, Clock::now());
+                } }, reportFailedHandler);
+    }
+    co_await sendBacklog(maxBacklogBytes);
+    if (backlog.error)
+        co_return callerError(backlog.error);
     co_return Result<void> {};
 }
 
+/// Waits until the caller has taken all but so many bytes.
+Awaitable<> HttpExchange::sendBacklog(std::size_t maxBytesLeft)
+{
+    auto backlog = m_backlog;
+    while (backlog && backlog->sending && !backlog->error && backlog->size() > maxBytesLeft) {
+        backlog->sent.expires_at(TimePoint::max());
+        co_await backlog->sent.async_wait(asTuple);
+    }
+}
+
 Awaitable<> HttpExchange::endEvents()
 {
+    co_await sendBacklog(0);
+    if (m_backlog && m_backlog->error) {
+        m_keepAlive = false;
+        co_return;
+    }
     m_stream.expires_after(m_writeTimeout);
     auto last = http::make_chunk_last();
     auto [error, written] = co_await asio::async_write(m_stream, last, asTuple);
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/beast/core/read_size.hpp>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 
 namespace guavaspan {
 
@@ -15,9 +16,26 @@
     /// Time for a request that a caller sends before it learns that connections are no longer kept.
     constexpr auto finalIdleTimeout = Milliseconds(300);
 
+    /// Coroutines, parser and objects of a connection, without its buffers.
+    constexpr std::size_t connectionBytes = 8 << 10;
+    /// A request's memory is counted in steps, so that not every read is.
+    constexpr std::size_t requestStepBytes = 16 << 10;
+    /// An idle connection keeps a buffer up to this size.
+    constexpr std::size_t maxIdleBufferBytes = 16 << 10;
+    /// Bytes of an answer that the kernel holds besides those that the caller's receive window permits.
+    constexpr int maxUnsentBytes = 128 << 10;
+    /// The time after which a shed request may be repeated is drawn from this range, so that callers do not return at one moment.
+    constexpr double minRetrySeconds = 0.5;
+    constexpr double maxRetrySeconds = 2;
+
+    /// No room for a request that has not run.
+    const boost::system::error_code noRoom = asio::error::no_memory;
+
     /// Response status for a request that could not be read; 0 means that no response is sent.
     unsigned statusForReadError(const boost::system::error_code& error)
     {
+        if (error == noRoom)
+            return 503;
         if (error == http::error::body_limit)
             return 413;
         if (error == http::error::header_limit)
@@ -112,18 +130,71 @@
 
 /// Listed in the server's connections while it exists.
 struct HttpServer::Connection {
-    Connection(asio::ip::tcp::socket socket, Endpoint remote, std::shared_ptr<Connections> connections)
+    Connection(asio::ip::tcp::socket socket, Endpoint remote, std::shared_ptr<Connections> connections, std::shared_ptr<MemoryBudget> budget)
         : stream(std::move(socket))
         , remote(std::move(remote))
+        , budget(std::move(budget))
         , m_connections(std::move(connections))
         , m_position(m_connections->insert(m_connections->end(), this))
     {
+        if (!this->budget)
+            return;
+        account.emplace(
+            *this->budget, this->remote.address, [this](ShedCause cause) { shed(cause); }, Clock::now());
+        boost::system::error_code ignored;
+        stream.socket().non_blocking(true, ignored);
+        ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &maxUnsentBytes, sizeof(int));
     }
 
     ~Connection() { m_connections->erase(m_position); }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
+    MemoryAccount* accountOrNull() { return account ? &*account : nullptr; }
+
+    bool isShed() const { return account && account->isShed(); }
+
+    bool setHolderState(HolderState holderState) { return !account || account->setState(holderState, Clock::now()); }
+
+    /// Counts what has been read. The body is counted twice, because a copy of it is sent on.
+    bool holdRequest(std::size_t bodyBytes)
+    {
+        if (!account)
+            return true;
+        auto unparsed = connectionBytes + buffer.capacity();
+        auto request = (2 * bodyBytes + requestStepBytes - 1) / requestStepBytes * requestStepBytes;
+        if (unparsed == m_heldUnparsed && request == m_heldRequest)
+            return !account->isShed();
+        auto now = Clock::now();
+        if (!account->hold(MemoryUse::Connection, unparsed, now) || !account->hold(MemoryUse::Request, request, now))
+            return false;
+        m_heldUnparsed = unparsed;
+        m_heldRequest = request;
+        return true;
+    }
+
+    /// Releases what a request held, and the buffer if nothing is in it.
+    void releaseRequest()
+    {
+        if (!account)
+            return;
+        if (buffer.size() == 0 && buffer.capacity() > maxIdleBufferBytes)
+            buffer.shrink_to_fit();
+        auto now = Clock::now();
+        if (account->isShed())
+            account->resume(now);
+        for (auto use : { MemoryUse::Connection, MemoryUse::Request, MemoryUse::Answer })
+            account->hold(use, 0, now);
+        m_heldUnparsed = 0;
+        m_heldRequest = 0;
+        holdRequest(0);
+    }
+
+    void logShed(ShedCause cause) const
+    {
+        logEvent(LogLevel::Info, "connection_shed", { { "caller", toString(remote) }, { "cause", std::string(toString(cause)) }, { "state", std::string(toString(account->state())) }, { "request_bytes", std::int64_t(m_heldRequest) }, { "held_bytes", std::int64_t(budget->heldBytes()) } });
+    }
+
     std::size_t unreadBytes() const
     {
         boost::system::error_code ignored;
@@ -136,10 +207,28 @@
     ConnectionState state = ConnectionState::Reading;
     /// Whether an answer was sent that the caller may not have read to its end.
     bool lingers = false;
+    std::shared_ptr<MemoryBudget> budget;
+    /// Present if the server has a budget.
+    std::optional<MemoryAccount> account;
 
 private:
+    /// An unfinished request is answered by its coroutine. A stuck answer cannot be completed, and its write fails.
+    void shed(ShedCause cause)
+    {
+        logShed(cause);
+        boost::system::error_code ignored;
+        if (cause == ShedCause::Descriptors)
+            stream.socket().close(ignored);
+        else if (account->state() == HolderState::Reading)
+            stream.socket().cancel(ignored);
+        else
+            stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+
     std::shared_ptr<Connections> m_connections;
     Connections::iterator m_position;
+    std::size_t m_heldUnparsed = 0;
+    std::size_t m_heldRequest = 0;
 };
 
 HttpServer::HttpServer(asio::io_context& context, HttpLimits limits, HttpHandler handler)
@@ -225,6 +314,8 @@
         needsBytes = error == http::error::need_more || connection.buffer.size() == 0;
         if (error == http::error::need_more)
             error = {};
+        if (!error && !connection.holdRequest(parser.get().body().size()))
+            error = noRoom;
         if (headerIsRead || !parser.is_header_done())
             continue;
         headerIsRead = true;
@@ -232,14 +323,32 @@
     }
     if (timer.expired())
         error = beast::error::timeout;
+    if (connection.isShed())
+        error = noRoom;
     co_return error;
 }
 
+/// Tells the caller that its request has not run.
+Awaitable<> HttpServer::refuseUnread(Connection& connection, const boost::system::error_code& error)
+{
+    auto status = statusForReadError(error);
+    if (status == 0)
+        co_return;
+    auto reply = replyForReadError(status, error == noRoom ? "no room for the request" : error.message());
+    if (error == noRoom)
+        reply.headers["Retry-After"] = fmt::format("{:.2f}", std::uniform_real_distribution<double>(minRetrySeconds, maxRetrySeconds)(m_random));
+    connection.state = ConnectionState::Handling;
+    HttpExchange exchange(connection.stream, HttpRequest {}, connection.remote, m_limits.writeTimeout, nullptr);
+    co_await exchange.send(std::move(reply));
+    connection.lingers = true;
+}
+
 /// Waits for the first byte of the next request on a kept connection. False if the connection is to be closed instead.
 Awaitable<bool> HttpServer::waitForRequest(Connection& connection)
 {
     if (connection.buffer.size() > 0)
         co_return true;
+    connection.setHolderState(HolderState::Idle);
     connection.state = ConnectionState::Idle;
     auto& socket = connection.stream.socket();
     CancelTimer timer(m_context, socket);
@@ -254,22 +363,32 @@
     while (firstRequest || co_await waitForRequest(connection)) {
         firstRequest = false;
         connection.state = ConnectionState::Reading;
-        HttpRequestParser parser;
-        parser.body_limit(m_limits.maxBodyBytes);
-        parser.header_limit(m_limits.maxHeaderBytes);
-        auto error = co_await readRequest(connection, parser);
+        connection.setHolderState(HolderState::Reading);
+        std::optional<HttpRequestParser> parser(std::in_place);
+        parser->body_limit(m_limits.maxBodyBytes);
+        parser->header_limit(m_limits.maxHeaderBytes);
+        auto error = co_await readRequest(connection, *parser);
         connection.state = ConnectionState::Handling;
+        auto cause = ShedCause::Memory;
+        if (!error && !connection.setHolderState(HolderState::Handling)) {
+            error = noRoom;
+            cause = ShedCause::Descriptors;
+        }
         if (error) {
-            if (auto status = statusForReadError(error)) {
-                HttpExchange exchange(connection.stream, HttpRequest {}, connection.remote, m_limits.writeTimeout);
-                co_await exchange.send(replyForReadError(status, error.message()));
-                connection.lingers = true;
-            }
+            if (error == noRoom && !connection.isShed())
+                connection.logShed(cause);
+            parser.reset();
+            connection.buffer.clear();
+            connection.releaseRequest();
+            connection.setHolderState(HolderState::Closing);
+            co_await refuseUnread(connection, error);
             co_return;
         }
         connection.stream.expires_never();
-        HttpExchange exchange(connection.stream, parser.releaseRequest(), connection.remote, m_limits.writeTimeout);
+        HttpExchange exchange(connection.stream, parser->releaseRequest(), connection.remote, m_limits.writeTimeout, connection.accountOrNull());
+        parser.reset();
         co_await m_handler(exchange);
+        connection.releaseRequest();
         connection.lingers = exchange.responseStarted();
         if (!exchange.responseStarted() || !exchange.keepAlive())
             co_return;
@@ -282,9 +401,16 @@
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     auto remoteEndpoint = socket.remote_endpoint(ignored);
-    Connection connection(std::move(socket), { .address = remoteEndpoint.address().to_string(), .port = remoteEndpoint.port() }, m_connections);
+    Connection connection(std::move(socket), { .address = remoteEndpoint.address().to_string(), .port = remoteEndpoint.port() }, m_connections, m_budget);
+    if (connection.account && !connection.account->open(Clock::now())) {
+        connection.logShed(ShedCause::Descriptors);
+        co_return;
+    }
+    connection.holdRequest(0);
     co_await serveRequests(connection);
     connection.state = ConnectionState::Closing;
+    connection.releaseRequest();
+    connection.setHolderState(HolderState::Closing);
     connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     if (connection.lingers)
         co_await discardUntilEnd(connection.stream);
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -68,7 +68,7 @@
         co_return result;
     if (isChunked(connection.header()))
         co_return co_await relayBody(request, connection, std::move(result));
-    auto body = co_await connection.readAll();
+    auto body = co_await connection.readAll([&](std::size_t bytes) { return request.exchange.holdAnswer(bytes); });
     if (!body) {
         result.detail = describe(body.error());
         co_return co_await fail(request, std::move(result));
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -30,6 +30,8 @@
     /// The target sent bytes that are no answer, or too many.
     Malformed,
     TimedOut,
+    /// The target answered, but there is no room for its answer.
+    NoRoom,
     CallerGone,
 };
 
@@ -61,6 +63,8 @@
             return "malformed";
         case AttemptOutcome::TimedOut:
             return "timed_out";
+        case AttemptOutcome::NoRoom:
+            return "no_room";
         case AttemptOutcome::CallerGone:
             return "caller_gone";
         }
@@ -77,6 +81,8 @@
     {
         if (error.code == ErrorCode::Timeout)
             return AttemptOutcome::TimedOut;
+        if (error.code == ErrorCode::Overloaded)
+            return AttemptOutcome::NoRoom;
         return error.code == ErrorCode::BadReply ? AttemptOutcome::Malformed : AttemptOutcome::Broken;
     }
 
@@ -107,7 +113,7 @@
             outcome = AttemptOutcome::TimedOut;
         attempt.outcome = request.callerWatch.gone() ? AttemptOutcome::CallerGone : outcome;
         attempt.detail = std::move(detail);
-        return attempt;
+        return std::move(attempt);
     };
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
     auto opened = co_await connection.open(placement.target.endpoint, std::move(message), attemptConnectTimeout);
@@ -127,7 +133,7 @@
     auto outcome = classify(responseHead, request.caller.requestId);
     if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Malformed)
         co_return finish(outcome, "status " + std::to_string(responseHead.status));
-    auto body = co_await connection.readAll();
+    auto body = co_await connection.readAll([&](std::size_t bytes) { return request.exchange.holdAnswer(bytes); });
     recordBodyEnd(m_context, request, connection, body);
     if (!body)
         co_return finish(outcomeOf(body.error()), describe(body.error()));
@@ -148,6 +154,7 @@
     case AttemptOutcome::FailedAnswer:
     case AttemptOutcome::Malformed:
     case AttemptOutcome::NotRun:
+    case AttemptOutcome::NoRoom:
         return TrialEnd::Answered;
     case AttemptOutcome::Broken:
         return TrialEnd::Broken;
@@ -164,6 +171,7 @@
     case AttemptOutcome::Answered:
     case AttemptOutcome::FailedAnswer:
     case AttemptOutcome::Malformed:
+    case AttemptOutcome::NoRoom:
         m_context.crashGuard.onTargetAnswered(target, attempt.sentAt);
         m_context.promptGuard.onTargetAnswered(target, attempt.sentAt);
         if (attempt.outcome != AttemptOutcome::Malformed)
@@ -283,6 +291,10 @@
         case AttemptOutcome::Answered:
             m_context.dispatcher.outcomes().onSuccess(address, now);
             co_return co_await deliverAnswer(request, std::move(attempt), std::move(result));
+        case AttemptOutcome::NoRoom:
+            // Another target's answer would need the same room.
+            result.detail = "no room for the answer";
+            co_return co_await respondWithError(request, std::move(result), true);
         case AttemptOutcome::FailedAnswer:
             mayHaveRun = true;
             ++possibleRuns;
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -34,6 +34,9 @@
     prometheus::Family<prometheus::Counter>& unframedAnswers = family(prometheus::BuildCounter(), "guavaspan_entry_unframed_answers_total", "Answers of targets that end with their connections, by how these ended", registry);
     prometheus::Family<prometheus::Counter>& streamEnds = family(prometheus::BuildCounter(), "guavaspan_entry_checked_stream_ends_total", "Streams without an explicit end at engines that leave or were asked to stop them, by the state of their runs", registry);
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
+    prometheus::Family<prometheus::Gauge>& heldBytes = family(prometheus::BuildGauge(), "guavaspan_entry_held_bytes", "Memory that callers' connections hold, by use", registry);
+    prometheus::Family<prometheus::Gauge>& heldDescriptors = family(prometheus::BuildGauge(), "guavaspan_entry_held_descriptors", "Descriptors of callers' connections and of the targets' connections for their requests", registry);
+    prometheus::Family<prometheus::Counter>& shedConnections = family(prometheus::BuildCounter(), "guavaspan_entry_shed_connections_total", "Callers' connections that were refused or closed for want of memory or descriptors, by state and cause", registry);
 };
 
 RelayMetrics::RelayMetrics()
@@ -122,6 +125,19 @@
     set("silent_instances", gauges.silentInstances);
 }
 
+void RelayMetrics::setMemory(const MemoryBudget& budget)
+{
+    for (auto use : { MemoryUse::Connection, MemoryUse::Request, MemoryUse::Answer })
+        m_families->heldBytes.Add({ { "use", toString(use) } }).Set(static_cast<double>(budget.heldBytes(use)));
+    m_families->heldDescriptors.Add({}).Set(static_cast<double>(budget.heldDescriptors()));
+    for (auto state : { HolderState::Idle, HolderState::Reading, HolderState::Handling, HolderState::Answering, HolderState::Closing }) {
+        for (auto cause : { ShedCause::Memory, ShedCause::Descriptors }) {
+            auto& counter = m_families->shedConnections.Add({ { "state", toString(state) }, { "cause", toString(cause) } });
+            counter.Increment(static_cast<double>(budget.shedCount(state, cause)) - counter.Value());
+        }
+    }
+}
+
 std::string RelayMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -118,6 +118,8 @@
     std::array buffers { asio::buffer(state->requestHeader), asio::buffer(state->request.body()) };
     asio::async_write(state->socket, buffers, [state](boost::system::error_code sendError, std::size_t) {
         state->sendError = sendError;
+        // What is sent is not held while the target works.
+        std::string().swap(state->request.body());
     });
     co_return Result<void> {};
 }
@@ -160,7 +162,7 @@
     co_return std::string();
 }
 
-Awaitable<Result<std::string>> TargetConnection::readAll()
+Awaitable<Result<std::string>> TargetConnection::readAll(std::function<bool(std::size_t)> hasRoom)
 {
     std::string body;
     while (true) {
@@ -169,6 +171,8 @@
             co_return chunk.error();
         if (chunk->empty())
             co_return body;
+        if (hasRoom && !hasRoom(body.size() + chunk->size()))
+            co_return Error { .code = ErrorCode::Overloaded, .step = Step::ReadReply, .peer = toString(m_endpoint), .detail = "no room for the answer", .outcome = Outcome::Unknown };
         body += *chunk;
         if (body.size() > maxBodyBytes)
             co_return Error { .code = ErrorCode::BadReply, .step = Step::ReadReply, .peer = toString(m_endpoint), .detail = "answer too large", .outcome = Outcome::Unknown };
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/memorybudget.h"
 #include "relay/handoverservice.h"
 
 #include <memory>
@@ -54,6 +55,7 @@
     void recordStreamEnd(const std::string& runState);
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
+    void setMemory(const MemoryBudget&);
 
     /// Returns the metrics in the Prometheus text format.
     std::string serialize() const;
--- a/src/relay/targetconnection.h
+++ b/src/relay/targetconnection.h
@@ -2,6 +2,7 @@
 
 #include "net/httprequest.h"
 
+#include <functional>
 #include <memory>
 
 namespace guavaspan {
@@ -28,8 +29,9 @@
     /// True if only the end of the connection marks the end of the body.
     bool bodyEndsAtClose() const;
 
-    /// Reads the rest of the body, up to a size limit.
-    Awaitable<Result<std::string>> readAll();
+    /// Reads the rest of the body, up to a size limit. Fails with ErrorCode::Overloaded if there is no room for a body of the size read
+    /// so far.
+    Awaitable<Result<std::string>> readAll(std::function<bool(std::size_t)> hasRoom = {});
 
     /// Reads the next bytes of the body; empty at its regular end.
     Awaitable<Result<std::string>> readSome();
