Deliver what is kept for a slow caller before a broken stream is cut

Cause: with a memory budget, events that a caller has not taken yet are kept in the exchange. A stream that its engine broke off was cut at once, so that up to 256 KiB of events were lost that count as delivered and are charged.

Change: StreamRelay and PeerRelay wait until the caller has taken them, or cannot, before they cut; a stopping process does not wait.

--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -53,6 +53,9 @@
     Awaitable<Result<void>> writeEvents(std::string);
     Awaitable<> endEvents();
 
+    /// Waits until the caller has taken the events that are kept for it, or cannot.
+    Awaitable<> drain() { return sendBacklog(0); }
+
     /// Shuts the connection down at once, so that the caller detects an incomplete response.
     void abort();
 
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -268,7 +268,7 @@
 
 Awaitable<> HttpExchange::endEvents()
 {
-    co_await sendBacklog(0);
+    co_await drain();
     if (m_backlog && m_backlog->error) {
         m_keepAlive = false;
         co_return;
--- a/src/net/tests/slowreader_test.cpp
+++ b/src/net/tests/slowreader_test.cpp
@@ -35,6 +35,11 @@
             }
             ++count;
         }
+        if (exchange.path() == "/broken") {
+            co_await exchange.drain();
+            exchange.abort();
+            co_return;
+        }
         co_await exchange.endEvents();
     }
 
@@ -108,6 +113,17 @@
     cr_expect_eq(f.budget->heldBytes(), 0);
 }
 
+/// Guards against LOST: tokens that were charged ended with the engine's stream, because the caller had not taken them yet.
+Test(SlowReader, brokenGeneration_isDeliveredAsFarAsItCame)
+{
+    constexpr std::size_t events = 300;
+    StreamFixture f(8 << 20);
+    auto caller = f.ask("/broken", events);
+    auto answer = f.readToEnd(caller);
+    cr_expect_eq(eventsInOrder(answer), events);
+    cr_expect_not(answer.ends_with("0\r\n\r\n"), "the caller must see that the answer is incomplete");
+}
+
 /// Guards against a buffer without a bound for each stream.
 Test(SlowReader, streamBeyondItsBound_isNotReadOn)
 {
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -90,6 +90,8 @@
         if (!bytes) {
             result.detail = describe(bytes.error());
             result.reason = request.callerWatch.gone() ? "caller_gone" : (request.cut ? "stopping" : "peer_broke");
+            if (!request.cut)
+                co_await request.exchange.drain();
             request.exchange.abort();
             co_return result;
         }
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -263,6 +263,9 @@
     if (outcome == StreamOutcome::CallerGone)
         co_return;
     if (session.headerSent) {
+        // What was taken from the engine is charged, so a slow caller gets it. A stopping process does not wait.
+        if (!session.request.cut)
+            co_await exchange.drain();
         // Without the last chunk of the HTTP body the caller detects that the answer is incomplete.
         exchange.abort();
         co_return;
