--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -40,6 +40,9 @@
     prometheus::Family<prometheus::Gauge>& gauges = family(prometheus::BuildGauge(), "guavaspan_entry_state", "State of this instance by name", registry);
     prometheus::Family<prometheus::Gauge>& evacuations = family(prometheus::BuildGauge(), "guavaspan_domain_evacuated", "1 while the failure domain gets no new requests, 0 from the end of its evacuation", registry);
     std::map<std::string, prometheus::Gauge*> evacuationsByDomain;
+    prometheus::Family<prometheus::Gauge>& heldBytes = family(prometheus::BuildGauge(), "guavaspan_entry_held_bytes", "Memory that callers' connections hold, by use", registry);
+    prometheus::Family<prometheus::Gauge>& heldDescriptors = family(prometheus::BuildGauge(), "guavaspan_entry_held_descriptors", "Descriptors of callers' connections and of the targets' connections for their requests", registry);
+    prometheus::Family<prometheus::Counter>& shedConnections = family(prometheus::BuildCounter(), "guavaspan_entry_shed_connections_total", "Callers' connections that were refused or closed for want of memory or descriptors, by state and cause", registry);
 };
 
 RelayMetrics::RelayMetrics()
@@ -159,6 +162,19 @@
         gauge->Set(domains.contains(domain) ? 1 : 0);
 }
 
+void RelayMetrics::setMemory(const MemoryBudget& budget)
+{
+    for (auto use : { MemoryUse::Connection, MemoryUse::Request, MemoryUse::Answer })
+        m_families->heldBytes.Add({ { "use", toString(use) } }).Set(static_cast<double>(budget.heldBytes(use)));
+    m_families->heldDescriptors.Add({}).Set(static_cast<double>(budget.heldDescriptors()));
+    for (auto state : { HolderState::Idle, HolderState::Reading, HolderState::Handling, HolderState::Answering, HolderState::Closing }) {
+        for (auto cause : { ShedCause::Memory, ShedCause::Descriptors }) {
+            auto& counter = m_families->shedConnections.Add({ { "state", toString(state) }, { "cause", toString(cause) } });
+            counter.Increment(static_cast<double>(budget.shedCount(state, cause)) - counter.Value());
+        }
+    }
+}
+
 std::string RelayMetrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_families->registry.Collect());
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/memorybudget.h"
 #include "relay/handoverservice.h"
 
 #include <map>
@@ -67,6 +68,7 @@
     void onHandoverStep(HandoverPhase, HandoverResult) override;
     void setGauges(const RelayGauges&);
     void setEvacuatedDomains(const std::set<std::string>&);
+    void setMemory(const MemoryBudget&);
 
     /// Returns the metrics in the Prometheus text format.
     std::string serialize() const;
