Admit generations by what they will occupy, and move them early

Cause: engines were filled up to constant shares of their memory, of which draining engines' moves and urgent requests had their own.

Change: load reports carry the tokens held and the expected growth of each target. MemoryForecast bounds the probability of an overflow with scheduling's MemoryProfile; engines with roomy memory are decided without it, as before. MemoryReserve keeps room for urgent short requests while there is demand, and for queued moves, and remembers for two seconds that a destination was full (MoveRelease.destinationFull). A refused destination is excluded for 0.7 s instead of the whole drain. The time to the shutdown travels with ShutdownNotice and MoveQuery: with less than 0.7 s left the longest remaining generations move first, and copies that cannot arrive come last.

Refused callers of engines get times of return in the order of their first attempts (ReturnSchedule) and wait at the place of the first one. Fair shares count the tokens granted over a window (OrganisationUse), no longer the tokens held at the moment.

The test of a late request sets the admission rule instead of the share; what it expects is unchanged.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -2,8 +2,10 @@
 
 #include "common/random.h"
 #include "dispatch/loadledger.h"
+#include "dispatch/memoryreserve.h"
 #include "dispatch/outcometracker.h"
 #include "dispatch/refusalhistory.h"
+#include "dispatch/returnschedule.h"
 #include "dispatch/saturationtracker.h"
 #include "dispatch/targetpath.h"
 #include "dispatch/targetselector.h"
@@ -58,6 +60,12 @@
     /// Chooses the engine to which a generation moves from a draining engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
 
+    /// Sets the memory of the generations that wait to move between a service's engines; new requests leave room for them.
+    void setMovingTokens(const std::string& service, double tokens);
+
+    /// A destination refused to take a generation of this size for lack of memory.
+    void onDestinationFull(const std::string& target, const EngineTraits&, int tokensHeld, TimePoint now);
+
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
@@ -78,18 +86,15 @@
         std::optional<TargetChoice> choice;
         bool cancelled = false;
     };
-    struct RunningWork {
-        std::string organisation;
-        WorkEstimate estimate;
-    };
-
     std::optional<TargetChoice> chooseTarget(const PlacementRequest&);
+    MemoryAdmission admissionFor(const PlacementRequest&, std::size_t usableEngines, TimePoint now);
     std::set<std::string> excludedTargets(const PlacementRequest&, const std::vector<const TargetEntry*>& candidates) const;
     void start(const PlacementRequest&, const std::string& target, bool forPeer);
     static void deductEarlierWait(PlacementRequest&, TimePoint firstAttemptAt, TimePoint now);
     Awaitable<PlacementOutcome> placeOrEnqueue(PlacementRequest, bool forPeer);
     PlacementOutcome makePlacement(const PlacementRequest&, const TargetChoice&, Clock::duration waited);
-    PlacementRefusal makeRefusal(const PlacementRequest&, RefusalCause, std::string detail);
+    PlacementRefusal makeRefusal(const PlacementRequest&, std::string detail, TimePoint firstAttemptAt);
+    Clock::duration expectedRetryDelay(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
 
     asio::io_context& m_io;
     TargetDirectory& m_directory;
@@ -101,10 +106,12 @@
     BrittleServices m_brittleServices;
     WaitingQueue m_queue;
     RefusalHistory m_refusals;
+    ReturnSchedule m_returns;
     std::unordered_map<WorkId, PlacementRequest> m_requests;
     std::unordered_map<WorkId, std::shared_ptr<Waiter>> m_waiters;
-    std::unordered_map<WorkId, RunningWork> m_running;
     SaturationTracker m_saturation;
+    MemoryReserve m_reserve;
+    std::map<std::string, double> m_movingTokens;
     WorkId m_lastId = 0;
 };
 
--- a/src/dispatch/dispatchtypes.h
+++ b/src/dispatch/dispatchtypes.h
@@ -46,12 +46,18 @@
     double tokens = 0;
     /// Prompt tokens of generations that have not produced their first event.
     double pendingPromptTokens = 0;
+    /// Memory that running generations occupy now.
+    double heldTokens = 0;
+    /// Tokens by which running generations are expected to grow, given how far they are.
+    double growthTokens = 0;
 
     TargetLoad& operator+=(const TargetLoad& other)
     {
         requests += other.requests;
         tokens += other.tokens;
         pendingPromptTokens += other.pendingPromptTokens;
+        heldTokens += other.heldTokens;
+        growthTokens += other.growthTokens;
         return *this;
     }
 
@@ -60,6 +66,8 @@
         requests -= other.requests;
         tokens -= other.tokens;
         pendingPromptTokens -= other.pendingPromptTokens;
+        heldTokens -= other.heldTokens;
+        growthTokens -= other.growthTokens;
         return *this;
     }
 
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -15,12 +15,18 @@
     /// without an event.
     constexpr auto lateWaitLimit = Milliseconds(2000);
 
-    double memoryShareFor(const PlacementRequest& request)
+    bool isUrgent(const PlacementRequest& request)
+    {
+        return request.rank.priority == 0 || request.estimate.isShort();
+    }
+
+    const AdmissionRule& ruleFor(const PlacementRequest& request)
     {
         if (request.rank.late)
-            return lateMemoryShare;
-        bool urgent = request.rank.priority == 0 || request.estimate.isShort();
-        return urgent ? urgentMemoryShare : plannedMemoryShare;
+            return lateAdmission;
+        if (request.estimate.isShort())
+            return shortAdmission;
+        return request.rank.priority == 0 ? urgentAdmission : ordinaryAdmission;
     }
 
     /// Score penalty for moving a generation to another failure domain. Such a move takes twice as long, which
@@ -52,15 +58,38 @@
     return excluded;
 }
 
+MemoryAdmission Dispatcher::admissionFor(const PlacementRequest& request, std::size_t usableEngines, TimePoint now)
+{
+    if (!request.engine)
+        return {};
+    auto moving = m_movingTokens.find(request.service);
+    ReserveInputs inputs { .usableEngines = usableEngines, .memoryTokens = request.engine->memoryTokens, .movingTokens = moving == m_movingTokens.end() ? 0 : moving->second };
+    return { .rule = ruleFor(request), .reservedTokens = m_reserve.tokensPerEngine(request.service, inputs, now), .reserve = &m_reserve };
+}
+
+void Dispatcher::setMovingTokens(const std::string& service, double tokens)
+{
+    if (tokens > 0)
+        m_movingTokens.insert_or_assign(service, tokens);
+    else
+        m_movingTokens.erase(service);
+}
+
+void Dispatcher::onDestinationFull(const std::string& target, const EngineTraits& engine, int tokensHeld, TimePoint now)
+{
+    m_reserve.onTick(now);
+    m_reserve.onDestinationFull(target, tokensHeld, engine.memoryTokens - m_ledger.totalLoad(target).heldTokens, now);
+}
+
 std::optional<TargetChoice> Dispatcher::chooseTarget(const PlacementRequest& request)
 {
     auto candidates = m_directory.usableTargets(request.service);
     auto excluded = excludedTargets(request, candidates);
     auto now = Clock::now();
-    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .memoryShare = memoryShareFor(request), .loadsAreShared = request.loadsAreShared }, m_random);
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .admission = admissionFor(request, candidates.size(), now), .loadsAreShared = request.loadsAreShared }, m_random);
     if (!choice)
         m_saturation.onSaturated(request.service, now);
-    else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateMemoryShare * request.engine->memoryTokens)
+    else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateAdmission.memoryShare * request.engine->memoryTokens)
         m_saturation.onCapacity(request.service);
     if (choice && choice->isProbe)
         m_outcomes.onProbed(toString(m_directory.find(choice->target)->endpoint), now);
@@ -80,7 +109,6 @@
     else
         m_ledger.begin(request.id, target, request.estimate);
     m_queue.onStarted(request.service, request.organisation, request.rank, request.estimate, Clock::now());
-    m_running.insert_or_assign(request.id, RunningWork { .organisation = request.organisation, .estimate = request.estimate });
 }
 
 void Dispatcher::onGrantedByOwner(const PlacementRequest& request, const std::string& target)
@@ -88,16 +116,28 @@
     start(request, target, false);
 }
 
-PlacementRefusal Dispatcher::makeRefusal(const PlacementRequest& request, RefusalCause cause, std::string detail)
+/// Callers of engines come back in the order of their first attempts; the requests of plain services are short, so
+/// jitter suffices.
+PlacementRefusal Dispatcher::makeRefusal(const PlacementRequest& request, std::string detail, TimePoint firstAttemptAt)
 {
-    return { .cause = cause, .retryAfter = retryAfter(request.service, request.organisation, request.rank, request.estimate), .detail = std::move(detail) };
+    PlacementRefusal refusal { .cause = RefusalCause::NoRoom, .detail = std::move(detail) };
+    if (!request.engine) {
+        refusal.retryAfter = retryAfter(request.service, request.organisation, request.rank, request.estimate);
+        return refusal;
+    }
+    auto now = Clock::now();
+    bool isShort = request.estimate.isShort();
+    auto kind = request.service + "/" + std::to_string(request.rank.priority) + (isShort ? "/short" : "/long");
+    auto expectedWait = expectedRetryDelay(request.service, request.organisation, request.rank, request.estimate);
+    refusal.retryAfter = m_returns.advise(kind, { .firstAttemptAt = firstAttemptAt, .expectedWait = expectedWait, .startInterval = m_queue.startInterval(request.service, isShort, now) }, now);
+    return refusal;
 }
 
 PlacementOutcome Dispatcher::makePlacement(const PlacementRequest& request, const TargetChoice& choice, Clock::duration waited)
 {
     const auto* target = m_directory.find(choice.target);
     if (!target)
-        return makeRefusal(request, RefusalCause::NoRoom, "the chosen target was removed");
+        return makeRefusal(request, "the chosen target was removed", Clock::now() - waited);
     return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited, .late = request.rank.late };
 }
 
@@ -129,6 +169,8 @@
     auto arrivedAt = Clock::now();
     auto firstAttemptAt = request.contentHash != 0 ? m_refusals.firstAttempt(request.contentHash, arrivedAt).value_or(arrivedAt) : arrivedAt;
     deductEarlierWait(request, firstAttemptAt, arrivedAt);
+    if (request.engine && isUrgent(request))
+        m_reserve.onUrgentRequest(request.service, request.estimate, arrivedAt);
     // A new request starts at once only if none waits; otherwise the queue's order decides.
     if (m_queue.size() == 0) {
         if (auto choice = chooseTarget(request)) {
@@ -136,10 +178,10 @@
             co_return makePlacement(request, *choice, {});
         }
     }
-    auto enqueued = m_queue.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .arrivedAt = arrivedAt, .latestStart = request.latestStart }, arrivedAt);
+    auto enqueued = m_queue.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .arrivedAt = firstAttemptAt, .latestStart = request.latestStart }, arrivedAt);
     if (!enqueued.accepted) {
         m_refusals.onRefused(request.contentHash, firstAttemptAt, arrivedAt);
-        co_return makeRefusal(request, RefusalCause::NoRoom, "the expected wait is too long");
+        co_return makeRefusal(request, "the expected wait is too long", firstAttemptAt);
     }
     auto waiter = std::make_shared<Waiter>(m_io);
     waiter->forPeer = forPeer;
@@ -155,9 +197,9 @@
         co_return makePlacement(request, *waiter->choice, Clock::now() - arrivedAt);
     m_queue.remove(request.id);
     if (waiter->cancelled)
-        co_return makeRefusal(request, RefusalCause::Cancelled, "the caller disconnected");
+        co_return PlacementRefusal { .cause = RefusalCause::Cancelled, .detail = "the caller disconnected" };
     m_refusals.onRefused(request.contentHash, firstAttemptAt, Clock::now());
-    co_return makeRefusal(request, RefusalCause::NoRoom, "no target had capacity in time");
+    co_return makeRefusal(request, "no target had capacity in time", firstAttemptAt);
 }
 
 void Dispatcher::placeWaiting()
@@ -189,11 +231,6 @@
 void Dispatcher::release(WorkId id)
 {
     m_ledger.end(id);
-    auto found = m_running.find(id);
-    if (found != m_running.end()) {
-        m_queue.onEnded(found->second.organisation, found->second.estimate);
-        m_running.erase(found);
-    }
     placeWaiting();
 }
 
@@ -203,13 +240,18 @@
 }
 
 Clock::duration Dispatcher::retryAfter(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate)
+{
+    return jitteredRetryDelay(expectedRetryDelay(service, organisation, rank, estimate));
+}
+
+Clock::duration Dispatcher::expectedRetryDelay(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate)
 {
     auto now = Clock::now();
     auto wait = m_queue.expectedWait({ .service = service, .organisation = organisation, .rank = rank, .estimate = estimate, .arrivedAt = now }, now);
     double expectedSeconds = std::chrono::duration<double>(wait).count();
     // Engines that have been saturated for some time are likely to stay saturated for about as long again.
     double saturatedSeconds = std::min(maxSaturationRetrySeconds, std::chrono::duration<double>(m_saturation.saturatedFor(service, now)).count());
-    return jitteredRetryDelay(fromSeconds(std::max(expectedSeconds, saturatedSeconds)));
+    return fromSeconds(std::max(expectedSeconds, saturatedSeconds));
 }
 
 Clock::duration Dispatcher::jitteredRetryDelay(Clock::duration expectedWait)
@@ -225,7 +267,7 @@
     excludedTargets.insert(source.id);
     SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
     // Output lengths are estimates, and losing a running generation costs more than crowding an engine.
-    inputs.memoryShare = movedMemoryShare;
+    inputs.admission = { .rule = movedAdmission, .reserve = &m_reserve };
     inputs.allowsProbes = false;
     auto choice = selectTarget(inputs, m_random);
     if (!choice)
--- a/src/dispatch/internal/loadledger.cpp
+++ b/src/dispatch/internal/loadledger.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/loadledger.h"
 
+#include "dispatch/memoryforecast.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,7 +27,8 @@
         output = std::max(output, expectedOutputMultiple * work.outputTokens + minGrowthTokens);
     bool isPromptPending = work.outputTokens == 0;
     double growth = expectedGrowthShare * std::max(0.0, output - work.outputTokens);
-    return { .requests = 1, .tokens = work.estimate.promptTokens + work.estimate.copiedTokens + work.outputTokens + growth, .pendingPromptTokens = isPromptPending ? static_cast<double>(work.estimate.promptTokens) : 0 };
+    double held = work.estimate.promptTokens + work.estimate.copiedTokens + work.outputTokens;
+    return { .requests = 1, .tokens = held + growth, .pendingPromptTokens = isPromptPending ? static_cast<double>(work.estimate.promptTokens) : 0, .heldTokens = held, .growthTokens = expectedGrowth(work.estimate.outputTokens, work.outputTokens) };
 }
 
 void LoadLedger::addTotal(const std::string& target, const TargetLoad& load)
--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -59,19 +59,26 @@
 
 }
 
-bool hasCapacity(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, double memoryShare)
+bool hasCapacity(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, const AdmissionRule& rule, double unavailableTokens)
 {
-    // A generation larger than the memory share may still run alone.
+    // A generation larger than the planned memory may still run alone.
     if (load.requests == 0)
         return true;
     bool hasPrompt = estimate.promptTokens > 0;
     if (hasPrompt && load.pendingPromptTokens > 0 && load.pendingPromptTokens + estimate.promptTokens > maxPendingPromptTokens)
         return false;
-    return load.requests < engine.slots && load.tokens + estimate.totalTokens() <= memoryShare * engine.memoryTokens;
+    return load.requests < engine.slots && fitsMemory(load, estimate, engine.memoryTokens - unavailableTokens, rule);
 }
 
 namespace {
 
+    double unavailableTokens(const SelectionInputs& inputs, const std::string& target)
+    {
+        const auto& admission = inputs.admission;
+        double reserved = admission.rule.leavesReserve ? admission.reservedTokens : 0;
+        return reserved + (admission.reserve ? admission.reserve->missingTokens(target, inputs.now) : 0);
+    }
+
     /// Leaves suspects out if there are others.
     TargetChoice betterOfTwo(std::vector<TargetChoice> choices, Random& random)
     {
@@ -97,7 +104,7 @@
         if (probe && !(inputs.allowsProbes && inputs.outcomes.mayProbe(address, inputs.now)))
             continue;
         auto load = inputs.ledger.totalLoad(target->id);
-        if (inputs.engine && !hasCapacity(*inputs.engine, load, inputs.estimate, inputs.memoryShare))
+        if (inputs.engine && !hasCapacity(*inputs.engine, load, inputs.estimate, inputs.admission.rule, unavailableTokens(inputs, target->id)))
             continue;
         double score = inputs.engine ? engineScore(*inputs.engine, load, inputs.estimate) : slotScore(*target, load);
         if (target->failureDomain != inputs.preferredDomain)
--- a/src/dispatch/internal/waitingqueue.cpp
+++ b/src/dispatch/internal/waitingqueue.cpp
@@ -17,25 +17,14 @@
 
 }
 
-/// Tokens are shared among at least two organisations, so that an organisation that occupies all targets alone is
-/// above its fair share while another one waits.
-bool WaitingQueue::isAboveFairShare(const std::string& organisation) const
-{
-    auto found = m_tokensByOrganisation.find(organisation);
-    if (found == m_tokensByOrganisation.end())
-        return false;
-    auto organisations = std::max<std::size_t>(2, m_tokensByOrganisation.size());
-    return found->second * static_cast<double>(organisations) > m_totalTokens;
-}
-
 /// A generation occupies its memory for as long as it runs, so when not all fit, more of them complete if short ones
 /// go first. A long one is overtaken only by requests that arrive within its delay, so it is not starved.
 bool WaitingQueue::precedes(const WaitingRequest& left, const WaitingRequest& right) const
 {
     if (left.rank != right.rank)
         return left.rank < right.rank;
-    bool leftAboveShare = isAboveFairShare(left.organisation);
-    bool rightAboveShare = isAboveFairShare(right.organisation);
+    bool leftAboveShare = m_use.isAboveFairShare(left.organisation);
+    bool rightAboveShare = m_use.isAboveFairShare(right.organisation);
     if (leftAboveShare != rightAboveShare)
         return rightAboveShare;
     return left.arrivedAt + left.estimate.outputTokens * delayPerOutputToken < right.arrivedAt + right.estimate.outputTokens * delayPerOutputToken;
@@ -125,23 +114,20 @@
 
 void WaitingQueue::onStarted(const std::string& service, const std::string& organisation, Rank rank, const WorkEstimate& estimate, TimePoint now)
 {
-    m_tokensByOrganisation[organisation] += estimate.totalTokens();
-    m_totalTokens += estimate.totalTokens();
+    m_use.add(organisation, estimate.totalTokens(), now);
     auto& starts = m_recentStarts[service];
     starts.push_back({ .at = now, .rank = rank, .isShort = estimate.isShort(), .tokens = estimate.totalTokens() });
     while (!starts.empty() && starts.front().at + startWindow < now)
         starts.pop_front();
 }
 
-void WaitingQueue::onEnded(const std::string& organisation, const WorkEstimate& estimate)
+Clock::duration WaitingQueue::startInterval(const std::string& service, bool isShort, TimePoint now) const
 {
-    auto found = m_tokensByOrganisation.find(organisation);
-    if (found == m_tokensByOrganisation.end())
-        return;
-    found->second -= estimate.totalTokens();
-    m_totalTokens -= estimate.totalTokens();
-    if (found->second < 1)
-        m_tokensByOrganisation.erase(found);
+    auto starts = m_recentStarts.find(service);
+    if (starts == m_recentStarts.end())
+        return {};
+    auto count = std::count_if(starts->second.begin(), starts->second.end(), [&](const StartRecord& start) { return start.isShort == isShort && now <= start.at + startWindow; });
+    return count == 0 ? Clock::duration {} : Clock::duration(startWindow) / count;
 }
 
 }
--- a/src/dispatch/targetselector.h
+++ b/src/dispatch/targetselector.h
@@ -2,6 +2,8 @@
 
 #include "common/random.h"
 #include "dispatch/loadledger.h"
+#include "dispatch/memoryforecast.h"
+#include "dispatch/memoryreserve.h"
 #include "dispatch/outcometracker.h"
 #include "routing/routingtypes.h"
 #include "targets/targettypes.h"
@@ -13,14 +15,14 @@
 /// Score penalty of a target in another failure domain, whose round trip takes some ms longer.
 inline constexpr double defaultDomainPenalty = 0.02;
 
-/// Share of an engine's memory that may be reserved; the rest covers wrong length estimates.
-inline constexpr double plannedMemoryShare = 0.92;
-/// Memory share for the most urgent requests and for short requests, which free their memory soon.
-inline constexpr double urgentMemoryShare = 1.0;
-/// Memory share for late requests, so that they take no capacity from requests that can be in time.
-inline constexpr double lateMemoryShare = 0.7;
-/// Memory share for generations that move from a draining engine.
-inline constexpr double movedMemoryShare = 1.05;
+/// How selectTarget() admits work to the memory of engines.
+struct MemoryAdmission {
+    AdmissionRule rule = ordinaryAdmission;
+    /// Tokens that a rule with a reserve leaves free at each engine.
+    double reservedTokens = 0;
+    /// Knows the destinations whose room is smaller than the ledger shows; may be absent.
+    const MemoryReserve* reserve = nullptr;
+};
 
 /// Inputs of a target selection.
 struct SelectionInputs {
@@ -35,8 +37,7 @@
     TimePoint now;
     /// Added to the score of a target in another failure domain, as a share of an engine's memory or of a target's slots.
     double otherDomainPenalty = defaultDomainPenalty;
-    /// Share of an engine's memory that may be reserved.
-    double memoryShare = plannedMemoryShare;
+    MemoryAdmission admission;
     /// False for work that must not be lost, such as moves of running generations.
     bool allowsProbes = true;
     /// Many instances see the same loads of their peers, for some time, so that the least loaded target would get the requests of all.
@@ -57,7 +58,7 @@
 /// loaded one of two at random.
 std::optional<TargetChoice> selectTarget(const SelectionInputs&, Random&);
 
-/// True if the engine has enough free memory and a free slot for this estimate.
-bool hasCapacity(const EngineTraits&, const TargetLoad&, const WorkEstimate&, double memoryShare);
+/// True if the engine has a free slot and is expected to have enough memory for this estimate, besides the unavailable tokens.
+bool hasCapacity(const EngineTraits&, const TargetLoad&, const WorkEstimate&, const AdmissionRule&, double unavailableTokens = 0);
 
 }
--- a/src/dispatch/tests/dispatch_test.cpp
+++ b/src/dispatch/tests/dispatch_test.cpp
@@ -151,7 +151,7 @@
     std::vector<const TargetEntry*> candidates { &f.entries[0] };
     SelectionInputs inputs { .candidates = candidates, .ledger = f.ledger, .outcomes = f.outcomes, .engine = f.engine, .preferredDomain = "near", .excluded = f.excluded, .estimate = { .promptTokens = 6000 }, .now = f.now };
     cr_expect(selectTarget(inputs, f.random).has_value());
-    inputs.memoryShare = lateMemoryShare;
+    inputs.admission.rule = lateAdmission;
     cr_expect(!selectTarget(inputs, f.random).has_value());
 }
 
--- a/src/dispatch/waitingqueue.h
+++ b/src/dispatch/waitingqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/dispatchtypes.h"
+#include "dispatch/organisationuse.h"
 
 #include <deque>
 #include <functional>
@@ -42,12 +43,13 @@
     /// Removes and returns the requests whose latest start has passed.
     std::vector<WaitingRequest> takeExpired(TimePoint now);
 
-    /// Records that work of an organisation started or ended on a target.
+    /// Records that work of an organisation started on a target.
     void onStarted(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&, TimePoint now);
-    void onEnded(const std::string& organisation, const WorkEstimate&);
 
     /// Time until the requests ahead have started, at the recent start rate of their class and rank.
     Clock::duration expectedWait(const WaitingRequest&, TimePoint now) const;
+    /// Time between two starts of short or of other requests lately; zero if there were none.
+    Clock::duration startInterval(const std::string& service, bool isShort, TimePoint now) const;
     std::size_t size() const { return m_waiting.size(); }
 
 private:
@@ -59,12 +61,9 @@
     };
 
     bool precedes(const WaitingRequest&, const WaitingRequest&) const;
-    bool isAboveFairShare(const std::string& organisation) const;
 
     std::vector<WaitingRequest> m_waiting;
-    std::map<std::string, double> m_tokensByOrganisation;
-    /// Sum over all organisations.
-    double m_totalTokens = 0;
+    OrganisationUse m_use;
     std::map<std::string, std::deque<StartRecord>> m_recentStarts;
 };
 
--- a/src/handover/internal/movescheduler.cpp
+++ b/src/handover/internal/movescheduler.cpp
@@ -12,18 +12,50 @@
     constexpr auto queuedMoveTimeout = Milliseconds(700);
     /// Tokens that a generation produces during the shortest shutdown notice, 1.5 s, at about 10 ms each.
     constexpr int tokensDuringNotice = 150;
+    constexpr auto timePerToken = Milliseconds(10);
+    /// Time before a shutdown that suffices for two or three copies only.
+    constexpr auto shortNotice = Milliseconds(700);
 
     /// The link of an engine can carry only a handful of copies between its shutdown notice and its
     /// shutdown. Generations with few tokens in memory move first, because more of them fit into that
-    /// time; those that may finish before the shutdown move last.
-    bool hasPriority(const PendingMove& left, const PendingMove& right)
+    /// time; those that may finish before the shutdown move last. With a short notice only a few move at all:
+    /// first those that are the least likely to finish, and none that would block the link beyond the shutdown.
+    struct MovePriority {
+        bool arrivesTooLate = false;
+        bool endsSoon = false;
+        bool isShortNotice = false;
+        int tokensHeld = 0;
+        int remainingTokens = 0;
+    };
+
+    bool arrivesTooLate(const PendingMove& move, TimePoint now)
+    {
+        return move.shutdownAt && now + move.copyTime > *move.shutdownAt;
+    }
+
+    MovePriority priorityOf(const PendingMove& move, TimePoint now)
     {
-        bool leftEndsSoon = left.expectedRemainingTokens < tokensDuringNotice;
-        bool rightEndsSoon = right.expectedRemainingTokens < tokensDuringNotice;
-        if (leftEndsSoon != rightEndsSoon)
-            return rightEndsSoon;
-        if (leftEndsSoon)
-            return left.expectedRemainingTokens > right.expectedRemainingTokens;
+        MovePriority priority { .arrivesTooLate = arrivesTooLate(move, now), .tokensHeld = move.tokensHeld, .remainingTokens = move.expectedRemainingTokens };
+        int tokensUntilShutdown = tokensDuringNotice;
+        if (move.shutdownAt) {
+            auto timeLeft = std::max(Clock::duration {}, *move.shutdownAt - now);
+            priority.isShortNotice = timeLeft < shortNotice;
+            tokensUntilShutdown = std::min(tokensDuringNotice, static_cast<int>(timeLeft / timePerToken));
+        }
+        priority.endsSoon = priority.remainingTokens < tokensUntilShutdown;
+        return priority;
+    }
+
+    bool hasPriority(const MovePriority& left, const MovePriority& right)
+    {
+        if (left.arrivesTooLate != right.arrivesTooLate)
+            return right.arrivesTooLate;
+        if (left.endsSoon != right.endsSoon)
+            return right.endsSoon;
+        if (left.isShortNotice != right.isShortNotice)
+            return left.isShortNotice;
+        if (left.endsSoon || left.isShortNotice)
+            return left.remainingTokens > right.remainingTokens;
         return left.tokensHeld < right.tokensHeld;
     }
 
@@ -64,7 +96,7 @@
     candidates.reserve(m_queued.size());
     for (const auto& [key, queued] : m_queued)
         candidates.push_back(&queued.move);
-    std::stable_sort(candidates.begin(), candidates.end(), [](const PendingMove* left, const PendingMove* right) { return hasPriority(*left, *right); });
+    std::stable_sort(candidates.begin(), candidates.end(), [&](const PendingMove* left, const PendingMove* right) { return hasPriority(priorityOf(*left, now), priorityOf(*right, now)); });
     std::vector<ScheduledMove> moves;
     for (const auto* candidate : candidates) {
         if (isBusy(candidate->source))
@@ -96,6 +128,16 @@
     return expired;
 }
 
+double MoveScheduler::queuedTokens(const std::function<bool(const PendingMove&)>& counts, TimePoint now) const
+{
+    double tokens = 0;
+    for (const auto& [key, queued] : m_queued) {
+        if (counts(queued.move) && !arrivesTooLate(queued.move, now))
+            tokens += queued.move.tokensHeld;
+    }
+    return tokens;
+}
+
 const ScheduledMove* MoveScheduler::activeMove(const std::string& key) const
 {
     auto found = m_active.find(key);
--- a/src/handover/movescheduler.h
+++ b/src/handover/movescheduler.h
@@ -18,6 +18,10 @@
     /// Tokens whose attention state the source engine holds.
     int tokensHeld = 0;
     int expectedRemainingTokens = 0;
+    /// Time that the copy takes over an idle link.
+    Clock::duration copyTime {};
+    /// When the source shuts down, if this is known.
+    std::optional<TimePoint> shutdownAt;
     /// Destinations that refused the move or cannot be used any more.
     std::set<std::string> excludedDestinations;
 
@@ -35,7 +39,8 @@
 
 /// Schedules moves so that each engine takes part in at most one at a time. An engine's link
 /// carries copies one after another, and a stopped generation produces no tokens until its last
-/// copy arrives. Moves are ordered so that as many as possible finish before the engine shuts down.
+/// copy arrives. Moves are ordered so that as many as possible finish before the engine shuts down; if little time
+/// is left, the longest remaining generations move first, and those that can no longer arrive last.
 class MoveScheduler {
 public:
     /// Returns a destination that is not excluded, or nothing if there is none.
@@ -54,6 +59,9 @@
     /// moves that their instances did not query again in time.
     std::vector<std::string> expire(TimePoint now);
 
+    /// Memory of the queued generations that can still arrive before their sources shut down.
+    double queuedTokens(const std::function<bool(const PendingMove&)>& counts, TimePoint now) const;
+
     const ScheduledMove* activeMove(const std::string& key) const;
     bool contains(const std::string& key) const { return m_queued.count(key) > 0 || m_active.count(key) > 0; }
     std::size_t queueLength() const { return m_queued.size(); }
--- a/src/handover/moveserver.h
+++ b/src/handover/moveserver.h
@@ -27,7 +27,10 @@
 
     static std::string keyOf(const std::string& requester, std::int64_t requesterIncarnation, WorkId);
     std::optional<std::string> chooseDestination(const PendingMove&, const std::set<std::string>& excluded);
+    std::optional<EngineTraits> engineOf(const std::string& service) const;
     void startMoves(TimePoint now);
+    /// Tells the dispatcher how much room the queued moves need.
+    void reserveRoom(TimePoint now);
     /// An empty destination means that the move is queued.
     void respond(const MoveQuery&, const std::string& destination);
     void release(const std::string& key);
@@ -38,6 +41,8 @@
     FleetLink& m_link;
     MoveScheduler m_scheduler;
     std::map<std::string, TrackedMove> m_trackedMoves;
+    /// Services that had queued moves at the last count.
+    std::set<std::string> m_movingServices;
     std::function<void(const MoveResponse&)> m_localResponseListener;
 };
 
--- a/src/handover/tests/movescheduler_test.cpp
+++ b/src/handover/tests/movescheduler_test.cpp
@@ -139,3 +139,24 @@
     f.scheduler.expire(f.now);
     cr_expect(f.scheduler.queueLength() == 0);
 }
+
+/// With little time left only some copies arrive; the link was spent on generations that had nearly ended, or on a copy that came too late.
+Test(MoveScheduler, shutdownHeardLate_longestRemainingMoveFirstAndHopelessOnesLast)
+{
+    SchedulerFixture f;
+    auto add = [&](const std::string& key, int tokensHeld, int remainingTokens) {
+        f.scheduler.add({ .key = key, .source = "s1", .tokensHeld = tokensHeld, .expectedRemainingTokens = remainingTokens, .copyTime = Milliseconds(tokensHeld / 18), .shutdownAt = f.now + Milliseconds(400) }, f.now);
+    };
+    add("small", 2400, 100);
+    add("long", 3600, 700);
+    add("hopeless", 9000, 900);
+    add("ending", 2300, 20);
+    cr_expect(f.scheduler.queuedTokens([](const PendingMove&) { return true; }, f.now) == 2400 + 3600 + 2300, "no room is kept for what cannot arrive");
+    std::vector<std::string> order;
+    for (auto moves = f.schedule(); !moves.empty(); moves = f.schedule()) {
+        order.push_back(moves[0].key);
+        f.scheduler.remove(moves[0].key);
+    }
+    const std::vector<std::string> expected { "long", "small", "ending", "hopeless" };
+    cr_expect(order == expected);
+}
--- a/src/placement/internal/placementmessagedecoder.cpp
+++ b/src/placement/internal/placementmessagedecoder.cpp
@@ -68,8 +68,13 @@
     TargetLoads loadsFrom(const json& fields)
     {
         TargetLoads loads;
-        for (const auto& load : fields)
-            loads.emplace(load.at(0).get<std::string>(), TargetLoad { .requests = load.at(1).get<int>(), .tokens = load.at(2).get<double>(), .pendingPromptTokens = load.at(3).get<double>() });
+        for (const auto& sums : fields) {
+            TargetLoad load { .requests = sums.at(1).get<int>(), .tokens = sums.at(2).get<double>(), .pendingPromptTokens = sums.at(3).get<double>() };
+            // Versions before the admission by forecast send the sum of both only.
+            load.heldTokens = sums.size() > 5 ? sums.at(4).get<double>() : load.tokens;
+            load.growthTokens = sums.size() > 5 ? sums.at(5).get<double>() : 0;
+            loads.emplace(sums.at(0).get<std::string>(), load);
+        }
         return loads;
     }
 
@@ -196,6 +201,13 @@
         return release;
     }
 
+    MoveRelease moveReleaseFrom(const json& fields)
+    {
+        auto release = releaseFrom<MoveRelease>(fields);
+        release.destinationFull = fields.size() > 3 && fields.at(3).get<bool>();
+        return release;
+    }
+
     MoveQuery moveQueryFrom(const json& fields)
     {
         MoveQuery query;
@@ -208,6 +220,8 @@
         query.tokensHeld = fields.at(6).get<int>();
         query.remainingTokens = fields.at(7).get<int>();
         query.excluded = fields.at(8).get<std::vector<std::string>>();
+        if (fields.size() > 9)
+            query.timeToShutdown = Milliseconds(fields.at(9).get<std::int64_t>());
         return query;
     }
 
@@ -316,6 +330,8 @@
         ShutdownNotice notice;
         notice.target = fields.at(0).get<std::string>();
         notice.startedAt = fields.at(1).get<std::int64_t>();
+        if (fields.size() > 2)
+            notice.timeToShutdown = Milliseconds(fields.at(2).get<std::int64_t>());
         return notice;
     }
 
@@ -342,7 +358,7 @@
         case MessageType::MoveResponse:
             return moveResponseFrom(fields);
         case MessageType::MoveRelease:
-            return releaseFrom<MoveRelease>(fields);
+            return moveReleaseFrom(fields);
         case MessageType::ShutdownNotice:
             return shutdownNoticeFrom(fields);
         case MessageType::CrashReport:
--- a/src/placement/internal/placementmessageencoder.cpp
+++ b/src/placement/internal/placementmessageencoder.cpp
@@ -12,7 +12,7 @@
     {
         json fields = json::array();
         for (const auto& [target, load] : loads)
-            fields.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.pendingPromptTokens) });
+            fields.push_back({ target, load.requests, static_cast<std::int64_t>(load.tokens), static_cast<std::int64_t>(load.pendingPromptTokens), static_cast<std::int64_t>(load.heldTokens), static_cast<std::int64_t>(load.growthTokens) });
         return fields;
     }
 
@@ -75,7 +75,10 @@
 
     json fieldsOf(const MoveQuery& query)
     {
-        return json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.source, query.sourceFailureDomain, query.tokensHeld, query.remainingTokens, query.excluded });
+        auto fields = json::array({ query.requester, query.requesterIncarnation, query.id, query.service, query.source, query.sourceFailureDomain, query.tokensHeld, query.remainingTokens, query.excluded });
+        if (query.timeToShutdown)
+            fields.push_back(query.timeToShutdown->count());
+        return fields;
     }
 
     json fieldsOf(const MoveResponse& response)
@@ -85,12 +88,18 @@
 
     json fieldsOf(const MoveRelease& release)
     {
-        return json::array({ release.requester, release.requesterIncarnation, release.id });
+        auto fields = json::array({ release.requester, release.requesterIncarnation, release.id });
+        if (release.destinationFull)
+            fields.push_back(true);
+        return fields;
     }
 
     json fieldsOf(const ShutdownNotice& notice)
     {
-        return json::array({ notice.target, notice.startedAt });
+        auto fields = json::array({ notice.target, notice.startedAt });
+        if (notice.timeToShutdown)
+            fields.push_back(notice.timeToShutdown->count());
+        return fields;
     }
 
     json fieldsOf(const CrashReport& report)
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -71,6 +71,8 @@
     int tokensHeld = 0;
     int remainingTokens = 0;
     std::vector<std::string> excluded;
+    /// Time until the source shuts down, if the requester knows it.
+    std::optional<Milliseconds> timeToShutdown;
 
     friend bool operator==(const MoveQuery&, const MoveQuery&) = default;
 };
@@ -89,6 +91,8 @@
     std::string requester;
     std::int64_t requesterIncarnation = 0;
     WorkId id = 0;
+    /// The granted destination refused the generation for lack of memory.
+    bool destinationFull = false;
 
     friend bool operator==(const MoveRelease&, const MoveRelease&) = default;
 };
@@ -98,6 +102,7 @@
     std::string target;
     /// Start time of the target's process, which identifies its incarnation.
     std::int64_t startedAt = 0;
+    std::optional<Milliseconds> timeToShutdown;
 
     friend bool operator==(const ShutdownNotice&, const ShutdownNotice&) = default;
 };
--- a/src/relay/handoverservice.h
+++ b/src/relay/handoverservice.h
@@ -43,7 +43,7 @@
 
     Awaitable<> evacuate(Move);
     Awaitable<std::optional<std::string>> acquireGrant(const Move&, TimePoint deadline);
-    void releaseGrant(const Move&, const std::string& owner);
+    void releaseGrant(const Move&, const std::string& owner, bool destinationFull);
     void send(const std::string& owner, const MoveQuery&);
     Awaitable<bool> moveTo(Move&, const std::string& destinationId);
     Awaitable<bool> copyAndStop(Move&, const std::string& destinationId, std::string& unusedCopy);
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -49,13 +49,13 @@
         return;
     auto view = m_context.storeView();
     logEvent(LogLevel::Info, "target_says_it_leaves", { { "target", target.id }, { "source", source }, { "leaves_ms", timeToShutdown.value_or(Milliseconds(-1)).count() }, { "store_view_age_ms", std::chrono::duration_cast<Milliseconds>(view.age).count() }, { "store_reachable", view.reachable } });
-    m_context.link.broadcast(ShutdownNotice { .target = target.id, .startedAt = target.startedAt });
-    m_context.directory.onDrainingReported(target.id, target.startedAt, Clock::now());
+    m_context.link.broadcast(ShutdownNotice { .target = target.id, .startedAt = target.startedAt, .timeToShutdown = timeToShutdown });
+    m_context.directory.onDrainingReported(target.id, target.startedAt, Clock::now(), timeToShutdown);
 }
 
 void EngineShutdownPoller::onPeerNotice(const ShutdownNotice& notice, TimePoint now)
 {
-    m_context.directory.onDrainingReported(notice.target, notice.startedAt, now);
+    m_context.directory.onDrainingReported(notice.target, notice.startedAt, now, notice.timeToShutdown);
 }
 
 }
--- a/src/relay/internal/handoverservice.cpp
+++ b/src/relay/internal/handoverservice.cpp
@@ -22,6 +22,8 @@
     constexpr auto streamEndTimeout = Milliseconds(250);
     /// A generation with fewer expected remaining tokens is not moved, since the move would cost more than it saves.
     constexpr int minTokensToMove = 24;
+    /// Time for which a destination that refused the generation is not tried again: some generations there end meanwhile.
+    constexpr auto exclusionTime = Milliseconds(700);
     /// After this many calls without an answer a generation is not moved.
     constexpr int maxUnknownResults = 4;
 
@@ -31,10 +33,14 @@
 struct HandoverService::Move {
     TargetUnavailable sourceShutdown;
     std::shared_ptr<LiveStream> stream;
-    std::set<std::string> excludedDestinations;
+    /// Destinations that refused the generation or cannot be used, and until when.
+    std::map<std::string, TimePoint> excludedUntil;
+    /// The last destination refused the generation for lack of memory.
+    bool destinationFull = false;
     int unknownResults = 0;
 
     int tokensHeld() const { return stream->estimate().promptTokens + stream->outputTokens(); }
+    void exclude(const std::string& destination) { excludedUntil.insert_or_assign(destination, Clock::now() + exclusionTime); }
     bool isAtSource() const { return stream->target().id == sourceShutdown.entry.id; }
 };
 
@@ -77,9 +83,10 @@
         auto destination = co_await acquireGrant(move, deadline);
         if (!destination)
             continue;
+        move.destinationFull = false;
         bool done = co_await moveTo(move, *destination);
         auto owner = m_context.placement.ownerOf(move.sourceShutdown.entry.service);
-        releaseGrant(move, owner);
+        releaseGrant(move, owner, move.destinationFull);
         if (done)
             co_return;
     }
@@ -93,9 +100,9 @@
         m_context.link.send(owner, query);
 }
 
-void HandoverService::releaseGrant(const Move& move, const std::string& owner)
+void HandoverService::releaseGrant(const Move& move, const std::string& owner, bool destinationFull)
 {
-    MoveRelease release { .requester = m_context.instance, .requesterIncarnation = m_context.placement.incarnation(), .id = move.stream->id() };
+    MoveRelease release { .requester = m_context.instance, .requesterIncarnation = m_context.placement.incarnation(), .id = move.stream->id(), .destinationFull = destinationFull };
     m_context.moveServer.onRelease(release);
     if (owner != m_context.instance)
         m_context.link.send(owner, release);
@@ -113,8 +120,13 @@
     while (!destination && Clock::now() < deadline && m_context.streams.find(stream.id()) && move.isAtSource()) {
         auto owner = m_context.placement.ownerOf(move.sourceShutdown.entry.service);
         auto excluded = m_context.targetLimits.exhaustedTargets(Clock::now());
-        excluded.insert(move.excludedDestinations.begin(), move.excludedDestinations.end());
+        for (const auto& [destination, until] : move.excludedUntil) {
+            if (Clock::now() < until)
+                excluded.insert(destination);
+        }
         MoveQuery query { .requester = m_context.instance, .requesterIncarnation = m_context.placement.incarnation(), .id = stream.id(), .service = move.sourceShutdown.entry.service, .source = move.sourceShutdown.entry.id, .sourceFailureDomain = move.sourceShutdown.entry.failureDomain, .tokensHeld = move.tokensHeld(), .remainingTokens = stream.expectedRemainingTokens(), .excluded = { excluded.begin(), excluded.end() } };
+        if (move.sourceShutdown.shutdownAt)
+            query.timeToShutdown = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(*move.sourceShutdown.shutdownAt - Clock::now()));
         // If this instance is the owner, the response may arrive before send() returns.
         send(owner, query);
         bool granted = pending->response && !pending->response->destination.empty();
@@ -163,7 +175,7 @@
 {
     const auto* destinationEntry = m_context.directory.find(destinationId);
     if (!destinationEntry || !m_context.directory.isUsable(destinationId)) {
-        move.excludedDestinations.insert(destinationId);
+        move.exclude(destinationId);
         co_return false;
     }
     auto destination = *destinationEntry;
@@ -180,7 +192,8 @@
             phase = HandoverPhase::Stop;
             break;
         case HandoverResult::DestinationFull:
-            move.excludedDestinations.insert(destinationId);
+            move.exclude(destinationId);
+            move.destinationFull = true;
             co_return false;
         case HandoverResult::NoSuchRun:
         case HandoverResult::Busy:
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -223,7 +223,8 @@
     if (!session.mayHaveRun) {
         result.status = 503;
         result.reason = "no_room";
-        auto retryAfter = std::max(session.retryAfter, m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), m_starter.estimateOf(request)));
+        // The advice of the instance that refused keeps the order of its callers.
+        auto retryAfter = session.retryAfter.count() > 0 ? session.retryAfter : m_context.dispatcher.retryAfter(request.service.name, request.organisation, request.rank(), m_starter.estimateOf(request));
         co_await sendRefusal(request.exchange, result.status, result.reason, retryAfter);
         co_return;
     }
--- a/src/relay/tests/handover_test.cpp
+++ b/src/relay/tests/handover_test.cpp
@@ -107,6 +107,9 @@
     cr_assert(f.operations.calls.size() == 3);
     cr_expect(f.operations.calls[0].destination != f.operations.calls[1].destination);
     cr_expect(f.move().has_value());
+    auto full = "engine-" + std::to_string(f.operations.calls[0].destination.port - 9000);
+    auto next = f.dispatcher.chooseDestination(f.entry(0), { .slots = 4, .memoryTokens = 20000 }, { .copiedTokens = 1500, .outputTokens = 100 }, {});
+    cr_expect(next && *next != full, "the owner learned that the destination has less room than it showed");
 }
 
 Test(HandoverService, stopAnswerLost_stopIsRepeatedToGetHandle)
--- a/src/scheduling/internal/memoryprofile.cpp
+++ b/src/scheduling/internal/memoryprofile.cpp
@@ -37,18 +37,18 @@
     m_variance.fill(0);
 }
 
-void MemoryProfile::add(const Footprint& footprint)
+void MemoryProfile::add(const Footprint& footprint, double count)
 {
     for (std::size_t i = 0; i < horizonTokens.size(); ++i) {
-        m_mean[i] += mean(footprint, i);
-        m_variance[i] += variance(footprint, i);
+        m_mean[i] += count * mean(footprint, i);
+        m_variance[i] += count * variance(footprint, i);
     }
 }
 
-double MemoryProfile::overflowRisk(const Footprint& candidate, double capacityTokens) const
+double MemoryProfile::overflowRisk(const Footprint& candidate, double capacityTokens, int lastHorizonTokens) const
 {
     double maxRisk = 0;
-    for (std::size_t i = 0; i < horizonTokens.size(); ++i) {
+    for (std::size_t i = 0; i < horizonTokens.size() && horizonTokens[i] <= lastHorizonTokens; ++i) {
         double expected = m_mean[i] + m_offset + mean(candidate, i);
         double deviation = std::sqrt(m_variance[i] + variance(candidate, i)) + extraDeviationTokens;
         maxRisk = std::max(maxRisk, upperTail((capacityTokens - expected) / deviation));
--- a/src/scheduling/memoryprofile.h
+++ b/src/scheduling/memoryprofile.h
@@ -17,13 +17,14 @@
 class MemoryProfile {
 public:
     void clear();
-    void add(const Footprint&);
+    /// Adds a number of generations with equal footprints that progress independently.
+    void add(const Footprint&, double count = 1);
 
     /// Sets the occupancy that the added footprints do not include; it is constant over all horizons.
     void setOffset(double tokens) { m_offset = tokens; }
 
-    /// Highest overflow probability over all horizons if the candidate is added.
-    double overflowRisk(const Footprint& candidate, double capacityTokens) const;
+    /// Highest overflow probability if the candidate is added, over all horizons up to the last one given.
+    double overflowRisk(const Footprint& candidate, double capacityTokens, int lastHorizonTokens = horizonTokens.back()) const;
 
     /// Current mean occupancy in tokens.
     double occupancy() const { return m_mean[0] + m_offset; }
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -69,7 +69,7 @@
     removeTarget(target, UnavailableReason::EntryRemoved, now);
 }
 
-void TargetDirectory::onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now)
+void TargetDirectory::onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now, std::optional<Milliseconds> timeToShutdown)
 {
     auto target = m_targets.find(id);
     if (target == m_targets.end() || target->second.entry.startedAt != startedAt)
@@ -78,8 +78,11 @@
     if (target->second.entry.state == TargetState::Draining)
         return;
     target->second.entry.state = TargetState::Draining;
+    std::optional<TimePoint> shutdownAt;
+    if (timeToShutdown)
+        shutdownAt = now + *timeToShutdown;
     if (m_listener)
-        m_listener({ .entry = target->second.entry, .reason = UnavailableReason::AskedTarget, .at = now });
+        m_listener({ .entry = target->second.entry, .reason = UnavailableReason::AskedTarget, .at = now, .shutdownAt = shutdownAt });
 }
 
 void TargetDirectory::onSnapshot(const std::vector<TargetEntry>& entries, TimePoint now)
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -26,6 +26,8 @@
     TargetEntry entry;
     UnavailableReason reason = UnavailableReason::Announced;
     TimePoint at;
+    /// When the target shuts down, if it stated this.
+    std::optional<TimePoint> shutdownAt;
 };
 
 /// Tracks the targets in the shared store and which of them take new requests.
@@ -41,7 +43,7 @@
 
     /// The target, or a peer that queried it, reports that this incarnation is draining.
     /// Entries of the same incarnation whose state is still Ready are outdated and do not reset this.
-    void onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now);
+    void onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now, std::optional<Milliseconds> timeToShutdown = std::nullopt);
 
     /// All entries were read again; targets that are missing from the list are removed.
     void onSnapshot(const std::vector<TargetEntry>&, TimePoint now);
