Count admissions by route and organisation

Cause: nothing showed whose generations waited or were refused.

Change: guavaspan_entry_admissions_total by route, organisation and outcome, with a series each for at most 50 organisations. A test states that refused callers that return together keep the places of their first attempts.

Preemptions are not counted: engines' answers do not tell of them.

--- a/src/dispatch/tests/admission_test.cpp
+++ b/src/dispatch/tests/admission_test.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/refusalhistory.h"
 #include "dispatch/returnschedule.h"
 #include "dispatch/tests/modelledpool.h"
 
@@ -165,6 +166,31 @@
     cr_expect(schedule.advise("other", { .firstAttemptAt = now }, now) == Milliseconds(250));
 }
 
+/// Callers that return early and all at one moment overtook those that had tried before them. Each keeps the place of its first attempt, and
+/// those that give up hold nobody back.
+Test(WaitingQueue, refusedCallersReturnTogether_eachKeepsItsPlace)
+{
+    RefusalHistory refusals;
+    WaitingQueue queue;
+    TimePoint now { Seconds(50) };
+    constexpr WorkId callers = 10;
+    for (WorkId caller = 1; caller <= callers; ++caller)
+        refusals.onRefused(caller, now + Milliseconds(caller), now + Milliseconds(caller));
+    now += Milliseconds(300);
+    auto enqueue = [&](WorkId caller) {
+        queue.enqueue({ .id = caller, .service = "writer", .organisation = "a", .estimate = { .promptTokens = 2500, .outputTokens = 500 }, .arrivedAt = refusals.firstAttempt(caller, now).value_or(now), .latestStart = now + Seconds(2) }, now);
+    };
+    enqueue(callers + 1);
+    for (WorkId caller = callers; caller >= 1; --caller)
+        enqueue(caller);
+    queue.remove(3);
+    std::vector<WorkId> order;
+    while (auto next = queue.takeNext([](const WaitingRequest&) { return true; }))
+        order.push_back(next->id);
+    cr_expect(order.size() == callers && order.back() == callers + 1, "a new caller comes after those that were refused");
+    cr_expect(std::is_sorted(order.begin(), order.end()));
+}
+
 /// An organisation that sends several times its share must not keep the others waiting, also between its bursts when nothing of it runs;
 /// it gets what the others leave, and is not served last for ever.
 Test(WaitingQueue, organisationUsedSeveralTimesItsShare_othersGoFirstForTheWindow)
--- a/src/relay/internal/generationstarter.cpp
+++ b/src/relay/internal/generationstarter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    /// Shorter waits are the round trip to the pool's owner.
+    constexpr auto minWait = Milliseconds(100);
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 3;
@@ -109,8 +111,11 @@
         auto placement = co_await m_context.placement.place(placementRequest);
         if (request.callerWatch.gone() || !placement) {
             session.result.detail = placement ? "" : placement.error().detail;
-            if (!placement)
+            if (!placement) {
                 session.retryAfter = placement.error().retryAfter;
+                if (placement.error().cause == RefusalCause::NoRoom)
+                    m_context.metrics.recordAdmission(request.route.name, request.organisation, "refused");
+            }
             co_return false;
         }
         if (gate.needsTrial() && !co_await gate.startTrial(id, placement->target)) {
@@ -126,6 +131,8 @@
             continue;
         }
         m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
+        if (session.result.sends == 0)
+            m_context.metrics.recordAdmission(request.route.name, request.organisation, placement->waited >= minWait ? "waited" : "at_once");
         ++session.result.sends;
         session.result.waitTime += placement->waited;
         session.result.target = placement->target.id;
--- a/src/relay/internal/relaymetrics.cpp
+++ b/src/relay/internal/relaymetrics.cpp
@@ -5,6 +5,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
+#include <set>
 
 namespace guavaspan {
 
@@ -12,6 +13,10 @@
 
     const prometheus::Histogram::BucketBoundaries secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.18, 0.25, 0.5, 1, 1.5, 1.8, 2.5, 5, 10, 20, 40 };
 
+    /// Organisations with time series of their own; the others share one, since each series costs memory for good.
+    constexpr std::size_t maxOrganisations = 50;
+    constexpr const char* otherOrganisations = "other";
+
     template <typename Builder>
     auto& family(Builder builder, const char* name, const char* help, prometheus::Registry& registry)
     {
@@ -28,6 +33,8 @@
     prometheus::Family<prometheus::Histogram>& firstEvents = family(prometheus::BuildHistogram(), "guavaspan_entry_first_event_seconds", "Time from a request to its first event", registry);
     prometheus::Family<prometheus::Histogram>& pauses = family(prometheus::BuildHistogram(), "guavaspan_entry_pause_seconds", "Time between events of one stream", registry);
     prometheus::Family<prometheus::Histogram>& waits = family(prometheus::BuildHistogram(), "guavaspan_entry_wait_seconds", "Time that requests waited for room", registry);
+    prometheus::Family<prometheus::Counter>& admissions = family(prometheus::BuildCounter(), "guavaspan_entry_admissions_total", "Generations by route, organisation and outcome of their admission", registry);
+    std::set<std::string> organisations;
     prometheus::Family<prometheus::Counter>& retries = family(prometheus::BuildCounter(), "guavaspan_entry_retries_total", "Repeats by service and cause; denied ones had no budget left", registry);
     prometheus::Family<prometheus::Counter>& resumes = family(prometheus::BuildCounter(), "guavaspan_entry_stream_moves_total", "Streams that went on elsewhere, by result", registry);
     prometheus::Family<prometheus::Counter>& steps = family(prometheus::BuildCounter(), "guavaspan_entry_handover_steps_total", "Calls that move generations, by phase and result", registry);
@@ -74,6 +81,14 @@
     m_families->waits.Add({}, secondsBuckets).Observe(seconds);
 }
 
+void RelayMetrics::recordAdmission(const std::string& route, const std::string& organisation, const std::string& outcome)
+{
+    auto& organisations = m_families->organisations;
+    if (organisations.size() < maxOrganisations)
+        organisations.insert(organisation);
+    m_families->admissions.Add({ { "route", route }, { "organisation", organisations.count(organisation) > 0 ? organisation : otherOrganisations }, { "outcome", outcome } }).Increment();
+}
+
 void RelayMetrics::recordResume(const std::string& result)
 {
     m_families->resumes.Add({ { "result", result } }).Increment();
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -49,6 +49,8 @@
     void recordPause(double seconds);
     void recordRetry(const std::string& service, const std::string& cause, bool allowed);
     void recordWait(double seconds);
+    /// Outcome of a generation's admission: at_once, waited or refused.
+    void recordAdmission(const std::string& route, const std::string& organisation, const std::string& outcome);
     void recordResume(const std::string& result);
     void recordUnframedAnswer(const std::string& end);
     void recordStreamEnd(const std::string& runState);
