--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "common/random.h"
+#include "dispatch/keptprompts.h"
 #include "dispatch/loadledger.h"
 #include "dispatch/memoryreserve.h"
 #include "dispatch/outcometracker.h"
+#include "dispatch/pacetracker.h"
 #include "dispatch/refusalhistory.h"
+#include "dispatch/relativepaces.h"
 #include "dispatch/returnschedule.h"
 #include "dispatch/saturationtracker.h"
 #include "dispatch/targetpath.h"
@@ -14,6 +17,7 @@
 #include "placement/placementtypes.h"
 #include "targets/brittleservices.h"
 #include "targets/targetdirectory.h"
+#include "targets/targetlimits.h"
 
 #include <unordered_map>
 
@@ -30,6 +34,9 @@
     /// Places a request of a peer and counts its load on this instance until the peer's load reports include it.
     Awaitable<PlacementOutcome> placeForPeer(PlacementRequest);
 
+    /// Limits that targets of pools have; without them a pool's targets take any number of requests.
+    void setPlacementLimits(TargetLimits& limits) { m_limits = &limits; }
+
     /// A peer's load reports now include this work.
     void onReportedByPeer(WorkId id) { m_ledger.end(id); }
 
@@ -44,12 +51,18 @@
     /// Releases the reservation of work that ended or never started.
     void release(WorkId);
 
+    /// A generation of a peer moves to this target.
+    void onMoveGranted(WorkId, const std::string& target, const WorkEstimate&);
+
     /// Reserves memory for a copy on a destination until release() is called.
     void reserve(WorkId, const std::string& target, const WorkEstimate&);
 
     /// Places the waiting requests that can start now; called whenever capacity may have changed.
     void placeWaiting();
 
+    /// Targets came, left or were evacuated: places the waiting requests again, and refuses those whose targets are all evacuated.
+    void onTargetsChanged();
+
     /// Time after which the caller of a refused request should retry.
     Clock::duration retryAfter(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
 
@@ -57,6 +70,9 @@
     /// not return together.
     Clock::duration jitteredRetryDelay(Clock::duration expectedWait);
 
+    /// The retry delay while all targets of a service are evacuated.
+    Clock::duration retryAfterEvacuation();
+
     /// Chooses the engine to which a generation moves from a draining engine.
     std::optional<std::string> chooseDestination(const TargetEntry& source, const EngineTraits&, const WorkEstimate&, const std::set<std::string>& excluded);
 
@@ -69,6 +85,10 @@
     WorkId nextId() { return ++m_lastId; }
     LoadLedger& ledger() { return m_ledger; }
     OutcomeTracker& outcomes() { return m_outcomes; }
+    PaceTracker& paces() { return m_paces; }
+    /// Targets of a service that are slower than usual, as far as this instance knows.
+    std::set<std::string> slowTargets(const std::string& service, PaceKind) const;
+    KeptPrompts& keptPrompts() { return m_keptPrompts; }
     /// Discards the outcomes of a service's targets: what fails while the path to them is lost is not their fault.
     void forgetOutcomes(const std::string& service);
     BrittleServices& brittleServices() { return m_brittleServices; }
@@ -85,16 +105,20 @@
         bool forPeer = false;
         std::optional<TargetChoice> choice;
         bool cancelled = false;
+        bool evacuated = false;
     };
     std::optional<TargetChoice> chooseTarget(const PlacementRequest&);
     MemoryAdmission admissionFor(const PlacementRequest&, std::size_t usableEngines, TimePoint now);
     std::set<std::string> excludedTargets(const PlacementRequest&, const std::vector<const TargetEntry*>& candidates) const;
+    void onPlaced(const std::string& target);
     void start(const PlacementRequest&, const std::string& target, bool forPeer);
     static void deductEarlierWait(PlacementRequest&, TimePoint firstAttemptAt, TimePoint now);
     Awaitable<PlacementOutcome> placeOrEnqueue(PlacementRequest, bool forPeer);
     PlacementOutcome makePlacement(const PlacementRequest&, const TargetChoice&, Clock::duration waited);
     PlacementRefusal makeRefusal(const PlacementRequest&, std::string detail, TimePoint firstAttemptAt);
     Clock::duration expectedRetryDelay(const std::string& service, const std::string& organisation, Rank, const WorkEstimate&);
+    PlacementRefusal makeEvacuationRefusal();
+    void refuseEvacuated();
 
     asio::io_context& m_io;
     TargetDirectory& m_directory;
@@ -102,8 +126,11 @@
     Random m_random;
     LoadLedger m_ledger;
     OutcomeTracker m_outcomes;
+    PaceTracker m_paces;
+    KeptPrompts m_keptPrompts;
     TargetPath m_targetPath;
     BrittleServices m_brittleServices;
+    TargetLimits* m_limits = nullptr;
     WaitingQueue m_queue;
     RefusalHistory m_refusals;
     ReturnSchedule m_returns;
--- a/src/dispatch/internal/dispatcher.cpp
+++ b/src/dispatch/internal/dispatcher.cpp
@@ -14,6 +14,9 @@
     /// Time that a request may wait if it is late already. Callers of streams disconnect after some seconds
     /// without an event.
     constexpr auto lateWaitLimit = Milliseconds(2000);
+    /// Nothing tells when an operator ends an evacuation, so this is no estimate: callers of generations return several times
+    /// before they give up, and an evacuation that has ended is noticed soon.
+    constexpr auto evacuationRetryDelay = Seconds(4);
 
     bool isUrgent(const PlacementRequest& request)
     {
@@ -29,10 +32,10 @@
         return request.rank.priority == 0 ? urgentAdmission : ordinaryAdmission;
     }
 
-    /// Score penalty for moving a generation to another failure domain. Such a move takes twice as long, which
+    /// Milliseconds by which an engine of another failure domain scores worse as the destination of a move. Such a move takes twice as long, which
     /// may leave too little time for the generations that still have to move, so only crowded engines of the
     /// source's domain are passed over.
-    constexpr double moveDomainPenalty = 0.7;
+    constexpr double moveDomainMs = 0.7 * fullLoadMs;
 
 }
 
@@ -49,6 +52,8 @@
 std::set<std::string> Dispatcher::excludedTargets(const PlacementRequest& request, const std::vector<const TargetEntry*>& candidates) const
 {
     auto excluded = request.excluded;
+    if (request.engine && m_limits)
+        excluded.merge(m_limits->exhaustedForPlacement(Clock::now()));
     if (request.engine || !m_brittleServices.isBrittle(request.service))
         return excluded;
     for (const auto* target : candidates) {
@@ -86,7 +91,7 @@
     auto candidates = m_directory.usableTargets(request.service);
     auto excluded = excludedTargets(request, candidates);
     auto now = Clock::now();
-    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .admission = admissionFor(request, candidates.size(), now), .loadsAreShared = request.loadsAreShared }, m_random);
+    auto choice = selectTarget({ .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = request.engine, .preferredDomain = m_failureDomain, .excluded = excluded, .estimate = request.estimate, .now = now, .admission = admissionFor(request, candidates.size(), now), .loadsAreShared = request.loadsAreShared, .paces = &m_paces, .eventGapObjective = request.eventGapObjective, .keptPrompts = &m_keptPrompts, .promptParts = request.promptParts }, m_random);
     if (!choice)
         m_saturation.onSaturated(request.service, now);
     else if (request.engine && choice->tokens + request.estimate.totalTokens() <= lateAdmission.memoryShare * request.engine->memoryTokens)
@@ -102,15 +107,42 @@
         m_outcomes.forget(toString(target->endpoint));
 }
 
+std::set<std::string> Dispatcher::slowTargets(const std::string& service, PaceKind kind) const
+{
+    auto targets = m_directory.usableTargets(service);
+    RelativePaces paces(&m_paces, kind, targets);
+    std::set<std::string> slow;
+    for (const auto* target : targets) {
+        if (paces.of(*target) > 1)
+            slow.insert(target->id);
+    }
+    return slow;
+}
+
 void Dispatcher::start(const PlacementRequest& request, const std::string& target, bool forPeer)
 {
     if (forPeer)
         m_ledger.beginForPeer(request.id, target, request.estimate);
     else
         m_ledger.begin(request.id, target, request.estimate);
+    const auto* entry = request.engine ? m_directory.find(target) : nullptr;
+    if (entry)
+        m_keptPrompts.onPlaced(*entry, request.promptParts, request.estimate.totalTokens(), request.engine->memoryTokens, Clock::now());
     m_queue.onStarted(request.service, request.organisation, request.rank, request.estimate, Clock::now());
 }
 
+void Dispatcher::onPlaced(const std::string& target)
+{
+    if (m_limits)
+        m_limits->onPlaced(target, Clock::now());
+}
+
+void Dispatcher::onMoveGranted(WorkId id, const std::string& target, const WorkEstimate& estimate)
+{
+    m_ledger.beginForPeer(id, target, estimate);
+    onPlaced(target);
+}
+
 void Dispatcher::onGrantedByOwner(const PlacementRequest& request, const std::string& target)
 {
     start(request, target, false);
@@ -138,7 +170,7 @@
     const auto* target = m_directory.find(choice.target);
     if (!target)
         return makeRefusal(request, "the chosen target was removed", Clock::now() - waited);
-    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .waited = waited, .late = request.rank.late };
+    return Placement { .target = *target, .targetRequests = choice.requests, .targetTokens = choice.tokens, .score = choice.score, .time = choice.time, .waited = waited, .late = request.rank.late };
 }
 
 Awaitable<PlacementOutcome> Dispatcher::place(PlacementRequest request)
@@ -175,9 +207,12 @@
     if (m_queue.size() == 0) {
         if (auto choice = chooseTarget(request)) {
             start(request, choice->target, forPeer);
+            onPlaced(choice->target);
             co_return makePlacement(request, *choice, {});
         }
     }
+    if (m_directory.allEvacuated(request.service))
+        co_return makeEvacuationRefusal();
     auto enqueued = m_queue.enqueue({ .id = request.id, .service = request.service, .organisation = request.organisation, .rank = request.rank, .estimate = request.estimate, .arrivedAt = firstAttemptAt, .latestStart = request.latestStart }, arrivedAt);
     if (!enqueued.accepted) {
         m_refusals.onRefused(request.contentHash, firstAttemptAt, arrivedAt);
@@ -189,7 +224,7 @@
     m_requests.insert_or_assign(request.id, request);
     m_waiters.insert_or_assign(request.id, waiter);
     placeWaiting();
-    if (!waiter->choice && !waiter->cancelled)
+    if (!waiter->choice && !waiter->cancelled && !waiter->evacuated)
         co_await waiter->wakeUp.async_wait(asTuple);
     m_waiters.erase(request.id);
     m_requests.erase(request.id);
@@ -198,6 +233,8 @@
     m_queue.remove(request.id);
     if (waiter->cancelled)
         co_return PlacementRefusal { .cause = RefusalCause::Cancelled, .detail = "the caller disconnected" };
+    if (waiter->evacuated)
+        co_return makeEvacuationRefusal();
     m_refusals.onRefused(request.contentHash, firstAttemptAt, Clock::now());
     co_return makeRefusal(request, "no target had capacity in time", firstAttemptAt);
 }
@@ -214,11 +251,48 @@
             return;
         auto& waiter = *m_waiters.at(next->id);
         start(m_requests.at(next->id), choice->target, waiter.forPeer);
+        onPlaced(choice->target);
         waiter.choice = choice;
         waiter.wakeUp.cancel();
     }
 }
 
+/// Waiting for room makes no sense where the end of an evacuation decides.
+void Dispatcher::refuseEvacuated()
+{
+    if (m_directory.evacuations().empty())
+        return;
+    std::map<std::string, bool> evacuatedServices;
+    for (const auto& [id, request] : m_requests) {
+        auto [service, isNew] = evacuatedServices.try_emplace(request.service, false);
+        if (isNew)
+            service->second = m_directory.allEvacuated(request.service);
+        auto& waiter = *m_waiters.at(id);
+        if (!service->second || waiter.choice || waiter.cancelled)
+            continue;
+        // The queue must not start a request whose refusal is under way.
+        m_queue.remove(id);
+        waiter.evacuated = true;
+        waiter.wakeUp.cancel();
+    }
+}
+
+void Dispatcher::onTargetsChanged()
+{
+    refuseEvacuated();
+    placeWaiting();
+}
+
+PlacementRefusal Dispatcher::makeEvacuationRefusal()
+{
+    return { .cause = RefusalCause::Evacuated, .retryAfter = retryAfterEvacuation(), .detail = "all targets of the service are evacuated" };
+}
+
+Clock::duration Dispatcher::retryAfterEvacuation()
+{
+    return jitteredRetryDelay(evacuationRetryDelay);
+}
+
 void Dispatcher::cancel(WorkId id)
 {
     auto found = m_waiters.find(id);
@@ -265,7 +339,9 @@
     auto candidates = m_directory.usableTargets(source.service);
     auto excludedTargets = excluded;
     excludedTargets.insert(source.id);
-    SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainPenalty = moveDomainPenalty };
+    if (m_limits)
+        excludedTargets.merge(m_limits->exhaustedForPlacement(Clock::now()));
+    SelectionInputs inputs { .candidates = candidates, .ledger = m_ledger, .outcomes = m_outcomes, .engine = engine, .preferredDomain = source.failureDomain, .excluded = excludedTargets, .estimate = estimate, .now = Clock::now(), .otherDomainMs = moveDomainMs, .paces = &m_paces };
     // Output lengths are estimates, and losing a running generation costs more than crowding an engine.
     inputs.admission = { .rule = movedAdmission, .reserve = &m_reserve };
     inputs.allowsProbes = false;
--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -46,10 +46,12 @@
     int run();
 
 private:
+    void limitMemory();
     bool listen();
     void runTask(const char* name, std::function<Awaitable<>()> task);
     void onStoreChange(const std::string& key, const std::optional<std::string>& value);
     void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
+    void onEvacuationChanged(const EvacuationChanged&);
     void onCrashRecord(const StoredCrashRecord&, TimePoint now);
     void onConfiguration(const std::string& document);
     Awaitable<> serveReadiness(HttpExchange&);
@@ -66,8 +68,10 @@
     Awaitable<> reloadLoop();
     bool ready() const;
     StoreView storeView() const;
+    std::size_t countSlowTargets() const;
     void updateGauges();
     void countInstances();
+    std::optional<ColdSharers> coldSharers() const;
 
     EntrySettings m_settings;
     EntryPlatform m_platform;
@@ -78,6 +82,8 @@
     TargetLimits m_targetLimits;
     FleetView m_fleet;
     FleetCensus m_census;
+    /// Instances that share the limits of cold targets.
+    FleetCensus m_coldCensus;
     StoreReplica m_replica;
     StoreFollower m_follower;
     Dispatcher m_dispatcher;
@@ -107,6 +113,8 @@
     TargetPathProber m_targetPathProber;
     RequestHandler m_requestHandler;
     PeerFeedServer m_peerFeed;
+    /// What callers' connections may hold; null without a stated memory. Shared with the coroutines that serve them.
+    std::shared_ptr<MemoryBudget> m_memoryBudget;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_peerServer;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <malloc.h>
 
 namespace guavaspan {
 
@@ -29,6 +30,9 @@
     /// but each write is a billed call to the store.
     constexpr auto usageFlushInterval = Milliseconds(20000);
 
+    /// Requests to cold targets are limited in each second.
+    constexpr auto coldCensusWindow = Milliseconds(1000);
+
     /// Callers may read slowly, but a single write must complete within this time.
     constexpr auto callerWriteTimeout = Seconds(20);
 
@@ -37,6 +41,14 @@
         return { .maxBodyBytes = limits.maxBodyBytes, .maxHeaderBytes = limits.maxHeaderBytes, .headerTimeout = limits.headerTimeout, .writeTimeout = callerWriteTimeout, .idleTimeout = limits.idleTimeout };
     }
 
+    /// A change is in force in time if it reaches this instance within the shorter of the times that the deployment states. Of an
+    /// evacuation's time half is left for sends that are under way and for hosts that are short of time.
+    StoreFollowerOptions followerOptionsOf(const EntrySettings& settings)
+    {
+        auto time = settings.evacuationTime ? std::min(settings.configurationTime, *settings.evacuationTime / 2) : settings.configurationTime;
+        return followerOptionsFor(time, settings.failureDomain);
+    }
+
     StoreFollower::PeerStoreFactory peerStoreFactory()
     {
         return [](const InstanceRecord& peer) { return std::make_unique<PeerFeedClient>(peer.peerEndpoint); };
@@ -49,10 +61,11 @@
     , m_platform(std::move(platform))
     , m_random(randomFromSystem())
     , m_configuration(m_settings.keyLifetimeAfterRevocation - revocationMargin)
-    , m_targetLimits(m_settings.instance)
+    , m_targetLimits(m_settings.instance, { .overrun = m_settings.coldOverrun, .slack = m_settings.coldSlack })
     , m_fleet(m_settings.instance, m_settings.capacity, m_settings.failureDomain)
     , m_census(m_settings.instance, m_settings.retryWindow)
-    , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsFor(m_settings.configurationTime, m_settings.failureDomain), peerStoreFactory())
+    , m_coldCensus(m_settings.instance, coldCensusWindow)
+    , m_follower(m_platform.store, m_replica, m_fleet, followerOptionsOf(m_settings), peerStoreFactory())
     , m_dispatcher(m_io, m_directory, m_settings.failureDomain, Random(m_random()))
     , m_link(m_io, m_fleet)
     , m_placementClient(m_io, m_settings.instance, m_fleet, m_dispatcher, m_directory, m_targetLimits, m_outputEstimator, m_link)
@@ -82,8 +95,9 @@
     , m_stopSignals(m_io, SIGTERM, SIGINT)
     , m_reloadSignals(m_io, SIGHUP)
 {
+    limitMemory();
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
-        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix);
+        return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix) || key.starts_with(schema.evacuationPrefix);
     });
     m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { onStoreChange(key, value); });
     m_replica.setChangeFilter([&schema = m_platform.storeSchema](const std::string& key, const std::string& oldValue, const std::string& newValue) { return schema.changesMoreThanHeartbeat(key, oldValue, newValue); });
@@ -98,6 +112,9 @@
             m_targetLimits.onTargetGone(event.entry.id);
         m_handoverService.onTargetUnavailable(event);
     });
+    m_dispatcher.setPlacementLimits(m_targetLimits);
+    m_placementClient.setUnusableGrantListener([this](std::string_view reason) { m_metrics.recordUnusableGrant(std::string(reason)); });
+    m_directory.evacuations().setListener([this](const EvacuationChanged& event) { onEvacuationChanged(event); });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.setStoreLostListener([this] { m_directory.onStoreLost(Clock::now()); });
@@ -110,6 +127,22 @@
     m_peerFeed.setOutageEnd([this] { return m_follower.outageEnd(); });
 }
 
+/// Peers and readiness probes are not part of the budget, so that callers cannot shut them out. Their needs are part of its reserve.
+void EntryInstance::limitMemory()
+{
+    // Larger blocks are mapped one by one, so that their memory returns to the system when a body or an answer is released. By default
+    // the threshold grows with the largest block, and a small block behind a large one keeps the heap from shrinking.
+    constexpr int minMappedBytes = 128 << 10;
+    if (m_settings.host.memoryBytes == 0)
+        return;
+    ::mallopt(M_MMAP_THRESHOLD, minMappedBytes);
+    ::mallopt(M_TRIM_THRESHOLD, minMappedBytes);
+    auto limits = connectionLimitsFor(m_settings.host);
+    m_memoryBudget = std::make_shared<MemoryBudget>(limits);
+    m_callerServer.setBudget(m_memoryBudget);
+    logEvent(LogLevel::Info, "memory_budget", { { "host_bytes", std::int64_t(m_settings.host.memoryBytes) }, { "budget_bytes", std::int64_t(limits.bytes) }, { "host_descriptors", std::int64_t(m_settings.host.descriptors) }, { "budget_descriptors", std::int64_t(limits.descriptors) } });
+}
+
 bool EntryInstance::listen()
 {
     auto reportListenFailure = [](const char* listener, const Error& error) {
@@ -178,11 +211,20 @@
             onConfiguration(*value);
     } else if (key.starts_with(schema.targetPrefix)) {
         auto id = key.substr(schema.targetPrefix.size());
+        auto entry = value ? schema.decodeTarget(id, *value) : std::nullopt;
         if (value)
-            m_directory.onEntryWritten(id, schema.decodeTarget(id, *value), now);
+            m_directory.onEntryWritten(id, entry, now);
         else
             m_directory.onEntryRemoved(id, now);
-        m_dispatcher.placeWaiting();
+        if (entry)
+            m_targetLimits.onEntry(*entry, now);
+        m_dispatcher.onTargetsChanged();
+    } else if (key.starts_with(schema.evacuationPrefix)) {
+        auto domain = key.substr(schema.evacuationPrefix.size());
+        if (value && !domain.empty())
+            m_directory.evacuations().onEvacuated(domain, now);
+        else
+            m_directory.evacuations().onEnded(domain, now);
     } else if (key.starts_with(schema.instancePrefix)) {
         auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
         if (record)
@@ -195,6 +237,12 @@
     }
 }
 
+void EntryInstance::onEvacuationChanged(const EvacuationChanged& event)
+{
+    logEvent(LogLevel::Warning, event.evacuated ? "evacuation_started" : "evacuation_ended", { { "domain", event.domain }, { "targets", std::int64_t(m_directory.targetsIn(event.domain)) }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "waiting", std::int64_t(m_dispatcher.waitingCount()) } });
+    m_dispatcher.onTargetsChanged();
+}
+
 void EntryInstance::onCrashRecord(const StoredCrashRecord& record, TimePoint now)
 {
     std::visit(Overloaded {
@@ -219,6 +267,18 @@
         return;
     }
     m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
+    std::map<std::string, double> coldServices;
+    for (const auto& service : m_configuration.table()->services()) {
+        if (service.coldRequestsPerSecond > 0)
+            coldServices.emplace(service.name, service.coldRequestsPerSecond);
+    }
+    m_targetLimits.setColdServices(std::move(coldServices), Clock::now());
+    std::set<std::string> pooledServices;
+    for (const auto& service : m_configuration.table()->services()) {
+        if (service.engine)
+            pooledServices.insert(service.name);
+    }
+    m_targetLimits.setPooledServices(std::move(pooledServices), Clock::now());
     logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() } });
 }
 
@@ -248,8 +308,27 @@
     co_await exchange.send(std::move(reply));
 }
 
+std::size_t EntryInstance::countSlowTargets() const
+{
+    std::size_t count = 0;
+    std::set<std::string> services;
+    for (const auto* target : m_directory.usableTargets())
+        services.insert(target->service);
+    auto table = m_configuration.table();
+    for (const auto& name : services) {
+        const auto* service = table ? table->service(name) : nullptr;
+        if (service)
+            count += m_dispatcher.slowTargets(name, service->engine ? PaceKind::Events : PaceKind::PlainAnswers).size();
+    }
+    return count;
+}
+
 void EntryInstance::updateGauges()
 {
+    m_metrics.setFleetBytesSent(m_link.bytesSent());
+    m_metrics.setEvacuatedDomains(m_directory.evacuations().domains());
+    if (m_memoryBudget)
+        m_metrics.setMemory(*m_memoryBudget);
     m_metrics.setGauges({
         .liveStreams = static_cast<double>(m_liveStreams.size()),
         .waitingRequests = static_cast<double>(m_dispatcher.waitingCount()),
@@ -264,6 +343,7 @@
         .rejectedStoreListings = static_cast<double>(m_follower.rejectedListings()),
         .olderStoreEntries = static_cast<double>(m_replica.olderEntries()),
         .limitedTargets = static_cast<double>(m_targetLimits.size()),
+        .coldTargets = static_cast<double>(m_targetLimits.coldTargets(Clock::now())),
         .droppedLogLines = static_cast<double>(droppedLogLines()),
         .failedHandlers = static_cast<double>(failedHandlers()),
         .interruptedAnswers = static_cast<double>(m_crashGuard.statistics().interruptedAnswers),
@@ -274,6 +354,7 @@
         .unreachableServices = static_cast<double>(m_dispatcher.targetPath().lostServices().size()),
         .summarisedInstances = static_cast<double>(m_fleet.members(Clock::now()).size()),
         .silentInstances = static_cast<double>(m_fleet.silentInstances(Clock::now()).size()),
+        .slowTargets = static_cast<double>(countSlowTargets()),
     });
 }
 
@@ -324,7 +405,10 @@
     m_targetLimits.onInstances(names, Clock::now());
     m_dispatcher.brittleServices().setInstances(names.size() + 1);
     auto now = BootClock::now();
-    m_census.onView({ .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() }, now);
+    RegistrationView view { .instances = std::move(names), .includesSelf = m_fleet.isRegistered(m_registration.key()), .confirmedAt = m_replica.confirmedAt() };
+    m_census.onView(view, now);
+    m_coldCensus.onView(view, now);
+    m_targetLimits.onColdSharers(coldSharers(), Clock::now());
     auto sharers = m_census.sharers(now);
     if (sharers == m_retrySharers)
         return;
@@ -332,6 +416,20 @@
     logEvent(LogLevel::Info, "retry_share_changed", { { "sharers", std::int64_t(sharers.value_or(0)) }, { "instances_seen", std::int64_t(m_census.instancesSeen()) }, { "registered", m_fleet.isRegistered(m_registration.key()) }, { "view_age_ms", std::chrono::duration_cast<Milliseconds>(m_replica.age(now)).count() } });
 }
 
+std::optional<ColdSharers> EntryInstance::coldSharers() const
+{
+    auto state = m_coldCensus.state(BootClock::now());
+    if (state == CensusState::Unknown)
+        return std::nullopt;
+    ColdSharers sharers { .instances = m_coldCensus.instances(), .outdated = state == CensusState::Outdated };
+    auto table = m_configuration.table();
+    for (const auto& service : table ? table->services() : std::vector<ServiceInfo>()) {
+        if (service.engine && m_fleet.ownsPool(service.name, Clock::now()))
+            sharers.ownedPools.insert(service.name);
+    }
+    return sharers;
+}
+
 void EntryInstance::sendReport()
 {
     m_placementClient.setStoreState(m_replica.revision().era, m_configuration.version());
@@ -353,6 +451,8 @@
             m_dispatcher.ledger().removePeer(name);
         }
         m_placementClient.expireSummary(now);
+        m_dispatcher.paces().onTick(now);
+        m_dispatcher.keptPrompts().onTick(now);
         m_summaryServer.sendSummaries(now);
         co_await sleepFor(reportInterval);
     }
--- a/src/placement/internal/placementmessagedecoder.cpp
+++ b/src/placement/internal/placementmessagedecoder.cpp
@@ -2,6 +2,7 @@
 
 #include "common/cbor.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace guavaspan {
@@ -78,6 +79,17 @@
         return loads;
     }
 
+    ReportedPaces pacesFrom(const json& fields, const json& loads)
+    {
+        ReportedPaces paces;
+        for (const auto& pace : fields) {
+            const auto& name = pace.at(0);
+            const auto& target = name.is_string() ? name : loads.at(name.get<std::size_t>()).at(0);
+            paces.emplace(target.get<std::string>(), ReportedPace { .incarnation = pace.at(1).get<std::uint16_t>(), .halfMsPerEvent = pace.at(2).get<int>(), .promptTokensPer10Ms = pace.at(3).get<int>() });
+        }
+        return paces;
+    }
+
     std::map<std::string, OutcomeCount> outcomesFrom(const json& fields)
     {
         std::map<std::string, OutcomeCount> outcomes;
@@ -124,6 +136,8 @@
         report.configurationVersion = fields.at(11).get<std::int64_t>();
         if (fields.size() > 12)
             report.aggregators = fields.at(12).get<std::vector<std::string>>();
+        if (fields.size() > 13)
+            report.paces = pacesFrom(fields.at(13), fields.at(3));
         return report;
     }
 
@@ -141,6 +155,8 @@
         summary.limits = limitsFrom(fields.at(8));
         summary.configurationVersion = fields.at(9).get<std::int64_t>();
         summary.configurationHolder = fields.at(10).get<std::string>();
+        if (fields.size() > 11)
+            summary.paces = pacesFrom(fields.at(11), fields.at(5));
         return summary;
     }
 
@@ -173,6 +189,13 @@
         query.excluded = fields.at(9).get<std::vector<std::string>>();
         query.contentHash = fields.at(10).get<std::uint64_t>();
         query.maxWait = Milliseconds(fields.at(11).get<std::int64_t>());
+        if (fields.size() > 12)
+            query.eventGapObjective = Milliseconds(fields.at(12).get<std::int64_t>());
+        if (fields.size() > 13) {
+            const auto& parts = fields.at(13);
+            for (std::size_t i = 0; i + 1 < parts.size(); i += 2)
+                query.promptParts.push_back({ .chain = parts.at(i).get<std::uint32_t>(), .tokens = std::max(0, parts.at(i + 1).get<int>()) });
+        }
         return query;
     }
 
@@ -188,6 +211,10 @@
         response.targetTokens = fields.at(6).get<double>();
         response.late = fields.at(7).get<bool>();
         response.retryAfter = Milliseconds(fields.at(8).get<std::int64_t>());
+        if (fields.size() > 10) {
+            response.expectedFirstEvent = Milliseconds(fields.at(9).get<std::int64_t>());
+            response.expectedEnd = Milliseconds(fields.at(10).get<std::int64_t>());
+        }
         return response;
     }
 
--- a/src/placement/internal/placementserver.cpp
+++ b/src/placement/internal/placementserver.cpp
@@ -2,6 +2,9 @@
 
 #include "net/eventloop.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace guavaspan {
 
 namespace {
@@ -23,11 +26,22 @@
 {
 }
 
+/// A requester that cannot use its grant repeats the query and excludes the target.
+bool PlacementServer::returnsGrant(const PlacementQuery& query, const TrackedQuery& tracked)
+{
+    bool excludesTarget = std::find(query.excluded.begin(), query.excluded.end(), tracked.response.target) != query.excluded.end();
+    return tracked.response.status == PlacementStatus::Granted && excludesTarget;
+}
+
 void PlacementServer::onQuery(const PlacementQuery& query)
 {
     auto now = Clock::now();
     QueryKey key { .requester = query.requester, .incarnation = query.requesterIncarnation, .id = query.id };
     auto existing = m_queries.find(key);
+    if (existing != m_queries.end() && returnsGrant(query, existing->second)) {
+        removeQuery(existing);
+        existing = m_queries.end();
+    }
     if (existing != m_queries.end()) {
         existing->second.lastReceived = now;
         m_link.send(query.requester, existing->second.response);
@@ -47,6 +61,8 @@
         .estimate = query.estimate,
         .excluded = { query.excluded.begin(), query.excluded.end() },
         .contentHash = query.contentHash,
+        .eventGapObjective = query.eventGapObjective,
+        .promptParts = query.promptParts,
         .latestStart = now + query.maxWait,
     };
     m_queries.emplace(key, TrackedQuery { .workId = request.id, .response = { .owner = m_instance, .id = query.id }, .lastReceived = now });
@@ -75,6 +91,10 @@
         response.targetRequests = outcome->targetRequests;
         response.targetTokens = outcome->targetTokens;
         response.late = outcome->late;
+        if (outcome->time) {
+            response.expectedFirstEvent = Milliseconds(std::llround(outcome->time->toFirstEventMs));
+            response.expectedEnd = Milliseconds(std::llround(outcome->time->toEndMs));
+        }
     } else {
         response.status = PlacementStatus::Refused;
         response.retryAfter = std::chrono::duration_cast<Milliseconds>(outcome.error().retryAfter);
--- a/src/placement/placementmessages.h
+++ b/src/placement/placementmessages.h
@@ -7,7 +7,9 @@
 #include "quarantine/promptguardmessages.h"
 #include "quarantine/trialledger.h"
 
+#include <array>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace guavaspan {
@@ -25,6 +27,10 @@
     std::vector<std::string> excluded;
     std::uint64_t contentHash = 0;
     Milliseconds maxWait { 0 };
+    /// Objective for the time between events; 0 for none, and in the queries of older versions.
+    Milliseconds eventGapObjective { 0 };
+    /// Empty in the queries of older versions.
+    std::vector<LeadingPart> promptParts;
 
     friend bool operator==(const PlacementQuery&, const PlacementQuery&) = default;
 };
@@ -46,6 +52,9 @@
     double targetTokens = 0;
     bool late = false;
     Milliseconds retryAfter { 0 };
+    /// Times that the owner expects to the first and last event; 0 in the responses of older versions.
+    Milliseconds expectedFirstEvent { 0 };
+    Milliseconds expectedEnd { 0 };
 
     friend bool operator==(const PlacementResponse&, const PlacementResponse&) = default;
 };
@@ -134,6 +143,9 @@
 /// All messages that instances exchange in datagrams. The index of an alternative is its type on the wire.
 using FleetMessage = std::variant<InstanceLoadReport, PlacementQuery, PlacementResponse, PlacementRelease, MoveQuery, MoveResponse, MoveRelease, ShutdownNotice, CrashReport, CompletionReport, ConvictionNotice, PardonNotice, InterruptionReport, PriorCompletionNotice, PromptInterruptionReport, PromptPartInquiry, PromptPartClearance, PromptPartConviction, TrialQuery, TrialResponse, TrialRelease, FleetSummary, BroadcastBatch>;
 
+/// Names of the messages by the index of their types.
+inline constexpr std::array<std::string_view, std::variant_size_v<FleetMessage>> fleetMessageKinds { "load_report", "placement_query", "placement_response", "placement_release", "move_query", "move_response", "move_release", "shutdown_notice", "crash_report", "completion_report", "conviction_notice", "pardon_notice", "interruption_report", "prior_completion_notice", "prompt_interruption_report", "prompt_part_inquiry", "prompt_part_clearance", "prompt_part_conviction", "trial_query", "trial_response", "trial_release", "summary", "broadcast_batch" };
+
 std::string encodeFleetMessage(const FleetMessage&);
 std::optional<FleetMessage> decodeFleetMessage(const std::string&);
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -1,6 +1,7 @@
 #include "relay/streamrelay.h"
 
 #include "common/log.h"
+#include "relay/resumetargets.h"
 #include "relay/runinquiry.h"
 
 #include <charconv>
@@ -11,6 +12,16 @@
 
     /// A stopped generation's handle arrives only after its copy was sent, possibly over a busy link.
     constexpr auto moveTimeout = Milliseconds(4500);
+    /// Longest time for which a stopped generation waits for this instance's share of a cold target. After that it is resumed
+    /// without one, since its engine may be gone.
+    constexpr auto maxShareWait = Milliseconds(1500);
+    constexpr auto shareRecheckInterval = Milliseconds(20);
+
+    /// Events of one sample of an engine's pace. An instance whose CPU quota is used up reads several events late and at once, which cancels
+    /// out over some events.
+    constexpr int eventsPerPaceSample = 3;
+    /// A caller that reads slowly blocks a write for longer than this, and the events that arrive meanwhile are read late.
+    constexpr auto slowWrite = Milliseconds(20);
 
     std::optional<std::int64_t> parseEventNumber(const std::string& text)
     {
@@ -50,10 +61,37 @@
     return error.code == ErrorCode::BadReply ? StreamOutcome::Malformed : StreamOutcome::Interrupted;
 }
 
+/// Takes note of the time that the engine needed for the events that have just arrived.
+void StreamRelay::recordPace(GenerationSession& session, int events, TimePoint now)
+{
+    if (events == 0 || !session.request.service.engine)
+        return;
+    auto& paces = m_context.dispatcher.paces();
+    const auto& target = session.stream->target();
+    if (session.awaitsPrompt)
+        paces.onFirstEvent(target, session.request.caller.promptTokens, now - session.sentAt, now);
+    session.awaitsPrompt = false;
+    auto load = m_context.dispatcher.ledger().totalLoad(target.id);
+    if (session.pacedSince) {
+        session.pacedEvents += events;
+        session.pacedTime += now - *session.pacedSince;
+        session.pacedBesidePrompts = session.pacedBesidePrompts || load.pendingPromptTokens > 0;
+    }
+    session.pacedSince = now;
+    if (session.pacedEvents < eventsPerPaceSample)
+        return;
+    // Prompts beside the stream double the time of its events, which would make a target that got many at once look slow.
+    if (!session.pacedBesidePrompts)
+        paces.onEventGap(target, session.pacedEvents, session.pacedTime, std::max(load.requests, session.requestsBeside + 1), now);
+    session.pacedEvents = 0;
+    session.pacedTime = {};
+    session.pacedBesidePrompts = false;
+}
+
 Awaitable<StreamRelay::StreamOutcome> StreamRelay::forwardFrames(GenerationSession& session)
 {
     std::string bytes;
-    int newTokens = 0;
+    int newEvents = 0;
     int tokensPerEvent = session.request.service.engine ? session.request.service.engine->tokensPerEvent : 1;
     while (auto frame = session.frames.next()) {
         auto eventNumber = parseEventNumber(frame->id);
@@ -70,11 +108,12 @@
         if (!frame->hasData && frame->id.empty())
             continue;
         session.stream->onEvent(frame->id, tokensPerEvent);
-        newTokens += tokensPerEvent;
+        ++newEvents;
     }
     if (bytes.empty())
         co_return StreamOutcome::Complete;
     auto now = Clock::now();
+    recordPace(session, newEvents, now);
     if (!session.headerSent) {
         auto header = withoutHopByHopHeaders(session.connection->header());
         http::response<http::empty_body> head { std::move(header.base()) };
@@ -91,6 +130,9 @@
     } else {
         session.result.longestPause = std::max<Clock::duration>(session.result.longestPause, now - session.lastEventAt);
         m_context.metrics.recordPause(secondsBetween(session.lastEventAt, now));
+        auto objective = session.request.route.eventGapObjective;
+        if (objective > Milliseconds(0) && now - session.lastEventAt > objective)
+            m_context.metrics.recordLongPause(session.request.route.name, m_context.dispatcher.slowTargets(session.request.service.name, PaceKind::Events).contains(session.stream->target().id));
     }
     session.lastEventAt = now;
     if (session.gate.onTrial() && m_context.crashGuard.outlives(session.request.fingerprint, session.sentAt, now)) {
@@ -101,7 +143,9 @@
     auto written = co_await session.request.exchange.writeEvents(std::move(bytes));
     if (!written)
         co_return StreamOutcome::CallerGone;
-    session.deliveredTokens += newTokens;
+    if (Clock::now() - now > slowWrite)
+        session.pacedSince.reset();
+    session.deliveredTokens += newEvents * tokensPerEvent;
     co_return StreamOutcome::Complete;
 }
 
@@ -133,7 +177,7 @@
             co_return StreamOutcome::Malformed;
         }
     }
-    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetUsable = m_context.directory.isIncarnationUsable(session.stream->target()) };
+    StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetReady = m_context.directory.isIncarnationReady(session.stream->target()) };
     co_return outcomeOf(judge(end));
 }
 
@@ -150,7 +194,23 @@
     return StreamOutcome::Interrupted;
 }
 
-/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it.
+/// Takes one request from this instance's share. Several generations may have been moved to one cold target at a time.
+Awaitable<> StreamRelay::takeShare(const GenerationSession& session, const TargetEntry& target)
+{
+    auto& limits = m_context.targetLimits;
+    auto waitsUntil = std::min<TimePoint>(Clock::now() + maxShareWait, session.request.deadline);
+    while (!session.request.callerWatch.gone() && !session.request.cut) {
+        auto now = Clock::now();
+        auto wait = limits.coldWaitTime(target.id, now);
+        if (wait <= Clock::duration::zero() || now + wait > waitsUntil)
+            break;
+        // Another generation may take the request that becomes available.
+        co_await sleepFor(std::min<Clock::duration>(wait + Milliseconds(1), shareRecheckInterval));
+    }
+    limits.take(target, Clock::now());
+}
+
+/// Resumes the generation at the engine that has its copy, or else at the engine that stopped it, as far as evacuations allow it.
 Awaitable<StreamRelay::ResumeResult> StreamRelay::resume(GenerationSession& session)
 {
     auto interruptedAt = Clock::now();
@@ -169,18 +229,22 @@
         m_context.metrics.recordResume(accepted ? "resumed" : "refused");
         logEvent(LogLevel::Info, "stream_moved", { { "request", session.request.caller.requestId }, { "source", move->source.id }, { "destination", target.id }, { "service", session.request.service.name }, { "last_event", continuation.lastEventId }, { "time_left_ms", session.timeLeft.count() }, { "accepted", accepted }, { "detail", session.result.detail }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - interruptedAt).count() } });
     };
-    session.stream->setTarget(move->destination);
-    m_context.placement.setTarget(session.id, move->destination.id);
-    m_context.targetLimits.take(move->destination, Clock::now());
-    bool accepted = co_await m_starter.open(session, move->destination, continuation);
-    logMove(move->destination, accepted);
-    bool mayTrySource = !accepted && session.responseHead.notRun && move->destination.id != move->source.id && !session.request.callerWatch.gone();
-    if (mayTrySource) {
-        session.stream->setTarget(move->source);
-        m_context.placement.setTarget(session.id, move->source.id);
-        m_context.targetLimits.take(move->source, Clock::now());
-        accepted = co_await m_starter.open(session, move->source, continuation);
-        logMove(move->source, accepted);
+    auto targets = resumeTargets(*move, m_context.directory.evacuations(), Clock::now());
+    if (targets.empty()) {
+        session.result.detail = "the engines that have the generation are evacuated";
+        logMove(move->destination, false);
+    }
+    bool accepted = false;
+    bool mayTry = true;
+    for (auto target = targets.begin(); target != targets.end() && mayTry; ++target) {
+        session.stream->setTarget(*target);
+        m_context.placement.setTarget(session.id, target->id);
+        co_await takeShare(session, *target);
+        if (session.request.callerWatch.gone() || session.request.cut)
+            co_return ResumeResult::Failed;
+        accepted = co_await m_starter.open(session, *target, continuation);
+        logMove(*target, accepted);
+        mayTry = !accepted && session.responseHead.notRun && !session.request.callerWatch.gone();
     }
     session.result.target = session.stream->target().id;
     ++session.result.moves;
@@ -264,6 +328,9 @@
     if (outcome == StreamOutcome::CallerGone)
         co_return;
     if (session.headerSent) {
+        // What was taken from the engine is charged, so a slow caller gets it. A stopping process does not wait.
+        if (!session.request.cut)
+            co_await exchange.drain();
         // Without the last chunk of the HTTP body the caller detects that the answer is incomplete.
         exchange.abort();
         co_return;
@@ -291,7 +358,7 @@
         else if (outcome != StreamOutcome::OutOfOrder && outcome != StreamOutcome::Malformed)
             m_starter.reportUnanswered(session, lastTarget, outcome != StreamOutcome::Interrupted);
         session.gate.endTrial(TrialEnd::Answered);
-        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isUsable(lastTarget.id));
+        bool failed = outcome == StreamOutcome::Malformed || (outcome == StreamOutcome::Interrupted && m_context.directory.isReady(lastTarget.id));
         if (failed)
             m_context.dispatcher.outcomes().onFailure(toString(lastTarget.endpoint), Clock::now());
         if (request.callerWatch.gone())
--- a/src/relay/iwireformat.h
+++ b/src/relay/iwireformat.h
@@ -26,6 +26,8 @@
     std::uint64_t contentHash = 0;
     /// Parts of the prompt that other requests share, in order.
     std::vector<PromptPart> sharedParts;
+    /// Tokens of each of them; 0 if not stated.
+    std::vector<int> sharedPartTokens;
     /// Version of the configuration by which another instance, which reaches no target, relayed the request. Such a request must not
     /// be relayed to a further one.
     std::optional<std::int64_t> relayedUnderVersion;
@@ -74,6 +76,9 @@
     /// Requests per second that the target takes from all instances together, if it states a limit.
     std::optional<double> requestLimit;
     bool requestLimitUnreadable = false;
+    /// Time for which the target stays cold, if the answer states it.
+    std::optional<Milliseconds> warmUpRemaining;
+    bool warmUpRemainingUnreadable = false;
     /// Rejections per second for lack of room that the target survives, if it states that it is brittle.
     std::optional<double> survivedRejections;
     bool survivedRejectionsUnreadable = false;
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -40,10 +40,12 @@
         Failed,
     };
 
+    Awaitable<> takeShare(const GenerationSession&, const TargetEntry&);
     Awaitable<ResumeResult> resume(GenerationSession&);
     Awaitable<StreamOutcome> relayGeneration(GenerationSession&);
     Awaitable<StreamOutcome> relayEvents(GenerationSession&);
     Awaitable<StreamOutcome> forwardFrames(GenerationSession&);
+    void recordPace(GenerationSession&, int events, TimePoint now);
     Awaitable<> finish(GenerationSession&, StreamOutcome);
     Awaitable<> respondUnstarted(GenerationSession&);
     static std::string reasonFor(StreamOutcome);
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -89,6 +89,25 @@
     cr_expect(refusal->retryAfter > Milliseconds(4900));
 }
 
+/// Guards against COLD: a cold target without a share here counts as a place for requests.
+Test(SendGate, coldTargetWithoutShare_isPassedOverAndRefusedIfAllAre)
+{
+    SendGateFixture f;
+    auto now = Clock::now();
+    f.targetLimits.setColdServices({ { "shop", 31 } }, now);
+    f.targetLimits.onWarmUpAnswer(f.first(), Seconds(60), now);
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    cr_expect(gate.excludedTargets() == std::set<std::string> { "first" });
+    cr_expect(!gate.tryClaim(f.first()));
+    cr_expect(gate.tryClaim(f.second()));
+    f.targetLimits.onWarmUpAnswer(f.second(), Milliseconds(300), now);
+    auto refusal = gate.refusal();
+    cr_assert(refusal.has_value());
+    cr_expect(std::string(refusal->reason) == "targets_limited");
+    cr_expect(refusal->retryAfter < Seconds(1), "the second target is warm soon");
+}
+
 Test(SendGate, shareTakenWhileRequestsWait_isRefusedInTheEnd)
 {
     SendGateFixture f;
@@ -207,3 +226,29 @@
     cr_expect(f.trials.trials.empty());
     cr_expect(runCoroutine(f.io, gate.startTrial(2, f.second())));
 }
+
+/// Guards against a request that is sent to a domain whose evacuation began after it was placed there.
+Test(SendGate, targetEvacuatedAfterPlacement_isNotClaimed)
+{
+    SendGateFixture f;
+    auto evacuated = f.first();
+    evacuated.failureDomain = "north";
+    f.directory.onEntryWritten(evacuated.id, evacuated, Clock::now());
+    auto gate = f.gate();
+    cr_expect(!gate.refusal());
+    f.directory.evacuations().onEvacuated("north", Clock::now());
+    cr_expect(!gate.tryClaim(evacuated));
+    cr_expect(gate.excludedTargets() == std::set<std::string> { "first" }, "the owner may not know of it yet");
+    cr_expect(!gate.refusal(), "the other target is usable");
+    cr_expect(gate.tryClaim(f.second()));
+}
+
+Test(SendGate, allTargetsEvacuated_requestIsRefusedWithAConstantDelay)
+{
+    SendGateFixture f;
+    f.directory.evacuations().onEvacuated(f.first().failureDomain, Clock::now());
+    auto refusal = f.gate().refusal();
+    cr_assert(refusal.has_value());
+    cr_expect(std::string(refusal->reason) == "domains_evacuated");
+    cr_expect(refusal->retryAfter >= Seconds(4) && refusal->retryAfter <= Seconds(7));
+}
