--- a/src/dispatch/internal/targetselector.cpp
+++ b/src/dispatch/internal/targetselector.cpp
@@ -56,15 +56,15 @@
 
 }
 
-bool hasCapacity(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, double memoryShare)
+bool hasCapacity(const EngineTraits& engine, const TargetLoad& load, const WorkEstimate& estimate, const AdmissionRule& rule, double unavailableTokens)
 {
-    // A generation larger than the memory share may still run alone.
+    // A generation larger than the planned memory may still run alone.
     if (load.requests == 0)
         return true;
     bool hasPrompt = estimate.promptTokens > 0;
     if (hasPrompt && load.pendingPromptTokens > 0 && load.pendingPromptTokens + estimate.promptTokens > maxPendingPromptTokens)
         return false;
-    return load.requests < engine.slots && load.tokens + estimate.totalTokens() <= memoryShare * engine.memoryTokens;
+    return load.requests < engine.slots && fitsMemory(load, estimate, engine.memoryTokens - unavailableTokens, rule);
 }
 
 namespace {
@@ -90,11 +90,18 @@
         return { .engine = *inputs.engine, .load = load, .estimate = inputs.estimate, .relativePace = paces.of(target), .usualEventMs = paces.usualMs(), .otherDomainMs = otherDomainMs, .inWarmUp = target.warmUpRemaining.count() > 0, .failureRate = inputs.outcomes.failureRate(candidate.address, inputs.now), .cachedTokens = inputs.keptPrompts ? inputs.keptPrompts->cachedTokens(target, inputs.promptParts, inputs.now) : 0 };
     }
 
+    double unavailableTokens(const SelectionInputs& inputs, const std::string& target)
+    {
+        const auto& admission = inputs.admission;
+        double reserved = admission.rule.leavesReserve ? admission.reservedTokens : 0;
+        return reserved + (admission.reserve ? admission.reserve->missingTokens(target, inputs.now) : 0);
+    }
+
     /// Returns nothing if the engine has no capacity.
     std::optional<TargetChoice> assessEngine(const SelectionInputs& inputs, const Candidate& candidate, const RelativePaces& paces)
     {
         auto load = inputs.ledger.totalLoad(candidate.target->id);
-        if (!hasCapacity(*inputs.engine, load, inputs.estimate, inputs.memoryShare))
+        if (!hasCapacity(*inputs.engine, load, inputs.estimate, inputs.admission.rule, unavailableTokens(inputs, candidate.target->id)))
             return std::nullopt;
         auto score = scoreInputs(inputs, candidate, load, paces);
         auto gap = forecastGap(score, inputs.eventGapObjective);
--- a/src/relay/internal/generationstarter.cpp
+++ b/src/relay/internal/generationstarter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+    /// Shorter waits are the round trip to the pool's owner.
+    constexpr auto minWait = Milliseconds(100);
     constexpr auto connectTimeout = Milliseconds(400);
     /// Maximum number of times that one request is sent, counting refused and failed connection attempts.
     constexpr int maxSends = 3;
@@ -117,6 +119,8 @@
             if (!placement) {
                 session.retryAfter = placement.error().retryAfter;
                 session.refusal = gate.evacuationRefusal();
+                if (placement.error().cause == RefusalCause::NoRoom)
+                    m_context.metrics.recordAdmission(request.route.name, request.organisation, "refused");
             }
             co_return false;
         }
@@ -133,6 +137,8 @@
             continue;
         }
         m_context.metrics.recordWait(std::chrono::duration<double>(placement->waited).count());
+        if (session.result.sends == 0)
+            m_context.metrics.recordAdmission(request.route.name, request.organisation, placement->waited >= minWait ? "waited" : "at_once");
         ++session.result.sends;
         session.result.waitTime += placement->waited;
         session.result.target = placement->target.id;
