--- a/src/dispatch/internal/pacetracker.cpp
+++ b/src/dispatch/internal/pacetracker.cpp
@@ -17,9 +17,9 @@
     constexpr std::size_t keptSamples = 48;
     /// Samples without which a pace is not known.
     constexpr std::size_t minSamples = 4;
-    /// Time that the samples must span: three stutters of 0.6 s, so that more than a quarter of them lies outside of one, also at a new
-    /// engine that got many prompts at once. With 1.4 s one new engine of an evenly fast pool counted as slow.
-    constexpr auto minSpan = Milliseconds(1800);
+    /// Time that the samples must span. With a stutter of 0.6 s, more than a quarter of them lies outside of it, also if the new engine got
+    /// many prompts at once.
+    constexpr auto minSpan = Milliseconds(1400);
     /// Prompts that are being processed, and stutters, make gaps longer, and only events that are read late make some shorter.
     constexpr double eventQuantile = 0.25;
     /// The first event also waits for prompts that arrived before, so the faster ones tell the speed.
--- a/src/dispatch/internal/relativepaces.cpp
+++ b/src/dispatch/internal/relativepaces.cpp
@@ -8,9 +8,9 @@
 
     /// Fewer paces have no meaningful median.
     constexpr std::size_t minKnownPaces = 3;
-    /// Prompts and stutters make evenly fast engines differ by up to this factor while they are new, which must not decide between them.
-    /// Slow engines are 2.4 to 2.5 times slower.
-    constexpr double ordinaryDifference = 1.8;
+    /// Prompts and stutters make evenly fast engines differ by less than this factor while they are new, which must not decide between them:
+    /// with 1.8, one of eight simulated pools took a new engine for a slow one. Slow engines are 2.4 to 2.5 times slower.
+    constexpr double ordinaryDifference = 2;
     /// A single observer may be wrong or have seen prompts only. Its word counts from this factor on, as the smaller one, which orders
     /// the engines but does not limit one.
     constexpr double ordinaryBySingleSource = 2;
