--- a/src/entry/tests/storeschema_test.cpp
+++ b/src/entry/tests/storeschema_test.cpp
@@ -43,7 +43,7 @@
     cr_expect(f.isNews("nothing", "1 r 0"));
 }
 
-/// Guards against COLD: an instance that reads the store through a peer sends a target that became cold again as much as before.
+/// Guards against an overloaded cold target: an instance that reads the store through a peer sends a target that became cold again as much as before.
 Test(StoreSchema, targetBecomesColdAgain_isNews)
 {
     StoreSchemaFixture f;
--- a/src/fleet/tests/fleetcensus_test.cpp
+++ b/src/fleet/tests/fleetcensus_test.cpp
@@ -89,7 +89,7 @@
     cr_expect(f.census.sharers(f.now - Seconds(1)) == 2);
 }
 
-/// Guards against COLD: with a budget of one second each distance between views counts as a gap, so that no instance ever has a share.
+/// Guards against an overloaded cold target: with a budget of one second each distance between views counts as a gap, so that no instance ever has a share.
 Test(FleetCensus, shortWindowAndViewsSomeSecondsApart_hasAShare)
 {
     FleetCensus census("self", Milliseconds(1000));
--- a/src/placement/tests/unusablegrant_test.cpp
+++ b/src/placement/tests/unusablegrant_test.cpp
@@ -125,7 +125,7 @@
     f.expectPlacedOnSecond("draining");
 }
 
-/// Guards against COLD: the target became cold while the request waited at the owner, and the requester has no share of its limit.
+/// Guards against an overloaded cold target: the target became cold while the request waited at the owner, and the requester has no share of its limit.
 Test(UnusableGrant, requesterHasNoShareOfAColdTarget_anotherOneIsGranted)
 {
     UnusableGrantFixture f;
@@ -135,7 +135,7 @@
     f.expectPlacedOnSecond("limited");
 }
 
-/// Guards against COLD: an exhausted cold target counts as a free place, so that its requester gets no other one.
+/// Guards against an overloaded cold target: an exhausted cold target counts as a free place, so that its requester gets no other one.
 Test(UnusableGrant, requesterExcludesAColdTarget_ownerChoosesAnother)
 {
     UnusableGrantFixture f;
--- a/src/relay/tests/sendgate_test.cpp
+++ b/src/relay/tests/sendgate_test.cpp
@@ -89,7 +89,7 @@
     cr_expect(refusal->retryAfter > Milliseconds(4900));
 }
 
-/// Guards against COLD: a cold target without a share here counts as a place for requests.
+/// Guards against an overloaded cold target: a cold target without a share here counts as a place for requests.
 Test(SendGate, coldTargetWithoutShare_isPassedOverAndRefusedIfAllAre)
 {
     SendGateFixture f;
--- a/src/relay/tests/streamresume_test.cpp
+++ b/src/relay/tests/streamresume_test.cpp
@@ -46,7 +46,7 @@
 
 }
 
-/// Guards against COLD: generations that move to a cold engine at one moment are all sent at that moment.
+/// Guards against an overloaded cold target: generations that move to a cold engine at one moment are all sent at that moment.
 Test(StreamRelay, generationMovesToAColdEngine_waitsForTheShare)
 {
     StreamResumeFixture f;
--- a/src/targets/tests/coldfleet_test.cpp
+++ b/src/targets/tests/coldfleet_test.cpp
@@ -157,7 +157,7 @@
 
 }
 
-/// Guards against COLD: every instance sends a cold target as much as it tolerates from all together, or the target gets next to nothing.
+/// Guards against an overloaded cold target: every instance sends a cold target as much as it tolerates from all together, or the target gets next to nothing.
 Test(ColdFleet, fleetsOfAllSizes_stayWithinTheBoundAndUseMostOfTheRate)
 {
     for (int count : fleetSizes) {
@@ -170,7 +170,7 @@
     }
 }
 
-/// Guards against COLD: new processes that do not know each other yet take the whole limit each.
+/// Guards against an overloaded cold target: new processes that do not know each other yet take the whole limit each.
 Test(ColdFleet, allInstancesRestartAtOnce_stayWithinTheBound)
 {
     for (int count : fleetSizes) {
@@ -184,7 +184,7 @@
     }
 }
 
-/// Guards against COLD: the process that ended and its successor each spend a share within the same second.
+/// Guards against an overloaded cold target: the process that ended and its successor each spend a share within the same second.
 Test(ColdFleet, instancesRestartOneAfterTheOther_stayWithinTheBound)
 {
     for (int count : fleetSizes) {
@@ -199,7 +199,7 @@
     }
 }
 
-/// Guards against COLD: instances that know the small fleet only keep their large shares while others join.
+/// Guards against an overloaded cold target: instances that know the small fleet only keep their large shares while others join.
 Test(ColdFleet, fleetGrowsAndShrinks_staysWithinTheBound)
 {
     ColdFleetFixture f(1);
@@ -220,7 +220,7 @@
     cr_expect(f.totalSent >= 10 * 0.75 * coldRequestsPerSecond, "%zu in 10 s: the instances that are left take over", f.totalSent);
 }
 
-/// Guards against COLD: instances that lost the store go on with shares that other instances have taken over.
+/// Guards against an overloaded cold target: instances that lost the store go on with shares that other instances have taken over.
 Test(ColdFleet, instancesCutOffFromTheStoreWhileOthersJoin_stayWithinTheBound)
 {
     for (int count : { 3, 30, 70, 300 }) {
@@ -244,7 +244,7 @@
     }
 }
 
-/// Guards against COLD: an instance that was alone when it lost the store keeps the whole limit, which the others share too.
+/// Guards against an overloaded cold target: an instance that was alone when it lost the store keeps the whole limit, which the others share too.
 Test(ColdFleet, onlyInstanceIsCutOffAndOthersJoin_fallsBackToTheReserve)
 {
     for (int count : { 2, 30, 300 }) {
@@ -260,7 +260,7 @@
     }
 }
 
-/// Guards against COLD: two instances that both take themselves for the owner of a pool, and those with an outdated view, place more on a
+/// Guards against an overloaded cold target: two instances that both take themselves for the owner of a pool, and those with an outdated view, place more on a
 /// cold engine than it tolerates.
 Test(ColdFleet, twoOwnersAndInstancesWithOutdatedViews_stayWithinTheBound)
 {
--- a/src/targets/tests/coldtargets_test.cpp
+++ b/src/targets/tests/coldtargets_test.cpp
@@ -42,7 +42,7 @@
 
 }
 
-/// Guards against COLD: the limit follows an outdated source, so that a cold target gets too much, or a warm one too little.
+/// Guards against an overloaded cold target: the limit follows an outdated source, so that a cold target gets too much, or a warm one too little.
 Test(ColdTargets, entriesAndAnswers_theMoreRecentSourceWins)
 {
     struct Case {
@@ -82,7 +82,7 @@
     }
 }
 
-/// Guards against COLD: of several limits of a target the one with more requests applies.
+/// Guards against an overloaded cold target: of several limits of a target the one with more requests applies.
 Test(ColdTargets, severalLimits_theStricterApplies)
 {
     struct Case {
@@ -117,7 +117,7 @@
     cr_expect(!f.limits.tryTake(target, f.now), "the limit of a new configuration applies at once");
 }
 
-/// Guards against COLD: a process that has just started, and may share the limit with hundreds of others, sends a burst.
+/// Guards against an overloaded cold target: a process that has just started, and may share the limit with hundreds of others, sends a burst.
 Test(ColdTargets, instanceKnowsNoPeers_sendsNothingUntilTheTargetIsWarm)
 {
     ColdTargetsFixture f;
@@ -131,7 +131,7 @@
     cr_expect(f.limits.tryTake(target, f.now + Milliseconds(1500)));
 }
 
-/// Guards against COLD: resumed generations are sent beside the share.
+/// Guards against an overloaded cold target: resumed generations are sent beside the share.
 Test(ColdTargets, resumedGenerations_delayTheNextRequests)
 {
     ColdTargetsFixture f;
@@ -144,7 +144,7 @@
     cr_expect(f.limits.tryTake(target, f.now + Milliseconds(1100)));
 }
 
-/// Guards against COLD: bursts and refill together exceed the bound for some number of instances or some limits of a service.
+/// Guards against an overloaded cold target: bursts and refill together exceed the bound for some number of instances or some limits of a service.
 Test(ColdBudget, anyLimitsAndFleet_burstsAndRefillOfOneSecondStayWithinTheBound)
 {
     for (double perSecond : { 0.1, 1.0, 2.0, 7.5, 31.0, 400.0 }) {
