--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -28,8 +28,7 @@
     std::int64_t workMs = 15;
     /// Answers have neither a length nor chunks and end with their connection.
     bool unframed = false;
-    /// From SIGUSR1 on the engine leaves: without a word in the store if it is silent, otherwise it writes that it drains.
-    bool leavesSilently = false;
+    /// From SIGUSR1 on the engine leaves without a report: it writes no more entries, and says in all its answers that it leaves.
     std::atomic<bool> leaving = false;
     std::atomic<std::int64_t> sequence = 0;
     std::mutex mutex;
@@ -51,7 +50,7 @@
 
 void writeEntry(Engine& engine)
 {
-    json value { { "service", engine.service }, { "address", engine.endpoint.text() }, { "zone", engine.zone }, { "version", "v1" }, { "slots", engine.service == "modelero" ? 24 : 6 }, { "state", engine.leaving ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "born", engine.born }, { "sequence", ++engine.sequence } };
+    json value { { "service", engine.service }, { "address", engine.endpoint.text() }, { "zone", engine.zone }, { "version", "v1" }, { "slots", engine.service == "modelero" ? 24 : 6 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "born", engine.born }, { "sequence", ++engine.sequence } };
     call(engine.store, "POST", "/engine-entry", json { { "key", "servers/" + engine.id }, { "value", value }, { "lifetime_ms", 3600 } }.dump(), 1000);
 }
 
@@ -170,20 +169,17 @@
     engine.gapMs = number("gap-ms", engine.gapMs);
     engine.workMs = number("work-ms", engine.workMs);
     engine.unframed = number("unframed", 0) != 0;
-    engine.leavesSilently = number("leaves-silently", 0) != 0;
     int listener = listenAt(engine.endpoint);
     if (listener < 0)
         return 2;
     std::thread([&engine] {
         for (auto nextEntry = now();; sleepFor(5)) {
-            if (leaveSignal && !engine.leaving) {
+            if (leaveSignal)
                 engine.leaving = true;
-                nextEntry = now();
-            }
-            if (now() < nextEntry || (engine.leaving && engine.leavesSilently))
+            if (now() < nextEntry || engine.leaving)
                 continue;
             writeEntry(engine);
-            nextEntry = now() + 1200;
+            nextEntry += 1200;
         }
     }).detach();
     while (true) {
--- a/review/support-2/support.h
+++ b/review/support-2/support.h
@@ -488,10 +488,25 @@
         return found;
     }
 
-    /// Ends a watch that waits after this time, without an answer; 0 for never. Each watch asks anew.
-    std::function<std::int64_t()> cutWatchAfter = [] { return std::int64_t(0); };
-    /// Called when a watch was cut.
-    std::function<void()> onWatchCut = [] {};
+    /// The next entry that is written under the key gets no answer and is executed after this time. Returns when the call arrived;
+    /// 0 if none did.
+    std::int64_t loseNextEntry(const std::string& key, std::int64_t lateMs)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_lateBy[key] = lateMs;
+            m_lostAt.erase(key);
+        }
+        for (auto latest = now() + 5000; now() < latest; sleepFor(5)) {
+            std::lock_guard lock(m_mutex);
+            if (m_lostAt.contains(key))
+                return m_lostAt[key];
+        }
+        return 0;
+    }
+
+    /// Called with key and entry when an entry is executed.
+    std::function<void(const std::string&, const json&, bool late)> onEntry = [](const std::string&, const json&, bool) {};
 
 private:
     struct Item {
@@ -565,27 +580,25 @@
         return events;
     }
 
-    /// Empty if the watch is cut.
+    void writeEntry(const std::string& key, const json& body, bool late)
+    {
+        write(key, toBase64(body.at("value").dump()), 0, body.at("lifetime_ms"));
+        onEntry(key, body.at("value"), late);
+    }
+
     std::string watch(const Request& request)
     {
         auto prefix = request.query("path_prefix");
         auto after = std::atoll(request.query("after").c_str());
         auto latest = now() + std::atoll(request.query("wait_ms").c_str());
-        auto cutAfter = cutWatchAfter();
-        auto cutAt = cutAfter > 0 ? now() + cutAfter : std::numeric_limits<std::int64_t>::max();
         std::unique_lock lock(m_mutex);
         while (true) {
             if (after > m_revision)
                 return jsonAnswer(410, json::object());
-            if (now() >= cutAt) {
-                lock.unlock();
-                onWatchCut();
-                return {};
-            }
             auto events = eventsAfter(after, prefix);
             if (!events.empty() || now() >= latest)
                 return jsonAnswer(200, { { "events", events }, { "at", m_revision } });
-            m_changed.wait_for(lock, Milliseconds(std::max<std::int64_t>(1, std::min<std::int64_t>(latest, cutAt) - now())));
+            m_changed.wait_for(lock, Milliseconds(std::max<std::int64_t>(1, latest - now())));
         }
     }
 
@@ -647,7 +660,20 @@
         // What an engine writes about itself; the store drops it after three heartbeats of silence.
         if (path == "/engine-entry") {
             auto body = json::parse(request.body);
-            write(body.at("key"), toBase64(body.at("value").dump()), 0, body.at("lifetime_ms"));
+            std::string key = body.at("key");
+            auto late = m_lateBy.find(key);
+            if (late != m_lateBy.end()) {
+                auto lateMs = late->second;
+                m_lateBy.erase(late);
+                m_lostAt[key] = now();
+                std::thread([this, body, key, lateMs] {
+                    sleepFor(lateMs);
+                    std::lock_guard lock(m_mutex);
+                    writeEntry(key, body, true);
+                }).detach();
+                return {};
+            }
+            writeEntry(key, body, false);
             return jsonAnswer(200, { { "revision", m_revision } });
         }
         if (path == "/kv-key") {
@@ -686,6 +712,8 @@
     std::map<std::string, Item> m_items;
     std::deque<Change> m_changes;
     std::map<std::int64_t, Lease> m_leases;
+    std::map<std::string, std::int64_t> m_lateBy;
+    std::map<std::string, std::int64_t> m_lostAt;
     std::int64_t m_lastLease = 0;
     std::int64_t m_revision = 0;
 };
