Add review case 9: a request that crashes engines is not recognised under another query

Claim: a request that comes again with the same path, caller and body, and another query, is passed on without an end and crashes an engine each time (BUDGET).

--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Requests with this path crash each engine that begins to run them.
+constexpr const char* deadlyPath = "/release/deadly";
+
 struct Run {
     std::int64_t total = 0;
     std::int64_t made = 0;
@@ -109,7 +112,11 @@
 bool plain(Engine& engine, int socket, const Request& request)
 {
     auto id = request.header("x-attempt-id");
-    engine.record.line("engine " + engine.id + ": runs " + id);
+    engine.record.line("engine " + engine.id + ": runs " + id + (request.path() == deadlyPath ? ", and crashes" : ""));
+    if (request.path() == deadlyPath) {
+        sleepFor(10);
+        ::kill(::getpid(), SIGKILL);
+    }
     sleepFor(engine.workMs);
     auto body = id + " " + std::string(300, 'b');
     auto head = std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: ") + id + "\r\nX-Response-Seal: seal-" + engine.id + "\r\n" + leavingHeader(engine);
