--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -2,6 +2,8 @@
 
 #include "support.h"
 
+#include <random>
+
 using namespace review;
 
 namespace {
@@ -29,8 +31,9 @@
     std::int64_t gapMs = 60;
     /// Time that a request takes that is not streamed.
     std::int64_t workMs = 15;
-    /// Answers have neither a length nor chunks and end with their connection.
-    bool unframed = false;
+    /// Share of the streams that have neither a length nor chunks and end with their connection.
+    double unframedShare = 0;
+    std::mt19937 random;
     /// From SIGUSR1 on the engine leaves without a report: it writes no more entries, and says in all its answers that it leaves.
     std::atomic<bool> leaving = false;
     std::atomic<std::int64_t> sequence = 0;
@@ -64,34 +67,38 @@
 {
     auto id = request.header("x-attempt-id");
     auto arrivedAt = now();
-    auto deadline = request.header("x-deadline-ms").empty() ? arrivedAt + 600000 : arrivedAt + std::atoll(request.header("x-deadline-ms").c_str());
+    auto timeLeft = request.header("x-deadline-ms").empty() ? 600000 : std::atoll(request.header("x-deadline-ms").c_str());
+    auto deadline = std::chrono::steady_clock::now() + Milliseconds(timeLeft);
     auto tokens = request.header("x-token-count");
     auto run = std::make_shared<Run>();
     run->total = (std::atoll(tokens.substr(tokens.find(',') + 1).c_str()) + engine.tokensPerEvent - 1) / engine.tokensPerEvent;
+    bool unframed = false;
     {
         std::lock_guard lock(engine.mutex);
         engine.runs[id] = run;
+        unframed = std::uniform_real_distribution<double>(0, 1)(engine.random) < engine.unframedShare;
     }
-    engine.record.line("engine " + engine.id + ": runs " + id + ", X-Deadline-Ms " + request.header("x-deadline-ms") + ", events " + std::to_string(run->total));
+    engine.record.line("engine " + engine.id + ": runs " + id + ", X-Deadline-Ms " + request.header("x-deadline-ms") + ", events " + std::to_string(run->total) + (unframed ? ", without a length" : ""));
     std::string end;
     auto next = arrivedAt + engine.firstMs;
     bool headSent = false;
     while (end.empty() && run->made < run->total) {
         while (now() < next && end.empty()) {
-            sleepFor(std::min<std::int64_t>(5, next - now()));
+            auto wakeUp = std::chrono::steady_clock::now() + Milliseconds(std::min<std::int64_t>(5, next - now()));
+            std::this_thread::sleep_until(std::min(wakeUp, deadline));
             if (isClosed(socket))
                 end = "the caller's side closed the connection";
+            else if (std::chrono::steady_clock::now() >= deadline)
+                end = "stops at its deadline";
         }
-        if (end.empty() && now() >= deadline)
-            end = "stops at its deadline";
         if (!end.empty())
             break;
         if (!headSent) {
-            auto head = std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: ") + id + "\r\nX-Response-Seal: seal-" + engine.id + "\r\n" + leavingHeader(engine) + (engine.unframed ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n") + "\r\n";
+            auto head = std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: ") + id + "\r\nX-Response-Seal: seal-" + engine.id + "\r\n" + leavingHeader(engine) + (unframed ? "Connection: close\r\n" : "Transfer-Encoding: chunked\r\n") + "\r\n";
             headSent = sendAll(socket, head);
         }
         auto text = eventText(id, run->made + 1, run->total);
-        if (!sendAll(socket, engine.unframed ? text : chunk(text))) {
+        if (!sendAll(socket, unframed ? text : chunk(text))) {
             end = "the caller's side closed the connection";
             break;
         }
@@ -99,14 +106,14 @@
         next += engine.gapMs;
     }
     bool whole = end.empty();
-    if (whole && !engine.unframed)
+    if (whole && !unframed)
         whole = sendAll(socket, "0\r\n\r\n");
     {
         std::lock_guard lock(engine.mutex);
         engine.runs.erase(id);
     }
     engine.record.line("engine " + engine.id + ": " + id + " after " + std::to_string(now() - arrivedAt) + " ms and " + std::to_string(run->made) + " of " + std::to_string(run->total) + " events: " + (end.empty() ? "complete" : end));
-    return whole && !engine.unframed;
+    return whole && !unframed;
 }
 
 bool plain(Engine& engine, int socket, const Request& request)
@@ -175,7 +182,8 @@
     engine.firstMs = number("first-ms", engine.firstMs);
     engine.gapMs = number("gap-ms", engine.gapMs);
     engine.workMs = number("work-ms", engine.workMs);
-    engine.unframed = number("unframed", 0) != 0;
+    engine.unframedShare = std::atof(argument(count, arguments, "unframed-share", "0").c_str());
+    engine.random.seed(static_cast<unsigned>(std::hash<std::string> {}(engine.id) ^ static_cast<std::size_t>(engine.born)));
     int listener = listenAt(engine.endpoint);
     if (listener < 0)
         return 2;
--- a/review/support-2/support.h
+++ b/review/support-2/support.h
@@ -875,7 +875,8 @@
     if (outputTokens > 0) {
         headers.push_back({ "X-Model", "m" });
         headers.push_back({ "X-Token-Count", "300," + std::to_string(outputTokens) });
-        headers.push_back({ "X-Prompt-Prefix", "5c1e07a2:79," + id + ":221" });
+        // The prompts share their first part with some others.
+        headers.push_back({ "X-Prompt-Prefix", "5c1e07a" + std::to_string(std::hash<std::string> {}(id) % 10) + ":79," + std::to_string(std::hash<std::string> {}(id) % 100000000) + ":221" });
     }
     return message(method + " " + path + " HTTP/1.1", headers, body, method != "GET" || !body.empty());
 }
