--- a/review/support-2/deadlyrequest.cpp
+++ b/review/support-2/deadlyrequest.cpp
@@ -91,8 +91,8 @@
     }
     auto start = now();
     const std::string body = "the same order each time " + std::string(100, 'd');
-    for (int attempt = 1; now() < start + 45000; ++attempt) {
-        sleepUntil(start + 2500 * attempt);
+    for (int attempt = 1; attempt <= 10; ++attempt) {
+        sleepUntil(start + 2000 * attempt);
         if (!trouble)
             continue;
         auto id = "deadly-" + std::to_string(attempt);
