--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -31,8 +31,13 @@
     std::int64_t gapMs = 60;
     /// Time that a request takes that is not streamed.
     std::int64_t workMs = 15;
-    /// Share of the streams that have neither a length nor chunks and end with their connection.
+    /// Share of the streams that have neither a length nor chunks and end with their connection, in the first 6 s of each 7 s.
     double unframedShare = 0;
+    /// Time of a step, between which the engine looks at deadlines; 0 if a timer of its own does.
+    std::int64_t stepMs = 0;
+    /// Every second stream is preempted once, after some events, for this time.
+    std::int64_t preemptMs = 0;
+    int streams = 0;
     std::mt19937 random;
     /// From SIGUSR1 on the engine leaves without a report: it writes no more entries, and says in all its answers that it leaves.
     std::atomic<bool> leaving = false;
@@ -73,22 +78,29 @@
     auto run = std::make_shared<Run>();
     run->total = (std::atoll(tokens.substr(tokens.find(',') + 1).c_str()) + engine.tokensPerEvent - 1) / engine.tokensPerEvent;
     bool unframed = false;
+    bool preempted = false;
     {
         std::lock_guard lock(engine.mutex);
         engine.runs[id] = run;
-        unframed = std::uniform_real_distribution<double>(0, 1)(engine.random) < engine.unframedShare;
+        preempted = engine.preemptMs > 0 && ++engine.streams % 2 == 0;
+        bool inTime = (now() - engine.record.start()) % 7000 < 6000;
+        unframed = inTime && std::uniform_real_distribution<double>(0, 1)(engine.random) < engine.unframedShare;
     }
     engine.record.line("engine " + engine.id + ": runs " + id + ", X-Deadline-Ms " + request.header("x-deadline-ms") + ", events " + std::to_string(run->total) + (unframed ? ", without a length" : ""));
     std::string end;
     auto next = arrivedAt + engine.firstMs;
+    auto nextStep = arrivedAt;
     bool headSent = false;
     while (end.empty() && run->made < run->total) {
         while (now() < next && end.empty()) {
             auto wakeUp = std::chrono::steady_clock::now() + Milliseconds(std::min<std::int64_t>(5, next - now()));
-            std::this_thread::sleep_until(std::min(wakeUp, deadline));
+            std::this_thread::sleep_until(engine.stepMs > 0 ? wakeUp : std::min(wakeUp, deadline));
+            bool looksAtDeadline = engine.stepMs == 0 || now() >= nextStep;
+            if (looksAtDeadline)
+                nextStep = now() + engine.stepMs;
             if (isClosed(socket))
                 end = "the caller's side closed the connection";
-            else if (std::chrono::steady_clock::now() >= deadline)
+            else if (looksAtDeadline && std::chrono::steady_clock::now() >= deadline)
                 end = "stops at its deadline";
         }
         if (!end.empty())
@@ -103,7 +115,7 @@
             break;
         }
         ++run->made;
-        next += engine.gapMs;
+        next += engine.gapMs + (preempted && run->made == 3 ? engine.preemptMs : 0);
     }
     bool whole = end.empty();
     if (whole && !unframed)
@@ -183,6 +195,8 @@
     engine.gapMs = number("gap-ms", engine.gapMs);
     engine.workMs = number("work-ms", engine.workMs);
     engine.unframedShare = std::atof(argument(count, arguments, "unframed-share", "0").c_str());
+    engine.stepMs = number("step-ms", engine.stepMs);
+    engine.preemptMs = number("preempt-ms", engine.preemptMs);
     engine.random.seed(static_cast<unsigned>(std::hash<std::string> {}(engine.id) ^ static_cast<std::size_t>(engine.born)));
     int listener = listenAt(engine.endpoint);
     if (listener < 0)
