Review cases 6 and 8: answers without a length within the site file's dose

Cause: the site file plays them for 5 s at a time; the cases sent them in 6 s of each 7 s. Change: 5 s of each 7 s.

--- a/review/support-2/engine.cpp
+++ b/review/support-2/engine.cpp
@@ -31,7 +31,7 @@
     std::int64_t gapMs = 60;
     /// Time that a request takes that is not streamed.
     std::int64_t workMs = 15;
-    /// Share of the streams that have neither a length nor chunks and end with their connection, in the first 6 s of each 7 s.
+    /// Share of the streams that have neither a length nor chunks and end with their connection, in the first 5 s of each 7 s.
     double unframedShare = 0;
     /// Time of a step, between which the engine looks at deadlines; 0 if a timer of its own does.
     std::int64_t stepMs = 0;
@@ -83,7 +83,7 @@
         std::lock_guard lock(engine.mutex);
         engine.runs[id] = run;
         preempted = engine.preemptMs > 0 && ++engine.streams % 2 == 0;
-        bool inTime = (now() - engine.record.start()) % 7000 < 6000;
+        bool inTime = (now() - engine.record.start()) % 7000 < 5000;
         unframed = inTime && std::uniform_real_distribution<double>(0, 1)(engine.random) < engine.unframedShare;
     }
     engine.record.line("engine " + engine.id + ": runs " + id + ", X-Deadline-Ms " + request.header("x-deadline-ms") + ", events " + std::to_string(run->total) + (unframed ? ", without a length" : ""));
