Admit streams late in a stop only if their time limit ends before it

Cause: the longest time of a stream was taken to be the latency objective and 22 ms for each token. A crowded engine, a preemption or a long prompt exceeds that: c58, 40 tokens, was admitted with 3.1 s left by a bound of 2.7 s and took 3.15 s. The engine's record shows that the instance closed the connection, 7.3 s after SIGTERM; the log called it a timeout and had no request_cut line. Change: the longest time is the time limit, as for other requests; the time per token only makes the estimate. Estimates count while the balancer certainly sends, which allows for a signal that arrives late. Requests that end with the stop are logged and counted as cut, also if their own timer ends them first. Why it works: only the caller's deadline and the route's timeout end a stream whatever its engine does.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -23,6 +23,8 @@
     /// Time until the load balancer stops sending requests: it polls readiness once a second
     /// and removes an instance after two failed polls.
     constexpr auto balancerDetectionTime = Milliseconds(3200);
+    /// A process whose processor time is used up handles its signals late.
+    constexpr auto maxSignalDelay = Milliseconds(350);
     /// Subtracted from keyLifetimeAfterRevocation to allow for the delay to the target and for late timers.
     constexpr auto revocationMargin = Milliseconds(600);
 
@@ -510,8 +512,8 @@
         co_return;
     StopSignals signals;
     signals.endsAtOnce(signal);
-    m_relayContext.stop = StopSchedule({ .signalledAt = Clock::now(), .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime });
-    m_relayContext.activeRequests->limitDeadlines(m_relayContext.stop->requestsEndAt());
+    m_relayContext.stop = StopSchedule({ .signalledAt = Clock::now(), .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
+    m_relayContext.activeRequests->endWithStop(m_relayContext.stop->requestsEndAt());
     m_registration.stop();
     auto connections = m_callerServer.connectionCounts();
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
@@ -569,12 +571,8 @@
 void EntryInstance::cutRequests()
 {
     auto now = Clock::now();
-    auto sinceStop = std::chrono::duration_cast<Milliseconds>(now - m_relayContext.stop->signalledAt()).count();
-    for (const auto* request : m_relayContext.activeRequests->cutAll(now)) {
-        m_metrics.recordCutRequest(request->route.name);
-        auto age = std::chrono::duration_cast<Milliseconds>(now - request->arrivedAt).count();
-        logEvent(LogLevel::Warning, "request_cut", { { "request", request->caller.requestId }, { "route", request->route.name }, { "answer_started", request->exchange.responseStarted() }, { "age_ms", age }, { "since_stop_ms", sinceStop }, { "caller", toString(request->exchange.remote()) } });
-    }
+    for (const auto* request : m_relayContext.activeRequests->cutAll(now))
+        recordCut(m_relayContext, *request, now);
 }
 
 void EntryInstance::logCutConnections()
--- a/src/relay/activerequests.h
+++ b/src/relay/activerequests.h
@@ -25,7 +25,7 @@
 
     std::size_t size() const { return m_requests.size(); }
 
-    void limitDeadlines(TimePoint latest);
+    void endWithStop(TimePoint requestsEndAt);
 
     /// Ends the requests that still run, as if their deadlines were reached; returns them.
     std::vector<const RelayRequest*> cutAll(TimePoint now);
--- a/src/relay/internal/activerequests.cpp
+++ b/src/relay/internal/activerequests.cpp
@@ -15,10 +15,10 @@
     m_requests->m_requests.erase(m_position);
 }
 
-void ActiveRequests::limitDeadlines(TimePoint latest)
+void ActiveRequests::endWithStop(TimePoint requestsEndAt)
 {
     for (auto* request : m_requests)
-        request->deadline = std::min(request->deadline, latest);
+        request->endWithStop(requestsEndAt);
 }
 
 std::vector<const RelayRequest*> ActiveRequests::cutAll(TimePoint now)
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -89,7 +89,7 @@
         auto bytes = co_await connection.readSome();
         if (!bytes) {
             result.detail = describe(bytes.error());
-            result.reason = request.callerWatch.gone() ? "caller_gone" : (request.cut ? "stopping" : "peer_broke");
+            result.reason = request.callerWatch.gone() ? "caller_gone" : (request.endedByStop(Clock::now()) ? reasonStopping : "peer_broke");
             if (!request.cut)
                 co_await request.exchange.drain();
             request.exchange.abort();
@@ -114,7 +114,7 @@
     }
     bool deadlinePassed = Clock::now() >= request.deadline;
     result.status = deadlinePassed ? 504 : 502;
-    result.reason = request.cut ? "stopping" : (deadlinePassed ? "timeout" : "peer_broke");
+    result.reason = request.endedByStop(Clock::now()) ? reasonStopping : (deadlinePassed ? "timeout" : "peer_broke");
     co_await sendFailure(request.exchange, result.status, result.reason);
     co_return result;
 }
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -217,8 +217,8 @@
     }
     result.status = deadlinePassed ? 504 : 502;
     result.reason = deadlinePassed ? "timeout" : "target_broke";
-    if (request.cut)
-        result.reason = "stopping";
+    if (request.endedByStop(Clock::now()))
+        result.reason = reasonStopping;
     co_await sendFailure(request.exchange, result.status, result.reason);
     co_return result;
 }
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -44,6 +44,14 @@
         m_state->cancelAction();
 }
 
+void RelayRequest::endWithStop(TimePoint requestsEndAt)
+{
+    if (requestsEndAt >= deadline)
+        return;
+    deadline = requestsEndAt;
+    endsWithStop = true;
+}
+
 Fingerprint fingerprintOf(const std::string& organisation, const HttpRequest& request)
 {
     return fingerprintOf(organisation, std::string(request.target()), request.body());
@@ -116,6 +124,14 @@
         context.metrics.recordUnframedAnswer("broken");
 }
 
+void recordCut(RelayContext& context, const RelayRequest& request, TimePoint now)
+{
+    context.metrics.recordCutRequest(request.route.name);
+    auto age = std::chrono::duration_cast<Milliseconds>(now - request.arrivedAt).count();
+    auto sinceStop = std::chrono::duration_cast<Milliseconds>(now - context.stop->signalledAt()).count();
+    logEvent(LogLevel::Warning, "request_cut", { { "request", request.caller.requestId }, { "route", request.route.name }, { "answer_started", request.exchange.responseStarted() }, { "age_ms", age }, { "since_stop_ms", sinceStop }, { "caller", toString(request.exchange.remote()) } });
+}
+
 void recordTargetState(RelayContext& context, const TargetEntry& target, const TargetResponseHead& responseHead)
 {
     if (responseHead.fromOtherTarget)
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -18,8 +18,8 @@
     constexpr auto retryAfterStopping = Milliseconds(50);
     /// Time limit for all requests; the only one for a request without a deadline on a route without a timeout.
     constexpr auto maxRequestTime = Seconds(120);
-    /// Longest time that a sound engine needs for one token.
-    constexpr auto maxTimePerToken = Milliseconds(22);
+    /// Time that a crowded engine needs for one token. A preemption or a long prompt beside it adds to that.
+    constexpr auto crowdedTimePerToken = Milliseconds(22);
 
     std::string pathOf(const HttpExchange& exchange)
     {
@@ -65,11 +65,12 @@
     auto timeLimit = timeLimitOf(route, caller);
     if (route.retrySafety != RetrySafety::Stream)
         return { .expected = route.latencyObjective, .longest = timeLimit };
-    // A stream that outlasts its estimate is cut after seconds of work, and a refused one starts anew elsewhere at once.
-    auto longest = timeLimit;
+    // A stream that outlasts its estimate is cut after seconds of work, and a refused one starts anew elsewhere at once, so that
+    // the estimate assumes as many tokens as the caller allows.
+    auto expected = timeLimit;
     if (caller.maxOutputTokens > 0)
-        longest = std::min<Clock::duration>(timeLimit, route.latencyObjective + caller.maxOutputTokens * maxTimePerToken);
-    return { .expected = longest, .longest = longest };
+        expected = std::min<Clock::duration>(timeLimit, route.latencyObjective + caller.maxOutputTokens * crowdedTimePerToken);
+    return { .expected = expected, .longest = timeLimit };
 }
 
 RequestHandler::Admission RequestHandler::admit(const HttpExchange& exchange, const CallerRequest& caller) const
@@ -105,7 +106,7 @@
     admission.fingerprint = fingerprintOf(admission.organisation, exchange.request());
     if (m_context.stop && !m_context.stop->mayAdmit(durationOf(*admission.route, caller), Clock::now())) {
         admission.closesConnection = true;
-        return refuseWith(503, "stopping", retryAfterStopping);
+        return refuseWith(503, reasonStopping, retryAfterStopping);
     }
     std::uniform_real_distribution<double> uniform(0, 1);
     admission.service = admission.table->service(pickService(*admission.route, uniform(m_context.random)));
@@ -129,9 +130,6 @@
 Awaitable<RelayResult> RequestHandler::relay(HttpExchange& exchange, const Admission& admission, const CallerRequest& caller, TimePoint arrivedAt)
 {
     CallerWatch callerWatch(exchange);
-    auto deadline = arrivedAt + timeLimitOf(*admission.route, caller);
-    if (m_context.stop)
-        deadline = std::min(deadline, m_context.stop->requestsEndAt());
     RelayRequest request {
         .exchange = exchange,
         .callerWatch = callerWatch,
@@ -143,12 +141,20 @@
         .priority = admission.priority,
         .fingerprint = admission.fingerprint,
         .arrivedAt = arrivedAt,
-        .deadline = deadline,
+        .deadline = arrivedAt + timeLimitOf(*admission.route, caller),
     };
+    if (m_context.stop)
+        request.endWithStop(m_context.stop->requestsEndAt());
     ActiveRequests::Entry entry(m_context.activeRequests, request);
+    RelayResult result;
     if (admission.route->retrySafety == RetrySafety::Stream)
-        co_return co_await m_streamRelay.run(request);
-    co_return co_await m_plainRelay.run(request);
+        result = co_await m_streamRelay.run(request);
+    else
+        result = co_await m_plainRelay.run(request);
+    // The end of the stop recorded the others.
+    if (result.reason == reasonStopping && !request.cut)
+        recordCut(m_context, request, Clock::now());
+    co_return result;
 }
 
 void RequestHandler::reportResult(const HttpExchange& exchange, const Admission& admission, const CallerRequest& caller, const RelayResult& result, TimePoint arrivedAt)
--- a/src/relay/internal/stopschedule.cpp
+++ b/src/relay/internal/stopschedule.cpp
@@ -20,6 +20,12 @@
     return std::min(m_options.signalledAt + m_options.balancerDetectionTime, requestsEndAt());
 }
 
+/// The balancer's time runs from the host's signal, which may be earlier than its arrival here.
+TimePoint StopSchedule::admitsByEstimateUntil() const
+{
+    return balancerStopsAt() - m_options.maxSignalDelay;
+}
+
 TimePoint StopSchedule::requestsEndAt() const
 {
     return m_options.signalledAt + m_options.stopLimit - std::min(requestMargin, m_options.stopLimit / maxMarginDivisor);
@@ -33,7 +39,7 @@
 /// While the load balancer still sends requests, refusing all that are only likely to end in time would refuse too many.
 bool StopSchedule::mayAdmit(const RequestDuration& duration, TimePoint now) const
 {
-    auto latest = now < balancerStopsAt() ? duration.expected : duration.longest;
+    auto latest = now < admitsByEstimateUntil() ? duration.expected : duration.longest;
     return now + std::min(latest, duration.longest) <= requestsEndAt();
 }
 
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -309,15 +309,16 @@
     bool deadlinePassed = Clock::now() >= request.deadline;
     result.status = deadlinePassed ? 504 : 502;
     result.reason = deadlinePassed ? "timeout" : "target_broke";
-    if (request.cut)
-        result.reason = "stopping";
+    if (request.endedByStop(Clock::now()))
+        result.reason = reasonStopping;
     co_await sendFailure(request.exchange, result.status, result.reason);
 }
 
 Awaitable<> StreamRelay::finish(GenerationSession& session, StreamOutcome outcome)
 {
     auto& exchange = session.request.exchange;
-    session.result.reason = session.request.cut && outcome == StreamOutcome::DeadlineReached ? "stopping" : reasonFor(outcome);
+    bool endedByStop = outcome == StreamOutcome::DeadlineReached && session.request.endedByStop(Clock::now());
+    session.result.reason = endedByStop ? reasonStopping : reasonFor(outcome);
     session.result.events = session.stream->eventCount();
     if (outcome == StreamOutcome::Complete && session.headerSent) {
         session.result.status = 200;
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -96,15 +96,29 @@
     TimePoint arrivedAt;
     /// The earliest of the caller's deadline, the route's timeout and the general time limit.
     TimePoint deadline;
+    /// The deadline is the end of this instance's stop, before the request's own.
+    bool endsWithStop = false;
     /// The instance ends before the request does.
     bool cut = false;
 
     Rank rank() const { return { .priority = priority }; }
+
+    /// Ends the request when the instance stops, if it would end later.
+    void endWithStop(TimePoint requestsEndAt);
+
+    /// Targets are told whole milliseconds, so they may end the request up to one before its deadline.
+    bool isDeadlineReached(TimePoint now) const { return now + Milliseconds(1) > deadline; }
+
+    /// True once the stop of this instance has ended the request.
+    bool endedByStop(TimePoint now) const { return cut || (endsWithStop && isDeadlineReached(now)); }
 };
 
 /// Reads the header of a target's answer. A refusal that belongs to another request does not say that this one has not run.
 TargetResponseHead readResponseHead(const RelayContext&, const RelayRequest&, const TargetEntry&, const http::response_header<>&);
 
+/// Reason of a request that a stop of this instance ended or refused.
+inline constexpr const char* reasonStopping = "stopping";
+
 /// How a request ended, for logs and metrics.
 struct RelayResult {
     unsigned status = 0;
@@ -143,6 +157,9 @@
 /// Takes note of how a body ended that only the end of its connection marks.
 void recordBodyEnd(RelayContext&, const RelayRequest&, const TargetConnection&, const Result<std::string>& lastRead);
 
+/// Takes note of a request that a stop ended before its own deadline.
+void recordCut(RelayContext&, const RelayRequest&, TimePoint now);
+
 /// Takes note of what a target's answer states about the target: its limit, or that it is shutting down.
 void recordTargetState(RelayContext&, const TargetEntry&, const TargetResponseHead&);
 
--- a/src/relay/stopschedule.h
+++ b/src/relay/stopschedule.h
@@ -11,13 +11,17 @@
     Clock::duration stopLimit {};
     /// Time from the signal until the load balancer stops sending requests.
     Clock::duration balancerDetectionTime {};
+    /// Longest time between the host's signal and its arrival in this process.
+    Clock::duration maxSignalDelay {};
 
     friend bool operator==(const StopOptions&, const StopOptions&) = default;
 };
 
 /// How long a request may take.
 struct RequestDuration {
+    /// An estimate, which a slow or crowded target exceeds.
     Clock::duration expected {};
+    /// The time after which the request is ended, whatever its target does.
     Clock::duration longest {};
 
     friend bool operator==(const RequestDuration&, const RequestDuration&) = default;
@@ -33,9 +37,12 @@
 
     TimePoint signalledAt() const { return m_options.signalledAt; }
 
-    /// From here on idle connections are closed, and only requests are admitted that are certain to end in time.
+    /// From here on idle connections are closed.
     TimePoint balancerStopsAt() const;
 
+    /// From here on only requests are admitted that are certain to end in time.
+    TimePoint admitsByEstimateUntil() const;
+
     /// The latest end of a request. Requests that still run are answered with an error or cut.
     TimePoint requestsEndAt() const;
 
--- a/src/relay/tests/stopschedule_test.cpp
+++ b/src/relay/tests/stopschedule_test.cpp
@@ -39,6 +39,17 @@
     cr_expect_not(f.admits({ .expected = Seconds(9), .longest = Seconds(30) }, Seconds(0)));
 }
 
+/// Guards against LOST: a stream that its caller sent after the balancer's time was admitted by an estimate, since the signal arrived late.
+Test(StopSchedule, signalArrivesLate_estimatesCountOnlyWhileTheBalancerCertainlySends)
+{
+    constexpr auto signalDelay = Milliseconds(350);
+    StopSchedule schedule({ .signalledAt = signalledAt, .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(3200), .maxSignalDelay = signalDelay });
+    RequestDuration stream { .expected = Seconds(2), .longest = Seconds(39) };
+    cr_expect(schedule.mayAdmit(stream, signalledAt + Milliseconds(2849)));
+    cr_expect_not(schedule.mayAdmit(stream, signalledAt + Milliseconds(2850)));
+    cr_expect(schedule.mayAdmit({ .expected = Seconds(2), .longest = Seconds(4) }, signalledAt + Milliseconds(2850)));
+}
+
 Test(StopSchedule, anyLimit_stepsFollowEachOtherBeforeTheHostsKill)
 {
     for (auto limit : { Milliseconds(0), Milliseconds(200), Milliseconds(1000), Milliseconds(8000), Milliseconds(60000) }) {
