Cut answers without a length that end when their engine's time is over

Cause: an engine stops work at the time that X-Deadline-Ms states and closes the connection in order, which ends such a body as a whole one does. The time is cut to milliseconds, so the engine stops just before the relay's own timer fires. Change: the connection to a target knows the time that the request states, and the end of such a body fails with a timeout if it comes that late, less a deviation of clocks and timers. This covers the caller's deadline, the route's timeout and the end of a stop; streams, plain answers and failures. A plain request that its engine ends up to a millisecond early gets 504 instead of 502. Why it works: an engine that is given no less time than it takes ends its answer before, and one that stops cannot end before.

--- a/src/relay/internal/generationstarter.cpp
+++ b/src/relay/internal/generationstarter.cpp
@@ -32,6 +32,7 @@
     session.responseHead = {};
     session.malformed = false;
     session.timeLeft = timeLeft(request);
+    connection->setTargetTime(session.timeLeft);
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = target, .organisation = request.organisation, .timeLeft = session.timeLeft, .urgency = std::min(request.priority, 9), .continuation = std::move(continuation) });
     auto attemptConnectTimeout = std::min<Clock::duration>(connectTimeout, timeLeft(request));
     session.sentAt = Clock::now();
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -106,6 +106,7 @@
     TargetConnection connection(m_context.io.get_executor());
     request.callerWatch.setCancelAction([&] { connection.cancel(); });
     Attempt attempt { .timeLeft = timeLeft(request), .sentAt = Clock::now(), .lastHeardAt = Clock::now() };
+    connection.setTargetTime(attempt.timeLeft);
     auto message = m_context.wireFormat.buildTargetRequest(request.exchange.request(), { .target = placement.target, .organisation = request.organisation, .timeLeft = attempt.timeLeft });
     auto finish = [&](AttemptOutcome outcome, std::string detail) {
         request.callerWatch.setCancelAction(nullptr);
@@ -205,7 +206,7 @@
 
 Awaitable<RelayResult> PlainRelay::respondWithError(RelayRequest& request, RelayResult result, bool mayHaveRun)
 {
-    bool deadlinePassed = Clock::now() >= request.deadline;
+    bool deadlinePassed = request.isDeadlineReached(Clock::now());
     if (!mayHaveRun && m_context.dispatcher.targetPath().isLost(request.service.name))
         co_return co_await m_peerRelay.run(request);
     if (!mayHaveRun) {
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -122,6 +122,8 @@
         context.metrics.recordUnframedAnswer("closed");
     else if (lastRead.error().code == ErrorCode::LinkBroken)
         context.metrics.recordUnframedAnswer("broken");
+    else if (lastRead.error().code == ErrorCode::Timeout)
+        context.metrics.recordUnframedAnswer("deadline");
 }
 
 void recordCut(RelayContext& context, const RelayRequest& request, TimePoint now)
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -1,5 +1,6 @@
 #include "relay/targetconnection.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
@@ -16,6 +17,11 @@
     constexpr int keepAliveIntervalSeconds = 1;
     constexpr int keepAliveProbes = 3;
 
+    /// The target's clock may run faster than this one, and its timers have a resolution.
+    constexpr auto maxTimerDeviation = Milliseconds(50);
+    /// The deviation takes at most this part of the target's time.
+    constexpr int maxDeviationDivisor = 20;
+
     void enableKeepAlive(asio::ip::tcp::socket& socket)
     {
         boost::system::error_code ignored;
@@ -57,6 +63,8 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer deadlineTimer;
     bool deadlineReached = false;
+    /// When the target stops its work, at the earliest.
+    TimePoint targetStopsAt = TimePoint::max();
     HttpRequest request;
     std::string requestHeader;
     boost::system::error_code sendError;
@@ -92,6 +100,11 @@
     });
 }
 
+void TargetConnection::setTargetTime(Milliseconds targetTime)
+{
+    m_state->targetStopsAt = Clock::now() + targetTime - std::min<Clock::duration>(maxTimerDeviation, targetTime / maxDeviationDivisor);
+}
+
 Error TargetConnection::makeError(const boost::system::error_code& error, Step step) const
 {
     auto code = m_state->deadlineReached ? ErrorCode::Timeout : (isMalformedMessage(error) ? ErrorCode::BadReply : ErrorCode::LinkBroken);
@@ -159,6 +172,9 @@
     }
     if (bodyEndsAtClose() && state->sendBroke())
         co_return Error { .code = ErrorCode::LinkBroken, .step = Step::Relay, .peer = toString(m_endpoint), .detail = state->sendError.message() + " while the request was being sent", .outcome = Outcome::Unknown };
+    // A target that stops its work closes the connection in order, as it does after a complete answer.
+    if (bodyEndsAtClose() && Clock::now() >= state->targetStopsAt)
+        co_return Error { .code = ErrorCode::Timeout, .step = Step::Relay, .peer = toString(m_endpoint), .detail = "answer without a length ended when the target's time was over", .outcome = Outcome::Unknown };
     co_return std::string();
 }
 
--- a/src/relay/targetconnection.h
+++ b/src/relay/targetconnection.h
@@ -22,6 +22,10 @@
     /// Reads after the deadline fail with ErrorCode::Timeout.
     void setDeadline(TimePoint);
 
+    /// States for how long from now the target may work on the request, as the request tells it. The end of a body that only the end
+    /// of its connection marks fails with ErrorCode::Timeout if it comes that late, since the target may have stopped its work.
+    void setTargetTime(Milliseconds);
+
     /// This and other reads fail with ErrorCode::BadReply if the target sends bytes that are no answer, or too many.
     Awaitable<Result<void>> readHeader();
     const http::response_header<>& header() const;
