Ignore entries of targets that the store writes late

Cause: the replica of the store took each write of a higher revision for a newer one, although start time and sequence tell that it was sent before others; and the directory of targets forgot with the entry that the incarnation had said it drains. target_left stands in both logs twice for each engine, 2.3 s apart, so neither the removal nor the first notice was missed. Change: the replica ignores a write that is older by its values than what it has or has seen removed in the last 10 s, and logs store_entry_outdated. Removals that are passed on carry the last value, as followers lack the heartbeats. Reports that an incarnation drains are kept for 60 s after its entry, also those that come after the removal. Why it works: an entry that expired is written again with the same or a higher sequence, and a restart has a later start time, so neither is taken for late.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -104,6 +104,7 @@
     m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { onStoreChange(key, value); });
     m_replica.setChangeFilter([&schema = m_platform.storeSchema](const std::string& key, const std::string& oldValue, const std::string& newValue) { return schema.changesMoreThanHeartbeat(key, oldValue, newValue); });
     m_replica.setNewsListener([this] { m_peerFeed.onReplicaChanged(); });
+    m_replica.setOutdatedEntryListener([](const std::string& key) { logEvent(LogLevel::Warning, "store_entry_outdated", { { "key", key } }); });
     m_replica.setEntryOrder([&schema = m_platform.storeSchema](const std::string& key, const std::string& left, const std::string& right) { return schema.compareWriteOrder(key, left, right); });
     m_follower.setFirstListingHook([this](StoreListing& listing) { return m_configurationCatchUp.completeFirstListing(listing); });
     m_replica.setRestoreListener([this](const StoreRestored& event) { m_storeRecovery.onStoreRestored(event); });
--- a/src/fleet/internal/peerfeed.cpp
+++ b/src/fleet/internal/peerfeed.cpp
@@ -67,8 +67,12 @@
     std::string encode(const StoreChanges& changes)
     {
         json list = json::array();
-        for (const auto& change : changes.changes)
-            list.push_back(json::array({ change.key, change.revision, change.value ? toBinary(*change.value) : json() }));
+        for (const auto& change : changes.changes) {
+            auto fields = json::array({ change.key, change.revision, change.value ? toBinary(*change.value) : json() });
+            if (change.lastValue)
+                fields.push_back(toBinary(*change.lastValue));
+            list.push_back(std::move(fields));
+        }
         return toBytes(json::array({ changes.revision.number, toMilliseconds(changes.age), changes.historyLost, list, changes.revision.era, toOptionalMilliseconds(changes.sinceOutage), toOptionalMilliseconds(changes.waited) }));
     }
 
@@ -90,11 +94,15 @@
     StoreChanges changesFrom(const json& fields)
     {
         constexpr std::size_t eraIndex = 4;
+        // Peers of older versions do not send the field.
+        constexpr std::size_t lastValueIndex = 3;
         StoreChanges changes { .revision = revisionFrom(fields, eraIndex), .historyLost = fields.at(2), .age = Milliseconds(fields.at(1).get<std::int64_t>()), .sinceOutage = optionalMillisecondsAt(fields, eraIndex + 1), .waited = optionalMillisecondsAt(fields, eraIndex + 2).value_or(Clock::duration {}) };
         for (const auto& changeFields : fields.at(3)) {
             StoreChange change { .key = changeFields.at(0), .revision = changeFields.at(1) };
             if (!changeFields.at(2).is_null())
                 change.value = bytesOf(changeFields.at(2));
+            if (changeFields.size() > lastValueIndex)
+                change.lastValue = bytesOf(changeFields.at(lastValueIndex));
             changes.changes.push_back(std::move(change));
         }
         return changes;
--- a/src/fleet/internal/storereplica.cpp
+++ b/src/fleet/internal/storereplica.cpp
@@ -11,6 +11,9 @@
     /// Removals kept for followers: several seconds of removals in a busy fleet.
     constexpr std::size_t maxRemovals = 500;
 
+    /// Longest time after which the store still executes a write that it has not answered.
+    constexpr auto maxWriteDelay = Seconds(10);
+
 }
 
 void StoreReplica::confirm(BootTime asOf)
@@ -57,6 +60,19 @@
     m_removedEntries.insert_or_assign(key, RemovedEntry { .value = std::move(value), .removedAt = asOf });
 }
 
+/// The store may execute a write that it has not answered after later ones, and after the removal of the entry.
+bool StoreReplica::isLateWrite(const StoreChange& written, BootTime asOf) const
+{
+    if (!m_entryOrder)
+        return false;
+    auto isOlderThan = [&](const std::string& value) { return m_entryOrder(written.key, *written.value, value) == std::strong_ordering::less; };
+    auto held = m_entries.find(written.key);
+    if (held != m_entries.end())
+        return asOf < held->second.writtenAt + maxWriteDelay && isOlderThan(held->second.value);
+    auto removed = m_removedEntries.find(written.key);
+    return removed != m_removedEntries.end() && asOf < removed->second.removedAt + maxWriteDelay && isOlderThan(removed->second.value);
+}
+
 void StoreReplica::apply(const StoreChange& change, BootTime asOf)
 {
     if (m_keyFilter && !m_keyFilter(change.key))
@@ -64,27 +80,58 @@
     auto existing = m_entries.find(change.key);
     if (existing != m_entries.end() && existing->second.revision > change.revision)
         ++m_olderEntries;
-    if (change.value) {
-        if (existing != m_entries.end() && existing->second.revision >= change.revision)
-            return;
-        bool news = existing == m_entries.end() || isNews(existing->second, change);
-        auto newsRevision = news ? change.revision : existing->second.newsRevision;
-        m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision, .newsRevision = newsRevision });
-        m_removedEntries.erase(change.key);
-        m_hasNews = m_hasNews || news;
-    } else {
-        // A follower may still have an entry that this replica never had.
-        rememberRemoval(change.key, change.revision);
-        m_hasNews = true;
-        if (existing == m_entries.end() || existing->second.revision >= change.revision)
-            return;
-        rememberRemoved(change.key, std::move(existing->second.value), asOf);
-        m_entries.erase(existing);
+    if (change.value)
+        applyWrite(change, asOf);
+    else
+        applyRemoval(change, asOf);
+}
+
+void StoreReplica::applyWrite(const StoreChange& change, BootTime asOf)
+{
+    auto existing = m_entries.find(change.key);
+    if (existing != m_entries.end() && existing->second.revision >= change.revision)
+        return;
+    if (isLateWrite(change, asOf)) {
+        ++m_olderEntries;
+        if (existing != m_entries.end())
+            existing->second.revision = change.revision;
+        if (m_outdatedEntryListener)
+            m_outdatedEntryListener(change.key);
+        return;
     }
+    bool news = existing == m_entries.end() || isNews(existing->second, change);
+    auto newsRevision = news ? change.revision : existing->second.newsRevision;
+    m_entries.insert_or_assign(change.key, Entry { .value = *change.value, .revision = change.revision, .newsRevision = newsRevision, .writtenAt = asOf });
+    m_removedEntries.erase(change.key);
+    m_hasNews = m_hasNews || news;
     if (m_listener)
         m_listener(change.key, change.value);
 }
 
+void StoreReplica::applyRemoval(const StoreChange& change, BootTime asOf)
+{
+    // A follower may still have an entry that this replica never had.
+    rememberRemoval(change.key, change.revision);
+    m_hasNews = true;
+    auto existing = m_entries.find(change.key);
+    if (existing == m_entries.end() || existing->second.revision >= change.revision)
+        return;
+    auto lastValue = std::move(existing->second.value);
+    // A follower lacks the heartbeats that its source has.
+    if (change.lastValue && m_entryOrder && m_entryOrder(change.key, *change.lastValue, lastValue) == std::strong_ordering::greater)
+        lastValue = *change.lastValue;
+    rememberRemoved(change.key, std::move(lastValue), asOf);
+    m_entries.erase(existing);
+    if (m_listener)
+        m_listener(change.key, std::nullopt);
+}
+
+/// True if values of the key tell in which order they were written.
+bool StoreReplica::isOrdered(const std::string& key, const std::string& value) const
+{
+    return m_entryOrder && m_entryOrder(key, value, value).has_value();
+}
+
 bool StoreReplica::isNews(const Entry& existing, const StoreChange& change) const
 {
     return !m_changeFilter || m_changeFilter(change.key, existing.value, *change.value);
@@ -200,7 +247,14 @@
         if (entry.newsRevision > revision.number)
             result.changes.push_back({ .key = key, .value = entry.value, .revision = entry.revision });
     }
-    std::copy_if(m_removals.begin(), m_removals.end(), std::back_inserter(result.changes), [&](const StoreChange& removal) { return removal.revision > revision.number; });
+    for (const auto& removal : m_removals) {
+        if (removal.revision <= revision.number)
+            continue;
+        auto& change = result.changes.emplace_back(removal);
+        auto removed = m_removedEntries.find(removal.key);
+        if (removed != m_removedEntries.end() && isOrdered(removal.key, removed->second.value))
+            change.lastValue = removed->second.value;
+    }
     std::stable_sort(result.changes.begin(), result.changes.end(), [](const StoreChange& left, const StoreChange& right) { return left.revision < right.revision; });
     return result;
 }
--- a/src/fleet/storereplica.h
+++ b/src/fleet/storereplica.h
@@ -19,7 +19,8 @@
 };
 
 /// This instance's copy of the shared store's entries, with the time at which it was last
-/// confirmed to be current. It never goes back to an older revision, nor to an older entry if the store does so.
+/// confirmed to be current. It never goes back to an older revision, nor to an older entry if the store comes back from a copy or
+/// executes a write late.
 class StoreReplica {
 public:
     /// Called for each changed entry; without a value the entry was removed.
@@ -35,6 +36,9 @@
     using EntryOrder = std::function<std::optional<std::strong_ordering>(const std::string& key, const std::string& left, const std::string& right)>;
     void setEntryOrder(EntryOrder order) { m_entryOrder = std::move(order); }
 
+    /// Called for each entry that was ignored because its key has, or had until lately, one that was written later.
+    void setOutdatedEntryListener(std::function<void(const std::string& key)> listener) { m_outdatedEntryListener = std::move(listener); }
+
     /// Tells whether a new value of a key differs from the old one in more than what shows that its writer is alive. Followers get
     /// only such changes.
     using ChangeFilter = std::function<bool(const std::string& key, const std::string& oldValue, const std::string& newValue)>;
@@ -76,6 +80,7 @@
         std::int64_t revision = 0;
         /// The last revision that followers get.
         std::int64_t newsRevision = 0;
+        BootTime writtenAt;
     };
     struct RemovedEntry {
         std::string value;
@@ -91,7 +96,11 @@
     void beginEra(StoreRevision);
     void beginGap(std::int64_t listedRevision);
     bool keepNewerThan(const StoreChange& copied);
+    bool isLateWrite(const StoreChange& written, BootTime asOf) const;
     void apply(const StoreChange&, BootTime asOf);
+    void applyWrite(const StoreChange&, BootTime asOf);
+    void applyRemoval(const StoreChange&, BootTime asOf);
+    bool isOrdered(const std::string& key, const std::string& value) const;
     bool isNews(const Entry& existing, const StoreChange&) const;
     void announceNews();
     void rememberRemoval(const std::string& key, std::int64_t revision);
@@ -117,6 +126,7 @@
     EntryOrder m_entryOrder;
     ChangeFilter m_changeFilter;
     std::function<void()> m_newsListener;
+    std::function<void(const std::string& key)> m_outdatedEntryListener;
     bool m_hasNews = false;
     std::function<bool(const std::string& key)> m_keyFilter;
 };
--- a/src/keyvalue/iwatchablestore.h
+++ b/src/keyvalue/iwatchablestore.h
@@ -40,6 +40,8 @@
     std::optional<std::string> value;
     /// Number within the era of the changes that contain this one.
     std::int64_t revision = 0;
+    /// Of a removed key, as far as the source knows it.
+    std::optional<std::string> lastValue;
 
     friend bool operator==(const StoreChange&, const StoreChange&) = default;
 };
--- a/src/relay/internal/engineshutdownpoller.cpp
+++ b/src/relay/internal/engineshutdownpoller.cpp
@@ -49,9 +49,13 @@
 
 void EngineShutdownPoller::announce(const TargetEntry& target, const std::string& source, std::optional<Milliseconds> timeToShutdown)
 {
-    const auto* entry = m_context.directory.find(target.id);
-    if (!entry || entry->startedAt != target.startedAt || entry->state != TargetState::Ready)
+    if (m_context.directory.isDrainingReported(target.id, target.startedAt))
         return;
+    if (!m_context.directory.isIncarnationReady(target)) {
+        // A write of the entry that the store executes late may make the target ready again.
+        m_context.directory.onDrainingReported(target.id, target.startedAt, Clock::now(), timeToShutdown);
+        return;
+    }
     auto view = m_context.storeView();
     logEvent(LogLevel::Info, "target_says_it_leaves", { { "target", target.id }, { "source", source }, { "leaves_ms", timeToShutdown.value_or(Milliseconds(-1)).count() }, { "store_view_age_ms", std::chrono::duration_cast<Milliseconds>(view.age).count() }, { "store_reachable", view.reachable } });
     m_context.link.broadcast(ShutdownNotice { .target = target.id, .startedAt = target.startedAt, .timeToShutdown = timeToShutdown });
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -11,6 +11,10 @@
     /// platform's discovery contract requires.
     constexpr auto rewriteTimeout = Milliseconds(2000);
 
+    /// Time for which the report of an incarnation without an entry is kept: longer than the store delays a write, and than a target
+    /// serves after it has said that it drains.
+    constexpr auto drainingReportLifetime = Seconds(60);
+
     /// Time within which every instance knows of an evacuation.
     constexpr auto evacuationSpreadTime = Seconds(5);
 
@@ -44,18 +48,17 @@
             removeTarget(target, UnavailableReason::EntryRemoved, now);
         return;
     }
+    if (isDrainingReported(id, entry->startedAt))
+        entry->state = TargetState::Draining;
     if (target == m_targets.end()) {
         m_targets.emplace(id, KnownTarget { .entry = std::move(*entry) });
         return;
     }
     bool restarted = target->second.entry.startedAt != entry->startedAt;
-    bool drainingReported = target->second.drainingReported && !restarted;
-    if (drainingReported)
-        entry->state = TargetState::Draining;
     bool startsDraining = target->second.entry.state == TargetState::Ready && entry->state == TargetState::Draining;
     if (restarted && m_listener)
         m_listener({ .entry = target->second.entry, .reason = UnavailableReason::Restarted, .at = now });
-    target->second = KnownTarget { .entry = std::move(*entry), .drainingReported = drainingReported };
+    target->second = KnownTarget { .entry = std::move(*entry) };
     if (!restarted && startsDraining && m_listener)
         m_listener({ .entry = target->second.entry, .reason = UnavailableReason::Announced, .at = now });
 }
@@ -75,9 +78,12 @@
 void TargetDirectory::onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now, std::optional<Milliseconds> timeToShutdown)
 {
     auto target = m_targets.find(id);
-    if (target == m_targets.end() || target->second.entry.startedAt != startedAt)
+    bool listed = target != m_targets.end() && target->second.entry.startedAt == startedAt;
+    // A write that the store executes late may bring back an entry that is removed. Without a start time it may be another incarnation's.
+    if (listed || startedAt != 0)
+        m_drainingReports.insert_or_assign({ id, startedAt }, now);
+    if (!listed)
         return;
-    target->second.drainingReported = true;
     if (target->second.entry.state == TargetState::Draining)
         return;
     target->second.entry.state = TargetState::Draining;
@@ -134,6 +140,7 @@
 void TargetDirectory::onTick(TimePoint now)
 {
     m_evacuations.onTick(now);
+    forgetDrainingReports(now);
     for (auto target = m_targets.begin(); target != m_targets.end();) {
         auto current = target++;
         if (current->second.rewriteDeadline && *current->second.rewriteDeadline <= now)
@@ -234,11 +241,23 @@
 {
     auto entry = std::move(target->second.entry);
     bool wasReady = entry.state == TargetState::Ready;
+    if (entry.startedAt == 0)
+        m_drainingReports.erase({ entry.id, entry.startedAt });
     m_targets.erase(target);
     if (wasReady && m_listener)
         m_listener({ .entry = std::move(entry), .reason = reason, .at = now });
 }
 
+void TargetDirectory::forgetDrainingReports(TimePoint now)
+{
+    std::erase_if(m_drainingReports, [&](const auto& report) {
+        const auto& [incarnation, reportedAt] = report;
+        const auto* entry = find(incarnation.first);
+        bool listed = entry && entry->startedAt == incarnation.second;
+        return !listed && reportedAt + drainingReportLifetime <= now;
+    });
+}
+
 bool TargetDirectory::mayBeLeaseExpiry(TimePoint now) const
 {
     return !m_storeReachable || (m_storeRegainedAt && now < *m_storeRegainedAt + rewriteTimeout);
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -44,7 +44,7 @@
     void onEntryRemoved(const std::string& id, TimePoint now);
 
     /// The target, or a peer that queried it, reports that this incarnation is draining.
-    /// Entries of the same incarnation whose state is still Ready are outdated and do not reset this.
+    /// Entries of the same incarnation whose state is still Ready are outdated and do not reset this, also after its entry was removed.
     void onDrainingReported(const std::string& id, std::int64_t startedAt, TimePoint now, std::optional<Milliseconds> timeToShutdown = std::nullopt);
 
     /// All entries were read again; targets that are missing from the list are removed.
@@ -74,6 +74,9 @@
     std::set<std::string> lateEvacuatedTargets(const std::string& service, TimePoint now) const;
     std::size_t targetsIn(const std::string& failureDomain) const;
 
+    /// True if the incarnation was reported to drain, whether its entry is still there or not.
+    bool isDrainingReported(const std::string& id, std::int64_t startedAt) const { return m_drainingReports.contains({ id, startedAt }); }
+
     /// True if the target neither drains nor is gone, whether it is evacuated or not.
     bool isReady(const std::string& id) const;
     bool isIncarnationReady(const TargetEntry&) const;
@@ -94,14 +97,18 @@
     struct KnownTarget {
         TargetEntry entry;
         std::optional<TimePoint> rewriteDeadline;
-        bool drainingReported = false;
     };
+    /// A target's id and the start of its incarnation.
+    using Incarnation = std::pair<std::string, std::int64_t>;
 
     bool takesRequests(const KnownTarget& target) const { return target.entry.state == TargetState::Ready && !isEvacuated(target.entry); }
     void removeTarget(std::map<std::string, KnownTarget>::iterator, UnavailableReason, TimePoint now);
     bool mayBeLeaseExpiry(TimePoint now) const;
+    void forgetDrainingReports(TimePoint now);
 
     std::map<std::string, KnownTarget> m_targets;
+    /// When incarnations were last reported to drain.
+    std::map<Incarnation, TimePoint> m_drainingReports;
     DomainEvacuations m_evacuations;
     bool m_storeReachable = true;
     std::optional<TimePoint> m_storeRegainedAt;
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -187,3 +187,42 @@
     f.write(f.entry("a"));
     cr_expect(!f.directory.isEntryMissing("a"));
 }
+
+/// Guards against DRAIN: a heartbeat that the store executed late made a target usable again that had said it leaves and removed its entry.
+Test(TargetDirectory, entryOfDrainingIncarnationReturns_staysUnusable)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.directory.onDrainingReported("a", 1, f.now);
+    f.directory.onEntryRemoved("a", f.now);
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isUsable("a"));
+    cr_expect(f.unavailable.size() == 1, "it is reported as unavailable only once");
+    f.write(f.entry("a", TargetState::Ready, 2));
+    cr_expect(f.directory.isUsable("a"), "the next incarnation is unusable");
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isUsable("a"), "a late heartbeat of the earlier incarnation made it usable");
+}
+
+/// Guards against DRAIN: the same, if the target says that it leaves only after its entry was removed.
+Test(TargetDirectory, drainingReportedAfterTheEntryWasRemoved_entryThatReturnsStaysUnusable)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.directory.onEntryRemoved("a", f.now);
+    f.directory.onDrainingReported("a", 1, f.now);
+    f.directory.onTick(f.now + Seconds(10));
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isUsable("a"));
+}
+
+Test(TargetDirectory, drainingReportOfTargetWithoutStartTime_endsWithItsEntry)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a", TargetState::Ready, 0));
+    f.directory.onDrainingReported("a", 0, f.now);
+    f.directory.onEntryRemoved("a", f.now);
+    f.directory.onDrainingReported("a", 0, f.now);
+    f.write(f.entry("a", TargetState::Ready, 0));
+    cr_expect(f.directory.isUsable("a"));
+}
