Treat answers whose status is not one of HTTP as malformed

What callers saw: nothing with status 000 itself, which ended in 502. Cause: "below 200" was asked in two of the places that read answers, in one of them after its headers had been believed, and status 0 stood for "no answer yet" in streams. Change: one function tells the final statuses of HTTP, and all readers of answers ask it before they look at another header. Why it works: relays, calls to engines, the store and peers, and serve read heads in these three places only.

--- a/src/net/internal/eventstreamreader.cpp
+++ b/src/net/internal/eventstreamreader.cpp
@@ -86,6 +86,8 @@
     if (error)
         co_return linkError(error, Step::ReadReply, m_endpoint);
     auto status = m_parser->get().result_int();
+    if (!isFinalStatus(status))
+        co_return statusError(status, toString(m_endpoint));
     if (status == 200)
         co_return status;
 
--- a/src/net/internal/httpclient.cpp
+++ b/src/net/internal/httpclient.cpp
@@ -34,9 +34,8 @@
         deadline = std::max<TimePoint>(deadline, Clock::now() + call.bodyTimeout);
         stream.expires_at(deadline);
     }
-    // The response to the request would follow an informational one.
-    if (parser.get().result_int() < 200)
-        co_return Error { .code = ErrorCode::BadReply, .step = Step::ReadReply, .peer = toString(call.endpoint), .detail = "informational response", .outcome = Outcome::Unknown };
+    if (!isFinalStatus(parser.get().result_int()))
+        co_return statusError(parser.get().result_int(), toString(call.endpoint));
     co_return parser.release();
 }
 
--- a/src/net/internal/nettypes.cpp
+++ b/src/net/internal/nettypes.cpp
@@ -1,6 +1,7 @@
 #include "net/nettypes.h"
 
 #include <charconv>
+#include <fmt/format.h>
 
 namespace guavaspan {
 
@@ -36,6 +37,19 @@
     return error.category() == http::make_error_code(http::error::bad_field).category() && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned firstFinalStatus = 200;
+    constexpr unsigned lastStatus = 599;
+    return status >= firstFinalStatus && status <= lastStatus;
+}
+
+/// The response to the request would follow an informational one, so nothing in this one tells whether the request ran.
+Error statusError(unsigned status, std::string peer)
+{
+    return { .code = ErrorCode::BadReply, .step = Step::ReadReply, .peer = std::move(peer), .detail = fmt::format("status {:03} ends no request", status), .outcome = Outcome::Unknown };
+}
+
 Awaitable<> sleepFor(Clock::duration duration)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, duration);
--- a/src/net/nettypes.h
+++ b/src/net/nettypes.h
@@ -46,6 +46,12 @@
 /// True if the bytes received are no HTTP message, or exceed a limit; false if the connection broke or timed out.
 bool isMalformedMessage(const boost::system::error_code&);
 
+/// True for the statuses of HTTP that end a request; an informational response does not.
+bool isFinalStatus(unsigned status);
+
+/// The error of a response whose status is not final.
+Error statusError(unsigned status, std::string peer);
+
 /// Suspends the calling coroutine.
 Awaitable<> sleepFor(Clock::duration);
 
--- a/src/net/tests/httpclient_test.cpp
+++ b/src/net/tests/httpclient_test.cpp
@@ -46,3 +46,13 @@
         cr_expect(f.report.connections == 1 && f.report.abandoned == 0, "%s: the connection was not closed", name);
     }
 }
+
+/// Guards against MIXED: an answer with status 000, or with one beyond those of HTTP, was returned as an answer.
+Test(HttpClient, statusIsNoFinalHttpStatus_isABadReply)
+{
+    for (const char* status : { "000", "100", "199", "600", "999" }) {
+        EndlessCallFixture f({ .name = status, .start = std::string("HTTP/1.1 ") + status + " None\r\nContent-Length: 4\r\n\r\ndone", .repeated = "a" });
+        cr_assert(f.result.has_error(), "%s was returned", status);
+        cr_expect(f.result.error().code == ErrorCode::BadReply && f.result.error().outcome == Outcome::Unknown, "%s", status);
+    }
+}
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -90,8 +90,6 @@
     {
         if (responseHead.notRun)
             return AttemptOutcome::NotRun;
-        if (responseHead.status < 200)
-            return AttemptOutcome::Malformed;
         bool mismatched = !requestId.empty() && responseHead.requestId != requestId;
         bool success = responseHead.status >= 200 && responseHead.status < 300;
         if (mismatched || responseHead.encoded || !responseHead.sealed || impliesNotRun(responseHead.status))
@@ -132,7 +130,7 @@
     auto responseHead = readResponseHead(m_context, request, placement.target, connection.header());
     recordTargetState(m_context, placement.target, responseHead);
     auto outcome = classify(responseHead, request.caller.requestId);
-    if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Malformed)
+    if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::Broken)
         co_return finish(outcome, "status " + std::to_string(responseHead.status));
     auto body = co_await connection.readAll([&](std::size_t bytes) { return request.exchange.holdAnswer(bytes); });
     recordBodyEnd(m_context, request, connection, body);
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -143,6 +143,9 @@
     auto [error, bytes] = co_await http::async_read_header(state->socket, state->buffer, state->parser, asTuple);
     if (error)
         co_return makeError(error, Step::ReadReply);
+    auto status = state->parser.get().result_int();
+    if (!isFinalStatus(status))
+        co_return statusError(status, toString(m_endpoint));
     co_return Result<void> {};
 }
 
--- a/src/relay/tests/streamrelayendless_test.cpp
+++ b/src/relay/tests/streamrelayendless_test.cpp
@@ -48,6 +48,18 @@
     }
 }
 
+/// Guards against a conviction of the request: an answer with status 000 was taken for none.
+Test(StreamRelay, statusIsNoHttpStatus_isNoPossibleCrash)
+{
+    for (const char* status : { "000", "600" }) {
+        EndlessEnginesFixture f({ .name = status, .start = fmt::format("HTTP/1.1 {} None\r\nSeal: 1\r\nRequest: r1\r\nContent-Length: 4\r\n\r\ndone", status), .repeated = "a" });
+        auto received = f.ask("/stream");
+        cr_expect(isFailure(received), "%s: the caller received %.40s", status, received.c_str());
+        cr_expect(f.interruptedAnswers() == 0, "%s: %lu possible crashes; %s", status, static_cast<unsigned long>(f.interruptedAnswers()), f.timing().c_str());
+        cr_expect(f.failureRate() > 0, "%s: the engine was not charged with the failure", status);
+    }
+}
+
 /// Guards against comments or events without end that look like a complete answer, or count as tokens.
 Test(StreamRelay, eventsWithoutEnd_answerIsBrokenOffAtDeadline)
 {
