--- a/src/fleet/tests/peerfeed_test.cpp
+++ b/src/fleet/tests/peerfeed_test.cpp
@@ -57,6 +57,17 @@
     cr_expect(ofEarlierEra && ofEarlierEra->historyLost);
 }
 
+/// The replica's values have an order, and an entry is removed.
+Awaitable<> expectRemovalCarriesLastValue(PeerFeedFixture& f)
+{
+    f.replica.setEntryOrder([](const std::string&, const std::string& left, const std::string& right) -> std::optional<std::strong_ordering> { return left <=> right; });
+    f.replica.applyChanges({ .changes = { { .key = "a", .revision = 7 } }, .revision = { .era = 2, .number = 7 } }, BootClock::now());
+    PeerFeedClient client(f.endpoint);
+    auto changes = co_await client.watch(emptyPrefix, { .era = 2, .number = 6 }, Milliseconds(0));
+    cr_assert(changes && changes->changes.size() == 1);
+    cr_expect(changes->changes.front() == StoreChange({ .key = "a", .revision = 7, .lastValue = "1" }));
+}
+
 Awaitable<> expectOlderClientIsServed(PeerFeedFixture& f)
 {
     HttpCall call { .endpoint = f.endpoint, .target = "/fleet/changes?after=6&wait_ms=0" };
@@ -85,6 +96,13 @@
     runThenStop(f.context, expectErasArePassedOn(f));
 }
 
+/// Without the last value, a follower cannot recognise a heartbeat that the store executes late.
+Test(PeerFeed, removalOfAnEntryWithAnOrder_carriesItsLastValue)
+{
+    PeerFeedFixture f;
+    runThenStop(f.context, expectRemovalCarriesLastValue(f));
+}
+
 /// Guards against CONFIG during an upgrade: instances of older versions follow newer ones.
 Test(PeerFeed, followerOfOlderVersion_isServed)
 {
