Hold failures and incomplete events of streams within the memory budget

What callers saw: with engines that answer without end, the process took 1,548 MB of 64 MB stated for the failures (500, sealed) of 96 streams, and 111 MB for an event of each that does not end; on a host with that limit all callers' requests end with it (LOST). Cause: each read was bounded, but the budget that all connections share was not asked for these two. Change: both are held in the caller's account; one that gets no room fails.

--- a/src/relay/eventframeparser.h
+++ b/src/relay/eventframeparser.h
@@ -35,6 +35,7 @@
 
     /// True while the bytes of an incomplete event are buffered.
     bool hasPartialFrame() const { return !m_partial.empty(); }
+    std::size_t partialBytes() const { return m_partial.size(); }
 
 private:
     void parseLine(std::string_view line);
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -176,6 +176,11 @@
             session.result.detail = session.frames.isMalformed() ? "event without a field" : "event too large";
             co_return StreamOutcome::Malformed;
         }
+        // Each event is bounded, but those of all streams together may exceed the memory.
+        if (!session.request.exchange.holdAnswer(session.frames.partialBytes())) {
+            session.result.detail = "no room for an incomplete event";
+            co_return StreamOutcome::Malformed;
+        }
     }
     StreamEnd end { .hasPartialFrame = session.frames.hasPartialFrame(), .endsAtClose = connection->bodyEndsAtClose(), .hasPendingMove = session.stream->hasPendingMove(), .mayHaveStopped = session.stream->mayHaveStopped(), .isTargetReady = m_context.directory.isIncarnationReady(session.stream->target()) };
     co_return outcomeOf(judge(end));
@@ -296,7 +301,7 @@
     bool impliesNotRun = session.responseHead.status == 408 || session.responseHead.status == 429 || session.responseHead.status == 503;
     bool isTargetError = session.responseHead.status >= 300 && matchesRequest && session.responseHead.sealed && !impliesNotRun;
     if (isTargetError) {
-        auto body = co_await session.connection->readAll();
+        auto body = co_await session.connection->readAll([&](std::size_t bytes) { return request.exchange.holdAnswer(bytes); });
         if (body) {
             auto response = withoutHopByHopHeaders(session.connection->header());
             response.body() = std::move(*body);
