Keep reports of draining targets for a minute after their entries

Cause: the minute ran from the report, so an engine that drained for longer was forgotten with its entry, and a late heartbeat could bring it back. Change: it runs from the time until which the incarnation had an entry. The resolution of the time that targets are told has a name. Result: TargetDirectory.entryRemovedLongAfterTheReport_entryThatReturnsStaysUnusable failed before and passes.

--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -81,6 +81,9 @@
     std::shared_ptr<State> m_state;
 };
 
+/// Targets are told the time that is left in this unit.
+inline constexpr Milliseconds statedTimeResolution { 1 };
+
 /// A caller's request while it is relayed.
 struct RelayRequest {
     HttpExchange& exchange;
@@ -106,8 +109,8 @@
     /// Ends the request when the instance stops, if it would end later.
     void endWithStop(TimePoint requestsEndAt);
 
-    /// Targets are told whole milliseconds, so they may end the request up to one before its deadline.
-    bool isDeadlineReached(TimePoint now) const { return now + Milliseconds(1) > deadline; }
+    /// Targets may end the request earlier by the resolution of the time that they are told.
+    bool isDeadlineReached(TimePoint now) const { return now + statedTimeResolution > deadline; }
 
     /// True once the stop of this instance has ended the request.
     bool endedByStop(TimePoint now) const { return cut || (endsWithStop && isDeadlineReached(now)); }
--- a/src/targets/internal/targetdirectory.cpp
+++ b/src/targets/internal/targetdirectory.cpp
@@ -250,12 +250,12 @@
 
 void TargetDirectory::forgetDrainingReports(TimePoint now)
 {
-    std::erase_if(m_drainingReports, [&](const auto& report) {
-        const auto& [incarnation, reportedAt] = report;
+    for (auto& [incarnation, lastListedAt] : m_drainingReports) {
         const auto* entry = find(incarnation.first);
-        bool listed = entry && entry->startedAt == incarnation.second;
-        return !listed && reportedAt + drainingReportLifetime <= now;
-    });
+        if (entry && entry->startedAt == incarnation.second)
+            lastListedAt = now;
+    }
+    std::erase_if(m_drainingReports, [&](const auto& report) { return report.second + drainingReportLifetime <= now; });
 }
 
 bool TargetDirectory::mayBeLeaseExpiry(TimePoint now) const
--- a/src/targets/targetdirectory.h
+++ b/src/targets/targetdirectory.h
@@ -107,7 +107,7 @@
     void forgetDrainingReports(TimePoint now);
 
     std::map<std::string, KnownTarget> m_targets;
-    /// When incarnations were last reported to drain.
+    /// Incarnations that were reported to drain, with the time of the report, or until which they had an entry.
     std::map<Incarnation, TimePoint> m_drainingReports;
     DomainEvacuations m_evacuations;
     bool m_storeReachable = true;
--- a/src/targets/tests/targetdirectory_test.cpp
+++ b/src/targets/tests/targetdirectory_test.cpp
@@ -216,6 +216,22 @@
     cr_expect(!f.directory.isUsable("a"));
 }
 
+/// Guards against DRAIN: the same, if the target drains for longer than a report without an entry is kept.
+Test(TargetDirectory, entryRemovedLongAfterTheReport_entryThatReturnsStaysUnusable)
+{
+    DirectoryFixture f;
+    f.write(f.entry("a"));
+    f.directory.onDrainingReported("a", 1, f.now);
+    for (int seconds = 0; seconds < 90; ++seconds) {
+        f.now += Seconds(1);
+        f.directory.onTick(f.now);
+    }
+    f.directory.onEntryRemoved("a", f.now);
+    f.directory.onTick(f.now + Seconds(5));
+    f.write(f.entry("a"));
+    cr_expect(!f.directory.isUsable("a"));
+}
+
 Test(TargetDirectory, drainingReportOfTargetWithoutStartTime_endsWithItsEntry)
 {
     DirectoryFixture f;
