--- a/review/support-3/main.cpp
+++ b/review/support-3/main.cpp
@@ -114,52 +114,40 @@
         return truncated > 0 ? broken : held;
     }
 
-    /// The settings file states a shorter time to stop before SIGTERM comes, without a signal.
-    int runGraceCase(Deployment& deployment, bool trouble)
+    /// Connections that clients keep, on each of which one request has been answered; none if one was not.
+    std::vector<int> openKeptConnections(Deployment& deployment, int clients)
     {
-        constexpr int graceBefore = 8;
-        constexpr int graceAfter = 5;
-        deployment.startEngine("i-1a2b3c40", "wuno96b", { "--work", "2600" });
-        deployment.startEngine("i-1a2b3c41", "wuno96b", { "--work", "2600" });
-        if (!deployment.start(graceBefore))
-            return notRun;
-        constexpr int clients = 6;
         std::vector<int> sockets;
-        // Each client has a connection that it keeps, and on which one request has been answered.
-        std::vector<std::thread> first;
+        std::vector<std::thread> threads;
         std::atomic<int> answered = 0;
         for (int i = 0; i < clients; ++i) {
             sockets.push_back(connectTo(deployment.callerPort()));
-            first.emplace_back([&, i] {
-                auto outcome = ask(sockets[static_cast<std::size_t>(i)], idOf(i), Deployment::requestText("POST", orderPath, idOf(i), 4000, "", "order"), 6000);
+            threads.emplace_back([&, i, socket = sockets.back()] {
+                auto outcome = ask(socket, idOf(i), Deployment::requestText("POST", orderPath, idOf(i), 4000, "", "order"), 6000);
                 answered += outcome.answer && outcome.answer->status() == 200;
                 deployment.record().line(describe(outcome));
             });
         }
-        for (auto& client : first)
-            client.join();
-        if (answered < clients)
-            return notRun;
-        int grace = trouble ? graceAfter : graceBefore;
-        if (trouble) {
-            deployment.writeSettings(graceAfter);
-            deployment.record().line("settings grace_s=" + std::to_string(graceAfter));
-            sleepMs(3000);
-        }
-        auto signalledAt = nowMs();
-        deployment.record().line("sigterm grace_s=" + std::to_string(grace));
-        deployment.kill(deployment.entry(), SIGTERM);
+        for (auto& thread : threads)
+            thread.join();
+        return answered == clients ? sockets : std::vector<int>();
+    }
+
+    /// Sends an order on each connection from a time on, kills the process when its time to stop is over, and counts the orders sent later
+    /// than 3 s after SIGTERM that were passed on and not answered.
+    int finishStop(Deployment& deployment, const std::vector<int>& sockets, std::int64_t signalledAt, std::int64_t sendAt, int graceSeconds)
+    {
+        auto clients = sockets.size();
         std::vector<Outcome> outcomes(clients);
         std::vector<std::thread> threads;
-        for (int i = 0; i < clients; ++i) {
+        for (std::size_t i = 0; i < clients; ++i) {
             threads.emplace_back([&, i] {
-                // Later than 3 s after the signal.
-                sleepMs(static_cast<int>(signalledAt + 3040 + 10 * i - nowMs()));
-                auto id = idOf(100 + i);
-                outcomes[static_cast<std::size_t>(i)] = ask(sockets[static_cast<std::size_t>(i)], id, Deployment::requestText("POST", orderPath, id, 4000, "", "order"), 6000);
+                sleepMs(static_cast<int>(sendAt + 10 * static_cast<int>(i) - nowMs()));
+                auto id = idOf(100 + static_cast<int>(i));
+                outcomes[i] = ask(sockets[i], id, Deployment::requestText("POST", orderPath, id, 4000, "", "order"), 6000);
             });
         }
-        while (nowMs() < signalledAt + 1000 * grace)
+        while (nowMs() < signalledAt + 1000 * graceSeconds)
             sleepMs(5);
         deployment.record().line("sigkill");
         deployment.kill(deployment.entry(), SIGKILL);
@@ -167,18 +155,72 @@
             thread.join();
         auto runs = deployment.recorded("run");
         int lost = 0;
-        for (int i = 0; i < clients; ++i) {
-            auto& outcome = outcomes[static_cast<std::size_t>(i)];
+        for (std::size_t i = 0; i < clients; ++i) {
+            const auto& outcome = outcomes[i];
             deployment.record().line(describe(outcome) + " after_sigterm_ms=" + std::to_string(outcome.sentAt - signalledAt));
             bool passedOn = std::any_of(runs.begin(), runs.end(), [&](const auto& line) { return fieldOf(line, "request") == outcome.id; });
             bool sentLate = outcome.sentAt > signalledAt + 3000;
             lost += passedOn && sentLate && !(outcome.answer && outcome.answer->complete);
-            ::close(sockets[static_cast<std::size_t>(i)]);
+            ::close(sockets[i]);
         }
         deployment.record().line("result passed_on_and_cut_without_an_answer=" + std::to_string(lost));
         return lost > 0 ? broken : held;
     }
 
+    /// The settings file states a shorter time to stop before SIGTERM comes, without a signal.
+    int runGraceCase(Deployment& deployment, bool trouble)
+    {
+        constexpr int graceBefore = 8;
+        constexpr int graceAfter = 5;
+        deployment.startEngine("i-1a2b3c40", "wuno96b", { "--work", "2600" });
+        deployment.startEngine("i-1a2b3c41", "wuno96b", { "--work", "2600" });
+        if (!deployment.start(graceBefore))
+            return notRun;
+        auto sockets = openKeptConnections(deployment, 6);
+        if (sockets.empty())
+            return notRun;
+        int grace = trouble ? graceAfter : graceBefore;
+        if (trouble) {
+            deployment.writeSettings(graceAfter);
+            deployment.record().line("settings grace_s=" + std::to_string(graceAfter));
+            sleepMs(3000);
+        }
+        auto signalledAt = nowMs();
+        deployment.record().line("sigterm grace_s=" + std::to_string(grace));
+        deployment.kill(deployment.entry(), SIGTERM);
+        return finishStop(deployment, sockets, signalledAt, signalledAt + 3040, grace);
+    }
+
+    /// SIGTERM comes while the process stands still; the time until SIGKILL runs from the signal.
+    int runFrozenStopCase(Deployment& deployment, bool trouble)
+    {
+        constexpr int graceSeconds = 8;
+        deployment.startEngine("i-1a2b3c40", "wuno96b", { "--work", "2600" });
+        deployment.startEngine("i-1a2b3c41", "wuno96b", { "--work", "2600" });
+        if (!deployment.start(graceSeconds))
+            return notRun;
+        constexpr int clients = 6;
+        auto sockets = openKeptConnections(deployment, clients);
+        if (sockets.empty())
+            return notRun;
+        constexpr int freezeMs = 4000;
+        if (trouble) {
+            deployment.record().line("freeze");
+            deployment.kill(deployment.entry(), SIGSTOP);
+            sleepMs(300);
+        }
+        auto signalledAt = nowMs();
+        deployment.record().line("sigterm");
+        deployment.kill(deployment.entry(), SIGTERM);
+        if (trouble) {
+            sleepMs(freezeMs - 300);
+            deployment.kill(deployment.entry(), SIGCONT);
+            deployment.record().line("thaw");
+        }
+        auto sendAt = nowMs() + 3040;
+        return finishStop(deployment, sockets, signalledAt, sendAt, graceSeconds);
+    }
+
     /// A request names a transfer coding other than chunked; what follows its header looks like a request.
     int runCodingCase(Deployment& deployment, bool trouble)
     {
@@ -257,7 +299,7 @@
     if (mode == "engine")
         return Engine(options).run();
     bool trouble = options.number("trouble", 1) != 0;
-    std::map<std::string, int (*)(Deployment&, bool)> cases { { "crash", runCrashCase }, { "grace", runGraceCase }, { "coding", runCodingCase }, { "ids", runIdsCase }, { "head", runHeadCase } };
+    std::map<std::string, int (*)(Deployment&, bool)> cases { { "crash", runCrashCase }, { "grace", runGraceCase }, { "frozen-stop", runFrozenStopCase }, { "coding", runCodingCase }, { "ids", runIdsCase }, { "head", runHeadCase } };
     if (!cases.contains(mode))
         return notRun;
     int result = notRun;
