--- a/review/support-3/main.cpp
+++ b/review/support-3/main.cpp
@@ -336,7 +336,8 @@
     {
         Deployment deployment(options);
         result = cases.at(mode)(deployment, trouble);
-        deployment.record().line(std::string("verdict ") + (result == held ? "held" : result == broken ? "broken" : "not run"));
+        deployment.record().line(std::string("verdict ") + (result == held ? "held" : result == broken ? "broken"
+                                                                                                       : "not run"));
     }
     // Threads of the store still wait on connections.
     ::_exit(result);
