--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/stopsignalreceiver.h"
 #include "entry/configurationcatchup.h"
 #include "entry/entrysettings.h"
 #include "entry/storerecovery.h"
@@ -119,6 +120,7 @@
     HttpServer m_readinessServer;
     HttpServer m_peerServer;
     asio::signal_set m_stopSignals;
+    StopSignalReceiver m_stopSignalReceiver;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
     /// Records that peers hand over from now on would end with this process.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -25,6 +25,8 @@
     constexpr auto balancerDetectionTime = Milliseconds(3200);
     /// A process whose processor time is used up handles its signals late.
     constexpr auto maxSignalDelay = Milliseconds(350);
+    /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
+    constexpr auto signalSettlingTime = Milliseconds(100);
     /// Subtracted from keyLifetimeAfterRevocation to allow for the delay to the target and for late timers.
     constexpr auto revocationMargin = Milliseconds(600);
 
@@ -95,6 +97,7 @@
     , m_readinessServer(m_io, {}, [this](HttpExchange& exchange) { return serveReadiness(exchange); })
     , m_peerServer(m_io, {}, [this](HttpExchange& exchange) { return servePeer(exchange); })
     , m_stopSignals(m_io, SIGTERM, SIGINT)
+    , m_stopSignalReceiver({ .minLength = maxSignalDelay, .settlingTime = signalSettlingTime })
     , m_reloadSignals(m_io, SIGHUP)
 {
     limitMemory();
@@ -464,6 +467,7 @@
 Awaitable<> EntryInstance::tickLoop()
 {
     while (true) {
+        m_stopSignalReceiver.onRunning();
         m_directory.onTick(Clock::now());
         m_fleet.onTick(Clock::now());
         if (m_placementClient.needsReport())
@@ -513,11 +517,15 @@
         co_return;
     StopSignals signals;
     signals.endsAtOnce(signal);
+    auto stopSignal = m_stopSignalReceiver.take(signal);
+    if (!stopSignal)
+        co_return;
     m_relayContext.stop = StopSchedule({ .signalledAt = Clock::now(), .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
     m_relayContext.activeRequests->endWithStop(m_relayContext.stop->requestsEndAt());
     m_registration.stop();
     auto connections = m_callerServer.connectionCounts();
-    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
+    auto milliseconds = [](BootClock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
+    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "signal_age_at_most_ms", milliseconds(stopSignal->maxAge) }, { "handled_after_ms", milliseconds(BootClock::now() - stopSignal->arrivedAt) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
     asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
     while (true) {
         auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
