Plan a stop for the earliest and the latest time at which its signal was sent

What callers saw: the first events of a stream, then a broken connection (LOST); 6 of 6 streams sent on kept connections 6.7 s after SIGTERM, 3 s after a standstill of 4 s. Cause: the stop was planned from the time at which the signal was handled. A process that stands still gets it when it runs again, while the host's limit runs from the sending. Change: requests are admitted if they end before the earliest kill, reckoned from the last sign of life before the standstill. Those that run already end before the latest kill, since a signal that was sent late leaves them that time. The schedule counts in the time since boot: the steady clock leaves out the time for which a machine is suspended during a stop. Why it works: the signal cannot have been sent before the process gave its last sign of life, and not after it arrived.

--- a/src/common/time.h
+++ b/src/common/time.h
@@ -37,6 +37,12 @@
 
 using BootTime = BootClock::time_point;
 
+/// The time on the steady clock at which the boot clock shows this time, unless the machine is suspended until then.
+inline TimePoint toSteadyTime(BootTime time)
+{
+    return Clock::now() + (time - BootClock::now());
+}
+
 /// Unix time in milliseconds, for timestamps that instances exchange.
 inline std::int64_t unixMilliseconds()
 {
--- a/src/entry/internal/drain.cpp
+++ b/src/entry/internal/drain.cpp
@@ -21,20 +21,20 @@
         *result = co_await operation();
     }
 
-    Awaitable<> waitUntilIdle(const DrainOptions& options, std::function<TimePoint()> latest)
+    Awaitable<> waitUntilIdle(const DrainOptions& options, std::function<BootTime()> latest)
     {
-        while (options.busyConnections() > 0 && Clock::now() < latest())
+        while (options.busyConnections() > 0 && BootClock::now() < latest())
             co_await sleepFor(checkInterval);
     }
 
     Awaitable<> waitForRequests(const DrainOptions& options)
     {
-        std::function<TimePoint()> requestsEndAt = [&options] { return options.schedule().requestsEndAt(); };
+        std::function<BootTime()> requestsEndAt = [&options] { return options.schedule().requestsEndAt(); };
         co_await waitUntilIdle(options, std::move(requestsEndAt));
         if (options.busyConnections() == 0)
             co_return;
         options.cutRequests();
-        std::function<TimePoint()> answersEndAt = [&options] {
+        std::function<BootTime()> answersEndAt = [&options] {
             auto schedule = options.schedule();
             return schedule.requestsEndAt() + (schedule.processEndsAt() - schedule.requestsEndAt()) / 2;
         };
@@ -50,8 +50,8 @@
         auto handedOver = std::make_shared<std::optional<bool>>();
         asio::co_spawn(executor, runAndNotify(options.writeUsage, written), reportFailedHandler);
         asio::co_spawn(executor, runAndNotify(options.handOverUsage, handedOver), reportFailedHandler);
-        auto deadline = std::min<TimePoint>(Clock::now() + writeTimeout, options.schedule().processEndsAt());
-        while ((!*written || !*handedOver) && Clock::now() < deadline)
+        auto deadline = std::min<BootTime>(BootClock::now() + writeTimeout, options.schedule().processEndsAt());
+        while ((!*written || !*handedOver) && BootClock::now() < deadline)
             co_await sleepFor(checkInterval);
         co_return written->value_or(false) || handedOver->value_or(false);
     }
@@ -63,8 +63,8 @@
 /// request each, also while use is written. They close after it, so this ends.
 Awaitable<bool> drain(DrainOptions options)
 {
-    while (Clock::now() < options.schedule().balancerStopsAt()) {
-        Clock::duration timeLeft = options.schedule().balancerStopsAt() - Clock::now();
+    while (BootClock::now() < options.schedule().balancerStopsAt()) {
+        Clock::duration timeLeft = options.schedule().balancerStopsAt() - BootClock::now();
         co_await sleepFor(std::min<Clock::duration>(checkInterval, timeLeft));
     }
     options.closeIdleConnections();
@@ -74,7 +74,7 @@
         auto endedBefore = options.endedRequests();
         bool saved = co_await saveUsage(options);
         bool requestArrived = options.busyConnections() > 0 || options.endedRequests() != endedBefore;
-        if (!requestArrived || Clock::now() >= options.schedule().requestsEndAt())
+        if (!requestArrived || BootClock::now() >= options.schedule().requestsEndAt())
             co_return saved;
         co_await waitForRequests(options);
         if (!saved)
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -510,6 +510,7 @@
     }
 }
 
+/// The host's time runs from its signal, which waits until a process that stands still runs again.
 Awaitable<> EntryInstance::handleStopSignals()
 {
     auto [error, signal] = co_await m_stopSignals.async_wait(asTuple);
@@ -520,8 +521,8 @@
     auto stopSignal = m_stopSignalReceiver.take(signal);
     if (!stopSignal)
         co_return;
-    m_relayContext.stop = StopSchedule({ .signalledAt = Clock::now(), .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
-    m_relayContext.activeRequests->endWithStop(m_relayContext.stop->requestsEndAt());
+    m_relayContext.stop = StopSchedule({ .signalledAt = stopSignal->arrivedAt, .maxSignalAge = stopSignal->maxAge, .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
+    m_relayContext.activeRequests->endWithStop(toSteadyTime(m_relayContext.stop->requestsEndAt()));
     m_registration.stop();
     auto connections = m_callerServer.connectionCounts();
     auto milliseconds = [](BootClock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
@@ -586,7 +587,7 @@
 
 void EntryInstance::logCutConnections()
 {
-    auto sinceStop = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_relayContext.stop->signalledAt()).count();
+    auto sinceStop = std::chrono::duration_cast<Milliseconds>(BootClock::now() - m_relayContext.stop->signalledAt()).count();
     for (const auto& connection : m_callerServer.openConnections()) {
         bool cut = connection.state != ConnectionState::Idle || connection.unreadBytes > 0;
         if (cut)
--- a/src/entry/tests/drain_test.cpp
+++ b/src/entry/tests/drain_test.cpp
@@ -21,7 +21,7 @@
     bool idleConnectionsOpen = true;
     bool requestsCut = false;
     bool idleConnectionsOpenWhileHandling = true;
-    StopOptions stop { .signalledAt = Clock::now(), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(10) };
+    StopOptions stop { .signalledAt = BootClock::now(), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(10) };
     int writes = 0;
     std::uint64_t requestsEnded = 0;
     std::uint64_t requestsOnRecord = 0;
@@ -123,7 +123,7 @@
     asio::co_spawn(f.io, f.serveRequest(), asio::detached);
     cr_expect(f.run());
     cr_expect(f.requestsCut && f.requestsEnded == 1 && f.requestsOnRecord == 1);
-    cr_expect(Clock::now() < f.stop.signalledAt + f.stop.stopLimit);
+    cr_expect(BootClock::now() < f.stop.signalledAt + f.stop.stopLimit);
 }
 
 /// Guards against LOST: a store that does not respond held the process beyond the host's kill.
@@ -135,7 +135,7 @@
     f.stop.stopLimit = Milliseconds(1200);
     asio::co_spawn(f.io, f.serveRequest(), asio::detached);
     cr_expect(!f.run());
-    cr_expect(Clock::now() < f.stop.signalledAt + f.stop.stopLimit);
+    cr_expect(BootClock::now() < f.stop.signalledAt + f.stop.stopLimit);
 }
 
 /// Guards against lost use: the store does not answer while the instance stops.
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -130,7 +130,7 @@
 {
     context.metrics.recordCutRequest(request.route.name);
     auto age = std::chrono::duration_cast<Milliseconds>(now - request.arrivedAt).count();
-    auto sinceStop = std::chrono::duration_cast<Milliseconds>(now - context.stop->signalledAt()).count();
+    auto sinceStop = std::chrono::duration_cast<Milliseconds>(BootClock::now() - context.stop->signalledAt()).count();
     logEvent(LogLevel::Warning, "request_cut", { { "request", request.caller.requestId }, { "route", request.route.name }, { "answer_started", request.exchange.responseStarted() }, { "age_ms", age }, { "since_stop_ms", sinceStop }, { "caller", toString(request.exchange.remote()) } });
 }
 
--- a/src/relay/internal/requesthandler.cpp
+++ b/src/relay/internal/requesthandler.cpp
@@ -104,7 +104,7 @@
         admission.priority = organisation->priority.value_or(admission.priority);
     }
     admission.fingerprint = fingerprintOf(admission.organisation, exchange.request());
-    if (m_context.stop && !m_context.stop->mayAdmit(durationOf(*admission.route, caller), Clock::now())) {
+    if (m_context.stop && !m_context.stop->mayAdmit(durationOf(*admission.route, caller), now)) {
         admission.closesConnection = true;
         return refuseWith(503, reasonStopping, retryAfterStopping);
     }
@@ -144,7 +144,7 @@
         .deadline = arrivedAt + timeLimitOf(*admission.route, caller),
     };
     if (m_context.stop)
-        request.endWithStop(m_context.stop->requestsEndAt());
+        request.endWithStop(toSteadyTime(m_context.stop->requestsEndAt()));
     ActiveRequests::Entry entry(m_context.activeRequests, request);
     RelayResult result;
     if (admission.route->retrySafety == RetrySafety::Stream)
@@ -164,7 +164,7 @@
     m_context.metrics.recordRequest(route, result.reason, secondsBetween(arrivedAt, now));
     auto milliseconds = [](Clock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     logEvent(LogLevel::Info, "request_ended",
-        { { "request", caller.requestId }, { "fingerprint", hexOf(admission.fingerprint) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "since_stop_ms", m_context.stop ? milliseconds(now - m_context.stop->signalledAt()) : -1 }, { "caller", toString(exchange.remote()) } });
+        { { "request", caller.requestId }, { "fingerprint", hexOf(admission.fingerprint) }, { "route", route }, { "organisation", admission.organisation }, { "status", std::int64_t(result.status) }, { "reason", result.reason }, { "target", result.target }, { "detail", result.detail }, { "sends", std::int64_t(result.sends) }, { "events", result.events }, { "moves", std::int64_t(result.moves) }, { "waited_ms", milliseconds(result.waitTime) }, { "first_event_ms", milliseconds(result.firstEventDelay) }, { "longest_pause_ms", milliseconds(result.longestPause) }, { "took_ms", milliseconds(now - arrivedAt) }, { "configuration", admission.table ? admission.table->version() : 0 }, { "configuration_age_ms", milliseconds(m_context.configuration.age(BootClock::now())) }, { "since_stop_ms", m_context.stop ? milliseconds(BootClock::now() - m_context.stop->signalledAt()) : -1 }, { "caller", toString(exchange.remote()) } });
 }
 
 Awaitable<> RequestHandler::handle(HttpExchange& exchange)
--- a/src/relay/internal/stopschedule.cpp
+++ b/src/relay/internal/stopschedule.cpp
@@ -15,32 +15,45 @@
 
 }
 
-TimePoint StopSchedule::balancerStopsAt() const
+BootTime StopSchedule::requestsEndAfterSignalAt(BootTime signalledAt) const
 {
-    return std::min(m_options.signalledAt + m_options.balancerDetectionTime, requestsEndAt());
+    return signalledAt + m_options.stopLimit - std::min(requestMargin, m_options.stopLimit / maxMarginDivisor);
+}
+
+/// Readiness is false since the signal arrived.
+BootTime StopSchedule::balancerStopsAt() const
+{
+    return std::min(m_options.signalledAt + m_options.balancerDetectionTime, admittedRequestsEndAt());
 }
 
 /// The balancer's time runs from the host's signal, which may be earlier than its arrival here.
-TimePoint StopSchedule::admitsByEstimateUntil() const
+BootTime StopSchedule::admitsByEstimateUntil() const
+{
+    auto sentAt = m_options.signalledAt - m_options.maxSignalAge;
+    return std::min(sentAt + m_options.balancerDetectionTime, admittedRequestsEndAt()) - m_options.maxSignalDelay;
+}
+
+BootTime StopSchedule::admittedRequestsEndAt() const
 {
-    return balancerStopsAt() - m_options.maxSignalDelay;
+    return requestsEndAfterSignalAt(m_options.signalledAt - m_options.maxSignalAge);
 }
 
-TimePoint StopSchedule::requestsEndAt() const
+/// A signal that was sent late leaves the requests that run already more time than new ones can rely on.
+BootTime StopSchedule::requestsEndAt() const
 {
-    return m_options.signalledAt + m_options.stopLimit - std::min(requestMargin, m_options.stopLimit / maxMarginDivisor);
+    return requestsEndAfterSignalAt(m_options.signalledAt);
 }
 
-TimePoint StopSchedule::processEndsAt() const
+BootTime StopSchedule::processEndsAt() const
 {
     return m_options.signalledAt + m_options.stopLimit - std::min(processMargin, m_options.stopLimit / (2 * maxMarginDivisor));
 }
 
 /// While the load balancer still sends requests, refusing all that are only likely to end in time would refuse too many.
-bool StopSchedule::mayAdmit(const RequestDuration& duration, TimePoint now) const
+bool StopSchedule::mayAdmit(const RequestDuration& duration, BootTime now) const
 {
     auto latest = now < admitsByEstimateUntil() ? duration.expected : duration.longest;
-    return now + std::min(latest, duration.longest) <= requestsEndAt();
+    return now + std::min(latest, duration.longest) <= admittedRequestsEndAt();
 }
 
 StopSchedule StopSchedule::withLimit(Clock::duration stopLimit) const
--- a/src/relay/stopschedule.h
+++ b/src/relay/stopschedule.h
@@ -6,7 +6,10 @@
 
 /// When the stop was signalled and what limits it.
 struct StopOptions {
-    TimePoint signalledAt;
+    /// When the signal arrived.
+    BootTime signalledAt;
+    /// The host may have sent the signal up to this much earlier, while this process stood still.
+    Clock::duration maxSignalAge {};
     /// Time from the signal until the host kills the process.
     Clock::duration stopLimit {};
     /// Time from the signal until the load balancer stops sending requests.
@@ -35,21 +38,25 @@
     {
     }
 
-    TimePoint signalledAt() const { return m_options.signalledAt; }
+    BootTime signalledAt() const { return m_options.signalledAt; }
+    Clock::duration maxSignalAge() const { return m_options.maxSignalAge; }
 
     /// From here on idle connections are closed.
-    TimePoint balancerStopsAt() const;
+    BootTime balancerStopsAt() const;
 
     /// From here on only requests are admitted that are certain to end in time.
-    TimePoint admitsByEstimateUntil() const;
+    BootTime admitsByEstimateUntil() const;
 
-    /// The latest end of a request. Requests that still run are answered with an error or cut.
-    TimePoint requestsEndAt() const;
+    /// The latest end of a request that is admitted during the stop. The host may kill the process soon after it.
+    BootTime admittedRequestsEndAt() const;
 
-    /// The process ends by itself before the host kills it.
-    TimePoint processEndsAt() const;
+    /// The latest end of any request. Requests that still run are answered with an error or cut.
+    BootTime requestsEndAt() const;
 
-    bool mayAdmit(const RequestDuration&, TimePoint now) const;
+    /// The process ends by itself before the latest time at which the host kills it.
+    BootTime processEndsAt() const;
+
+    bool mayAdmit(const RequestDuration&, BootTime now) const;
 
     /// A limit that changes during the stop can only end it sooner: the host may keep to the limit at the signal.
     StopSchedule withLimit(Clock::duration stopLimit) const;
@@ -57,6 +64,8 @@
     friend bool operator==(const StopSchedule&, const StopSchedule&) = default;
 
 private:
+    BootTime requestsEndAfterSignalAt(BootTime) const;
+
     StopOptions m_options;
 };
 
--- a/src/relay/tests/stopschedule_test.cpp
+++ b/src/relay/tests/stopschedule_test.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr TimePoint signalledAt { Seconds(100) };
+constexpr BootTime signalledAt { Seconds(100) };
 
 /// A stop that the host ends after 8 s.
 struct StopFixture {
@@ -68,3 +68,29 @@
     cr_expect(f.schedule.withLimit(Seconds(20)) == f.schedule);
     cr_expect(f.schedule.withLimit(Seconds(4)).processEndsAt() < f.schedule.processEndsAt());
 }
+
+/// Guards against LOST: a signal that was sent while the process stood still was planned as if it had been sent at its end.
+Test(StopSchedule, signalMayBeOld_admitsOnlyWhatEndsBeforeTheEarliestKill)
+{
+    StopSchedule schedule({ .signalledAt = signalledAt, .maxSignalAge = Seconds(4), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(3200) });
+    cr_expect(schedule.admittedRequestsEndAt() == signalledAt + Milliseconds(3300));
+    cr_expect_not(schedule.mayAdmit({ .expected = Seconds(2), .longest = Seconds(4) }, signalledAt), "the estimate counts although the balancer may have stopped");
+    cr_expect(schedule.mayAdmit({ .expected = Seconds(2), .longest = Seconds(3) }, signalledAt));
+    cr_expect_not(schedule.mayAdmit({ .expected = Seconds(2), .longest = Seconds(3) }, signalledAt + Seconds(1)));
+}
+
+/// Guards against LOST: requests that run already would be cut early if the signal came at the end of the standstill.
+Test(StopSchedule, signalMayBeOld_runningRequestsEndBeforeTheLatestKill)
+{
+    StopSchedule schedule({ .signalledAt = signalledAt, .maxSignalAge = Seconds(4), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(3200) });
+    cr_expect(schedule.requestsEndAt() == signalledAt + Milliseconds(7300));
+    cr_expect(schedule.processEndsAt() > schedule.requestsEndAt() && schedule.processEndsAt() <= signalledAt + Seconds(8));
+}
+
+/// The process was not killed yet, so the signal is not as old as the standstill, but the kill may come at any time.
+Test(StopSchedule, standstillLongerThanTheLimit_nothingIsAdmitted)
+{
+    StopSchedule schedule({ .signalledAt = signalledAt, .maxSignalAge = Seconds(10), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(3200) });
+    cr_expect_not(schedule.mayAdmit({ .expected = Milliseconds(1), .longest = Milliseconds(1) }, signalledAt));
+    cr_expect(schedule.balancerStopsAt() <= schedule.requestsEndAt());
+}
