Handle a stop signal before requests that waited with it

What callers saw: an order and a stream that were sent while the process stood still were admitted, although the stop signal that had waited beside them left no time for them, and cut by the host's kill. Cause: after a standstill the event loop may handle timers and requests before the signal. Change: each request, each question for readiness and each tick asks for a stop signal that has arrived, of which the signal handler takes note. The same for requests to serve. Why it works: a signal that waits is delivered before the process runs any other code.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -60,7 +60,10 @@
     Awaitable<> reportLoop();
     void sendReport();
     Awaitable<> tickLoop();
+    Awaitable<> handleCaller(HttpExchange&);
     Awaitable<> handleStopSignals();
+    void takeStopSignal(std::optional<int> handledSignal = std::nullopt);
+    void beginStop(const StopSignal&);
     Awaitable<> drainAndStop();
     Awaitable<bool> handOverLastUsage();
     Awaitable<> servePeer(HttpExchange&);
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -93,7 +93,7 @@
     , m_targetPathProber(m_io, m_dispatcher, m_directory, Random(m_random()))
     , m_requestHandler(m_relayContext)
     , m_peerFeed(m_replica)
-    , m_callerServer(m_io, limitsFor({}), [this](HttpExchange& exchange) { return m_requestHandler.handle(exchange); })
+    , m_callerServer(m_io, limitsFor({}), [this](HttpExchange& exchange) { return handleCaller(exchange); })
     , m_readinessServer(m_io, {}, [this](HttpExchange& exchange) { return serveReadiness(exchange); })
     , m_peerServer(m_io, {}, [this](HttpExchange& exchange) { return servePeer(exchange); })
     , m_stopSignals(m_io, SIGTERM, SIGINT)
@@ -309,6 +309,7 @@
         co_await exchange.send(std::move(metricsReply));
         co_return;
     }
+    takeStopSignal();
     bool isReady = ready();
     Reply reply { .status = isReady ? 200U : 503U, .body = isReady ? R"({"ready":true})" : R"({"ready":false})" };
     co_await exchange.send(std::move(reply));
@@ -468,6 +469,7 @@
 {
     while (true) {
         m_stopSignalReceiver.onRunning();
+        takeStopSignal();
         m_directory.onTick(Clock::now());
         m_fleet.onTick(Clock::now());
         if (m_placementClient.needsReport())
@@ -510,7 +512,31 @@
     }
 }
 
+/// After a standstill, requests and timers may be handled before the signals that came first.
+Awaitable<> EntryInstance::handleCaller(HttpExchange& exchange)
+{
+    takeStopSignal();
+    return m_requestHandler.handle(exchange);
+}
+
+void EntryInstance::takeStopSignal(std::optional<int> handledSignal)
+{
+    if (auto signal = m_stopSignalReceiver.take(handledSignal))
+        beginStop(*signal);
+}
+
 /// The host's time runs from its signal, which waits until a process that stands still runs again.
+void EntryInstance::beginStop(const StopSignal& signal)
+{
+    m_relayContext.stop = StopSchedule({ .signalledAt = signal.arrivedAt, .maxSignalAge = signal.maxAge, .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
+    m_relayContext.activeRequests->endWithStop(toSteadyTime(m_relayContext.stop->requestsEndAt()));
+    m_registration.stop();
+    auto connections = m_callerServer.connectionCounts();
+    auto milliseconds = [](BootClock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
+    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal.number) }, { "signal_age_at_most_ms", milliseconds(signal.maxAge) }, { "handled_after_ms", milliseconds(BootClock::now() - signal.arrivedAt) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
+    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
+}
+
 Awaitable<> EntryInstance::handleStopSignals()
 {
     auto [error, signal] = co_await m_stopSignals.async_wait(asTuple);
@@ -518,16 +544,7 @@
         co_return;
     StopSignals signals;
     signals.endsAtOnce(signal);
-    auto stopSignal = m_stopSignalReceiver.take(signal);
-    if (!stopSignal)
-        co_return;
-    m_relayContext.stop = StopSchedule({ .signalledAt = stopSignal->arrivedAt, .maxSignalAge = stopSignal->maxAge, .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
-    m_relayContext.activeRequests->endWithStop(toSteadyTime(m_relayContext.stop->requestsEndAt()));
-    m_registration.stop();
-    auto connections = m_callerServer.connectionCounts();
-    auto milliseconds = [](BootClock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
-    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "signal_age_at_most_ms", milliseconds(stopSignal->maxAge) }, { "handled_after_ms", milliseconds(BootClock::now() - stopSignal->arrivedAt) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
-    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
+    takeStopSignal(signal);
     while (true) {
         auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
         if (repeatError)
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/stopsignalreceiver.h"
 #include "gateway/gateway.h"
 #include "instance/iinstancelist.h"
 #include "peers/peernetwork.h"
@@ -22,6 +23,8 @@
     Awaitable<> loadConfigurationLoop();
     Awaitable<> instanceListLoop();
     Awaitable<> handleStopSignals();
+    void takeStopSignal(std::optional<int> handledSignal = std::nullopt);
+    void beginStop(const StopSignal&);
     Awaitable<> drainAndStop();
     Awaitable<> metricsLoop();
     void onConfiguration(const Configuration&);
@@ -51,6 +54,7 @@
     Gateway m_gateway;
     HttpServer m_server;
     asio::signal_set m_signals;
+    StopSignalReceiver m_stopSignalReceiver;
     TimePoint m_configurationConfirmedAt;
 };
 
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -19,6 +19,10 @@
     // poll the service only at this interval, in case all messages with a configuration were lost.
     constexpr auto nonWatcherPollInterval = Seconds(15);
     constexpr auto metricsInterval = Milliseconds(500);
+    /// A later sign of life than this shows a standstill.
+    constexpr auto minStandstill = metricsInterval + Milliseconds(350);
+    /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
+    constexpr auto signalSettlingTime = Milliseconds(100);
 
 }
 
@@ -57,8 +61,12 @@
     , m_usageWriter(*m_keyValue, m_usage, usageKey(nativeUsagePrefix, m_settings.instance.name, m_incarnation))
     , m_gatewayContext { .io = m_io, .settings = m_settings, .keyValue = m_keyValue, .configuration = m_configuration, .configurationStore = m_configurationStore, .engines = m_engines, .permits = m_permits, .claims = m_claims, .quarantine = m_quarantine, .usage = m_usage, .metrics = m_metrics, .decisions = m_decisionLog, .spans = m_spanWriter, .sealer = m_handleSealer, .random = m_random }
     , m_gateway(m_gatewayContext, [this] { return status(); })
-    , m_server(m_io, m_settings.limits, [this](HttpExchange& exchange) { return m_gateway.handle(exchange); })
+    , m_server(m_io, m_settings.limits, [this](HttpExchange& exchange) {
+        takeStopSignal();
+        return m_gateway.handle(exchange);
+    })
     , m_signals(m_io, SIGTERM, SIGINT)
+    , m_stopSignalReceiver({ .minLength = minStandstill, .settlingTime = signalSettlingTime })
 {
     m_configuration.onChange([this](const Configuration& configuration) { onConfiguration(configuration); });
 }
@@ -145,19 +153,35 @@
 {
     while (true) {
         co_await sleepFor(metricsInterval);
+        m_stopSignalReceiver.onRunning();
         m_metrics.setLiveMembers(static_cast<double>(m_peerNetwork.membership().ownerCandidates().size()));
         m_metrics.setWaitingRequests(static_cast<double>(m_schedulerHost.waiting()));
         m_metrics.setConfigurationStaleness(secondsBetween(m_configurationConfirmedAt, Clock::now()));
     }
 }
 
+/// After a standstill, requests may be handled before the signals that came first.
+void Instance::takeStopSignal(std::optional<int> handledSignal)
+{
+    if (auto signal = m_stopSignalReceiver.take(handledSignal))
+        beginStop(*signal);
+}
+
+void Instance::beginStop(const StopSignal& signal)
+{
+    m_gatewayContext.stopping = true;
+    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal.number) }, { "signal_age_at_most_ms", std::chrono::duration_cast<Milliseconds>(signal.maxAge).count() }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
+    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
+}
+
 Awaitable<> Instance::handleStopSignals()
 {
     auto [error, signal] = co_await m_signals.async_wait(asTuple);
-    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal) }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
-    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
+    if (error)
+        co_return;
     StopSignals signals;
     signals.endsAtOnce(signal);
+    takeStopSignal(signal);
     while (true) {
         auto [repeatError, repeatedSignal] = co_await m_signals.async_wait(asTuple);
         if (repeatError)
@@ -175,7 +199,6 @@
 /// most until the drain limit if one is set.
 Awaitable<> Instance::drainAndStop()
 {
-    m_gatewayContext.stopping = true;
     m_peerNetwork.announceLeaving();
     co_await sleepFor(m_settings.stopping.balancerDetectionTime);
     m_server.close();
