Save use while the host may kill a stopping process at any time

What callers saw: nothing. Cause: use since the last periodic write was written at the planned end of the stop, which came later than the host's kill. Streams were charged when they ended. Why it works: the record of an instance is cumulative and copies merge by their maximum, so that writing it again counts nothing twice; a stream remembers what is charged.

--- a/soak/faultinjector.cpp
+++ b/soak/faultinjector.cpp
@@ -52,6 +52,8 @@
         asio::co_spawn(m_io, writeOddEntriesPeriodically(), asio::detached);
     if (m_options.rolling)
         asio::co_spawn(m_io, stopInstancesPeriodically(), asio::detached);
+    if (m_options.frozenStops)
+        asio::co_spawn(m_io, freezeInstancesPeriodically(), asio::detached);
     asio::co_spawn(m_io, restartEndedInstances(), asio::detached);
     asio::co_spawn(m_io, injectFaultsPeriodically(), asio::detached);
 }
@@ -226,6 +228,40 @@
     m_deployment.processes().signal(instance.name, signalNumber);
 }
 
+Awaitable<> FaultInjector::freezeInstancesPeriodically()
+{
+    while (m_injecting) {
+        asio::co_spawn(m_io, freezeAroundStop(m_deployment.randomInstance()), asio::detached);
+        auto pause = randomDuration(300, 3000);
+        co_await sleepFor(pause);
+    }
+}
+
+/// SIGTERM comes at any time of a standstill, or just after it.
+Awaitable<> FaultInjector::freezeAroundStop(Deployment::Instance& instance)
+{
+    if (instance.stopping || instance.restarting || !m_injecting)
+        co_return;
+    ++m_faultCounts["instance frozen around a stop"];
+    auto incarnation = instance.incarnation;
+    auto startedAt = soakNow();
+    auto timeUntilSignal = randomDuration(0, 4000);
+    auto timeAfterSignal = randomDuration(-200, 2000);
+    m_deployment.processes().signal(instance.name, SIGSTOP);
+    co_await sleepFor(timeUntilSignal);
+    bool signalledLater = timeAfterSignal.count() < 0;
+    if (!signalledLater)
+        startStop(instance);
+    co_await sleepFor(std::max(Milliseconds(0), timeAfterSignal));
+    if (instance.incarnation == incarnation)
+        m_deployment.processes().signal(instance.name, SIGCONT);
+    recordDisturbance(instance.name, startedAt, soakNow());
+    if (!signalledLater)
+        co_return;
+    co_await sleepFor(-timeAfterSignal);
+    startStop(instance);
+}
+
 Awaitable<> FaultInjector::silenceStoreDuringStop()
 {
     startStop(m_deployment.randomInstance());
--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -39,6 +39,8 @@
     Awaitable<> stopInstancesPeriodically();
     Awaitable<> stopInstancesInTurn(Milliseconds interval);
     Awaitable<> stopAgainAfterRestart(Deployment::Instance&);
+    Awaitable<> freezeInstancesPeriodically();
+    Awaitable<> freezeAroundStop(Deployment::Instance&);
     Awaitable<> signalDuringStop(Deployment::Instance&, int signalNumber);
     Awaitable<> pauseProcess(std::string name, std::string subject);
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
--- a/soak/soakoptions.h
+++ b/soak/soakoptions.h
@@ -37,6 +37,8 @@
     bool rolling = false;
     /// Stopping instances get more stop signals.
     bool repeatedSignals = false;
+    /// Some instances stand still before, during or until shortly before their stop.
+    bool frozenStops = false;
     /// The store is silent during some stops.
     bool silentStore = false;
     /// The store comes back from copies that are some seconds old.
--- a/src/entry/drain.h
+++ b/src/entry/drain.h
@@ -17,6 +17,8 @@
     std::function<void()> closeListener;
     /// Ends the requests that still run with an answer, or cuts their streams.
     std::function<void()> cutRequests;
+    /// Adds the use so far of the requests that still run to what is written.
+    std::function<void()> chargeRunningRequests;
     /// Writes use that is not on record; false if that failed.
     std::function<Awaitable<bool>()> writeUsage;
     /// Hands use to peers, which write it if the store lacks it; false if none took it.
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -561,7 +561,7 @@
 /// so that callers do not find a closed port. Requests in flight run until shortly before the host's kill.
 Awaitable<> EntryInstance::drainAndStop()
 {
-    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .handOverUsage = [this] { return handOverLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
+    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .chargeRunningRequests = [this] { m_relayContext.activeRequests->chargeDelivered(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .handOverUsage = [this] { return handOverLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
     bool usageWritten = co_await drain(std::move(options));
     if (!usageWritten)
         logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
--- a/src/entry/tests/drain_test.cpp
+++ b/src/entry/tests/drain_test.cpp
@@ -23,6 +23,9 @@
     bool idleConnectionsOpenWhileHandling = true;
     StopOptions stop { .signalledAt = BootClock::now(), .stopLimit = Seconds(8), .balancerDetectionTime = Milliseconds(10) };
     int writes = 0;
+    int charges = 0;
+    std::optional<BootTime> firstWriteAt;
+    std::optional<BootTime> cutAt;
     std::uint64_t requestsEnded = 0;
     std::uint64_t requestsOnRecord = 0;
 
@@ -39,6 +42,7 @@
     Awaitable<bool> writeUsage()
     {
         ++writes;
+        firstWriteAt = firstWriteAt.value_or(BootClock::now());
         if (std::exchange(requestArrivesDuringWrite, false))
             asio::co_spawn(io, serveRequest(), asio::detached);
         requestsOnRecord = requestsEnded;
@@ -53,6 +57,12 @@
         co_return peerTakesUsage;
     }
 
+    void cutRequests()
+    {
+        requestsCut = true;
+        cutAt = BootClock::now();
+    }
+
     Awaitable<> drainThenStop(DrainOptions options, bool& written)
     {
         written = co_await drain(std::move(options));
@@ -61,7 +71,7 @@
 
     bool run()
     {
-        DrainOptions options { .busyConnections = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeIdleConnections = [this] { idleConnectionsOpen = false; }, .closeListener = [this] { listening = false; }, .cutRequests = [this] { requestsCut = true; }, .writeUsage = [this] { return writeUsage(); }, .handOverUsage = [this] { return handOverUsage(); }, .schedule = [this] { return StopSchedule(stop); } };
+        DrainOptions options { .busyConnections = [this] { return inFlight; }, .endedRequests = [this] { return requestsEnded; }, .closeIdleConnections = [this] { idleConnectionsOpen = false; }, .closeListener = [this] { listening = false; }, .cutRequests = [this] { cutRequests(); }, .chargeRunningRequests = [this] { ++charges; }, .writeUsage = [this] { return writeUsage(); }, .handOverUsage = [this] { return handOverUsage(); }, .schedule = [this] { return StopSchedule(stop); } };
         bool written = false;
         asio::co_spawn(io, drainThenStop(std::move(options), written), asio::detached);
         io.run_for(Seconds(4));
@@ -146,3 +156,21 @@
     f.peerTakesUsage = true;
     cr_expect(f.run());
 }
+
+/// Guards against lost use: a request that ran since before a standstill went on until the host killed the process, which was earlier
+/// than planned.
+Test(Drain, signalMayBeOld_useIsSavedBeforeTheEarliestKillAndRequestsEndBeforeTheLatest)
+{
+    DrainFixture f;
+    f.requestsEnd = false;
+    f.stop.maxSignalAge = Seconds(1);
+    f.stop.stopLimit = Milliseconds(2400);
+    asio::co_spawn(f.io, f.serveRequest(), asio::detached);
+    cr_expect(f.run());
+    auto earliestKill = f.stop.signalledAt - f.stop.maxSignalAge + f.stop.stopLimit;
+    cr_assert(f.firstWriteAt && f.cutAt);
+    cr_expect(f.charges > 0 && *f.firstWriteAt < earliestKill);
+    cr_expect(*f.cutAt > earliestKill, "a request was cut although the signal may be new");
+    cr_expect(f.writes > 1 && f.requestsOnRecord == 1);
+    cr_expect(BootClock::now() < f.stop.signalledAt + f.stop.stopLimit);
+}
--- a/src/relay/activerequests.h
+++ b/src/relay/activerequests.h
@@ -27,6 +27,9 @@
 
     void endWithStop(TimePoint requestsEndAt);
 
+    /// Charges what the requests that still run have delivered so far.
+    void chargeDelivered();
+
     /// Ends the requests that still run, as if their deadlines were reached; returns them.
     std::vector<const RelayRequest*> cutAll(TimePoint now);
 
--- a/src/relay/generationsession.h
+++ b/src/relay/generationsession.h
@@ -37,6 +37,8 @@
     int requestsBeside = 0;
     /// Tokens of events that were written to the caller.
     int deliveredTokens = 0;
+    /// What is charged of the request so far.
+    Usage charged;
     std::optional<std::int64_t> lastEventNumber;
     TargetResponseHead responseHead;
     /// Retry delay suggested by the placement that refused the request.
--- a/src/relay/internal/activerequests.cpp
+++ b/src/relay/internal/activerequests.cpp
@@ -21,6 +21,14 @@
         request->endWithStop(requestsEndAt);
 }
 
+void ActiveRequests::chargeDelivered()
+{
+    for (auto* request : m_requests) {
+        if (request->chargeDelivered)
+            request->chargeDelivered();
+    }
+}
+
 std::vector<const RelayRequest*> ActiveRequests::cutAll(TimePoint now)
 {
     std::vector<const RelayRequest*> requests;
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -345,9 +345,23 @@
     co_await sendFailure(exchange, session.result.status, session.result.reason);
 }
 
+/// Delivered tokens are charged once, however often the generation moved or this was called before.
+void StreamRelay::chargeDelivered(GenerationSession& session)
+{
+    if (!session.headerSent)
+        return;
+    const auto& request = session.request;
+    Usage delivered { .promptTokens = request.caller.promptTokens, .outputTokens = session.deliveredTokens, .requests = 1 };
+    if (delivered == session.charged)
+        return;
+    m_context.usage.charge(request.organisation, delivered - session.charged);
+    session.charged = delivered;
+}
+
 Awaitable<RelayResult> StreamRelay::run(RelayRequest& request)
 {
     GenerationSession session { .request = request, .gate = makeSendGate(m_context, request) };
+    request.chargeDelivered = [this, &session] { chargeDelivered(session); };
     bool started = co_await m_starter.start(session);
     bool mayRelayToPeer = !started && !session.mayHaveRun && !session.refusal && !request.callerWatch.gone();
     if (mayRelayToPeer && m_context.dispatcher.targetPath().isLost(request.service.name)) {
@@ -372,10 +386,9 @@
         session.connection->cancel();
         co_await finish(session, outcome);
         session.stream->setInterruptHandler(nullptr);
-        // Delivered tokens are charged once, however often the generation moved.
-        if (session.headerSent)
-            m_context.usage.charge(request.organisation, { .promptTokens = request.caller.promptTokens, .outputTokens = session.deliveredTokens, .requests = 1 });
+        chargeDelivered(session);
     }
+    request.chargeDelivered = nullptr;
     request.callerWatch.setCancelAction(nullptr);
     m_context.streams.remove(session.id);
     m_context.placement.release(session.id);
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -103,6 +103,8 @@
     bool endsWithStop = false;
     /// The instance ends before the request does.
     bool cut = false;
+    /// Charges what was delivered and is not charged yet; empty if the answer is charged as a whole.
+    std::function<void()> chargeDelivered;
 
     Rank rank() const { return { .priority = priority }; }
 
--- a/src/relay/streamrelay.h
+++ b/src/relay/streamrelay.h
@@ -46,6 +46,7 @@
     Awaitable<StreamOutcome> relayEvents(GenerationSession&);
     Awaitable<StreamOutcome> forwardFrames(GenerationSession&);
     void recordPace(GenerationSession&, int events, TimePoint now);
+    void chargeDelivered(GenerationSession&);
     Awaitable<> finish(GenerationSession&, StreamOutcome);
     Awaitable<> respondUnstarted(GenerationSession&);
     static std::string reasonFor(StreamOutcome);
--- a/src/usage/usageledger.h
+++ b/src/usage/usageledger.h
@@ -13,6 +13,10 @@
     std::int64_t requests = 0;
 
     friend bool operator==(const Usage&, const Usage&) = default;
+    friend Usage operator-(const Usage& a, const Usage& b)
+    {
+        return { .promptTokens = a.promptTokens - b.promptTokens, .outputTokens = a.outputTokens - b.outputTokens, .requests = a.requests - b.requests };
+    }
 };
 
 using UsageByOrganisation = std::map<std::string, Usage>;
