Save use every second if the stop signal of serve may be old

Read: serve waits for its last request without a limit unless one is set, and wrote its use after it, while a host whose signal waited for a process that stood still kills it that much earlier. Change: in such a stop use is written every second. Result: built and run with the other tests; the stop of serve has no test of its own.

--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -25,7 +25,7 @@
     Awaitable<> handleStopSignals();
     void takeStopSignal(std::optional<int> handledSignal = std::nullopt);
     void beginStop(const StopSignal&);
-    Awaitable<> drainAndStop();
+    Awaitable<> drainAndStop(StopSignal);
     Awaitable<> metricsLoop();
     void onConfiguration(const Configuration&);
     std::string status() const;
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -23,6 +23,8 @@
     constexpr auto minStandstill = metricsInterval + Milliseconds(350);
     /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
     constexpr auto signalSettlingTime = Milliseconds(100);
+    /// Time between writes of use while the host may kill the process at any time.
+    constexpr auto usageSaveInterval = Milliseconds(1000);
 
 }
 
@@ -171,7 +173,7 @@
 {
     m_gatewayContext.stopping = true;
     logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal.number) }, { "signal_age_at_most_ms", std::chrono::duration_cast<Milliseconds>(signal.maxAge).count() }, { "in_flight", std::int64_t(m_gatewayContext.inFlight) } });
-    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
+    asio::co_spawn(m_io, drainAndStop(signal), reportFailedHandler);
 }
 
 Awaitable<> Instance::handleStopSignals()
@@ -197,9 +199,12 @@
 /// Reports "not ready" but keeps accepting connections until the load balancer has stopped sending
 /// requests, so that callers do not find a closed port. Then waits for running requests to end, at
 /// most until the drain limit if one is set.
-Awaitable<> Instance::drainAndStop()
+Awaitable<> Instance::drainAndStop(StopSignal signal)
 {
     m_peerNetwork.announceLeaving();
+    // The host may have sent the signal earlier, and may kill the process that much earlier.
+    if (signal.maxAge.count() > 0)
+        asio::co_spawn(m_io, m_usageWriter.run(usageSaveInterval), reportFailedHandler);
     co_await sleepFor(m_settings.stopping.balancerDetectionTime);
     m_server.close();
     m_server.closeIdleConnections();
