Refuse requests with a transfer coding other than chunked

Cause: Beast takes such a request as one without a body, and what follows as the next one. Change: the parser treats any coding but a single "chunked", and any coding in HTTP/1.0, as malformed: 400 and the end of the connection. Why it works: the check is in the parser that all servers of the program use, before anything behind the header is read.

--- a/src/net/httprequest.h
+++ b/src/net/httprequest.h
@@ -48,7 +48,8 @@
     std::vector<LongField> m_longFields;
 };
 
-/// Parses requests with fields of any length; header_limit() bounds the header as a whole.
+/// Parses requests with fields of any length; header_limit() bounds the header as a whole. Requests with another transfer coding than
+/// chunked are malformed.
 class HttpRequestParser : public http::request_parser<http::string_body> {
 public:
     /// Moves the parsed request out.
@@ -58,6 +59,7 @@
     void on_field_impl(http::field, beast::string_view name, beast::string_view value, beast::error_code&) override;
 
     std::vector<LongField> m_longFields;
+    bool m_hasTransferCoding = false;
 };
 
 /// The request line and the header fields as they are sent, with the empty line at the end.
--- a/src/net/tests/httprequest_test.cpp
+++ b/src/net/tests/httprequest_test.cpp
@@ -137,3 +137,35 @@
     cr_expect_eq(request.field("x-part"), longValue);
     cr_expect(request.field("X-Other").empty());
 }
+
+/// Guards against UNASKED: the body of a request with another transfer coding than chunked ran as the next request.
+Test(HttpServer, transferCodingOtherThanChunked_isMalformedAndNothingBehindItIsRead)
+{
+    const std::string body = "GET /inner HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const auto& coding : { "gzip", "identity", "xchunked", "chunked, identity", "gzip, chunked", "chunked, chunked", "" }) {
+        LongHeaderFixture f;
+        auto answer = f.ask("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n" + body);
+        cr_expect(answer.starts_with("HTTP/1.1 400"), "%s: %.60s", coding, answer.c_str());
+        cr_expect(answer.find("/inner") == std::string::npos, "%s: the body ran as a request", coding);
+    }
+}
+
+/// The same body, framed by its chunks, belongs to the request.
+Test(HttpServer, chunkedBody_isReadAsBody)
+{
+    for (const auto& coding : { "chunked", "Chunked" }) {
+        LongHeaderFixture f;
+        auto answer = f.ask("POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n5\r\nGET /\r\n0\r\n\r\n");
+        cr_expect(answer.starts_with("HTTP/1.1 200"), "%s: %.60s", coding, answer.c_str());
+    }
+}
+
+/// Guards against UNASKED: codings in several fields, or in a version without them.
+Test(HttpServer, transferCodingInSeveralFieldsOrAnOlderVersion_isMalformed)
+{
+    for (const auto& head : { "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" }) {
+        LongHeaderFixture f;
+        auto answer = f.ask(head + std::string("0\r\n\r\n"));
+        cr_expect(answer.starts_with("HTTP/1.1 400"), "%s: %.60s", head, answer.c_str());
+    }
+}
