Require keys if a configuration has an empty list of organisations

Cause: keys were required if there was at least one organisation; a missing list and an empty one were the same. Change: keys are required if the configuration has the list. Why it works: with no organisations, no key is known, so that each request that needs one gets 401.

--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -21,7 +21,7 @@
     std::int64_t version() const { return m_configuration.version; }
     const CallerLimits& limits() const { return m_configuration.limits; }
     const std::vector<ServiceInfo>& services() const { return m_configuration.services; }
-    bool requiresKeys() const { return !m_configuration.organisations.empty(); }
+    bool requiresKeys() const { return m_configuration.requiresKeys; }
 
     /// Returns the route of the host with the longest prefix of the path, or null.
     const Route* match(std::string_view host, std::string_view path) const;
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -98,6 +98,8 @@
     std::int64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceInfo> services;
+    /// Requests need the key of an organisation, except on keyless routes. No key is valid if there are no organisations.
+    bool requiresKeys = false;
     std::vector<OrganisationKeys> organisations;
     CallerLimits limits;
 
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -16,6 +16,7 @@
             { .name = "otherHost", .host = "b.example", .pathPrefix = "/", .services = { { .service = "three" } } },
         },
         .services = { { .name = "one" }, { .name = "two", .engine = EngineTraits { .slots = 4 } } },
+        .requiresKeys = true,
         .organisations = { { .name = "coop", .keys = { "key-1", "key-2" }, .priority = 3 } },
     };
 }
