Send answers to HEAD without a body

Cause: the method of the request was not looked at when its answer was written, nor when the engine's was read. Change: only the header is sent, with the length of the body, and no body is expected of engines. After a stream the connection closes.

--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -132,7 +132,10 @@
 Awaitable<> HttpExchange::sendResponse(HttpResponse response)
 {
     response.keep_alive(m_keepAlive);
-    response.prepare_payload();
+    // An answer to HEAD states the length of the body that it lacks.
+    bool sendsBody = m_request.method() != http::verb::head;
+    if (sendsBody || !response.has_content_length())
+        response.prepare_payload();
     m_responseStarted = true;
     if (m_account) {
         // The answer is complete, so the request is not sent again.
@@ -141,7 +144,16 @@
         m_account->setState(HolderState::Answering, Clock::now());
     }
     m_stream.expires_after(m_writeTimeout);
-    auto [error, written] = co_await http::async_write(m_stream, response, asTuple);
+    http::response_serializer<http::string_body> serializer { response };
+    serializer.split(!sendsBody);
+    boost::system::error_code error;
+    if (sendsBody) {
+        auto [writeError, written] = co_await http::async_write(m_stream, serializer, asTuple);
+        error = writeError;
+    } else {
+        auto [writeError, written] = co_await http::async_write_header(m_stream, serializer, asTuple);
+        error = writeError;
+    }
     if (error)
         m_keepAlive = false;
     if (m_account)
@@ -161,6 +173,9 @@
 Awaitable<Result<void>> HttpExchange::beginResponse(http::response<http::empty_body> response)
 {
     response.chunked(true);
+    // Events are no body of an answer to HEAD, and would be read as the start of the next answer.
+    if (m_request.method() == http::verb::head)
+        m_keepAlive = false;
     response.keep_alive(m_keepAlive);
     m_responseStarted = true;
     http::response_serializer<http::empty_body> serializer { response };
--- a/src/net/tests/httprequest_test.cpp
+++ b/src/net/tests/httprequest_test.cpp
@@ -169,3 +169,14 @@
         cr_expect(answer.starts_with("HTTP/1.1 400"), "%s: %.60s", head, answer.c_str());
     }
 }
+
+/// Guards against MIXED: the body of an answer to HEAD was read as the start of the next answer.
+Test(HttpServer, answerToHead_statesTheLengthAndHasNoBody)
+{
+    LongHeaderFixture f;
+    auto answer = f.ask("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n" + requestWith(""));
+    auto headEnd = answer.find("\r\n\r\n");
+    cr_assert(headEnd != std::string::npos);
+    cr_expect(answer.substr(0, headEnd).find("Content-Length: ") != std::string::npos);
+    cr_expect(answer.substr(headEnd + 4).starts_with("HTTP/1.1 200"), "%.200s", answer.c_str());
+}
--- a/src/relay/internal/targetconnection.cpp
+++ b/src/relay/internal/targetconnection.cpp
@@ -127,6 +127,7 @@
         co_return Error { .code = ErrorCode::ConnectFailed, .step = Step::Connect, .peer = toString(m_endpoint), .detail = error.message(), .outcome = Outcome::NotRun };
     enableKeepAlive(state->socket);
     state->request = std::move(request);
+    state->parser.skip(state->request.method() == http::verb::head);
     state->requestHeader = serializeHeader(state->request);
     std::array buffers { asio::buffer(state->requestHeader), asio::buffer(state->request.body()) };
     asio::async_write(state->socket, buffers, [state](boost::system::error_code sendError, std::size_t) {
