Answer requests that were read before their connection closes

Cause: during a stop each answer ended its connection, also if the next request was in the connection's buffer. Change: a connection that is to close is kept while more bytes of the caller have arrived, and closes after the last answer. Why it works: what has been read is in the buffer when the answer's header is written.

--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -35,8 +35,12 @@
     bool responseStarted() const { return m_responseStarted; }
     bool keepAlive() const { return m_keepAlive; }
 
-    /// Closes the connection after the response and announces this in its Connection header.
-    void closeAfterResponse() { m_keepAlive = false; }
+    /// Tells whether the caller has already sent more on the connection.
+    void setFollowingBytes(std::function<bool()> hasFollowingBytes) { m_hasFollowingBytes = std::move(hasFollowingBytes); }
+
+    /// Closes the connection after the response and announces this in its Connection header, unless the caller has already sent its
+    /// next request.
+    void closeAfterResponse() { m_closesAfterResponse = true; }
 
     /// Counts an answer of this size, which is read before it is sent, as held for the caller. False if there is no room for it.
     bool holdAnswer(std::size_t bytes);
@@ -67,6 +71,7 @@
     struct DisconnectWatch;
     struct Backlog;
 
+    void decideKeepAlive();
     Awaitable<Result<void>> writeOrKeep(std::string);
     Awaitable<> sendBacklog(std::size_t maxBytesLeft);
     Error callerError(const boost::system::error_code&);
@@ -80,6 +85,8 @@
     std::size_t m_heldAnswer = 0;
     std::shared_ptr<DisconnectWatch> m_watch;
     std::shared_ptr<Backlog> m_backlog;
+    std::function<bool()> m_hasFollowingBytes;
+    bool m_closesAfterResponse = false;
     bool m_responseStarted = false;
     bool m_keepAlive = true;
 };
--- a/src/net/internal/httpexchange.cpp
+++ b/src/net/internal/httpexchange.cpp
@@ -129,8 +129,18 @@
     co_await sendResponse(std::move(response));
 }
 
+/// A request that was read must be answered before its connection closes.
+void HttpExchange::decideKeepAlive()
+{
+    if (!m_closesAfterResponse)
+        return;
+    bool followed = m_hasFollowingBytes && m_hasFollowingBytes();
+    m_keepAlive = m_keepAlive && followed;
+}
+
 Awaitable<> HttpExchange::sendResponse(HttpResponse response)
 {
+    decideKeepAlive();
     response.keep_alive(m_keepAlive);
     // An answer to HEAD states the length of the body that it lacks.
     bool sendsBody = m_request.method() != http::verb::head;
@@ -176,6 +186,7 @@
     // Events are no body of an answer to HEAD, and would be read as the start of the next answer.
     if (m_request.method() == http::verb::head)
         m_keepAlive = false;
+    decideKeepAlive();
     response.keep_alive(m_keepAlive);
     m_responseStarted = true;
     http::response_serializer<http::empty_body> serializer { response };
--- a/src/net/internal/httpserver.cpp
+++ b/src/net/internal/httpserver.cpp
@@ -387,6 +387,7 @@
         connection.stream.expires_never();
         HttpExchange exchange(connection.stream, parser->releaseRequest(), connection.remote, m_limits.writeTimeout, connection.accountOrNull());
         parser.reset();
+        exchange.setFollowingBytes([&connection] { return connection.buffer.size() > 0 || connection.unreadBytes() > 0; });
         co_await m_handler(exchange);
         connection.releaseRequest();
         connection.lingers = exchange.responseStarted();
--- a/src/net/tests/httprequest_test.cpp
+++ b/src/net/tests/httprequest_test.cpp
@@ -34,6 +34,13 @@
     }
 };
 
+Awaitable<> answerAndClose(HttpExchange& exchange)
+{
+    exchange.closeAfterResponse();
+    Reply reply { .body = exchange.path() };
+    co_await exchange.send(std::move(reply));
+}
+
 std::string requestWith(const std::string& fields)
 {
     return "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + fields + "\r\n";
@@ -180,3 +187,18 @@
     cr_expect(answer.substr(0, headEnd).find("Content-Length: ") != std::string::npos);
     cr_expect(answer.substr(headEnd + 4).starts_with("HTTP/1.1 200"), "%.200s", answer.c_str());
 }
+
+/// Guards against LOST: a request that was read behind another one was dropped when the connection closed after the first answer.
+Test(HttpServer, connectionToCloseWithAnotherRequestRead_closesAfterTheLastAnswer)
+{
+    asio::io_context context;
+    HttpServer server { context, HttpLimits {}, answerAndClose };
+    Endpoint endpoint = *server.listen({ .address = "127.0.0.1" });
+    std::string answers;
+    runThenStop(context, askServer(context, endpoint, "GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /second HTTP/1.1\r\nHost: a\r\n\r\n", answers));
+    auto second = answers.find("HTTP/1.1 200", 1);
+    cr_assert(second != std::string::npos, "%s", answers.c_str());
+    cr_expect(answers.find("/first") < second && answers.ends_with("/second"));
+    auto close = answers.find("Connection: close");
+    cr_expect(close > second && close != std::string::npos, "the end is announced before the last answer");
+}
