Read the settings again when a stop begins

Cause: the file was read at the start and at SIGHUP only. Change: it is read when a stop begins. That covers a SIGHUP that waited beside SIGTERM, too, and is handled after it. Why it works: the platform replaces the file as a whole, so it states what is in force when the signal is handled.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -70,6 +70,7 @@
     void cutRequests();
     void logCutConnections();
     Awaitable<> reloadLoop();
+    void reloadSettings();
     bool ready() const;
     StoreView storeView() const;
     std::size_t countSlowTargets() const;
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -499,17 +499,22 @@
         auto [error, signal] = co_await m_reloadSignals.async_wait(asTuple);
         if (error)
             co_return;
-        auto settings = m_platform.reloadSettings();
-        if (!settings) {
-            logEvent(LogLevel::Error, "settings_unreadable", { { "kept", true } });
-            continue;
-        }
-        // Time limits may change while the process runs, but addresses may not.
-        m_settings.stopLimit = settings->stopLimit;
-        if (m_relayContext.stop)
-            m_relayContext.stop = m_relayContext.stop->withLimit(settings->stopLimit);
-        logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "stopping", m_relayContext.stop.has_value() } });
+        reloadSettings();
+    }
+}
+
+/// Time limits may change while the process runs, but addresses may not.
+void EntryInstance::reloadSettings()
+{
+    auto settings = m_platform.reloadSettings();
+    if (!settings) {
+        logEvent(LogLevel::Error, "settings_unreadable", { { "kept", true } });
+        return;
     }
+    m_settings.stopLimit = settings->stopLimit;
+    if (m_relayContext.stop)
+        m_relayContext.stop = m_relayContext.stop->withLimit(settings->stopLimit);
+    logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "stopping", m_relayContext.stop.has_value() } });
 }
 
 /// After a standstill, requests and timers may be handled before the signals that came first.
@@ -525,9 +530,11 @@
         beginStop(*signal);
 }
 
-/// The host's time runs from its signal, which waits until a process that stands still runs again.
+/// The host's time runs from its signal, which waits until a process that stands still runs again. The settings may have changed without
+/// a signal, or with one that is not handled yet.
 void EntryInstance::beginStop(const StopSignal& signal)
 {
+    reloadSettings();
     m_relayContext.stop = StopSchedule({ .signalledAt = signal.arrivedAt, .maxSignalAge = signal.maxAge, .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
     m_relayContext.activeRequests->endWithStop(toSteadyTime(m_relayContext.stop->requestsEndAt()));
     m_registration.stop();
