Take over the time for revoked keys when the settings are read again

Cause: SIGHUP took over the time to stop only. Change: the times for revoked keys and for configurations are taken over as well, and settings_reloaded states them. Why it works: how long keys may go unconfirmed is asked at each request.

--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -512,9 +512,11 @@
         return;
     }
     m_settings.stopLimit = settings->stopLimit;
+    m_configuration.setMaxUnconfirmedTime(settings->keyLifetimeAfterRevocation - revocationMargin);
+    m_relayContext.configurationTime = settings->configurationTime;
     if (m_relayContext.stop)
         m_relayContext.stop = m_relayContext.stop->withLimit(settings->stopLimit);
-    logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "stopping", m_relayContext.stop.has_value() } });
+    logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "key_lifetime_ms", settings->keyLifetimeAfterRevocation.count() }, { "configuration_time_ms", settings->configurationTime.count() }, { "stopping", m_relayContext.stop.has_value() } });
 }
 
 /// After a standstill, requests and timers may be handled before the signals that came first.
--- a/src/routing/activeconfiguration.h
+++ b/src/routing/activeconfiguration.h
@@ -16,6 +16,8 @@
     {
     }
 
+    void setMaxUnconfirmedTime(Clock::duration maxUnconfirmedTime) { m_maxUnconfirmedTime = maxUnconfirmedTime; }
+
     /// Returns true if the configuration was newer than the one in force and replaced it.
     bool adopt(RoutingConfiguration);
     /// Has no effect while a newer version than the one in force is known.
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -91,6 +91,18 @@
     cr_expect(configuration.keysAreCurrent(confirmedAt + Seconds(4)), "an older confirmation does not replace a newer one");
 }
 
+/// Guards against CONFIG: a shorter time for revoked keys was not taken over while the process ran.
+Test(ActiveConfiguration, maxUnconfirmedTimeShortened_appliesToTheLastConfirmation)
+{
+    ActiveConfiguration configuration(Seconds(4));
+    BootTime confirmedAt { Seconds(100) };
+    configuration.adopt(configurationOf(1));
+    configuration.confirm(confirmedAt);
+    configuration.setMaxUnconfirmedTime(Seconds(2));
+    cr_expect(configuration.keysAreCurrent(confirmedAt + Seconds(2)));
+    cr_expect_not(configuration.keysAreCurrent(confirmedAt + Seconds(2) + Milliseconds(1)));
+}
+
 /// Guards against CONFIG: a store that had lost a version confirmed the one before, with the keys that the lost one revokes.
 Test(ActiveConfiguration, peerHasNewerVersion_keysAreNotConfirmed)
 {
