Accept streams whose event ids increase by any step

Change: ids may increase by any step on one connection. Behind a resume the step must be that of the stream, so that missing events are still found. Why it works: events can only be missing where a stream goes on from another connection.

--- a/src/relay/generationsession.h
+++ b/src/relay/generationsession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/eventframeparser.h"
+#include "relay/eventsequence.h"
 #include "relay/relaycontext.h"
 
 namespace guavaspan {
@@ -39,7 +40,7 @@
     int deliveredTokens = 0;
     /// What is charged of the request so far.
     Usage charged;
-    std::optional<std::int64_t> lastEventNumber;
+    EventSequence events;
     TargetResponseHead responseHead;
     /// Retry delay suggested by the placement that refused the request.
     Clock::duration retryAfter {};
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -95,15 +95,11 @@
     int tokensPerEvent = session.request.service.engine ? session.request.service.engine->tokensPerEvent : 1;
     while (auto frame = session.frames.next()) {
         auto eventNumber = parseEventNumber(frame->id);
-        if (eventNumber && session.lastEventNumber) {
-            // An engine that resumes a generation may first repeat events that the caller already received.
-            if (*eventNumber <= *session.lastEventNumber)
-                continue;
-            if (*eventNumber != *session.lastEventNumber + 1)
-                co_return StreamOutcome::OutOfOrder;
-        }
-        if (eventNumber)
-            session.lastEventNumber = eventNumber;
+        auto position = eventNumber ? session.events.add(*eventNumber) : EventPosition::Next;
+        if (position == EventPosition::Repeated)
+            continue;
+        if (position == EventPosition::AfterGap)
+            co_return StreamOutcome::OutOfOrder;
         bytes += frame->bytes;
         if (!frame->hasData && frame->id.empty())
             continue;
@@ -251,6 +247,7 @@
         logMove(*target, accepted);
         mayTry = !accepted && session.responseHead.notRun && !session.request.callerWatch.gone();
     }
+    session.events.onResumed();
     session.result.target = session.stream->target().id;
     ++session.result.moves;
     co_return accepted ? ResumeResult::Resumed : ResumeResult::Failed;
