Write use again if a newer write failed before an older one succeeded

What was seen: nothing by callers; found while reading the path of use at a stop, where writes may overlap. Cause: one flag stood for changes that are not written; an older write that succeeded cleared it although a newer one had failed meanwhile, and the next flush reported success without a write. Change: charges are counted, and each write knows which ones it contains. Result: UsageWriter.newerWriteFailsBeforeAnOlderOneSucceeds_changesAreWrittenNextTime is new and passes.

--- a/src/usage/internal/usageledger.cpp
+++ b/src/usage/internal/usageledger.cpp
@@ -30,12 +30,7 @@
     total.promptTokens += usage.promptTokens;
     total.outputTokens += usage.outputTokens;
     total.requests += usage.requests;
-    m_changed = true;
-}
-
-bool UsageLedger::takeChanged()
-{
-    return std::exchange(m_changed, false);
+    ++m_charges;
 }
 
 UsageByOrganisation mergeRecordCopies(const UsageByOrganisation& a, const UsageByOrganisation& b)
--- a/src/usage/internal/usagewriter.cpp
+++ b/src/usage/internal/usagewriter.cpp
@@ -2,6 +2,8 @@
 
 #include "common/log.h"
 
+#include <algorithm>
+
 namespace guavaspan {
 
 UsageWriter::UsageWriter(IKeyValueStore& keyValue, UsageLedger& ledger, std::string key)
@@ -26,10 +28,10 @@
 
 Awaitable<bool> UsageWriter::flushChanges()
 {
-    m_hasUnwrittenChanges = m_ledger.takeChanged() || m_hasUnwrittenChanges;
-    if (m_hasUnwrittenChanges)
-        m_hasUnwrittenChanges = !co_await flush();
-    co_return !m_hasUnwrittenChanges;
+    auto charges = m_ledger.charges();
+    if (m_writtenCharges < charges)
+        co_await flush();
+    co_return m_writtenCharges >= charges;
 }
 
 Awaitable<> UsageWriter::writeAgain()
@@ -38,7 +40,7 @@
     constexpr auto retryInterval = Milliseconds(700);
     if (m_ledger.totals().empty())
         co_return;
-    m_hasUnwrittenChanges = true;
+    m_writtenCharges = 0;
     m_versionKnown = false;
     for (int write = 0; write < maxWrites; ++write) {
         bool written = co_await flushChanges();
@@ -61,10 +63,12 @@
             m_version = *entry ? (*entry)->version : absentVersion;
             m_versionKnown = true;
         }
+        auto charges = m_ledger.charges();
         SwapOptions options { .key = m_key, .expectedVersion = m_version, .value = encodeUsage(m_ledger.totals()) };
         auto result = co_await m_keyValue.compareAndSwap(std::move(options));
         if (result && result->swapped) {
             m_version = result->version;
+            m_writtenCharges = std::max(m_writtenCharges, charges);
             co_return true;
         }
         m_versionKnown = false;
--- a/src/usage/tests/usage_test.cpp
+++ b/src/usage/tests/usage_test.cpp
@@ -6,6 +6,35 @@
 
 using namespace guavaspan;
 
+namespace {
+
+/// The first write takes longer than those after it.
+class SlowFirstWriteStore : public FakeKeyValueStore {
+public:
+    Awaitable<Result<SwapResult>> compareAndSwap(SwapOptions options) override
+    {
+        bool isFirst = writes == 0;
+        auto result = co_await FakeKeyValueStore::compareAndSwap(std::move(options));
+        if (isFirst)
+            co_await sleepFor(Milliseconds(100));
+        co_return result;
+    }
+};
+
+Awaitable<bool> flushTwiceAtOnce(asio::io_context& context, SlowFirstWriteStore& store, UsageLedger& ledger, UsageWriter& writer)
+{
+    asio::co_spawn(context, writer.flushChanges(), asio::detached);
+    co_await sleepFor(Milliseconds(20));
+    ledger.charge("a", { .requests = 1 });
+    store.faults = { StoreFault::Outage, StoreFault::Outage, StoreFault::Outage, StoreFault::Outage, StoreFault::Outage, StoreFault::Outage };
+    bool written = co_await writer.flushChanges();
+    store.faults.clear();
+    co_await sleepFor(Milliseconds(200));
+    co_return written;
+}
+
+}
+
 Test(UsageLedger, mergeRecordCopies_sameIncarnation_isNotCountedTwice)
 {
     UsageByOrganisation earlier { { "a", { .promptTokens = 1, .outputTokens = 10, .requests = 1 } } };
@@ -88,3 +117,16 @@
     runCoroutine(context, writeAgain(writer));
     cr_expect(runCoroutine(context, readUsage(store, "u/"))->at("a").outputTokens == 12);
 }
+
+/// Guards against lost use: a write that failed was forgotten when an older one succeeded after it.
+Test(UsageWriter, newerWriteFailsBeforeAnOlderOneSucceeds_changesAreWrittenNextTime)
+{
+    asio::io_context context;
+    SlowFirstWriteStore store;
+    UsageLedger ledger;
+    UsageWriter writer(store, ledger, usageKey("u/", "entry-1", "incarnation-1"));
+    ledger.charge("a", { .requests = 1 });
+    cr_expect_not(runCoroutine(context, flushTwiceAtOnce(context, store, ledger, writer)));
+    cr_expect(runCoroutine(context, writer.flushChanges()));
+    cr_expect(runCoroutine(context, readUsage(store, "u/"))->at("a").requests == 2);
+}
--- a/src/usage/usageledger.h
+++ b/src/usage/usageledger.h
@@ -36,12 +36,12 @@
     void charge(const std::string& organisation, const Usage&);
     const UsageByOrganisation& totals() const { return m_totals; }
 
-    /// Returns whether anything was charged since the last call, and resets the flag.
-    bool takeChanged();
+    /// Number of charges so far.
+    std::uint64_t charges() const { return m_charges; }
 
 private:
     UsageByOrganisation m_totals;
-    bool m_changed = false;
+    std::uint64_t m_charges = 0;
 };
 
 /// Merges two copies of the same record by the maximum of each counter.
--- a/src/usage/usagewriter.h
+++ b/src/usage/usagewriter.h
@@ -17,7 +17,7 @@
 
     Awaitable<> run(Clock::duration interval);
 
-    /// Writes the totals if they changed since the last successful write; false if that failed.
+    /// Writes the totals if they changed since the last successful write; false if that failed. Calls may overlap.
     Awaitable<bool> flushChanges();
 
     /// The totals as they are to be written.
@@ -35,7 +35,8 @@
     std::string m_key;
     std::int64_t m_version = absentVersion;
     bool m_versionKnown = true;
-    bool m_hasUnwrittenChanges = false;
+    /// Charges that are on record.
+    std::uint64_t m_writtenCharges = 0;
 };
 
 /// Key of the usage record of one incarnation of an instance.
