Split the faults of instances from the soak's injector

Change: InstanceFaults stops, freezes and restarts instances; FaultContext holds what both use. Nothing else changes.

--- a/soak/faultinjector.h
+++ b/soak/faultinjector.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "soak/deployment.h"
+#include "soak/instancefaults.h"
 
 namespace guavaspan::soak {
 
@@ -13,17 +13,15 @@
     void start();
 
     /// Starts no further fault; those in progress still end.
-    void stopInjecting() { m_injecting = false; }
+    void stopInjecting() { m_context.injecting = false; }
 
     /// Leaves ended processes as they are.
-    void stopRestarting() { m_restarting = false; }
+    void stopRestarting() { m_context.restarting = false; }
 
-    bool injecting() const { return m_injecting; }
-    const std::map<std::string, int>& faultCounts() const { return m_faultCounts; }
+    bool injecting() const { return m_context.injecting; }
+    const std::map<std::string, int>& faultCounts() const { return m_context.counts; }
 
 private:
-    Awaitable<> restartEndedInstances();
-    Awaitable<> restartInstance(Deployment::Instance&);
     Awaitable<> limitEnginesPeriodically();
     Awaitable<> limitEngine(Deployment::ManagedEngine&);
     Awaitable<> failRequestsPeriodically();
@@ -34,14 +32,6 @@
     void injectFault();
     void startPlannedOperation();
     void injectUnplannedFault();
-    Awaitable<> stopInstance(Deployment::Instance&);
-    bool startStop(Deployment::Instance&);
-    Awaitable<> stopInstancesPeriodically();
-    Awaitable<> stopInstancesInTurn(Milliseconds interval);
-    Awaitable<> stopAgainAfterRestart(Deployment::Instance&);
-    Awaitable<> freezeInstancesPeriodically();
-    Awaitable<> freezeAroundStop(Deployment::Instance&);
-    Awaitable<> signalDuringStop(Deployment::Instance&, int signalNumber);
     Awaitable<> pauseProcess(std::string name, std::string subject);
     Awaitable<> injectLinkFault(Proxy&, std::string subject);
     Awaitable<> restoreStore();
@@ -55,17 +45,9 @@
     Awaitable<> killEngine(Deployment::ManagedEngine&);
     Awaitable<> drainEngine(Deployment::ManagedEngine&);
     Awaitable<> replaceEngine(Deployment::ManagedEngine&);
-    void recordDisturbance(const std::string& subject, SoakTime startedAt, SoakTime endedAt, bool planned = false);
-    Milliseconds randomDuration(int minMilliseconds, int maxMilliseconds);
 
-    asio::io_context& m_io;
-    const SoakOptions& m_options;
-    Deployment& m_deployment;
-    Random& m_random;
-    SoakRecord& m_record;
-    std::map<std::string, int> m_faultCounts;
-    bool m_injecting = true;
-    bool m_restarting = true;
+    FaultContext m_context;
+    InstanceFaults m_instanceFaults;
 };
 
 }
