Split the stop and the changes of the store from EntryInstance

Change: InstanceStop handles stop signals up to the end of the process, StoreChangeHandler applies entries. EntryInstance builds and connects.

--- a/src/entry/entryinstance.h
+++ b/src/entry/entryinstance.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "common/stopsignalreceiver.h"
 #include "entry/configurationcatchup.h"
 #include "entry/entrysettings.h"
+#include "entry/instancestop.h"
+#include "entry/storechangehandler.h"
 #include "entry/storerecovery.h"
-#include "entry/storeschema.h"
 #include "fleet/fleetcensus.h"
 #include "fleet/peerfeed.h"
 #include "fleet/registration.h"
@@ -50,25 +50,13 @@
     void limitMemory();
     bool listen();
     void runTask(const char* name, std::function<Awaitable<>()> task);
-    void onStoreChange(const std::string& key, const std::optional<std::string>& value);
-    void onStoreEntry(const std::string& key, const std::optional<std::string>& value);
-    void onEvacuationChanged(const EvacuationChanged&);
-    void onCrashRecord(const StoredCrashRecord&, TimePoint now);
-    void onConfiguration(const std::string& document);
     Awaitable<> serveReadiness(HttpExchange&);
     void onFleetMessage(const FleetMessage&);
     Awaitable<> reportLoop();
     void sendReport();
     Awaitable<> tickLoop();
     Awaitable<> handleCaller(HttpExchange&);
-    Awaitable<> handleStopSignals();
-    void takeStopSignal(std::optional<int> handledSignal = std::nullopt);
-    void beginStop(const StopSignal&);
-    Awaitable<> drainAndStop();
-    Awaitable<bool> handOverLastUsage();
     Awaitable<> servePeer(HttpExchange&);
-    void cutRequests();
-    void logCutConnections();
     Awaitable<> reloadLoop();
     void reloadSettings();
     bool ready() const;
@@ -118,17 +106,15 @@
     TargetPathProber m_targetPathProber;
     RequestHandler m_requestHandler;
     PeerFeedServer m_peerFeed;
+    StoreChangeHandler m_storeChanges;
     /// What callers' connections may hold; null without a stated memory. Shared with the coroutines that serve them.
     std::shared_ptr<MemoryBudget> m_memoryBudget;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_peerServer;
-    asio::signal_set m_stopSignals;
-    StopSignalReceiver m_stopSignalReceiver;
+    InstanceStop m_stop;
     asio::signal_set m_reloadSignals;
     bool m_wasReady = false;
-    /// Records that peers hand over from now on would end with this process.
-    bool m_takesUsageRecords = true;
     std::optional<int> m_retrySharers;
 };
 
--- a/src/entry/internal/entryinstance.cpp
+++ b/src/entry/internal/entryinstance.cpp
@@ -2,8 +2,6 @@
 
 #include "common/log.h"
 #include "common/overloaded.h"
-#include "common/stopsignals.h"
-#include "entry/drain.h"
 #include "net/eventloop.h"
 #include "net/logflusher.h"
 #include "net/persistenttask.h"
@@ -20,13 +18,6 @@
     constexpr auto tickInterval = Milliseconds(100);
     /// Time between full load reports, which also serve as heartbeats to the peers.
     constexpr auto reportInterval = Milliseconds(500);
-    /// Time until the load balancer stops sending requests: it polls readiness once a second
-    /// and removes an instance after two failed polls.
-    constexpr auto balancerDetectionTime = Milliseconds(3200);
-    /// A process whose processor time is used up handles its signals late.
-    constexpr auto maxSignalDelay = Milliseconds(350);
-    /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
-    constexpr auto signalSettlingTime = Milliseconds(100);
     /// Subtracted from keyLifetimeAfterRevocation to allow for the delay to the target and for late timers.
     constexpr auto revocationMargin = Milliseconds(600);
 
@@ -93,18 +84,18 @@
     , m_targetPathProber(m_io, m_dispatcher, m_directory, Random(m_random()))
     , m_requestHandler(m_relayContext)
     , m_peerFeed(m_replica)
+    , m_storeChanges({ .schema = m_platform.storeSchema, .replica = m_replica, .follower = m_follower, .configuration = m_configuration, .directory = m_directory, .targetLimits = m_targetLimits, .dispatcher = m_dispatcher, .fleet = m_fleet, .crashGuard = m_crashGuard, .promptGuard = m_promptGuard, .onCallerLimits = [this](const CallerLimits& limits) { m_callerServer.setLimits(limitsFor(limits)); } })
     , m_callerServer(m_io, limitsFor({}), [this](HttpExchange& exchange) { return handleCaller(exchange); })
     , m_readinessServer(m_io, {}, [this](HttpExchange& exchange) { return serveReadiness(exchange); })
     , m_peerServer(m_io, {}, [this](HttpExchange& exchange) { return servePeer(exchange); })
-    , m_stopSignals(m_io, SIGTERM, SIGINT)
-    , m_stopSignalReceiver({ .minLength = maxSignalDelay, .settlingTime = signalSettlingTime })
+    , m_stop({ .io = m_io, .relayContext = m_relayContext, .callerServer = m_callerServer, .registration = m_registration, .usage = m_usage, .usageWriter = m_usageWriter, .usageCustodian = m_usageCustodian, .reloadSettings = [this] { reloadSettings(); } }, m_settings.stopLimit)
     , m_reloadSignals(m_io, SIGHUP)
 {
     limitMemory();
     m_replica.setKeyFilter([&schema = m_platform.storeSchema](const std::string& key) {
         return key == schema.configurationKey || key.starts_with(schema.targetPrefix) || key.starts_with(schema.instancePrefix) || key.starts_with(schema.crashPrefix) || key.starts_with(schema.evacuationPrefix);
     });
-    m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { onStoreChange(key, value); });
+    m_replica.setChangeListener([this](const std::string& key, const std::optional<std::string>& value) { m_storeChanges.onStoreChange(key, value); });
     m_replica.setChangeFilter([&schema = m_platform.storeSchema](const std::string& key, const std::string& oldValue, const std::string& newValue) { return schema.changesMoreThanHeartbeat(key, oldValue, newValue); });
     m_replica.setNewsListener([this] { m_peerFeed.onReplicaChanged(); });
     m_replica.setOutdatedEntryListener([](const std::string& key) { logEvent(LogLevel::Warning, "store_entry_outdated", { { "key", key } }); });
@@ -120,7 +111,7 @@
     });
     m_dispatcher.setPlacementLimits(m_targetLimits);
     m_placementClient.setUnusableGrantListener([this](std::string_view reason) { m_metrics.recordUnusableGrant(std::string(reason)); });
-    m_directory.evacuations().setListener([this](const EvacuationChanged& event) { onEvacuationChanged(event); });
+    m_directory.evacuations().setListener([this](const EvacuationChanged& event) { m_storeChanges.onEvacuationChanged(event); });
     m_moveServer.setLocalResponseListener([this](const MoveResponse& response) { m_handoverService.onMoveResponse(response); });
     m_link.setMessageHandler([this](const FleetMessage& message) { onFleetMessage(message); });
     m_follower.setStoreLostListener([this] { m_directory.onStoreLost(Clock::now()); });
@@ -181,7 +172,7 @@
     runTask("reports", [this] { return reportLoop(); });
     runTask("messages", [this] { return m_link.receiveLoop(); });
     runTask("tick", [this] { return tickLoop(); });
-    runTask("stop", [this] { return handleStopSignals(); });
+    runTask("stop", [this] { return m_stop.run(); });
     runTask("reload", [this] { return reloadLoop(); });
     runTask("usage", [this] { return m_usageWriter.run(usageFlushInterval); });
     runTask("custodian", [this] { return m_usageCustodian.run(); });
@@ -198,96 +189,6 @@
     asio::co_spawn(m_io, runPersistently(name, std::move(task)), reportFailedHandler);
 }
 
-/// An entry that cannot be applied must not keep the others from being applied.
-void EntryInstance::onStoreChange(const std::string& key, const std::optional<std::string>& value)
-{
-    try {
-        onStoreEntry(key, value);
-    } catch (const std::exception& exception) {
-        logEvent(LogLevel::Error, "store_entry_not_applied", { { "key", key }, { "bytes", std::int64_t(value ? value->size() : 0) }, { "detail", std::string(exception.what()) } });
-    }
-}
-
-void EntryInstance::onStoreEntry(const std::string& key, const std::optional<std::string>& value)
-{
-    const auto& schema = m_platform.storeSchema;
-    auto now = Clock::now();
-    if (key == schema.configurationKey) {
-        if (value)
-            onConfiguration(*value);
-    } else if (key.starts_with(schema.targetPrefix)) {
-        auto id = key.substr(schema.targetPrefix.size());
-        auto entry = value ? schema.decodeTarget(id, *value) : std::nullopt;
-        if (value)
-            m_directory.onEntryWritten(id, entry, now);
-        else
-            m_directory.onEntryRemoved(id, now);
-        if (entry)
-            m_targetLimits.onEntry(*entry, now);
-        m_dispatcher.onTargetsChanged();
-    } else if (key.starts_with(schema.evacuationPrefix)) {
-        auto domain = key.substr(schema.evacuationPrefix.size());
-        if (value && !domain.empty())
-            m_directory.evacuations().onEvacuated(domain, now);
-        else
-            m_directory.evacuations().onEnded(domain, now);
-    } else if (key.starts_with(schema.instancePrefix)) {
-        auto record = value ? decodeInstanceRecord(*value) : std::nullopt;
-        if (record)
-            m_fleet.onRegistered(key, std::move(*record), now);
-        else
-            m_fleet.onUnregistered(key, now);
-    } else if (key.starts_with(schema.crashPrefix)) {
-        if (auto record = value ? decodeCrashRecord(*value) : std::nullopt)
-            onCrashRecord(*record, now);
-    }
-}
-
-void EntryInstance::onEvacuationChanged(const EvacuationChanged& event)
-{
-    logEvent(LogLevel::Warning, event.evacuated ? "evacuation_started" : "evacuation_ended", { { "domain", event.domain }, { "targets", std::int64_t(m_directory.targetsIn(event.domain)) }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "waiting", std::int64_t(m_dispatcher.waitingCount()) } });
-    m_dispatcher.onTargetsChanged();
-}
-
-void EntryInstance::onCrashRecord(const StoredCrashRecord& record, TimePoint now)
-{
-    std::visit(Overloaded {
-                   [&](const PromptPartRecord& conviction) { m_promptGuard.onStoredRecord(conviction, now); },
-                   [&](const auto& crashRecord) { m_crashGuard.onStoredRecord(crashRecord, now); },
-               },
-        record);
-}
-
-void EntryInstance::onConfiguration(const std::string& document)
-{
-    auto configuration = m_platform.storeSchema.decodeConfiguration(document);
-    if (!configuration) {
-        logEvent(LogLevel::Error, "configuration_unreadable", { { "bytes", std::int64_t(document.size()) } });
-        return;
-    }
-    auto version = configuration->version;
-    if (!m_configuration.adopt(std::move(*configuration))) {
-        auto inForce = m_configuration.table()->version();
-        if (version < inForce)
-            logEvent(LogLevel::Warning, "older_configuration_ignored", { { "version", version }, { "in_force", inForce }, { "source", std::string(toString(m_follower.source())) } });
-        return;
-    }
-    m_callerServer.setLimits(limitsFor(m_configuration.table()->limits()));
-    std::map<std::string, double> coldServices;
-    for (const auto& service : m_configuration.table()->services()) {
-        if (service.coldRequestsPerSecond > 0)
-            coldServices.emplace(service.name, service.coldRequestsPerSecond);
-    }
-    m_targetLimits.setColdServices(std::move(coldServices), Clock::now());
-    std::set<std::string> pooledServices;
-    for (const auto& service : m_configuration.table()->services()) {
-        if (service.engine)
-            pooledServices.insert(service.name);
-    }
-    m_targetLimits.setPooledServices(std::move(pooledServices), Clock::now());
-    logEvent(LogLevel::Info, "configuration_adopted", { { "version", version }, { "source", std::string(toString(m_follower.source())) }, { "era", m_replica.revision().era }, { "revision", m_replica.revision().number }, { "configuration_age_ms", std::chrono::duration_cast<Milliseconds>(m_configuration.age(BootClock::now())).count() } });
-}
-
 bool EntryInstance::ready() const
 {
     bool requiresKeys = m_configuration.ready() && m_configuration.table()->requiresKeys();
@@ -309,7 +210,7 @@
         co_await exchange.send(std::move(metricsReply));
         co_return;
     }
-    takeStopSignal();
+    m_stop.takeSignal();
     bool isReady = ready();
     Reply reply { .status = isReady ? 200U : 503U, .body = isReady ? R"({"ready":true})" : R"({"ready":false})" };
     co_await exchange.send(std::move(reply));
@@ -468,8 +369,8 @@
 Awaitable<> EntryInstance::tickLoop()
 {
     while (true) {
-        m_stopSignalReceiver.onRunning();
-        takeStopSignal();
+        m_stop.onRunning();
+        m_stop.takeSignal();
         m_directory.onTick(Clock::now());
         m_fleet.onTick(Clock::now());
         if (m_placementClient.needsReport())
@@ -511,92 +412,26 @@
         logEvent(LogLevel::Error, "settings_unreadable", { { "kept", true } });
         return;
     }
-    m_settings.stopLimit = settings->stopLimit;
+    m_stop.setLimit(settings->stopLimit);
     m_configuration.setMaxUnconfirmedTime(settings->keyLifetimeAfterRevocation - revocationMargin);
     m_relayContext.configurationTime = settings->configurationTime;
-    if (m_relayContext.stop)
-        m_relayContext.stop = m_relayContext.stop->withLimit(settings->stopLimit);
     logEvent(LogLevel::Info, "settings_reloaded", { { "stop_limit_ms", settings->stopLimit.count() }, { "key_lifetime_ms", settings->keyLifetimeAfterRevocation.count() }, { "configuration_time_ms", settings->configurationTime.count() }, { "stopping", m_relayContext.stop.has_value() } });
 }
 
 /// After a standstill, requests and timers may be handled before the signals that came first.
 Awaitable<> EntryInstance::handleCaller(HttpExchange& exchange)
 {
-    takeStopSignal();
+    m_stop.takeSignal();
     return m_requestHandler.handle(exchange);
 }
 
-void EntryInstance::takeStopSignal(std::optional<int> handledSignal)
-{
-    if (auto signal = m_stopSignalReceiver.take(handledSignal))
-        beginStop(*signal);
-}
-
-/// The host's time runs from its signal, which waits until a process that stands still runs again. The settings may have changed without
-/// a signal, or with one that is not handled yet.
-void EntryInstance::beginStop(const StopSignal& signal)
-{
-    reloadSettings();
-    m_relayContext.stop = StopSchedule({ .signalledAt = signal.arrivedAt, .maxSignalAge = signal.maxAge, .stopLimit = m_settings.stopLimit, .balancerDetectionTime = balancerDetectionTime, .maxSignalDelay = maxSignalDelay });
-    m_relayContext.activeRequests->endWithStop(toSteadyTime(m_relayContext.stop->requestsEndAt()));
-    m_registration.stop();
-    auto connections = m_callerServer.connectionCounts();
-    auto milliseconds = [](BootClock::duration duration) -> std::int64_t { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
-    logEvent(LogLevel::Info, "stopping", { { "signal", std::int64_t(signal.number) }, { "signal_age_at_most_ms", milliseconds(signal.maxAge) }, { "handled_after_ms", milliseconds(BootClock::now() - signal.arrivedAt) }, { "in_flight", std::int64_t(m_relayContext.inFlight) }, { "streams", std::int64_t(m_liveStreams.size()) }, { "idle_connections", std::int64_t(connections.idle) }, { "reading_connections", std::int64_t(connections.reading) }, { "handling_connections", std::int64_t(connections.handling) }, { "closing_connections", std::int64_t(connections.closing) }, { "stop_limit_ms", m_settings.stopLimit.count() } });
-    asio::co_spawn(m_io, drainAndStop(), reportFailedHandler);
-}
-
-Awaitable<> EntryInstance::handleStopSignals()
-{
-    auto [error, signal] = co_await m_stopSignals.async_wait(asTuple);
-    if (error)
-        co_return;
-    StopSignals signals;
-    signals.endsAtOnce(signal);
-    takeStopSignal(signal);
-    while (true) {
-        auto [repeatError, repeatedSignal] = co_await m_stopSignals.async_wait(asTuple);
-        if (repeatError)
-            co_return;
-        if (signals.endsAtOnce(repeatedSignal))
-            break;
-        logEvent(LogLevel::Info, "stop_signal_repeated", { { "signal", std::int64_t(repeatedSignal) } });
-    }
-    logEvent(LogLevel::Warning, "stopped_early", { { "cut_requests", std::int64_t(m_relayContext.inFlight) } });
-    m_io.stop();
-}
-
-/// Reports "not ready" but keeps accepting connections until the load balancer has stopped sending requests,
-/// so that callers do not find a closed port. Requests in flight run until shortly before the host's kill.
-Awaitable<> EntryInstance::drainAndStop()
-{
-    DrainOptions options { .busyConnections = [this] { return m_callerServer.connectionCounts().busy(); }, .endedRequests = [this] { return m_relayContext.endedRequests; }, .closeIdleConnections = [this] { m_callerServer.closeIdleConnections(); }, .closeListener = [this] { m_callerServer.close(); }, .cutRequests = [this] { cutRequests(); }, .chargeRunningRequests = [this] { m_relayContext.activeRequests->chargeDelivered(); }, .writeUsage = [this] { return m_usageWriter.flushChanges(); }, .handOverUsage = [this] { return handOverLastUsage(); }, .schedule = [this] { return *m_relayContext.stop; } };
-    bool usageWritten = co_await drain(std::move(options));
-    if (!usageWritten)
-        logEvent(LogLevel::Warning, "usage_not_written", { { "organisations", std::int64_t(m_usage.totals().size()) } });
-    logCutConnections();
-    m_io.stop();
-}
-
-Awaitable<bool> EntryInstance::handOverLastUsage()
-{
-    m_takesUsageRecords = false;
-    std::vector<Endpoint> peers;
-    for (const auto& peer : m_fleet.reachablePeers(Clock::now()))
-        peers.push_back(peer.peerEndpoint);
-    std::shuffle(peers.begin(), peers.end(), m_random);
-    UsageHandover handover { .own = m_usageWriter.record(), .held = m_usageCustodian.heldUsage(Clock::now()) };
-    int accepted = co_await handOverUsage(std::move(handover), std::move(peers));
-    co_return accepted > 0;
-}
-
 Awaitable<> EntryInstance::servePeer(HttpExchange& exchange)
 {
     if (exchange.path() != usageHandoverPath) {
         co_await m_peerFeed.handle(exchange);
         co_return;
     }
-    if (m_takesUsageRecords) {
+    if (m_stop.takesUsageRecords()) {
         co_await receiveUsage(exchange, m_usageCustodian);
         co_return;
     }
@@ -604,21 +439,4 @@
     co_await exchange.send(std::move(refusal));
 }
 
-void EntryInstance::cutRequests()
-{
-    auto now = Clock::now();
-    for (const auto* request : m_relayContext.activeRequests->cutAll(now))
-        recordCut(m_relayContext, *request, now);
-}
-
-void EntryInstance::logCutConnections()
-{
-    auto sinceStop = std::chrono::duration_cast<Milliseconds>(BootClock::now() - m_relayContext.stop->signalledAt()).count();
-    for (const auto& connection : m_callerServer.openConnections()) {
-        bool cut = connection.state != ConnectionState::Idle || connection.unreadBytes > 0;
-        if (cut)
-            logEvent(LogLevel::Warning, "connection_cut", { { "caller", toString(connection.caller) }, { "state", std::string(toString(connection.state)) }, { "unread_bytes", std::int64_t(connection.unreadBytes) }, { "since_stop_ms", sinceStop } });
-    }
-}
-
 }
