Take a stop signal that arrives after a standstill as new

What callers saw: after a signal that came within 100 ms of a standstill, requests that the stop has time for were refused: a look-up with 2 s until its route's timeout got 503, 3 s after a signal that came 20 ms after a standstill of 1.5 s. Cause: signals that waited were thought to arrive up to 100 ms after timers and requests. It is their handling by the event loop that may come later; their arrival, which the signal handler notes, cannot. Change: a signal may be as old as the standstill in which it arrived, that is before the next sign of life, and no other. Why it works: the kernel delivers what waited before the process runs any other code, and the program has one thread.

--- a/src/common/internal/standstilllog.cpp
+++ b/src/common/internal/standstilllog.cpp
@@ -11,8 +11,8 @@
 
 }
 
-StandstillLog::StandstillLog(StandstillOptions options, BootTime now)
-    : m_options(options)
+StandstillLog::StandstillLog(BootClock::duration minLength, BootTime now)
+    : m_minLength(minLength)
     , m_lastRunning(now)
 {
 }
@@ -21,7 +21,7 @@
 {
     Standstill pause { .beganAt = m_lastRunning, .endedAt = now };
     m_lastRunning = now;
-    if (pause.length() < m_options.minLength)
+    if (pause.length() < m_minLength)
         return std::nullopt;
     m_standstills.push_front(pause);
     if (m_standstills.size() > maxStandstills)
@@ -29,16 +29,11 @@
     return pause;
 }
 
-/// A process may run for a moment between two standstills without handling all that waited.
+/// What waited arrives before the process gives its next sign of life, so that a later event has not waited.
 BootTime StandstillLog::earliestCauseOf(BootTime arrivedAt) const
 {
-    auto earliest = arrivedAt;
-    for (const auto& standstill : m_standstills) {
-        if (standstill.endedAt + m_options.settlingTime < earliest)
-            break;
-        earliest = std::min(earliest, standstill.beganAt);
-    }
-    return earliest;
+    auto heldUp = std::find_if(m_standstills.begin(), m_standstills.end(), [&](const Standstill& standstill) { return standstill.beganAt <= arrivedAt && arrivedAt <= standstill.endedAt; });
+    return heldUp == m_standstills.end() ? arrivedAt : heldUp->beganAt;
 }
 
 }
--- a/src/common/internal/stopsignalreceiver.cpp
+++ b/src/common/internal/stopsignalreceiver.cpp
@@ -8,8 +8,8 @@
 
 namespace guavaspan {
 
-StopSignalReceiver::StopSignalReceiver(StandstillOptions options)
-    : m_standstills(options, BootClock::now())
+StopSignalReceiver::StopSignalReceiver(BootClock::duration minStandstill)
+    : m_standstills(minStandstill, BootClock::now())
 {
     SignalArrivals::watch(SIGTERM);
     SignalArrivals::watch(SIGINT);
--- a/src/common/standstilllog.h
+++ b/src/common/standstilllog.h
@@ -18,19 +18,11 @@
     friend bool operator==(const Standstill&, const Standstill&) = default;
 };
 
-struct StandstillOptions {
-    /// A shorter time without a sign of life is a late timer.
-    BootClock::duration minLength {};
-    /// What waited during a standstill is handled in any order within this time after it.
-    BootClock::duration settlingTime {};
-
-    friend bool operator==(const StandstillOptions&, const StandstillOptions&) = default;
-};
-
-/// Remembers when the process stood still, and until when an event may have waited that arrives afterwards.
+/// Remembers when the process stood still, and for how long an event may have waited that arrived at the end of it.
 class StandstillLog {
 public:
-    StandstillLog(StandstillOptions, BootTime now);
+    /// A time without a sign of life that is shorter than the minimum is a late timer.
+    StandstillLog(BootClock::duration minLength, BootTime now);
 
     /// Takes note that the process runs; returns the standstill that this ends.
     std::optional<Standstill> onRunning(BootTime now);
@@ -39,7 +31,7 @@
     BootTime earliestCauseOf(BootTime arrivedAt) const;
 
 private:
-    StandstillOptions m_options;
+    BootClock::duration m_minLength;
     BootTime m_lastRunning;
     /// The latest first.
     std::deque<Standstill> m_standstills;
--- a/src/common/stopsignalreceiver.h
+++ b/src/common/stopsignalreceiver.h
@@ -19,7 +19,7 @@
 class StopSignalReceiver {
 public:
     /// Created after the handlers of SIGTERM and SIGINT, which are still called.
-    explicit StopSignalReceiver(StandstillOptions);
+    explicit StopSignalReceiver(BootClock::duration minStandstill);
 
     /// Called at intervals while the process runs; logs standstills.
     void onRunning();
--- a/src/entry/internal/instancestop.cpp
+++ b/src/entry/internal/instancestop.cpp
@@ -18,8 +18,6 @@
     constexpr auto balancerDetectionTime = Milliseconds(3200);
     /// A process whose processor time is used up handles its signals late.
     constexpr auto maxSignalDelay = Milliseconds(350);
-    /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
-    constexpr auto signalSettlingTime = Milliseconds(100);
 
     std::int64_t milliseconds(BootClock::duration duration)
     {
@@ -32,7 +30,7 @@
     : m_context(std::move(context))
     , m_limit(limit)
     , m_signals(m_context.io, SIGTERM, SIGINT)
-    , m_receiver({ .minLength = maxSignalDelay, .settlingTime = signalSettlingTime })
+    , m_receiver(maxSignalDelay)
 {
 }
 
--- a/src/instance/internal/instance.cpp
+++ b/src/instance/internal/instance.cpp
@@ -21,8 +21,6 @@
     constexpr auto metricsInterval = Milliseconds(500);
     /// A later sign of life than this shows a standstill.
     constexpr auto minStandstill = metricsInterval + Milliseconds(350);
-    /// Within this time after a standstill, signals that waited may arrive later than timers and requests.
-    constexpr auto signalSettlingTime = Milliseconds(100);
     /// Time between writes of use while the host may kill the process at any time.
     constexpr auto usageSaveInterval = Milliseconds(1000);
 
@@ -68,7 +66,7 @@
         return m_gateway.handle(exchange);
     })
     , m_signals(m_io, SIGTERM, SIGINT)
-    , m_stopSignalReceiver({ .minLength = minStandstill, .settlingTime = signalSettlingTime })
+    , m_stopSignalReceiver(minStandstill)
 {
     m_configuration.onChange([this](const Configuration& configuration) { onConfiguration(configuration); });
 }
