Pass on whole answers of targets in one place

What callers saw: read only. An answer to HEAD that came by way of a peer, or as a stream's failure, stated a length of 0 instead of the target's. Cause: the length was kept in PlainRelay alone, and three relays copied header and body of an answer, each by itself. Change: passedOnAnswer() does so for all three. The parser of requests no longer remembers that a transfer coding was stated, as Beast rejects a second one.

--- a/src/net/httprequest.h
+++ b/src/net/httprequest.h
@@ -59,7 +59,6 @@
     void on_field_impl(http::field, beast::string_view name, beast::string_view value, beast::error_code&) override;
 
     std::vector<LongField> m_longFields;
-    bool m_hasTransferCoding = false;
 };
 
 /// The request line and the header fields as they are sent, with the empty line at the end.
--- a/src/net/internal/httprequest.cpp
+++ b/src/net/internal/httprequest.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <limits>
-#include <utility>
 
 namespace guavaspan {
 
@@ -62,13 +61,13 @@
     return foundLong == m_longFields.end() ? std::string_view() : std::string_view(foundLong->value);
 }
 
-/// Beast takes a request with a transfer coding other than chunked as one without a body, and what follows as the next request.
+/// Beast takes a request with a transfer coding other than chunked as one without a body, and what follows as the next request. It rejects
+/// chunked twice by itself.
 void HttpRequestParser::on_field_impl(http::field knownName, beast::string_view name, beast::string_view value, beast::error_code& error)
 {
     if (knownName == http::field::transfer_encoding) {
         constexpr unsigned firstVersionWithCodings = 11;
-        bool onlyChunked = beast::iequals(value, "chunked") && !std::exchange(m_hasTransferCoding, true);
-        if (!onlyChunked || get().version() < firstVersionWithCodings) {
+        if (!beast::iequals(value, "chunked") || get().version() < firstVersionWithCodings) {
             error = http::error::bad_transfer_encoding;
             return;
         }
--- a/src/net/tests/httprequest_test.cpp
+++ b/src/net/tests/httprequest_test.cpp
@@ -170,7 +170,7 @@
 /// Guards against UNASKED: codings in several fields, or in a version without them.
 Test(HttpServer, transferCodingInSeveralFieldsOrAnOlderVersion_isMalformed)
 {
-    for (const auto& head : { "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" }) {
+    for (const auto& head : { "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" }) {
         LongHeaderFixture f;
         auto answer = f.ask(head + std::string("0\r\n\r\n"));
         cr_expect(answer.starts_with("HTTP/1.1 400"), "%s: %.60s", head, answer.c_str());
--- a/src/relay/internal/peerrelay.cpp
+++ b/src/relay/internal/peerrelay.cpp
@@ -73,8 +73,7 @@
         result.detail = describe(body.error());
         co_return co_await fail(request, std::move(result));
     }
-    auto response = withoutHopByHopHeaders(connection.header());
-    response.body() = std::move(*body);
+    auto response = passedOnAnswer(request.exchange.request(), connection.header(), std::move(*body));
     co_await request.exchange.sendResponse(std::move(response));
     co_return result;
 }
--- a/src/relay/internal/plainrelay.cpp
+++ b/src/relay/internal/plainrelay.cpp
@@ -136,12 +136,7 @@
     recordBodyEnd(m_context, request, connection, body);
     if (!body)
         co_return finish(outcomeOf(body.error()), describe(body.error()));
-    attempt.response = withoutHopByHopHeaders(connection.header());
-    auto statedLength = connection.header().find(http::field::content_length);
-    bool isHead = request.exchange.request().method() == http::verb::head;
-    if (isHead && statedLength != connection.header().end())
-        attempt.response.set(http::field::content_length, statedLength->value());
-    attempt.response.body() = std::move(*body);
+    attempt.response = passedOnAnswer(request.exchange.request(), connection.header(), std::move(*body));
     co_return finish(outcome, "status " + std::to_string(responseHead.status));
 }
 
--- a/src/relay/internal/relaycontext.cpp
+++ b/src/relay/internal/relaycontext.cpp
@@ -82,6 +82,16 @@
     return response;
 }
 
+HttpResponse passedOnAnswer(const HttpRequest& request, const http::response_header<>& header, std::string body)
+{
+    auto response = withoutHopByHopHeaders(header);
+    auto length = header.find(http::field::content_length);
+    if (request.method() == http::verb::head && length != header.end())
+        response.set(http::field::content_length, length->value());
+    response.body() = std::move(body);
+    return response;
+}
+
 Milliseconds timeLeft(const RelayRequest& request)
 {
     auto left = std::chrono::duration_cast<Milliseconds>(request.deadline - Clock::now());
--- a/src/relay/internal/streamrelay.cpp
+++ b/src/relay/internal/streamrelay.cpp
@@ -300,8 +300,7 @@
     if (isTargetError) {
         auto body = co_await session.connection->readAll([&](std::size_t bytes) { return request.exchange.holdAnswer(bytes); });
         if (body) {
-            auto response = withoutHopByHopHeaders(session.connection->header());
-            response.body() = std::move(*body);
+            auto response = passedOnAnswer(request.exchange.request(), session.connection->header(), std::move(*body));
             result.status = session.responseHead.status;
             result.reason = "target_failure";
             co_await request.exchange.sendResponse(std::move(response));
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -151,6 +151,9 @@
 /// Copies the header of a target's answer without hop-by-hop headers.
 HttpResponse withoutHopByHopHeaders(const http::response_header<>&);
 
+/// A target's whole answer to the request as it is passed on. An answer to HEAD keeps the length that it states.
+HttpResponse passedOnAnswer(const HttpRequest&, const http::response_header<>&, std::string body);
+
 Milliseconds timeLeft(const RelayRequest&);
 
 /// The gate that the request passes before each send.
